--- /dev/null
+++ b/libs/core/include/core/clock.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <chrono>
+
+namespace coltsfoot::core {
+
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+
+/// Point on the host's monotonic clock. All processes of one host share this clock; points of
+/// different hosts cannot be compared.
+using mono_time = std::chrono::time_point<std::chrono::steady_clock, nanoseconds>;
+
+/// Point in wall-clock time, only for display and for records that operators read.
+using wall_time = std::chrono::time_point<std::chrono::system_clock, milliseconds>;
+
+/// Source of time. Tests use `manual_clock`.
+class clock {
+ public:
+  virtual ~clock() = default;
+  /// @return the current monotonic time.
+  virtual mono_time Now() const = 0;
+  /// @return the current wall-clock time.
+  virtual wall_time WallNow() const = 0;
+};
+
+/// The host's clocks.
+class system_clock final : public clock {
+ public:
+  mono_time Now() const override { return std::chrono::steady_clock::now(); }
+  wall_time WallNow() const override {
+    return std::chrono::time_point_cast<milliseconds>(std::chrono::system_clock::now());
+  }
+};
+
+/// Clock that a test moves by hand.
+class manual_clock final : public clock {
+ public:
+  mono_time Now() const override { return now_; }
+  wall_time WallNow() const override {
+    return wall_time{std::chrono::duration_cast<milliseconds>(now_.time_since_epoch())};
+  }
+  /// Moves the clock forward.
+  void Advance(nanoseconds step) { now_ += step; }
+
+ private:
+  mono_time now_{std::chrono::hours{1}};
+};
+
+/// @return `duration` in whole milliseconds.
+constexpr std::int64_t ToMs(nanoseconds duration) noexcept {
+  return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+}  // namespace coltsfoot::core
--- /dev/null
+++ b/libs/core/include/core/ids.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace coltsfoot::core {
+
+using shard_index = std::uint32_t;
+/// Number of an assignment of a task; each assignment has a higher one than any before.
+using epoch_number = std::uint64_t;
+/// Number of a shard's ownership; each owner has a higher one than any before.
+using fence_number = std::uint64_t;
+/// Version of the fleet configuration; 0 means that none is known.
+using config_version = std::uint64_t;
+
+/// @return a 64-bit hash of `text` that is the same in every process and release (FNV-1a with
+/// a final avalanche step).
+std::uint64_t StableHash(std::string_view text) noexcept;
+
+/// @return the shard of an idempotency key or task name.
+shard_index ShardOfKey(std::string_view key, std::uint32_t shard_count) noexcept;
+
+/// Builds the id of a task: "t", the shard in two hex digits, "-", and 16 hex digits.
+std::string MakeTaskId(shard_index shard, std::uint64_t unique);
+
+/// @return the id of the task that `team` submits with `idempotency_key`; the same key always
+/// gives the same id.
+std::string TaskIdForKey(std::string_view team, std::string_view idempotency_key,
+                         std::uint32_t shard_count);
+
+/// @return the shard in `task_id`, or nothing if it is no task id.
+std::optional<shard_index> ShardOfTask(std::string_view task_id) noexcept;
+
+/// @return 16 hex digits.
+std::string ToHex(std::uint64_t value);
+
+}  // namespace coltsfoot::core
--- /dev/null
+++ b/libs/http/include/http/server.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "http/message.h"
+
+namespace coltsfoot::http {
+
+/// Sends the answer to one request. May be called from any thread, once; later calls are ignored.
+using responder = std::function<void(response)>;
+
+/// Handles one request on a traffic thread. It must not block; it answers through `responder`, at
+/// once or later.
+using request_handler = std::function<void(request, responder)>;
+
+/// Options of a server.
+struct server_options {
+  std::string address = "127.0.0.1";
+  std::uint16_t port = 0;  ///< 0 lets the kernel choose
+  std::size_t threads = 1;
+  std::size_t body_limit = 1U << 20U;  ///< bytes; a larger body gets a numbered error
+};
+
+/// HTTP/1.1 server on its own traffic threads.
+class server {
+ public:
+  /// Starts to listen.
+  /// @throws std::exception if the address cannot be bound.
+  server(server_options options, request_handler handler);
+  /// Closes all connections at once.
+  ~server();
+  server(const server&) = delete;
+  server& operator=(const server&) = delete;
+
+  /// @return the port that the server listens on.
+  std::uint16_t port() const noexcept;
+
+  /// Stops accepting connections, waits until each request in progress has been answered, then
+  /// closes the connections and joins the threads.
+  /// @param limit longest time to wait.
+  void ShutDown(std::chrono::milliseconds limit);
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace coltsfoot::http
--- /dev/null
+++ b/libs/http/src/client.cc
@@ -0,0 +1,240 @@
+#include "http/client.h"
+
+#include <curl/curl.h>
+
+#include <atomic>
+#include <cctype>
+#include <deque>
+#include <future>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "core/result_code.h"
+
+namespace coltsfoot::http {
+namespace {
+
+constexpr long kMaxConnections = 512;  // NOLINT(google-runtime-int): libcurl's type
+constexpr int kPollMs = 1000;
+constexpr std::size_t kMaxIdleHandles = 64;
+
+struct transfer {
+  call request;
+  call_handler handler;
+  response answer;
+  curl_slist* header_list = nullptr;
+
+  ~transfer() { curl_slist_free_all(header_list); }
+};
+
+std::size_t AppendBody(char* data, std::size_t size, std::size_t count, void* target) {
+  static_cast<transfer*>(target)->answer.body.append(data, size * count);
+  return size * count;
+}
+
+std::size_t AppendHeader(char* data, std::size_t size, std::size_t count, void* target) {
+  const std::string_view line(data, size * count);
+  const std::size_t colon = line.find(':');
+  if (colon == std::string_view::npos) return size * count;
+  std::size_t begin = colon + 1;
+  std::size_t end = line.size();
+  while (begin < end && std::isspace(static_cast<unsigned char>(line[begin])) != 0) ++begin;
+  while (end > begin && std::isspace(static_cast<unsigned char>(line[end - 1])) != 0) --end;
+  static_cast<transfer*>(target)->answer.headers.insert_or_assign(
+      std::string(line.substr(0, colon)), std::string(line.substr(begin, end - begin)));
+  return size * count;
+}
+
+core::result_code CodeOf(CURLcode failure) {
+  switch (failure) {
+    case CURLE_COULDNT_CONNECT:
+    case CURLE_COULDNT_RESOLVE_HOST:
+    case CURLE_URL_MALFORMAT:
+      return core::result_code::connect_failed;
+    case CURLE_OPERATION_TIMEDOUT:
+      return core::result_code::deadline_exceeded;
+    case CURLE_PARTIAL_FILE:
+      return core::result_code::answer_truncated;
+    default:
+      return core::result_code::connection_lost;
+  }
+}
+
+class curl_client final : public client {
+ public:
+  curl_client() {
+    static std::once_flag global_init;
+    std::call_once(global_init, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
+    multi_ = curl_multi_init();
+    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kMaxConnections);
+    thread_ = std::thread([this] { Run(); });
+  }
+
+  ~curl_client() override {
+    stopping_ = true;
+    curl_multi_wakeup(multi_);
+    thread_.join();
+    for (CURL* handle : idle_) curl_easy_cleanup(handle);
+    curl_multi_cleanup(multi_);
+  }
+
+  void Send(call request, call_handler handler) override {
+    auto item = std::make_unique<transfer>();
+    item->request = std::move(request);
+    item->handler = std::move(handler);
+    {
+      const std::lock_guard lock(mutex_);
+      waiting_.push_back(std::move(item));
+    }
+    curl_multi_wakeup(multi_);
+  }
+
+ private:
+  void Run() {
+    while (!stopping_) {
+      StartWaiting();
+      int running = 0;
+      curl_multi_perform(multi_, &running);
+      FinishDone();
+      curl_multi_poll(multi_, nullptr, 0, kPollMs, nullptr);
+    }
+    AbandonAll();
+  }
+
+  void StartWaiting() {
+    std::deque<std::unique_ptr<transfer>> batch;
+    {
+      const std::lock_guard lock(mutex_);
+      batch.swap(waiting_);
+    }
+    for (auto& item : batch) Start(std::move(item));
+  }
+
+  void Start(std::unique_ptr<transfer> item) {
+    CURL* handle = TakeHandle();
+    const call& request = item->request;
+    curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
+    curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(handle, CURLOPT_PROXY, "");
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(request.timeout.count()));
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, AppendBody);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, item.get());
+    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, AppendHeader);
+    curl_easy_setopt(handle, CURLOPT_HEADERDATA, item.get());
+    if (request.method != "GET" || !request.body.empty()) {
+      curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(request.body.size()));
+      curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.body.data());
+    }
+    // libcurl waits for "100 Continue" before it sends a large body; no server here needs that.
+    item->header_list = curl_slist_append(item->header_list, "Expect:");
+    for (const auto& [name, value] : request.headers) {
+      item->header_list = curl_slist_append(item->header_list, (name + ": " + value).c_str());
+    }
+    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, item->header_list);
+    curl_multi_add_handle(multi_, handle);
+    active_.emplace(handle, std::move(item));
+  }
+
+  CURL* TakeHandle() {
+    if (idle_.empty()) return curl_easy_init();
+    CURL* handle = idle_.back();
+    idle_.pop_back();
+    return handle;
+  }
+
+  void FinishDone() {
+    int remaining = 0;
+    while (CURLMsg* message = curl_multi_info_read(multi_, &remaining)) {
+      if (message->msg != CURLMSG_DONE) continue;
+      CURL* handle = message->easy_handle;
+      const CURLcode failure = message->data.result;
+      auto node = active_.extract(handle);
+      long status = 0;  // NOLINT(google-runtime-int): libcurl's type
+      curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+      curl_multi_remove_handle(multi_, handle);
+      ReleaseHandle(handle);
+      Deliver(*node.mapped(), failure, static_cast<int>(status));
+    }
+  }
+
+  void ReleaseHandle(CURL* handle) {
+    if (idle_.size() >= kMaxIdleHandles) {
+      curl_easy_cleanup(handle);
+      return;
+    }
+    curl_easy_reset(handle);
+    idle_.push_back(handle);
+  }
+
+  static void Deliver(transfer& item, CURLcode failure, int status) {
+    call_result result;
+    if (failure == CURLE_OK) {
+      item.answer.status = status;
+      result.answer = std::move(item.answer);
+      result.reason.code = core::result_code::ok;
+    } else {
+      result.reason = {CodeOf(failure), curl_easy_strerror(failure)};
+    }
+    item.handler(std::move(result));
+  }
+
+  void AbandonAll() {
+    for (auto& [handle, item] : active_) {
+      curl_multi_remove_handle(multi_, handle);
+      curl_easy_cleanup(handle);
+      item->handler({std::nullopt, {core::result_code::connection_lost, "client is closed"}});
+    }
+    active_.clear();
+    const std::lock_guard lock(mutex_);
+    for (auto& item : waiting_) {
+      item->handler({std::nullopt, {core::result_code::connect_failed, "client is closed"}});
+    }
+    waiting_.clear();
+  }
+
+  CURLM* multi_ = nullptr;
+  std::atomic<bool> stopping_{false};
+  std::mutex mutex_;
+  std::deque<std::unique_ptr<transfer>> waiting_;
+  std::unordered_map<CURL*, std::unique_ptr<transfer>> active_;
+  std::vector<CURL*> idle_;
+  std::thread thread_;
+};
+
+}  // namespace
+
+std::unique_ptr<client> MakeCurlClient() { return std::make_unique<curl_client>(); }
+
+call_result CallAndWait(client& via, call request) {
+  auto promise = std::make_shared<std::promise<call_result>>();
+  auto future = promise->get_future();
+  via.Send(std::move(request),
+           [promise](call_result result) { promise->set_value(std::move(result)); });
+  return future.get();
+}
+
+std::string UrlEncode(std::string_view text) {
+  constexpr std::string_view kHex = "0123456789ABCDEF";
+  std::string out;
+  for (const char character : text) {
+    const auto byte = static_cast<unsigned char>(character);
+    const bool plain = std::isalnum(byte) != 0 || character == '-' || character == '_' ||
+                       character == '.' || character == '~';
+    if (plain) {
+      out += character;
+    } else {
+      out += '%';
+      out += kHex[byte >> 4U];
+      out += kHex[byte & 15U];
+    }
+  }
+  return out;
+}
+
+}  // namespace coltsfoot::http
--- /dev/null
+++ b/libs/http/src/server.cc
@@ -0,0 +1,179 @@
+// The only translation unit that includes RESTinio, whose headers take long to compile.
+#include "http/server.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <restinio/all.hpp>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace coltsfoot::http {
+namespace {
+
+// A body above the limit of the server gets a numbered error; RESTinio closes the connection
+// without an answer above this hard limit.
+constexpr std::uint64_t kHardBodyFactor = 16;
+constexpr std::size_t kMaxUrlBytes = 8192;
+constexpr std::size_t kMaxFieldBytes = 8192;
+constexpr std::size_t kMaxFields = 100;
+constexpr std::size_t kMaxPipelinedRequests = 8;
+constexpr std::chrono::minutes kIdleConnectionLimit{5};
+constexpr std::chrono::minutes kHandleRequestLimit{10};
+
+struct server_traits : restinio::default_traits_t {
+  using request_handler_t =
+      std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
+};
+
+request Convert(const restinio::request_t& source) {
+  request out;
+  out.method = source.header().method().c_str();
+  out.path = std::string(source.header().path());
+  const auto query =
+      restinio::parse_query<restinio::parse_query_traits::relaxed>(source.header().query());
+  for (const auto& [key, value] : query) out.query.emplace(std::string(key), std::string(value));
+  source.header().for_each_field([&out](const restinio::http_header_field_t& field) {
+    out.headers.emplace(field.name(), field.value());
+  });
+  out.body = source.body();
+  return out;
+}
+
+restinio::http_status_line_t StatusLine(int status) {
+  const char* reason = status < 300 ? "OK" : "Error";
+  return {restinio::http_status_code_t{static_cast<std::uint16_t>(status)}, reason};
+}
+
+void Send(const restinio::request_handle_t& handle, const response& answer, bool keep_alive) {
+  auto builder = handle->create_response(StatusLine(answer.status));
+  for (const auto& [name, value] : answer.headers) builder.append_header(name, value);
+  if (!keep_alive) builder.connection_close();
+  builder.set_body(answer.body);
+  builder.done();
+}
+
+}  // namespace
+
+class server::impl {
+ public:
+  impl(server_options options, request_handler handler)
+      : options_(std::move(options)), handler_(std::move(handler)), server_(MakeServer()) {
+    server_.open_sync();
+    for (std::size_t index = 0; index < options_.threads; ++index) {
+      threads_.emplace_back([this] { context_.run(); });
+    }
+  }
+
+  ~impl() { Stop(); }
+
+  std::uint16_t port() const noexcept { return port_; }
+
+  void ShutDown(std::chrono::milliseconds limit) {
+    closing_ = true;
+    {
+      std::unique_lock lock(mutex_);
+      idle_.wait_for(lock, limit, [this] { return in_progress_ == 0; });
+    }
+    // The last answer is still on its way to the socket when the count reaches zero.
+    std::this_thread::sleep_for(std::chrono::milliseconds{50});
+    Stop();
+  }
+
+ private:
+  restinio::http_server_t<server_traits> MakeServer() {
+    return restinio::http_server_t<server_traits>{
+        restinio::external_io_context(context_), [this](auto& settings) {
+          settings.port(options_.port)
+              .address(options_.address)
+              .read_next_http_message_timelimit(kIdleConnectionLimit)
+              .handle_request_timeout(kHandleRequestLimit)
+              .max_pipelined_requests(kMaxPipelinedRequests)
+              .concurrent_accepts_count(4)
+              .buffer_size(16384)
+              .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
+                                            .max_url_size(kMaxUrlBytes)
+                                            .max_field_name_size(kMaxFieldBytes)
+                                            .max_field_value_size(kMaxFieldBytes)
+                                            .max_field_count(kMaxFields)
+                                            .max_body_size(options_.body_limit * kHardBodyFactor))
+              .socket_options_setter([](restinio::socket_options_t& socket) {
+                socket.set_option(restinio::asio_ns::ip::tcp::no_delay{true});
+              })
+              .acceptor_post_bind_hook([this](restinio::asio_ns::ip::tcp::acceptor& acceptor) {
+                port_ = acceptor.local_endpoint().port();
+              })
+              .request_handler([this](restinio::request_handle_t handle) {
+                Accept(std::move(handle));
+                return restinio::request_accepted();
+              });
+        }};
+  }
+
+  void Accept(restinio::request_handle_t handle) {
+    if (handle->body().size() > options_.body_limit) {
+      http::Send(handle, TooLarge(), false);
+      return;
+    }
+    {
+      const std::lock_guard lock(mutex_);
+      ++in_progress_;
+    }
+    const bool keep_alive = handle->header().should_keep_alive();
+    auto answered = std::make_shared<std::atomic<bool>>(false);
+    handler_(Convert(*handle), [this, handle, answered, keep_alive](response answer) {
+      if (answered->exchange(true)) return;
+      // RESTinio's connections are not safe to use from other threads; answer on its own context.
+      restinio::asio_ns::post(context_, [this, handle, keep_alive, answer = std::move(answer)] {
+        http::Send(handle, answer, keep_alive && !closing_);
+        Finished();
+      });
+    });
+  }
+
+  static response TooLarge() {
+    response answer =
+        JsonResponse(413, R"({"code":102,"name":"body_too_large",)"
+                          R"("reason":"the body exceeds the size limit","not_run":true})");
+    answer.headers["X-Result-Code"] = "102";
+    answer.headers["X-Not-Run"] = "true";
+    return answer;
+  }
+
+  void Finished() {
+    const std::lock_guard lock(mutex_);
+    if (--in_progress_ == 0) idle_.notify_all();
+  }
+
+  void Stop() {
+    if (stopped_.exchange(true)) return;
+    closing_ = true;
+    restinio::asio_ns::post(context_, [this] { server_.close_sync(); });
+    context_.stop();
+    for (auto& thread : threads_) thread.join();
+  }
+
+  server_options options_;
+  request_handler handler_;
+  std::uint16_t port_ = 0;
+  std::atomic<bool> closing_{false};
+  std::atomic<bool> stopped_{false};
+  std::mutex mutex_;
+  std::condition_variable idle_;
+  std::size_t in_progress_ = 0;
+  restinio::asio_ns::io_context context_;
+  restinio::http_server_t<server_traits> server_;
+  std::vector<std::thread> threads_;
+};
+
+server::server(server_options options, request_handler handler)
+    : impl_(std::make_unique<impl>(std::move(options), std::move(handler))) {}
+
+server::~server() = default;
+
+std::uint16_t server::port() const noexcept { return impl_->port(); }
+
+void server::ShutDown(std::chrono::milliseconds limit) { impl_->ShutDown(limit); }
+
+}  // namespace coltsfoot::http
--- /dev/null
+++ b/libs/http/tests/http_test.cc
@@ -0,0 +1,81 @@
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+#include "http/client.h"
+#include "http/server.h"
+
+namespace coltsfoot::http {
+namespace {
+
+std::string UrlOf(const server& target, std::string_view path) {
+  return "http://127.0.0.1:" + std::to_string(target.port()) + std::string(path);
+}
+
+}  // namespace
+
+// Guards against lost query parameters, headers or bodies between client and server.
+TEST_CASE("client and server exchange a request and its answer") {
+  server echo({}, [](request received, responder respond) {
+    respond({201,
+             {{"X-Seen", received.FindHeader("x-token").value_or("")}},
+             received.method + received.path + received.FindParameter("a b").value_or("?") +
+                 received.body});
+  });
+  const auto client = MakeCurlClient();
+  const call_result result =
+      CallAndWait(*client, {.method = "PUT",
+                            .url = UrlOf(echo, "/kv/x?" + UrlEncode("a b") + "=1%2F2"),
+                            .headers = {{"X-Token", "t"}},
+                            .body = "body"});
+  REQUIRE(result.answer.has_value());
+  CHECK(result.answer->status == 201);
+  CHECK(result.answer->body == "PUT/kv/x1/2body");
+  CHECK(result.answer->FindHeader("x-seen") == "t");
+}
+
+// Guards against a caller that cannot tell an oversized body from a fault.
+TEST_CASE("an oversized body gets a numbered error") {
+  server target({.body_limit = 10}, [](request, responder respond) { respond({}); });
+  const auto client = MakeCurlClient();
+  const auto result = CallAndWait(
+      *client, {.method = "POST", .url = UrlOf(target, "/"), .body = std::string(100, 'x')});
+  REQUIRE(result.answer.has_value());
+  CHECK(result.answer->status == 413);
+  CHECK(result.answer->FindHeader("X-Result-Code") == "102");
+}
+
+// Guards against a planned stop that cuts off a request in progress.
+TEST_CASE("a graceful shutdown answers the request in progress") {
+  std::promise<responder> received;
+  server target({}, [&](request, responder respond) { received.set_value(std::move(respond)); });
+  const auto client = MakeCurlClient();
+  std::promise<call_result> answered;
+  client->Send({.url = UrlOf(target, "/")},
+               [&](call_result result) { answered.set_value(std::move(result)); });
+  responder respond = received.get_future().get();
+  std::thread stopper([&] { target.ShutDown(std::chrono::seconds{10}); });
+  respond({200, {}, "late"});
+  stopper.join();
+  const call_result result = answered.get_future().get();
+  REQUIRE(result.answer.has_value());
+  CHECK(result.answer->body == "late");
+}
+
+// Guards against a refused connection that is reported as an unknown outcome.
+TEST_CASE("a call to a closed port fails with connect_failed") {
+  std::uint16_t port = 0;
+  {
+    server closed({}, [](request, responder respond) { respond({}); });
+    port = closed.port();
+  }
+  const auto client = MakeCurlClient();
+  const auto result =
+      CallAndWait(*client, {.url = "http://127.0.0.1:" + std::to_string(port) + "/"});
+  CHECK_FALSE(result.answer.has_value());
+  CHECK(result.reason.code == core::result_code::connect_failed);
+}
+
+}  // namespace coltsfoot::http
--- /dev/null
+++ b/libs/program/include/program/program.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/clock.h"
+#include "settings/reader.h"
+#include "wire/messages.h"
+
+/// What all long-running programs share: the command line, the check of the settings, the ready
+/// line, signals and the tick.
+namespace coltsfoot::program {
+
+/// Parses the command line, which has the flag `--settings=FILE` (and `--help`).
+/// @param usage one paragraph for `--help`.
+/// @return a reader of the settings file; the program ends with exit code 2 if the flag is
+/// missing.
+settings::reader OpenSettings(int argc, char** argv, std::string_view usage);
+
+/// Prints all errors of the settings on stderr and ends the program with exit code 2 if there are
+/// any.
+void RequireValid(settings::reader& source);
+
+/// Parses "IP:PORT". Adds an error to `source` for `key` if the text is something else.
+wire::endpoint ParseEndpoint(settings::reader& source, std::string_view key, std::string_view text);
+
+/// Logs `event=ready` with the endpoints of the program. Tests read the ports from this line.
+/// @param pairs text such as "http=127.0.0.1:8000 udp=127.0.0.1:8001".
+void LogReady(std::string_view pairs);
+
+/// Runs the context on this thread.
+/// @param tick called every `period` on the context.
+/// @param on_stop called once on the context at the first SIGTERM or SIGINT; it must lead to
+/// `context.stop()`.
+void RunUntilStopped(asio::io_context& context, core::milliseconds period,
+                     std::function<void()> tick, std::function<void()> on_stop);
+
+}  // namespace coltsfoot::program
--- /dev/null
+++ b/libs/program/src/program.cc
@@ -0,0 +1,85 @@
+#include "program/program.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+#include <asio/ip/address.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <charconv>
+#include <cstdio>
+#include <cstdlib>
+#include <utility>
+
+ABSL_FLAG(std::string, settings, "", "YAML file with the settings of this process");
+
+namespace coltsfoot::program {
+namespace {
+
+void ScheduleTick(asio::steady_timer& timer, core::milliseconds period,
+                  const std::function<void()>& tick) {
+  timer.expires_after(period);
+  timer.async_wait([&timer, period, &tick](asio::error_code failure) {
+    if (failure) return;
+    tick();
+    ScheduleTick(timer, period, tick);
+  });
+}
+
+}  // namespace
+
+settings::reader OpenSettings(int argc, char** argv, std::string_view usage) {
+  absl::SetProgramUsageMessage(absl::string_view(usage.data(), usage.size()));
+  const auto rest = absl::ParseCommandLine(argc, argv);
+  const std::string path = absl::GetFlag(FLAGS_settings);
+  if (path.empty() || rest.size() > 1) {
+    fmt::print(stderr, "usage: {} --settings=FILE (see --help)\n", argv[0]);
+    std::exit(settings::kBadSettingsExitCode);
+  }
+  return settings::reader::FromFile(path);
+}
+
+void RequireValid(settings::reader& source) {
+  const std::vector<std::string> errors = source.Finish();
+  if (errors.empty()) return;
+  for (const std::string& error : errors) fmt::print(stderr, "{}\n", error);
+  std::exit(settings::kBadSettingsExitCode);
+}
+
+wire::endpoint ParseEndpoint(settings::reader& source, std::string_view key,
+                             std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  wire::endpoint out;
+  bool valid = colon != std::string_view::npos;
+  if (valid) {
+    out.ip = std::string(text.substr(0, colon));
+    asio::error_code failure;
+    asio::ip::make_address(out.ip, failure);
+    const char* end = text.data() + text.size();
+    const auto [parsed, number_failure] = std::from_chars(text.data() + colon + 1, end, out.port);
+    valid = !failure && number_failure == std::errc{} && parsed == end;
+  }
+  if (!valid && !text.empty()) source.Reject(key, "must be IP:PORT");
+  return out;
+}
+
+void LogReady(std::string_view pairs) { spdlog::info("event=ready {}", pairs); }
+
+void RunUntilStopped(asio::io_context& context, core::milliseconds period,
+                     std::function<void()> tick, std::function<void()> on_stop) {
+  asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait([&on_stop](asio::error_code failure, int signal) {
+    if (failure) return;
+    spdlog::info("event=stopping signal={}", signal);
+    on_stop();
+  });
+  asio::steady_timer timer(context);
+  ScheduleTick(timer, period, tick);
+  context.run();
+  spdlog::info("event=stopped");
+}
+
+}  // namespace coltsfoot::program
--- /dev/null
+++ b/libs/settings/include/settings/reader.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace coltsfoot::settings {
+
+/// Allowed range of a number.
+struct range {
+  std::int64_t least;
+  std::int64_t greatest;
+  bool operator==(const range&) const = default;
+};
+
+/// Reads a flat YAML mapping and collects every error with its line: unknown keys, wrong types,
+/// values out of range, missing keys. Use the getters once for each known key, then `Finish`.
+class reader {
+ public:
+  /// Reads a file. A file that cannot be read or parsed gives one error.
+  static reader FromFile(const std::string& path);
+  /// Reads YAML text; `name` stands for the file in errors.
+  static reader FromText(std::string_view text, std::string name);
+  ~reader();
+  reader(reader&&) noexcept;
+
+  /// @return the text of a required key; "" with an error if it is missing or empty.
+  std::string Text(std::string_view key);
+  /// @return the text of an optional key.
+  std::string Text(std::string_view key, std::string fallback);
+  /// @return the number of a required key; `allowed.least` with an error.
+  std::int64_t Number(std::string_view key, range allowed);
+  /// @return the number of an optional key.
+  std::int64_t Number(std::string_view key, range allowed, std::int64_t fallback);
+  /// @return the value of an optional key, "true" or "false".
+  bool Flag(std::string_view key, bool fallback);
+  /// @return the list of texts of an optional key.
+  std::vector<std::string> TextList(std::string_view key);
+  /// Adds an error about a key that only the caller can check.
+  void Reject(std::string_view key, std::string_view message);
+
+  /// @return all errors as "file:line: message", ordered by line; reports unknown keys.
+  std::vector<std::string> Finish();
+
+ private:
+  struct state;
+  explicit reader(std::unique_ptr<state> content);
+  std::unique_ptr<state> state_;
+};
+
+/// Exit code of a program whose settings have errors.
+inline constexpr int kBadSettingsExitCode = 2;
+
+}  // namespace coltsfoot::settings
--- /dev/null
+++ b/libs/settings/tests/reader_test.cc
@@ -0,0 +1,41 @@
+#include "settings/reader.h"
+
+#include <doctest/doctest.h>
+
+namespace coltsfoot::settings {
+
+// Guards against an operator who mends one error per start.
+TEST_CASE("all errors are reported at once, each with its line") {
+  reader source = reader::FromText("id: entry-1\nport: 99999\ntypo: 1\nfast: maybe\n", "a.yaml");
+  CHECK(source.Text("id") == "entry-1");
+  source.Number("port", {0, 65535});
+  source.Flag("fast", false);
+  source.Text("zone");
+  const auto errors = source.Finish();
+  REQUIRE(errors.size() == 4);
+  CHECK(errors[0] == "a.yaml:1: key 'zone' is missing");
+  CHECK(errors[1] == "a.yaml:2: key 'port' is 99999, allowed are 0 to 65535");
+  CHECK(errors[2] == "a.yaml:3: key 'typo' is not known");
+  CHECK(errors[3] == "a.yaml:4: key 'fast' must be true or false");
+}
+
+TEST_CASE("a complete file has no errors and gives its values") {
+  reader source = reader::FromText("n: 5\nlist: [a, b]\nfast: true\n", "a.yaml");
+  CHECK(source.Number("n", {0, 10}) == 5);
+  CHECK(source.Number("m", {0, 10}, 7) == 7);
+  CHECK(source.TextList("list") == std::vector<std::string>{"a", "b"});
+  CHECK(source.Flag("fast", false));
+  CHECK(source.Finish().empty());
+}
+
+// Guards against broken YAML, a missing file and a repeated key being taken for an empty file.
+TEST_CASE("files that cannot be read or parsed are errors") {
+  CHECK(reader::FromText("a: [1\n", "b.yaml").Finish().size() == 1);
+  CHECK(reader::FromText("- 1\n", "b.yaml").Finish().size() == 1);
+  CHECK(reader::FromFile("/nonexistent/x.yaml").Finish().size() == 1);
+  reader repeated = reader::FromText("a: 1\na: 2\n", "b.yaml");
+  repeated.Number("a", {0, 9});
+  CHECK(repeated.Finish().size() == 1);
+}
+
+}  // namespace coltsfoot::settings
--- /dev/null
+++ b/libs/wire/include/wire/messages.h
@@ -0,0 +1,455 @@
+#pragma once
+
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/resources.h"
+#include "core/result_code.h"
+
+/// Messages between the processes of the system. Each message names its number on the wire in
+/// `kType`. Strings hold bytes; times are durations, never points on another host's clock.
+namespace coltsfoot::wire {
+
+/// Protocol version; a peer of another version is refused.
+inline constexpr std::uint16_t kProtocolVersion = 1;
+
+/// Numbers of the messages on the wire.
+enum class message_type : std::uint16_t {
+  agent_heartbeat = 1,
+  heartbeat_ack = 2,
+  agent_goodbye = 3,
+
+  hello = 10,
+  dispatch_request = 11,
+  request_reply = 12,
+  cancel_request = 13,
+  start_task = 14,
+  control_task = 15,
+  adopt_shard = 16,
+  shard_report = 17,
+  task_event = 18,
+  event_ack = 19,
+  usage_report = 20,
+
+  forward_call = 30,
+  forward_reply = 31,
+  config_pull = 32,
+  config_push = 33,
+};
+
+/// IP address and port.
+struct endpoint {
+  std::string ip;
+  std::uint16_t port = 0;
+  auto operator<=>(const endpoint&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(ip, port);
+  }
+};
+
+/// Shard that the sender owns, with the fence of its ownership.
+struct shard_grant {
+  core::shard_index shard = 0;
+  core::fence_number fence = 0;
+  bool operator==(const shard_grant&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(shard, fence);
+  }
+};
+
+/// Values of the fleet configuration that an agent acts on.
+struct agent_policy {
+  core::config_version version = 0;
+  bool drain = false;
+  std::uint32_t queue_limit = 0;                ///< requests that may wait for a slot
+  std::uint32_t latency_critical_headroom = 0;  ///< percent of slots that batch may not use
+  bool operator==(const agent_policy&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(version, drain, queue_limit, latency_critical_headroom);
+  }
+};
+
+/// Load of one service on one worker.
+struct service_load {
+  std::string service;
+  std::uint32_t in_flight = 0;
+  std::uint32_t queued = 0;
+  std::uint32_t average_us = 0;  ///< moving average of the service time
+  bool operator==(const service_load&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(service, in_flight, queued, average_us);
+  }
+};
+
+/// Agent to each entry over UDP. Announces the worker and asks for renewal of its leases.
+struct agent_heartbeat {
+  static constexpr message_type kType = message_type::agent_heartbeat;
+  std::string worker;
+  std::uint64_t incarnation = 0;  ///< random number of this start of the agent
+  std::uint64_t seq = 0;          ///< grows by one per round of heartbeats
+  endpoint agent_tcp;
+  std::string region;
+  std::string zone;
+  std::string rack;
+  core::resources total;
+  core::resources free;
+  std::uint32_t slots_total = 0;
+  std::uint32_t slots_free = 0;
+  std::uint32_t connections_total = 0;
+  std::uint32_t connections_free = 0;
+  std::uint32_t running_tasks = 0;
+  core::config_version config = 0;
+  bool recovering = false;
+  bool draining = false;
+  std::vector<service_load> services;  ///< services of a live target; empty without one
+  bool operator==(const agent_heartbeat&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(worker, incarnation, seq, agent_tcp, region, zone, rack, total, free, slots_total,
+            slots_free, connections_total, connections_free, running_tasks, config, recovering,
+            draining, services);
+  }
+};
+
+/// Entry to agent over UDP. Extends the leases of the tasks of the listed shards to the lease
+/// time after the agent sent heartbeat `seq`.
+struct heartbeat_ack {
+  static constexpr message_type kType = message_type::heartbeat_ack;
+  std::string entry;
+  std::uint64_t incarnation = 0;  ///< of the agent, copied from the heartbeat
+  std::uint64_t seq = 0;
+  std::vector<shard_grant> shards;
+  core::config_version config = 0;
+  std::optional<agent_policy> policy;  ///< present if the agent's version is lower
+  std::vector<endpoint> entries;       ///< UDP endpoints of all known entries
+  bool operator==(const heartbeat_ack&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(entry, incarnation, seq, shards, config, policy, entries);
+  }
+};
+
+/// Agent to each entry over UDP when it starts a graceful shutdown.
+struct agent_goodbye {
+  static constexpr message_type kType = message_type::agent_goodbye;
+  std::string worker;
+  std::uint64_t incarnation = 0;
+  bool operator==(const agent_goodbye&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(worker, incarnation);
+  }
+};
+
+/// First message on each TCP connection, from the side that connects.
+struct hello {
+  static constexpr message_type kType = message_type::hello;
+  std::string process;  ///< id of the sender, for example "entry-1"
+  bool operator==(const hello&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(process);
+  }
+};
+
+/// Proof that the sender has heard the agent recently: the newest heartbeat that it received. The
+/// agent refuses a message whose token is older than the lease.
+struct liveness_token {
+  std::uint64_t incarnation = 0;
+  std::uint64_t seq = 0;
+  bool operator==(const liveness_token&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(incarnation, seq);
+  }
+};
+
+/// Entry to agent: run a service request.
+struct dispatch_request {
+  static constexpr message_type kType = message_type::dispatch_request;
+  std::uint64_t request_id = 0;  ///< unique per entry process
+  std::uint32_t attempt = 0;
+  std::string service;
+  std::string team;
+  std::uint32_t deadline_ms = 0;  ///< time left
+  bool idempotent = true;
+  liveness_token token;
+  core::config_version config = 0;
+  std::optional<agent_policy> policy;
+  std::string body;
+  bool operator==(const dispatch_request&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(request_id, attempt, service, team, deadline_ms, idempotent, token, config, policy,
+            body);
+  }
+};
+
+/// Agent to entry: outcome of one attempt, with the load of the service at that moment.
+struct request_reply {
+  static constexpr message_type kType = message_type::request_reply;
+  std::uint64_t request_id = 0;
+  std::uint32_t attempt = 0;
+  core::result_code code = core::result_code::ok;
+  std::string reason;
+  std::string body;
+  std::uint64_t digest = 0;  ///< core::StableHash of the body
+  std::uint32_t slots_free = 0;
+  core::config_version config = 0;  ///< the agent's version
+  service_load load;
+  bool operator==(const request_reply&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(request_id, attempt, code, reason, body, digest, slots_free, config, load);
+  }
+};
+
+/// Entry to agent: the caller no longer waits. A request that waits for a slot is dropped.
+struct cancel_request {
+  static constexpr message_type kType = message_type::cancel_request;
+  std::uint64_t request_id = 0;
+  std::uint32_t attempt = 0;
+  bool operator==(const cancel_request&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(request_id, attempt);
+  }
+};
+
+/// Entry to agent: start one assignment of a task. Answered by a `task_event`.
+struct start_task {
+  static constexpr message_type kType = message_type::start_task;
+  core::shard_index shard = 0;
+  core::fence_number fence = 0;
+  std::string task;
+  core::epoch_number epoch = 0;
+  liveness_token token;
+  core::config_version config = 0;
+  std::optional<agent_policy> policy;
+  std::string team;
+  std::string task_class;
+  core::task_kind kind = core::task_kind::batch;
+  core::resources need;
+  std::uint32_t expected_ms = 0;
+  std::string payload;
+  std::string checkpoint;
+  bool operator==(const start_task&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(shard, fence, task, epoch, token, config, policy, team, task_class, kind, need,
+            expected_ms, payload, checkpoint);
+  }
+};
+
+/// What to do with a running task. `stop` and `cancel` end it; `evict` takes a checkpoint first.
+enum class task_action : std::uint8_t { checkpoint, throttle, unthrottle, evict, cancel };
+
+/// Entry to agent: act on a running task. Answered by a `task_event` for checkpoint, evict and
+/// cancel.
+struct control_task {
+  static constexpr message_type kType = message_type::control_task;
+  core::shard_index shard = 0;
+  core::fence_number fence = 0;
+  std::string task;
+  core::epoch_number epoch = 0;
+  task_action action = task_action::checkpoint;
+  bool operator==(const control_task&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(shard, fence, task, epoch, action);
+  }
+};
+
+/// One assignment of a task.
+struct task_ref {
+  std::string task;
+  core::epoch_number epoch = 0;
+  auto operator<=>(const task_ref&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(task, epoch);
+  }
+};
+
+/// New owner of a shard to each agent: raises the fence and asks what the worker runs.
+struct adopt_shard {
+  static constexpr message_type kType = message_type::adopt_shard;
+  core::shard_index shard = 0;
+  core::fence_number fence = 0;
+  bool operator==(const adopt_shard&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(shard, fence);
+  }
+};
+
+/// Agent to a new owner. An assignment of the shard that is in neither list does not run on this
+/// worker and, because of the raised fence, never will.
+struct shard_report {
+  static constexpr message_type kType = message_type::shard_report;
+  std::string worker;
+  std::uint64_t incarnation = 0;
+  core::shard_index shard = 0;
+  core::fence_number fence = 0;
+  /// ok; `recovering` if the agent does not yet know; `stale_fence` if a higher fence is known.
+  core::result_code code = core::result_code::ok;
+  std::vector<task_ref> running;
+  std::vector<task_ref> ended;  ///< their events are sent again
+  bool operator==(const shard_report&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(worker, incarnation, shard, fence, code, running, ended);
+  }
+};
+
+/// What happened to an assignment. All but `started` and `checkpointed` end the assignment.
+enum class task_event_kind : std::uint8_t {
+  started,
+  refused,       ///< not started; `code` says why
+  checkpointed,  ///< runs on; `checkpoint` is new
+  finished,      ///< `result` is the whole result
+  failed,        ///< ran and failed; `code` and `result` say why
+  evicted,       ///< stopped after a checkpoint, or the lease lapsed (`lease_lapsed`)
+  cancelled,
+  lost,  ///< the target no longer knows the task
+};
+
+/// Agent to the owner of the task's shard. The agent repeats it after each reconnection until an
+/// `event_ack` arrives.
+struct task_event {
+  static constexpr message_type kType = message_type::task_event;
+  std::string worker;
+  std::uint64_t incarnation = 0;
+  std::uint64_t event_id = 0;  ///< unique per incarnation
+  core::shard_index shard = 0;
+  std::string task;
+  core::epoch_number epoch = 0;
+  task_event_kind kind = task_event_kind::started;
+  core::result_code code = core::result_code::ok;
+  std::string result;
+  std::string checkpoint;
+  std::uint32_t run_ms = 0;
+  core::resources observed;  ///< peak use; zero if not known
+  bool operator==(const task_event&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(worker, incarnation, event_id, shard, task, epoch, kind, code, result, checkpoint,
+            run_ms, observed);
+  }
+};
+
+/// Owner to agent: the event is recorded; the agent forgets it.
+struct event_ack {
+  static constexpr message_type kType = message_type::event_ack;
+  std::uint64_t incarnation = 0;
+  std::uint64_t event_id = 0;
+  bool operator==(const event_ack&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(incarnation, event_id);
+  }
+};
+
+/// Measured state of one class of work on a worker.
+struct usage_sample {
+  std::string task_class;  ///< class of the task, or name of the service
+  std::string task;        ///< task id; empty for a service
+  core::resources used;
+  std::uint32_t slowdown_permille = 1000;  ///< run time relative to running alone
+  bool operator==(const usage_sample&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(task_class, task, used, slowdown_permille);
+  }
+};
+
+/// Agent to entries: delayed measurement of a worker.
+struct usage_report {
+  static constexpr message_type kType = message_type::usage_report;
+  std::string worker;
+  std::uint32_t age_ms = 0;  ///< how long ago the measurement was taken
+  std::vector<usage_sample> samples;
+  bool operator==(const usage_report&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(worker, age_ms, samples);
+  }
+};
+
+/// Name and value, for headers and query parameters.
+struct name_value {
+  std::string name;
+  std::string value;
+  bool operator==(const name_value&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(name, value);
+  }
+};
+
+/// Entry to entry: handle this call as the owner of the shard.
+struct forward_call {
+  static constexpr message_type kType = message_type::forward_call;
+  std::uint64_t call_id = 0;
+  std::uint32_t deadline_ms = 0;
+  std::string method;
+  std::string path;
+  std::vector<name_value> query;
+  std::vector<name_value> headers;
+  std::string body;
+  bool operator==(const forward_call&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(call_id, deadline_ms, method, path, query, headers, body);
+  }
+};
+
+/// Answer to a `forward_call`.
+struct forward_reply {
+  static constexpr message_type kType = message_type::forward_reply;
+  std::uint64_t call_id = 0;
+  std::uint16_t status = 0;
+  std::vector<name_value> headers;
+  std::string body;
+  std::uint64_t digest = 0;  ///< core::StableHash of the body
+  bool operator==(const forward_reply&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(call_id, status, headers, body, digest);
+  }
+};
+
+/// Entry to entry: ask for the newest fleet configuration.
+struct config_pull {
+  static constexpr message_type kType = message_type::config_pull;
+  core::config_version known = 0;
+  bool operator==(const config_pull&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(known);
+  }
+};
+
+/// Entry to entry: the newest fleet configuration that the sender has in force.
+struct config_push {
+  static constexpr message_type kType = message_type::config_push;
+  core::config_version version = 0;
+  std::string document;  ///< JSON; empty if the receiver already has the version
+  bool operator==(const config_push&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(version, document);
+  }
+};
+
+}  // namespace coltsfoot::wire
--- /dev/null
+++ b/libs/wire/include/wire/transport.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <asio/any_io_executor.hpp>
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/error.h"
+#include "wire/frame.h"
+#include "wire/messages.h"
+
+namespace coltsfoot::wire {
+
+/// Called for each datagram with the sender's endpoint.
+using datagram_handler = std::function<void(const endpoint& from, raw_message message)>;
+/// Called when a message was dropped; `code` says why.
+using drop_handler = std::function<void(core::result_code code)>;
+
+/// Bound UDP socket. All callbacks run on the given context.
+class udp_socket {
+ public:
+  /// @throws std::system_error if the address cannot be bound.
+  udp_socket(asio::io_context& context, const endpoint& local, datagram_handler on_message,
+             drop_handler on_drop);
+  ~udp_socket();
+  udp_socket(const udp_socket&) = delete;
+  udp_socket& operator=(const udp_socket&) = delete;
+
+  /// @return the endpoint that the socket is bound to.
+  endpoint local() const;
+  /// Sends one datagram; errors are ignored because datagrams may be lost anyway. An empty
+  /// datagram is not sent. Call on the context's thread.
+  void Send(const endpoint& to, const std::string& datagram);
+
+ private:
+  struct state;
+  std::shared_ptr<state> state_;
+};
+
+/// Framed TCP connection. All callbacks run on the context's thread; all calls belong there.
+class tcp_connection {
+ public:
+  struct handlers {
+    /// Called once when an outgoing connection is established.
+    std::function<void()> on_open;
+    /// Called for each message.
+    std::function<void(raw_message)> on_message;
+    /// Called once when the connection has ended; nothing follows it. `connect_failed` proves
+    /// that no byte was sent.
+    std::function<void(core::error_reason)> on_close;
+  };
+
+  virtual ~tcp_connection() = default;
+  /// Sets the callbacks; call right after the connection was created.
+  virtual void Start(handlers callbacks) = 0;
+  /// Queues a frame.
+  /// @return false if the connection has ended or its send queue is full; nothing was queued.
+  virtual bool Send(std::string frame) = 0;
+  /// Closes the connection; `on_close` is not called.
+  virtual void Close() = 0;
+  /// @return the number of bytes that wait to be sent.
+  virtual std::size_t queued_bytes() const = 0;
+};
+
+/// Starts an outgoing connection; it connects after `Start`.
+std::shared_ptr<tcp_connection> ConnectTcp(asio::io_context& context, const endpoint& to);
+
+/// Listening TCP socket. The callback runs on the context's thread for each new connection.
+class tcp_listener {
+ public:
+  using accept_handler = std::function<void(std::shared_ptr<tcp_connection>)>;
+  /// @throws std::system_error if the address cannot be bound.
+  tcp_listener(asio::io_context& context, const endpoint& local, accept_handler on_accept);
+  ~tcp_listener();
+  tcp_listener(const tcp_listener&) = delete;
+  tcp_listener& operator=(const tcp_listener&) = delete;
+
+  /// @return the endpoint that the socket is bound to.
+  endpoint local() const;
+  /// Stops accepting; existing connections go on.
+  void Close();
+
+ private:
+  struct state;
+  std::shared_ptr<state> state_;
+};
+
+}  // namespace coltsfoot::wire
--- /dev/null
+++ b/libs/wire/tests/wire_test.cc
@@ -0,0 +1,124 @@
+#include <doctest/doctest.h>
+
+#include <asio/io_context.hpp>
+#include <vector>
+
+#include "core/random_source.h"
+#include "wire/frame.h"
+#include "wire/transport.h"
+
+namespace coltsfoot::wire {
+namespace {
+
+agent_heartbeat SampleHeartbeat() {
+  agent_heartbeat sample;
+  sample.worker = "worker-3";
+  sample.incarnation = 77;
+  sample.seq = 9;
+  sample.agent_tcp = {"127.0.0.1", 4000};
+  sample.zone = "iloilo-a";
+  sample.total = {16000, 60000, 2};
+  sample.services = {{"strawline", 3, 1, 2500}, {"other", 0, 0, 0}};
+  return sample;
+}
+
+start_task SampleStart() {
+  start_task sample;
+  sample.task = "t03-0000000000000001";
+  sample.epoch = 4;
+  sample.policy = agent_policy{.version = 8, .drain = true};
+  sample.need = {1000, 512, 0};
+  sample.payload = std::string(300, 'p');
+  return sample;
+}
+
+}  // namespace
+
+TEST_CASE("messages survive a round trip through frame and datagram") {
+  core::last_error error;
+  const auto raw = ParseDatagram(ToDatagram(SampleHeartbeat()), error);
+  REQUIRE(raw.has_value());
+  CHECK(FromRaw<agent_heartbeat>(*raw, error) == SampleHeartbeat());
+
+  const std::string frame = ToFrame(SampleStart());
+  const auto header = ParseFrameHeader(frame, error);
+  REQUIRE(header.has_value());
+  CHECK(header->payload_bytes == frame.size() - kFrameHeaderBytes);
+  CHECK(DecodeValue<start_task>(frame.substr(kFrameHeaderBytes), error) == SampleStart());
+}
+
+// Guards against a datagram that claims a huge length and makes the process allocate it.
+TEST_CASE("a length beyond the message is refused without allocating") {
+  core::last_error error;
+  std::string claim(12, '\xff');
+  CHECK_FALSE(DecodeValue<std::string>(claim, error).has_value());
+  CHECK_FALSE(DecodeValue<std::vector<service_load>>(claim, error).has_value());
+  CHECK(error.reason().code == core::result_code::decode_error);
+}
+
+// Guards against a peer of another release that is misread instead of refused.
+TEST_CASE("a peer of another protocol version is refused") {
+  core::last_error error;
+  std::string datagram = ToDatagram(SampleHeartbeat());
+  datagram[4] = 9;
+  CHECK_FALSE(ParseDatagram(datagram, error).has_value());
+  CHECK(error.reason().code == core::result_code::version_mismatch);
+}
+
+// Guards against a crash or a large allocation on any damaged message.
+TEST_CASE("mutated messages decode to something or are refused") {
+  core::seeded_random random(20261204);
+  core::last_error error;
+  const std::vector<std::string> samples = {EncodeValue(SampleHeartbeat()),
+                                            EncodeValue(SampleStart())};
+  for (int round = 0; round < 20000; ++round) {
+    std::string bytes = samples[random.Below(samples.size())];
+    const std::uint64_t changes = 1 + random.Below(4);
+    for (std::uint64_t change = 0; change < changes; ++change) {
+      bytes[random.Below(bytes.size())] = static_cast<char>(random.Next());
+    }
+    if (random.Below(4) == 0) bytes.resize(random.Below(bytes.size()));
+    (void)DecodeValue<agent_heartbeat>(bytes, error);
+    (void)DecodeValue<start_task>(bytes, error);
+  }
+}
+
+TEST_CASE("a connection delivers frames in both directions and reports its end") {
+  asio::io_context context;
+  std::shared_ptr<tcp_connection> accepted;
+  std::vector<raw_message> at_server;
+  std::vector<raw_message> at_client;
+  bool closed = false;
+  tcp_listener listener(context, {"127.0.0.1", 0}, [&](std::shared_ptr<tcp_connection> incoming) {
+    accepted = std::move(incoming);
+    accepted->Start({.on_open = {},
+                     .on_message =
+                         [&](raw_message message) {
+                           at_server.push_back(std::move(message));
+                           accepted->Send(ToFrame(event_ack{1, 2}));
+                         },
+                     .on_close = {}});
+  });
+  auto client = ConnectTcp(context, listener.local());
+  client->Start({.on_open = {},
+                 .on_message =
+                     [&](raw_message message) {
+                       at_client.push_back(std::move(message));
+                       accepted->Close();
+                     },
+                 .on_close =
+                     [&](core::error_reason reason) {
+                       closed = reason.code == core::result_code::connection_lost;
+                       context.stop();
+                     }});
+  CHECK(client->Send(ToFrame(SampleStart())));
+  context.run_for(std::chrono::seconds{10});
+  REQUIRE(at_server.size() == 1);
+  REQUIRE(at_client.size() == 1);
+  core::last_error error;
+  CHECK(FromRaw<start_task>(at_server[0], error) == SampleStart());
+  CHECK(FromRaw<event_ack>(at_client[0], error) == event_ack{1, 2});
+  CHECK(closed);
+}
+
+}  // namespace coltsfoot::wire
