Define the source directory only for tests

The define put the absolute path of the checkout into each compile command, so that checkouts in different folders could not share ccache entries.

--- a/cmake/coltsfoot.cmake
+++ b/cmake/coltsfoot.cmake
@@ -32,6 +32,7 @@
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPS;LABELS" ${ARGN})
   add_executable(${name} ${ARG_SOURCES} ${CMAKE_SOURCE_DIR}/cmake/doctest_main.cc)
   target_link_libraries(${name} PRIVATE ${ARG_DEPS} doctest::doctest rapidcheck)
+  target_compile_definitions(${name} PRIVATE COLTSFOOT_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
   add_test(NAME ${name} COMMAND ${name})
   set_tests_properties(${name} PROPERTIES TIMEOUT 300)
   # RapidCheck draws the same cases in each run.
