--- /dev/null
+++ b/libs/entry/src/agent_directory.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "config_controller.h"
+#include "core/clock.h"
+#include "entry/options.h"
+#include "interference/model.h"
+#include "ledger/shard_manager.h"
+#include "link_pool.h"
+#include "membership/worker_table.h"
+#include "metrics/registry.h"
+#include "request_router.h"
+#include "wire/transport.h"
+
+namespace coltsfoot::entry {
+
+/// Heartbeats of the agents and links to them.
+class agent_directory final : public agent_gateway {
+ public:
+  /// What other parts of the entry do with messages and changes of links.
+  struct listeners {
+    std::function<void(const std::string& worker, const wire::request_reply&)> on_reply;
+    std::function<void(const wire::task_event&)> on_event;
+    std::function<void(const wire::shard_report&)> on_report;
+    std::function<void(const wire::usage_report&)> on_usage;
+    std::function<void(const std::string& worker)> on_reachable;
+    std::function<void(const std::string& worker)> on_link_lost;
+    std::function<void(membership::worker_index)> on_forgotten;
+  };
+  /// Sends a datagram; called on the control thread.
+  using send_function = std::function<void(const wire::endpoint& to, std::string datagram)>;
+
+  agent_directory(const entry_options& options, asio::io_context& traffic,
+                  store::executor run_on_control, membership::worker_table& workers,
+                  ledger::shard_manager& ledger, config_controller& config,
+                  interference::model& interference, const core::clock& time,
+                  metrics::registry& metrics);
+
+  void SetListeners(listeners use) { listeners_ = std::move(use); }
+  void SetSender(send_function send) { send_ = std::move(send); }
+
+  bool Send(const std::string& worker, std::string frame) override;
+
+  void OnHeartbeat(const wire::endpoint& from, const wire::agent_heartbeat& heartbeat);
+  void OnGoodbye(const wire::agent_goodbye& goodbye);
+  /// Opens lost links again, applies drains of the configuration, forgets workers that are gone.
+  void Tick();
+
+ private:
+  std::function<void()> Decode(const std::string& link, const wire::raw_message& raw);
+  void Acknowledge(const wire::endpoint& to, const wire::agent_heartbeat& heartbeat);
+  void ReportIfReachable(const std::string& worker, membership::worker_index index);
+  void OnNewAgent(membership::worker_index worker, const wire::agent_heartbeat& heartbeat);
+  void ApplyDrain(membership::worker_index worker);
+  config::subject SubjectOf(membership::worker_index worker) const;
+
+  membership::worker_table& workers_;
+  ledger::shard_manager& ledger_;
+  config_controller& config_;
+  interference::model& interference_;
+  const core::clock& time_;
+  metrics::registry& metrics_;
+  std::string self_;
+  link_pool links_;
+  listeners listeners_;
+  send_function send_;
+  std::map<std::string, std::uint64_t> reached_;  ///< incarnation that was asked what it runs
+  std::vector<std::string> names_;                ///< by worker index
+  core::config_version drains_applied_ = 0;
+  core::mono_time next_forget_{};
+};
+
+}  // namespace coltsfoot::entry
--- /dev/null
+++ b/libs/entry/src/api.cc
@@ -0,0 +1,596 @@
+#include "api.h"
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "api_error.h"
+#include "config/json_form.h"
+#include "core/ids.h"
+#include "task_json.h"
+
+namespace coltsfoot::entry {
+namespace {
+
+using core::result_code;
+using nlohmann::json;
+
+constexpr std::int64_t kMaxDeadlineMs = 600'000;
+constexpr core::milliseconds kAdminDeadline{10'000};
+constexpr core::milliseconds kMaxWait{60'000};
+constexpr std::size_t kMaxKeyBytes = 256;
+constexpr std::size_t kListLimit = 1000;
+constexpr std::string_view kDefaultTeam = "default";
+
+std::vector<std::string_view> Segments(std::string_view path) {
+  std::vector<std::string_view> out;
+  while (!path.empty()) {
+    path.remove_prefix(path.front() == '/' ? 1 : 0);
+    const std::size_t end = path.find('/');
+    const std::string_view segment = path.substr(0, end);
+    if (!segment.empty()) out.push_back(segment);
+    if (end == std::string_view::npos) break;
+    path.remove_prefix(end);
+  }
+  return out;
+}
+
+std::string Dump(const json& body) {
+  return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<std::int64_t> ParseNumber(const std::string& text) {
+  std::int64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto [parsed, failure] = std::from_chars(text.data(), end, value);
+  if (text.empty() || failure != std::errc{} || parsed != end) return std::nullopt;
+  return value;
+}
+
+http::response OutcomeResponse(const request_outcome& outcome) {
+  if (outcome.code != result_code::ok) return ErrorResponse(outcome.code, outcome.reason);
+  return {200,
+          {{"Content-Type", "application/octet-stream"},
+           {"X-Result-Code", "0"},
+           {"X-Not-Run", "false"},
+           {"X-Digest", std::to_string(core::StableHash(outcome.body))}},
+          outcome.body};
+}
+
+std::string_view StateName(membership::worker_state state) {
+  switch (state) {
+    case membership::worker_state::live:
+      return "live";
+    case membership::worker_state::recovering:
+      return "recovering";
+    case membership::worker_state::draining:
+      return "draining";
+    case membership::worker_state::silent:
+      return "silent";
+    case membership::worker_state::gone:
+      break;
+  }
+  return "gone";
+}
+
+/// Joins the arrays `field` of several JSON objects.
+http::response MergeArrays(const std::vector<std::string>& bodies, const char* field) {
+  json all = json::array();
+  for (const std::string& body : bodies) {
+    const json part = json::parse(body, nullptr, false);
+    if (!part.is_object() || !part.contains(field)) continue;
+    for (const json& item : part.at(field)) {
+      if (all.size() < kListLimit) all.push_back(item);
+    }
+  }
+  return http::JsonResponse(200, Dump({{field, std::move(all)}}));
+}
+
+http::response MergeTeams(const std::vector<std::string>& bodies) {
+  std::map<std::string, json> teams;
+  for (const std::string& body : bodies) {
+    const json part = json::parse(body, nullptr, false);
+    if (!part.is_object() || !part.contains("teams")) continue;
+    for (const json& item : part.at("teams")) {
+      json& sum = teams[item.at("team").get<std::string>()];
+      if (sum.is_null()) {
+        sum = item;
+        continue;
+      }
+      for (const char* field : {"cpu_millis", "queued", "running"}) {
+        sum[field] = sum.at(field).get<std::int64_t>() + item.at(field).get<std::int64_t>();
+      }
+    }
+  }
+  json all = json::array();
+  for (auto& [team, row] : teams) all.push_back(std::move(row));
+  return http::JsonResponse(200, Dump({{"teams", std::move(all)}}));
+}
+
+}  // namespace
+
+void api::Handle(const http::request& call, bool forwarded, http::responder respond) {
+  call_context context{call, forwarded, std::move(respond), Segments(call.path)};
+  if (call.path == "/healthz") {
+    context.respond(http::JsonResponse(200, R"({"status":"ok"})"));
+  } else if (call.path == "/readyz") {
+    context.respond(Readiness());
+  } else if (call.path == "/metrics") {
+    context.respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, use_.metrics.Render()});
+  } else if (context.path.size() >= 2 && context.path[0] == "v1") {
+    context.path.erase(context.path.begin());
+    Route(context);
+  } else {
+    context.respond(ErrorResponse(result_code::not_found, "no such path"));
+  }
+}
+
+http::response api::Readiness() const {
+  const bool ready = !shutting_down_ && use_.config.is_known() && use_.ledger.ready();
+  const json body = {{"ready", ready},
+                     {"shutting_down", shutting_down_},
+                     {"config_version", use_.config.version()},
+                     {"shards", use_.ledger.OwnedShards()},
+                     {"entries", use_.ledger.Entries().size()},
+                     {"workers", use_.workers.CountDispatchable(use_.time.Now())},
+                     {"store_reachable", use_.ledger.store_reachable()}};
+  return http::JsonResponse(ready ? 200 : 503, Dump(body));
+}
+
+void api::Route(call_context& context) {
+  const std::string_view root = context.path[0];
+  const std::string& method = context.call.method;
+  const bool reads = method == "GET";
+  // A forwarded call was accepted by another entry, so it is finished even during a shutdown.
+  if (shutting_down_ && !context.forwarded && !reads) {
+    use_.metrics.CountRefusal("api", result_code::shutting_down);
+    context.respond(ErrorResponse(result_code::shutting_down, "the entry is shutting down"));
+    return;
+  }
+  const auto wrong_method = [&] {
+    context.respond(ErrorResponse(result_code::method_not_allowed, "method not allowed here"));
+  };
+  if (root == "services" && context.path.size() == 3 && context.path[2] == "requests") {
+    method == "POST" ? ServiceRequest(context) : wrong_method();
+  } else if (root == "tasks") {
+    RouteTasks(context);
+  } else if (root == "config") {
+    RouteConfig(context);
+  } else if (root == "workers" && context.path.size() == 1) {
+    reads ? ListWorkers(context.respond) : wrong_method();
+  } else if (root == "teams" && context.path.size() == 1) {
+    reads ? ListTeams(context) : wrong_method();
+  } else {
+    context.respond(ErrorResponse(result_code::not_found, "no such path"));
+  }
+}
+
+void api::RouteTasks(call_context& context) {
+  const std::string& method = context.call.method;
+  const std::size_t depth = context.path.size();
+  if (depth == 1 && method == "POST") {
+    SubmitTask(context);
+  } else if (depth == 1 && method == "GET") {
+    ListTasks(context);
+  } else if ((depth == 2 && method == "GET") ||
+             (depth == 3 && context.path[2] == "cancel" && method == "POST") ||
+             (depth == 3 && context.path[2] == "explain" && method == "GET")) {
+    OneTask(context);
+  } else if (depth <= 2 || context.path[2] == "cancel" || context.path[2] == "explain") {
+    context.respond(ErrorResponse(result_code::method_not_allowed, "method not allowed here"));
+  } else {
+    context.respond(ErrorResponse(result_code::not_found, "no such path"));
+  }
+}
+
+std::optional<core::milliseconds> api::DeadlineOf(const http::request& call,
+                                                  core::last_error& error) {
+  const auto text = call.FindHeader("X-Deadline-Ms");
+  if (!text) return use_.config.view().fleet_wide().default_deadline;
+  const auto value = ParseNumber(*text);
+  if (!value || *value < 1 || *value > kMaxDeadlineMs) {
+    return error.Set(result_code::invalid_argument,
+                     "X-Deadline-Ms must be a whole number from 1 to 600000");
+  }
+  return core::milliseconds{*value};
+}
+
+// Requests to services.
+
+void api::ServiceRequest(call_context& context) {
+  if (!use_.config.is_known()) {
+    use_.metrics.CountRefusal("api", result_code::no_configuration);
+    context.respond(ErrorResponse(result_code::no_configuration, "no configuration is known yet"));
+    return;
+  }
+  core::last_error error;
+  const auto deadline = DeadlineOf(context.call, error);
+  const std::string idempotent = context.call.FindHeader("X-Idempotent").value_or("true");
+  if (deadline && idempotent != "true" && idempotent != "false") {
+    error.Set(result_code::invalid_argument, "X-Idempotent must be true or false");
+  }
+  const std::string key = context.call.FindHeader("Idempotency-Key").value_or("");
+  if (idempotent == "false" && (key.empty() || key.size() > kMaxKeyBytes)) {
+    error.Set(result_code::missing_idempotency_key,
+              "a non-idempotent request needs an Idempotency-Key of at most 256 bytes");
+  }
+  if (error.reason().code != result_code::ok) {
+    use_.metrics.CountRefusal("api", error.reason().code);
+    context.respond(ErrorResponse(error.reason().code, error.reason().message));
+    return;
+  }
+  service_request request;
+  request.service = std::string(context.path[1]);
+  request.team = context.call.FindHeader("X-Team").value_or(std::string(kDefaultTeam));
+  request.idempotent = idempotent == "true";
+  request.deadline = use_.time.Now() + *deadline;
+  request.body = context.call.body;
+  request.done = [respond = context.respond](const request_outcome& outcome) {
+    respond(OutcomeResponse(outcome));
+  };
+  if (request.idempotent) {
+    use_.router.Submit(std::move(request));
+    return;
+  }
+  const std::string full_key = request.team + ":" + key;
+  RunClaimed(context, std::move(request), full_key);
+}
+
+void api::RunClaimed(call_context& context, service_request request, const std::string& key) {
+  const core::shard_index shard = core::ShardOfKey(key, use_.options.shard_count);
+  if (use_.ledger.Fence(shard)) {
+    use_.claims.Submit(shard, key, std::move(request));
+    return;
+  }
+  ForwardToOwner(context, shard, request.deadline);
+}
+
+void api::ForwardToOwner(call_context& context, core::shard_index shard, core::mono_time deadline) {
+  const auto owner = use_.ledger.OwnerOf(shard);
+  if (context.forwarded || !owner || owner->entry == use_.options.id) {
+    use_.metrics.CountRefusal("forward", result_code::not_owner);
+    context.respond(ErrorResponse(result_code::not_owner, "the shard has no known owner now"));
+    return;
+  }
+  http::request call = context.call;
+  const auto left = std::max<std::int64_t>(core::ToMs(deadline - use_.time.Now()), 1);
+  call.headers["X-Deadline-Ms"] = std::to_string(std::min(left, kMaxDeadlineMs));
+  // The owner answers a little before the forwarding entry gives up.
+  constexpr core::milliseconds kGrace{200};
+  use_.peers.Forward(owner->entry, call, deadline + kGrace, context.respond);
+}
+
+// Tasks.
+
+void api::SubmitTask(call_context& context) {
+  core::last_error error;
+  auto spec = ParseTaskSpec(context.call.body, error);
+  const std::string key = context.call.FindHeader("Idempotency-Key").value_or("");
+  if (spec && key.size() > kMaxKeyBytes) {
+    spec = error.Set(result_code::invalid_argument, "Idempotency-Key is longer than 256 bytes");
+  }
+  if (!spec) {
+    use_.metrics.CountRefusal("api", error.reason().code);
+    context.respond(ErrorResponse(error.reason().code, error.reason().message));
+    return;
+  }
+  const std::uint32_t shards = use_.options.shard_count;
+  if (key.empty()) {
+    // Without a key any shard will do; an owned one saves the forward.
+    const auto owned = use_.ledger.OwnedShards();
+    const auto shard = owned.empty() ? static_cast<core::shard_index>(use_.random.Below(shards))
+                                     : owned[use_.random.Below(owned.size())];
+    spec->task = core::MakeTaskId(shard, use_.random.Next());
+  } else {
+    spec->task = core::TaskIdForKey(spec->team, key, shards);
+  }
+  const core::shard_index shard = *core::ShardOfTask(spec->task);
+  if (!use_.ledger.Fence(shard)) {
+    ForwardToOwner(context, shard, use_.time.Now() + kAdminDeadline);
+    return;
+  }
+  spec->submitted_wall_ms = use_.time.WallNow().time_since_epoch().count();
+  const std::string task = spec->task;
+  use_.tasks.Submit(shard, std::move(*spec),
+                    [task, respond = context.respond](const core::error_reason& reason) {
+                      if (reason.code == result_code::ok) {
+                        respond(http::JsonResponse(202, Dump({{"task", task}})));
+                      } else {
+                        respond(ErrorResponse(reason.code, reason.message));
+                      }
+                    });
+}
+
+void api::OneTask(call_context& context) {
+  const std::string task(context.path[1]);
+  const auto shard = core::ShardOfTask(task);
+  if (!shard || *shard >= use_.options.shard_count) {
+    context.respond(ErrorResponse(result_code::not_found, "no such task"));
+    return;
+  }
+  const auto wait = ParseNumber(context.call.FindParameter("wait_ms").value_or("0"));
+  if (!wait || *wait < 0 || *wait > kMaxWait.count()) {
+    context.respond(
+        ErrorResponse(result_code::invalid_argument, "wait_ms must be from 0 to 60000"));
+    return;
+  }
+  if (!use_.ledger.Fence(*shard)) {
+    ForwardToOwner(context, *shard, use_.time.Now() + core::milliseconds{*wait} + kAdminDeadline);
+    return;
+  }
+  if (use_.tasks.Find(*shard, task).entry == nullptr) {
+    context.respond(ErrorResponse(result_code::not_found, "no such task"));
+  } else if (context.path.size() == 2) {
+    ShowTask(task, *shard, core::milliseconds{*wait}, context.respond);
+  } else if (context.path[2] == "cancel") {
+    use_.tasks.Cancel(*shard, task, [respond = context.respond](const core::error_reason& reason) {
+      if (reason.code == result_code::ok) {
+        respond(http::JsonResponse(200, R"({"cancel_requested":true})"));
+      } else {
+        respond(ErrorResponse(reason.code, reason.message));
+      }
+    });
+  } else {
+    const json view = json::parse(RenderTask(use_.tasks.Find(*shard, task)));
+    context.respond(http::JsonResponse(200, Dump({{"task", task},
+                                                  {"state", view.at("state")},
+                                                  {"owner", use_.options.id},
+                                                  {"lines", use_.tasks.Explain(*shard, task)}})));
+  }
+}
+
+void api::ShowTask(const std::string& task, core::shard_index shard, core::milliseconds wait,
+                   const http::responder& respond) {
+  const auto answer = [this, task, shard, respond] {
+    const task_view view = use_.tasks.Find(shard, task);
+    if (view.entry == nullptr) {
+      respond(ErrorResponse(result_code::not_owner, "the shard moved to another entry"));
+    } else {
+      respond(http::JsonResponse(200, RenderTask(view)));
+    }
+  };
+  const task_view view = use_.tasks.Find(shard, task);
+  if (view.entry->state == ledger::task_state::ended || wait.count() == 0 || shutting_down_) {
+    answer();
+    return;
+  }
+  // Whichever comes first answers; the responder ignores the second call.
+  waits_.push_back({use_.time.Now() + wait, answer});
+  use_.tasks.WaitForEnd(task, answer);
+}
+
+void api::ListTasks(call_context& context) {
+  const std::string team = context.call.FindParameter("team").value_or("");
+  const std::string state = context.call.FindParameter("state").value_or("");
+  const auto limit = ParseNumber(context.call.FindParameter("limit").value_or("100"));
+  if (!limit || *limit < 1 || *limit > static_cast<std::int64_t>(kListLimit)) {
+    context.respond(ErrorResponse(result_code::invalid_argument, "limit must be from 1 to 1000"));
+    return;
+  }
+  json tasks = json::array();
+  for (const core::shard_index shard : use_.ledger.OwnedShards()) {
+    for (const auto& [task, entry] : use_.ledger.Table(shard)->tasks()) {
+      if (static_cast<std::int64_t>(tasks.size()) >= *limit) break;
+      if (!team.empty() && entry.spec.team != team) continue;
+      json view = json::parse(RenderTask(use_.tasks.Find(shard, task)));
+      if (!state.empty() && view.at("state") != state) continue;
+      view.erase("result");
+      tasks.push_back(std::move(view));
+    }
+  }
+  FanOut(context, Dump({{"tasks", std::move(tasks)}}),
+         [](const std::vector<std::string>& bodies) { return MergeArrays(bodies, "tasks"); });
+}
+
+void api::FanOut(call_context& context, std::string own, merge_function merge) {
+  if (context.forwarded) {
+    context.respond(http::JsonResponse(200, std::move(own)));
+    return;
+  }
+  struct collection {
+    std::vector<std::string> bodies;
+    std::size_t missing = 0;
+  };
+  auto collected = std::make_shared<collection>();
+  collected->bodies.push_back(std::move(own));
+  std::vector<std::string> others;
+  for (const auto& peer : use_.ledger.Entries()) {
+    if (peer.entry != use_.options.id) others.push_back(peer.entry);
+  }
+  collected->missing = others.size();
+  if (others.empty()) {
+    context.respond(merge(collected->bodies));
+    return;
+  }
+  for (const std::string& peer : others) {
+    use_.peers.Forward(peer, context.call, use_.time.Now() + kAdminDeadline,
+                       [collected, merge, respond = context.respond](http::response answer) {
+                         if (answer.status == 200) collected->bodies.push_back(answer.body);
+                         if (--collected->missing == 0) respond(merge(collected->bodies));
+                       });
+  }
+}
+
+// Workers and teams.
+
+void api::ListWorkers(const http::responder& respond) {
+  json workers = json::array();
+  const core::mono_time now = use_.time.Now();
+  const auto& table = use_.workers;
+  for (membership::worker_index index = 0; index < table.size(); ++index) {
+    const auto& identity = table.identity(index);
+    if (identity.id.empty()) continue;
+    json services = json::array();
+    for (const auto& row : table.services(index)) {
+      services.push_back({{"service", table.service_names().Name(row.service)},
+                          {"in_flight", row.in_flight},
+                          {"queued", row.queued},
+                          {"average_us", row.average_us}});
+    }
+    const core::resources& total = table.total()[index];
+    const core::resources& free = table.available()[index];
+    workers.push_back({{"worker", identity.id},
+                       {"region", table.place_names().Name(table.region()[index])},
+                       {"zone", table.place_names().Name(table.zone()[index])},
+                       {"rack", table.place_names().Name(table.rack()[index])},
+                       {"state", std::string(StateName(table.State(index, now)))},
+                       {"config_version", identity.config},
+                       {"running_tasks", identity.running_tasks},
+                       {"cpu_millis", total.cpu_millis},
+                       {"cpu_millis_free", free.cpu_millis},
+                       {"memory_mb", total.memory_mb},
+                       {"memory_mb_free", free.memory_mb},
+                       {"accelerators", total.accelerators},
+                       {"accelerators_free", free.accelerators},
+                       {"slots", table.slots_total()[index]},
+                       {"slots_free", table.slots_free()[index]},
+                       {"heard_ms_ago", core::ToMs(now - table.heard(index))},
+                       {"services", std::move(services)}});
+  }
+  respond(http::JsonResponse(200, Dump({{"workers", std::move(workers)}})));
+}
+
+void api::ListTeams(call_context& context) {
+  struct team_counts {
+    std::int64_t cpu_millis = 0;
+    std::int64_t queued = 0;
+    std::int64_t running = 0;
+  };
+  std::map<std::string, team_counts> counts;
+  for (const core::shard_index shard : use_.ledger.OwnedShards()) {
+    for (const auto& [task, entry] : use_.ledger.Table(shard)->tasks()) {
+      team_counts& row = counts[entry.spec.team];
+      row.queued += entry.state == ledger::task_state::queued ? 1 : 0;
+      row.running += entry.state == ledger::task_state::assigned ? 1 : 0;
+    }
+  }
+  for (const auto& usage : use_.tasks.OwnUsage()) {
+    counts[usage.team].cpu_millis = usage.used.cpu_millis;
+  }
+  json teams = json::array();
+  for (const auto& [team, row] : counts) {
+    json quota;
+    if (use_.config.is_known()) {
+      const auto limit = use_.config.view().For({.team = team}).team_cpu_quota_millis;
+      if (limit) quota = *limit;
+    }
+    teams.push_back({{"team", team},
+                     {"cpu_millis", row.cpu_millis},
+                     {"quota", std::move(quota)},
+                     {"queued", row.queued},
+                     {"running", row.running}});
+  }
+  FanOut(context, Dump({{"teams", std::move(teams)}}), MergeTeams);
+}
+
+// Configuration.
+
+void api::RouteConfig(call_context& context) {
+  const std::string& method = context.call.method;
+  const auto& path = context.path;
+  const http::responder& respond = context.respond;
+  if (!use_.config.is_known()) {
+    respond(ErrorResponse(result_code::no_configuration, "no configuration is known yet"));
+    return;
+  }
+  core::last_error error;
+  const auto fail = [&] { respond(ErrorResponse(error.reason().code, error.reason().message)); };
+  if (path.size() == 1 && method == "GET") {
+    respond(http::JsonResponse(200, config::RenderConfig(*use_.config.current())));
+  } else if (path.size() == 2 && path[1] == "status" && method == "GET") {
+    ConfigStatus(respond);
+  } else if (path.size() == 2 && path[1] == "defaults" && method == "PATCH") {
+    const auto change = config::ParseDefaultsChange(context.call.body, error);
+    if (!change) return fail();
+    ChangeConfig(
+        change->if_version, change->author,
+        [change](const config::fleet_config& base, const config::change_stamp& stamp,
+                 core::last_error& why) {
+          return config::ChangeDefaults(base, *change, stamp, why);
+        },
+        respond);
+  } else if (path.size() == 2 && path[1] == "exceptions" && method == "POST") {
+    const auto wanted = config::ParseExceptionRequest(context.call.body, error);
+    if (!wanted) return fail();
+    ChangeConfig(
+        wanted->if_version, wanted->author,
+        [wanted](const config::fleet_config& base, const config::change_stamp& stamp,
+                 core::last_error& why) { return config::AddException(base, *wanted, stamp, why); },
+        respond);
+  } else if (path.size() == 3 && path[1] == "exceptions" && method == "DELETE") {
+    ChangeConfig(
+        std::nullopt, context.call.FindHeader("X-Author").value_or("unknown"),
+        [id = std::string(path[2])](const config::fleet_config& base,
+                                    const config::change_stamp& stamp, core::last_error& why) {
+          return config::RemoveException(base, id, stamp, why);
+        },
+        respond);
+  } else if (path.size() == 4 && path[1] == "exceptions" && path[3] == "challenges" &&
+             method == "POST") {
+    const auto wanted = config::ParseChallengeRequest(context.call.body, error);
+    if (!wanted) return fail();
+    ChangeConfig(
+        std::nullopt, wanted->author,
+        [wanted, id = std::string(path[2])](
+            const config::fleet_config& base, const config::change_stamp& stamp,
+            core::last_error& why) { return config::AddChallenge(base, id, *wanted, stamp, why); },
+        respond);
+  } else {
+    respond(ErrorResponse(result_code::method_not_allowed, "no such configuration call"));
+  }
+}
+
+void api::ChangeConfig(std::optional<core::config_version> base, const std::string& author,
+                       const config_controller::change_function& change, http::responder respond) {
+  use_.config.Change(base, author, change,
+                     [this, respond = std::move(respond)](const core::error_reason& reason,
+                                                          core::config_version version) {
+                       if (reason.code == result_code::ok) {
+                         respond(http::JsonResponse(200, Dump({{"version", version}})));
+                         return;
+                       }
+                       use_.metrics.CountRefusal("config", reason.code);
+                       respond(ErrorResponse(reason.code, reason.message));
+                     });
+}
+
+void api::ConfigStatus(const http::responder& respond) {
+  const core::mono_time now = use_.time.Now();
+  json processes = json::array();
+  const auto add = [&](const std::string& process, const char* kind, core::config_version version,
+                       core::nanoseconds age) {
+    processes.push_back({{"process", process},
+                         {"kind", kind},
+                         {"version", version},
+                         {"seen_ms_ago", core::ToMs(age)}});
+  };
+  add(use_.options.id, "entry", use_.config.version(), {});
+  for (const auto& [peer, state] : use_.peers.peers()) {
+    add(peer, "entry", state.config, now - state.seen);
+  }
+  for (membership::worker_index index = 0; index < use_.workers.size(); ++index) {
+    const auto& identity = use_.workers.identity(index);
+    if (identity.id.empty()) continue;
+    add(identity.id, "agent", identity.config, now - use_.workers.heard(index));
+  }
+  respond(http::JsonResponse(
+      200, Dump({{"version", use_.config.version()}, {"processes", std::move(processes)}})));
+}
+
+// Time.
+
+void api::Tick() {
+  const core::mono_time now = use_.time.Now();
+  std::vector<std::function<void()>> due;
+  waits_.remove_if([&](waiting_call& waiting) {
+    if (waiting.until > now && !shutting_down_) return false;
+    due.push_back(std::move(waiting.answer));
+    return true;
+  });
+  for (const auto& answer : due) answer();
+}
+
+void api::StartShutdown() { shutting_down_ = true; }
+
+}  // namespace coltsfoot::entry
--- /dev/null
+++ b/libs/entry/src/entry.cc
@@ -0,0 +1,265 @@
+#include "entry/entry.h"
+
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/post.hpp>
+#include <cstdlib>
+#include <thread>
+#include <utility>
+
+#include "agent_directory.h"
+#include "api.h"
+#include "blame/quarantine.h"
+#include "claim_controller.h"
+#include "config_controller.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "interference/model.h"
+#include "ledger/shard_manager.h"
+#include "membership/worker_table.h"
+#include "metrics/registry.h"
+#include "peer_directory.h"
+#include "request_router.h"
+#include "settings/reader.h"
+#include "store/kv_client.h"
+#include "task_controller.h"
+#include "wire/frame.h"
+#include "wire/transport.h"
+
+namespace coltsfoot::entry {
+namespace {
+
+constexpr core::milliseconds kSystemsPeriod{20};
+constexpr core::milliseconds kStoreTimeout{2000};
+// Requests end at their deadlines, so the wait for them is bounded by the longest sensible one.
+constexpr core::milliseconds kDrainLimit{30'000};
+constexpr core::milliseconds kHttpShutdownLimit{2'000};
+constexpr std::size_t kBodyLimitBytes = 512U << 10U;
+
+std::string ToText(const wire::endpoint& value) {
+  return fmt::format("{}:{}", value.ip, value.port);
+}
+
+membership::worker_table_options TableOptions(const entry_options& options) {
+  membership::worker_table_options out;
+  out.heartbeat = options.heartbeat;
+  return out;
+}
+
+}  // namespace
+
+class entry::impl final : public ledger::shard_listener {
+ public:
+  impl(entry_options options, asio::io_context& control)
+      : options_(std::move(options)),
+        control_(control),
+        run_on_control_(
+            [this](std::function<void()> task) { asio::post(control_, std::move(task)); }),
+        traffic_guard_(asio::make_work_guard(traffic_)),
+        random_(core::SystemSeed()),
+        http_client_(http::MakeCurlClient()),
+        kv_(store::MakeHttpKvClient(options_.store, options_.id, *http_client_, run_on_control_,
+                                    kStoreTimeout)),
+        config_(*kv_, time_, random_, metrics_),
+        workers_(TableOptions(options_)),
+        peers_(options_, traffic_, run_on_control_, config_, time_, metrics_),
+        tcp_(peers_.Listen()),
+        udp_(
+            traffic_, options_.udp,
+            [this](const wire::endpoint& from, const wire::raw_message& raw) {
+              OnDatagram(from, raw);
+            },
+            [this](core::result_code code) { CountDrop(code); }),
+        http_({.address = options_.http.ip,
+               .port = options_.http.port,
+               .threads = options_.http_threads,
+               .body_limit = kBodyLimitBytes},
+              [this](http::request call, http::responder respond) {
+                run_on_control_([this, call = std::move(call), respond = std::move(respond)] {
+                  api_.Handle(call, false, respond);
+                });
+              }),
+        ledger_(LedgerOptions(), *kv_, time_, random_, metrics_, *this),
+        agents_(options_, traffic_, run_on_control_, workers_, ledger_, config_, interference_,
+                time_, metrics_),
+        router_(
+            workers_, config_, quarantine_, agents_, [this] { return tasks_.scheduler().view(); },
+            options_.zone, time_, random_, metrics_),
+        tasks_(options_, ledger_, workers_, config_, quarantine_, interference_, agents_, time_,
+               random_, metrics_),
+        claims_(ledger_, router_, time_, metrics_),
+        api_({options_, ledger_, workers_, config_, router_, claims_, tasks_, peers_, time_,
+              random_, metrics_}) {
+    Connect();
+    traffic_thread_ = std::thread([this] { traffic_.run(); });
+  }
+
+  ~impl() override {
+    http_.ShutDown(kHttpShutdownLimit);
+    http_client_.reset();
+    traffic_.stop();
+    traffic_thread_.join();
+    // Handlers that are still queued own sockets of the traffic context; they must end before it.
+    control_.restart();
+    control_.poll();
+  }
+
+  std::string Endpoints() const {
+    return fmt::format("http={}:{} tcp={} udp={}", options_.http.ip, http_.port(), ToText(tcp_),
+                       ToText(udp_.local()));
+  }
+
+  void Tick() {
+    const core::mono_time now = time_.Now();
+    router_.Tick();
+    claims_.Tick();
+    api_.Tick();
+    if (now < next_systems_) return;
+    next_systems_ = now + kSystemsPeriod;
+    config_.Tick();
+    ledger_.Tick();
+    peers_.Tick(ledger_.Entries());
+    agents_.Tick();
+    tasks_.Tick();
+    AdvanceShutdown(now);
+  }
+
+  void StartShutdown(std::function<void()> done) {
+    if (shutdown_done_) return;
+    shutdown_done_ = std::move(done);
+    shutdown_started_ = time_.Now();
+    api_.StartShutdown();
+  }
+
+  void OnShardOwned(core::shard_index shard) override {
+    spdlog::info("event=shard_owned shard={} fence={}", shard, *ledger_.Fence(shard));
+    tasks_.OnShardOwned(shard);
+  }
+
+  void OnShardLost(core::shard_index shard, ledger::shard_loss reason) override {
+    spdlog::info("event=shard_lost shard={} reason={}", shard, ledger::ToString(reason));
+    tasks_.OnShardLost(shard);
+    claims_.OnShardLost(shard);
+  }
+
+  void OnShardCountMismatch(std::uint32_t recorded) override {
+    spdlog::error("event=shard_count_mismatch settings={} recorded={}", options_.shard_count,
+                  recorded);
+    std::_Exit(settings::kBadSettingsExitCode);
+  }
+
+ private:
+  ledger::ledger_options LedgerOptions() const {
+    ledger::ledger_options out;
+    out.entry = options_.id;
+    out.entry_value =
+        wire::EncodeValue(entry_address{udp_.local(), tcp_, {options_.http.ip, http_.port()}});
+    out.shard_count = options_.shard_count;
+    out.commit_interval = options_.commit_interval;
+    out.store_lease_ttl = options_.store_lease_ttl;
+    out.renew_interval = options_.store_lease_ttl * 3 / 10;
+    out.orphan_grace = options_.orphan_grace;
+    return out;
+  }
+
+  void Connect() {
+    agents_.SetSender([this](const wire::endpoint& to, std::string datagram) {
+      asio::post(traffic_, [this, to, datagram = std::move(datagram)] { udp_.Send(to, datagram); });
+    });
+    agents_.SetListeners(
+        {.on_reply = [this](const std::string& worker,
+                            const wire::request_reply& reply) { router_.OnReply(worker, reply); },
+         .on_event = [this](const wire::task_event& event) { tasks_.OnTaskEvent(event); },
+         .on_report = [this](const wire::shard_report& report) { tasks_.OnShardReport(report); },
+         .on_usage = [this](const wire::usage_report& report) { tasks_.OnUsage(report); },
+         .on_reachable = [this](const std::string& worker) { tasks_.OnWorkerReachable(worker); },
+         .on_link_lost = [this](const std::string& worker) { router_.OnLinkLost(worker); },
+         .on_forgotten =
+             [this](membership::worker_index worker) {
+               tasks_.OnWorkerForgotten(worker);
+               router_.OnWorkerForgotten(worker);
+             }});
+    peers_.SetHandlers(
+        [this](const http::request& call, http::responder respond) {
+          api_.Handle(call, true, std::move(respond));
+        },
+        [this](const wire::peer_status& status) {
+          tasks_.SetPeerUsage(status.entry, status.teams);
+        },
+        [this] { return tasks_.OwnUsage(); });
+  }
+
+  void OnDatagram(const wire::endpoint& from, const wire::raw_message& raw) {
+    core::last_error error;
+    if (auto heartbeat = wire::FromRaw<wire::agent_heartbeat>(raw, error)) {
+      run_on_control_([this, from, heartbeat = std::move(*heartbeat)] {
+        agents_.OnHeartbeat(from, heartbeat);
+      });
+    } else if (auto goodbye = wire::FromRaw<wire::agent_goodbye>(raw, error)) {
+      run_on_control_([this, goodbye = std::move(*goodbye)] { agents_.OnGoodbye(goodbye); });
+    } else {
+      CountDrop(error.reason().code);
+    }
+  }
+
+  void CountDrop(core::result_code code) {
+    metrics_.GetCounter("coltsfoot_datagrams_dropped_total", {"reason", core::ToString(code)})
+        .Add();
+  }
+
+  void AdvanceShutdown(core::mono_time now) {
+    if (!shutdown_done_ || releasing_) return;
+    const bool idle = router_.active() == 0 && api_.waiting() == 0;
+    if (!idle && now < shutdown_started_ + kDrainLimit) return;
+    releasing_ = true;
+    ledger_.Shutdown([this](bool released) {
+      spdlog::info("event=shards_released complete={}", released);
+      shutdown_done_();
+    });
+  }
+
+  const entry_options options_;
+  asio::io_context& control_;
+  store::executor run_on_control_;
+  asio::io_context traffic_;
+  asio::executor_work_guard<asio::io_context::executor_type> traffic_guard_;
+  core::system_clock time_;
+  core::seeded_random random_;
+  metrics::registry metrics_;
+  std::unique_ptr<http::client> http_client_;
+  std::unique_ptr<store::kv_client> kv_;
+  config_controller config_;
+  membership::worker_table workers_;
+  interference::model interference_;
+  blame::quarantine quarantine_;
+  peer_directory peers_;
+  wire::endpoint tcp_;
+  wire::udp_socket udp_;
+  http::server http_;
+  ledger::shard_manager ledger_;
+  agent_directory agents_;
+  request_router router_;
+  task_controller tasks_;
+  claim_controller claims_;
+  api api_;
+  std::thread traffic_thread_;
+  core::mono_time next_systems_{};
+  std::function<void()> shutdown_done_;
+  core::mono_time shutdown_started_{};
+  bool releasing_ = false;
+};
+
+entry::entry(entry_options options, asio::io_context& control)
+    : impl_(std::make_unique<impl>(std::move(options), control)) {}
+
+entry::~entry() = default;
+
+std::string entry::Endpoints() const { return impl_->Endpoints(); }
+
+void entry::Tick() { impl_->Tick(); }
+
+void entry::StartShutdown(std::function<void()> done) { impl_->StartShutdown(std::move(done)); }
+
+}  // namespace coltsfoot::entry
--- /dev/null
+++ b/libs/entry/src/link_pool.cc
@@ -0,0 +1,146 @@
+#include "link_pool.h"
+
+#include <asio/post.hpp>
+#include <utility>
+
+namespace coltsfoot::entry {
+namespace {
+
+constexpr core::milliseconds kReconnectPause{200};
+
+}  // namespace
+
+link_pool::link_pool(asio::io_context& traffic, store::executor run_on_control, std::string self,
+                     const core::clock& time, metrics::registry& metrics, callbacks handlers)
+    : traffic_(traffic),
+      run_on_control_(std::move(run_on_control)),
+      self_(std::move(self)),
+      time_(time),
+      metrics_(metrics),
+      handlers_(std::move(handlers)) {}
+
+link_pool::~link_pool() = default;
+
+void link_pool::Connect(const std::string& link, const wire::endpoint& to) {
+  link_state& state = links_[link];
+  if (state.to == to && state.generation != 0) return;
+  CloseOnTraffic(state.connection);
+  const bool was_up = std::exchange(state.up, false);
+  state.to = to;
+  Open(link, state);
+  if (was_up) handlers_.on_down(link);
+}
+
+void link_pool::Forget(const std::string& link) {
+  auto node = links_.extract(link);
+  if (node.empty()) return;
+  CloseOnTraffic(node.mapped().connection);
+  if (node.mapped().up) handlers_.on_down(link);
+}
+
+bool link_pool::Send(const std::string& link, std::string frame) {
+  const auto found = links_.find(link);
+  if (found == links_.end() || !found->second.up) return false;
+  asio::post(traffic_, [this, link, generation = found->second.generation,
+                        connection = found->second.connection, frame = std::move(frame)]() mutable {
+    if (connection->Send(std::move(frame))) return;
+    connection->Close();
+    run_on_control_(
+        [this, link, generation] { OnDown(link, generation, core::result_code::queue_full); });
+  });
+  return true;
+}
+
+bool link_pool::is_up(const std::string& link) const {
+  const auto found = links_.find(link);
+  return found != links_.end() && found->second.up;
+}
+
+wire::endpoint link_pool::Listen(const wire::endpoint& local) {
+  listener_ = std::make_unique<wire::tcp_listener>(
+      traffic_, local, [this](std::shared_ptr<wire::tcp_connection> connection) {
+        run_on_control_([this, connection = std::move(connection)] { Adopt(connection); });
+      });
+  return listener_->local();
+}
+
+void link_pool::Tick() {
+  for (auto& [link, state] : links_) {
+    if (state.connection == nullptr && time_.Now() >= state.retry_at) Open(link, state);
+  }
+}
+
+void link_pool::Open(const std::string& link, link_state& state) {
+  state.generation = ++next_generation_;
+  state.connection = wire::ConnectTcp(traffic_, state.to);
+  asio::post(traffic_, [this, link, generation = state.generation, connection = state.connection] {
+    StartOnTraffic(link, generation, connection, false);
+  });
+}
+
+void link_pool::Adopt(const std::shared_ptr<wire::tcp_connection>& connection) {
+  const std::uint64_t generation = ++next_generation_;
+  const std::string link = "incoming-" + std::to_string(generation);
+  links_[link] = {{}, generation, true, {}, connection};
+  asio::post(traffic_, [this, link, generation, connection] {
+    StartOnTraffic(link, generation, connection, true);
+  });
+}
+
+void link_pool::StartOnTraffic(const std::string& link, std::uint64_t generation,
+                               const std::shared_ptr<wire::tcp_connection>& connection,
+                               bool incoming) {
+  wire::tcp_connection::handlers handlers;
+  handlers.on_open = [this, link, generation] {
+    run_on_control_([this, link, generation] { OnUp(link, generation); });
+  };
+  handlers.on_message = [this, link, generation,
+                         weak = std::weak_ptr(connection)](const wire::raw_message& message) {
+    if (message.type == wire::hello::kType) return;
+    auto task = handlers_.decode(link, message);
+    if (task) {
+      run_on_control_(std::move(task));
+      return;
+    }
+    if (const auto self = weak.lock()) self->Close();
+    run_on_control_(
+        [this, link, generation] { OnDown(link, generation, core::result_code::decode_error); });
+  };
+  handlers.on_close = [this, link, generation](const core::error_reason& reason) {
+    run_on_control_(
+        [this, link, generation, code = reason.code] { OnDown(link, generation, code); });
+  };
+  if (!incoming) connection->Send(wire::ToFrame(wire::hello{self_}));
+  connection->Start(std::move(handlers));
+}
+
+void link_pool::OnUp(const std::string& link, std::uint64_t generation) {
+  const auto found = links_.find(link);
+  if (found == links_.end() || found->second.generation != generation) return;
+  found->second.up = true;
+  handlers_.on_up(link);
+}
+
+void link_pool::OnDown(const std::string& link, std::uint64_t generation,
+                       core::result_code reason) {
+  const auto found = links_.find(link);
+  if (found == links_.end() || found->second.generation != generation) return;
+  metrics_.GetCounter("coltsfoot_links_lost_total", {"reason", core::ToString(reason)}).Add();
+  const bool was_up = found->second.up;
+  const bool incoming = found->second.to.port == 0;
+  if (incoming) {
+    links_.erase(found);
+  } else {
+    found->second.up = false;
+    found->second.connection = nullptr;
+    found->second.retry_at = time_.Now() + kReconnectPause;
+  }
+  if (was_up) handlers_.on_down(link);
+}
+
+void link_pool::CloseOnTraffic(const std::shared_ptr<wire::tcp_connection>& connection) {
+  if (connection == nullptr) return;
+  asio::post(traffic_, [connection] { connection->Close(); });
+}
+
+}  // namespace coltsfoot::entry
--- /dev/null
+++ b/libs/entry/src/link_pool.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "core/clock.h"
+#include "metrics/registry.h"
+#include "store/kv_client.h"
+#include "wire/transport.h"
+
+namespace coltsfoot::entry {
+
+/// Keeps named TCP links open: outgoing ones by the name of the peer, incoming ones under names
+/// that the pool makes. Sockets and codecs run on the traffic thread; all public calls and
+/// callbacks run on the control thread.
+class link_pool {
+ public:
+  /// Decodes a message on the traffic thread.
+  /// @return what to run on the control thread; empty if the message cannot be decoded, which
+  /// closes the link.
+  using decoder = std::function<std::function<void()>(const std::string& link,
+                                                      const wire::raw_message& message)>;
+  struct callbacks {
+    decoder decode;
+    std::function<void(const std::string& link)> on_up;
+    std::function<void(const std::string& link)> on_down;
+  };
+
+  /// @param self id of this process, sent in the first message of each outgoing link.
+  /// @param run_on_control posts a function to the control thread.
+  link_pool(asio::io_context& traffic, store::executor run_on_control, std::string self,
+            const core::clock& time, metrics::registry& metrics, callbacks handlers);
+  ~link_pool();
+  link_pool(const link_pool&) = delete;
+  link_pool& operator=(const link_pool&) = delete;
+
+  /// Keeps an outgoing link open until `Forget`; another endpoint replaces the connection.
+  void Connect(const std::string& link, const wire::endpoint& to);
+  /// Closes a link and opens it no more.
+  void Forget(const std::string& link);
+  /// Queues a frame.
+  /// @return false if the link is not up: nothing was sent. True does not prove delivery; the loss
+  /// of the link is reported by `on_down`.
+  bool Send(const std::string& link, std::string frame);
+  /// @return true if the link is up.
+  bool is_up(const std::string& link) const;
+  /// Accepts incoming links. Call once, before the traffic thread starts.
+  /// @return the endpoint that the pool listens on.
+  wire::endpoint Listen(const wire::endpoint& local);
+  /// Opens lost outgoing links again after a pause.
+  void Tick();
+
+ private:
+  struct link_state {
+    wire::endpoint to;  ///< empty for an incoming link
+    std::uint64_t generation = 0;
+    bool up = false;
+    core::mono_time retry_at;
+    std::shared_ptr<wire::tcp_connection> connection;  ///< used on the traffic thread only
+  };
+
+  void Open(const std::string& link, link_state& state);
+  void Adopt(const std::shared_ptr<wire::tcp_connection>& connection);
+  void StartOnTraffic(const std::string& link, std::uint64_t generation,
+                      const std::shared_ptr<wire::tcp_connection>& connection, bool incoming);
+  void OnUp(const std::string& link, std::uint64_t generation);
+  void OnDown(const std::string& link, std::uint64_t generation, core::result_code reason);
+  void CloseOnTraffic(const std::shared_ptr<wire::tcp_connection>& connection);
+
+  asio::io_context& traffic_;
+  store::executor run_on_control_;
+  std::string self_;
+  const core::clock& time_;
+  metrics::registry& metrics_;
+  callbacks handlers_;
+  std::map<std::string, link_state> links_;
+  std::uint64_t next_generation_ = 0;
+  std::unique_ptr<wire::tcp_listener> listener_;
+};
+
+}  // namespace coltsfoot::entry
--- /dev/null
+++ b/libs/entry/src/task_controller.h
@@ -0,0 +1,167 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "blame/quarantine.h"
+#include "blame/size_correction.h"
+#include "blame/task_verdicts.h"
+#include "config_controller.h"
+#include "core/clock.h"
+#include "entry/options.h"
+#include "interference/model.h"
+#include "ledger/shard_manager.h"
+#include "membership/worker_table.h"
+#include "metrics/registry.h"
+#include "placement/scheduler.h"
+#include "request_router.h"
+#include "wire/messages.h"
+
+namespace coltsfoot::entry {
+
+/// What is known of a task beyond the log, for the API.
+struct task_view {
+  const ledger::task_entry* entry = nullptr;
+  bool running = false;  ///< its worker has confirmed the start
+  bool operator==(const task_view&) const = default;
+};
+
+/// Runs the tasks of the owned shards: placement, starts, leases, takeover, events and
+/// cancellation. Each change is recorded in the log before it takes effect.
+class task_controller {
+ public:
+  /// Receives the outcome of a submission or cancellation.
+  using done_handler = std::function<void(core::error_reason)>;
+  /// Runs once when a task has ended, or its shard was lost.
+  using end_handler = std::function<void()>;
+
+  task_controller(const entry_options& options, ledger::shard_manager& ledger,
+                  membership::worker_table& workers, config_controller& config,
+                  blame::quarantine& quarantine, interference::model& interference,
+                  agent_gateway& agents, const core::clock& time, core::random_source& random,
+                  metrics::registry& metrics);
+
+  /// Records a new task of an owned shard. A task that is already known is a success if the
+  /// submission is the same and `idempotency_key_reused` otherwise.
+  void Submit(core::shard_index shard, ledger::task_spec spec, done_handler done);
+  /// Cancels a task of an owned shard; it ends as cancelled unless another end comes first.
+  void Cancel(core::shard_index shard, const std::string& task, done_handler done);
+  /// @return a task of an owned shard; `entry` is null if it is not known.
+  task_view Find(core::shard_index shard, const std::string& task) const;
+  /// Runs `done` when the task has ended.
+  void WaitForEnd(const std::string& task, end_handler done);
+  /// @return sentences that say why a task is where it is.
+  std::vector<std::string> Explain(core::shard_index shard, const std::string& task);
+
+  void OnShardOwned(core::shard_index shard);
+  void OnShardLost(core::shard_index shard);
+  /// The link to a worker is up and its agent is not recovering: ask what it runs.
+  void OnWorkerReachable(const std::string& worker);
+  void OnShardReport(const wire::shard_report& report);
+  void OnTaskEvent(const wire::task_event& event);
+  void OnUsage(const wire::usage_report& report);
+  /// Resets the columns of a worker whose index is reused.
+  void OnWorkerForgotten(membership::worker_index worker);
+  /// Sets what a peer's shards use per team, for quotas.
+  void SetPeerUsage(const std::string& peer, const std::vector<wire::team_usage>& teams);
+  /// @return what the tasks of the owned shards use per team.
+  std::vector<wire::team_usage> OwnUsage() const;
+  /// Applies settings, expires leases, places tasks.
+  void Tick();
+
+  placement::scheduler& scheduler() noexcept { return scheduler_; }
+
+ private:
+  enum class task_phase : std::uint8_t {
+    queued,
+    assigning,   ///< the assignment is being recorded
+    starting,    ///< sent to the worker
+    running,     ///< confirmed by the worker
+    unresolved,  ///< taken over; the worker has not reported yet
+    ending,      ///< the end of the assignment is being recorded
+    resting,     ///< refused; queued again after a pause
+  };
+  struct soft_task {
+    core::shard_index shard = 0;
+    task_phase phase = task_phase::queued;
+    std::string worker;
+    core::epoch_number epoch = 0;
+    std::uint64_t sent_number = 0;  ///< position among the messages to the worker
+    std::uint32_t refusals = 0;
+    core::mono_time resume_at{};
+    core::mono_time started{};
+    bool cancel_sent = false;
+    bool adopted = false;  ///< counted by the scheduler as running
+  };
+  struct worker_state {
+    std::uint64_t messages = 0;
+    /// Message number of the newest `adopt_shard` per shard; reports tell nothing about starts
+    /// that were sent after it.
+    std::map<core::shard_index, std::uint64_t> adopt_number;
+    /// Fence under which the worker has reported each shard.
+    std::map<core::shard_index, core::fence_number> reported;
+  };
+
+  void ApplySettings();
+  void RunScheduler();
+  void CarryOut(const placement::scheduler_action& action);
+  void Assign(const placement::assign_action& action);
+  void OnAssigned(const std::string& task, core::epoch_number epoch,
+                  ledger::append_outcome outcome);
+  void SendStart(const std::string& task, soft_task& row, const ledger::task_entry& entry);
+  void SendControl(const std::string& task, const soft_task& row, wire::task_action action);
+  bool SendTo(const std::string& worker, std::string frame);
+  void Enqueue(soft_task& row, const ledger::task_entry& entry);
+  /// @return true if the assignment may be known to its worker.
+  static bool IsSent(task_phase phase) noexcept;
+  placement::task_spec PlacementSpec(const ledger::task_entry& entry);
+  void TakeOver(const std::string& task, const ledger::task_entry& entry, core::shard_index shard);
+  void AdoptIfKnown(const std::string& task, soft_task& row, const ledger::task_entry& entry);
+  void SendAdopt(const std::string& worker, core::shard_index shard);
+  void ExpireLeases();
+  core::mono_time SilentUntil(const soft_task& row);
+  void RecordEnd(const std::string& task, soft_task& row, ledger::record change,
+                 const wire::task_event* event);
+  void OnEndRecorded(const std::string& task, core::epoch_number epoch,
+                     ledger::append_outcome outcome);
+  void Resync(const std::string& task);
+  void LeaveWorker(const std::string& task, soft_task& row);
+  void Finish(const std::string& task);
+  void Requeue(const std::string& task, soft_task& row, core::result_code code);
+  void EndLost(const std::string& task, soft_task& row);
+  void OnRefused(const std::string& task, soft_task& row, const wire::task_event& event);
+  void OnFailed(const std::string& task, soft_task& row, const ledger::task_entry& entry,
+                const wire::task_event& event);
+  void OnSucceeded(const ledger::task_entry& entry, const wire::task_event& event);
+  void Acknowledge(const wire::task_event& event);
+  void RecordCancelled(const std::string& task, soft_task& row, core::epoch_number epoch);
+  const ledger::task_entry* Entry(core::shard_index shard, const std::string& task) const;
+
+  const entry_options& options_;
+  ledger::shard_manager& ledger_;
+  membership::worker_table& workers_;
+  config_controller& config_;
+  blame::quarantine& quarantine_;
+  interference::model& interference_;
+  agent_gateway& agents_;
+  const core::clock& time_;
+  metrics::registry& metrics_;
+  blame::size_correction sizes_;
+  blame::task_verdicts verdicts_;
+  placement::scheduler scheduler_;
+  core::config_version applied_config_ = 0;
+  std::size_t applied_entries_ = 0;
+  bool correct_sizes_ = true;
+  std::unordered_map<std::string, soft_task> tasks_;
+  std::unordered_map<std::string, worker_state> worker_states_;
+  std::multimap<std::string, end_handler> waiters_;
+  std::map<std::string, std::vector<wire::team_usage>> peer_usage_;
+  core::mono_time next_expiry_{};
+};
+
+}  // namespace coltsfoot::entry
--- a/libs/wire/include/wire/messages.h
+++ b/libs/wire/include/wire/messages.h
@@ -41,6 +41,7 @@
   forward_reply = 31,
   config_pull = 32,
   config_push = 33,
+  peer_status = 34,
 };
 
 /// IP address and port.
@@ -452,4 +453,28 @@
   }
 };
 
+/// Resources that one team uses in the shards of the sender.
+struct team_usage {
+  std::string team;
+  core::resources used;
+  bool operator==(const team_usage&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(team, used);
+  }
+};
+
+/// Entry to each other entry, once a second: what quotas and the status page need of it.
+struct peer_status {
+  static constexpr message_type kType = message_type::peer_status;
+  std::string entry;
+  core::config_version config = 0;
+  std::vector<team_usage> teams;
+  bool operator==(const peer_status&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(entry, config, teams);
+  }
+};
+
 }  // namespace coltsfoot::wire
