--- /dev/null
+++ b/libs/membership/include/membership/worker_table.h
@@ -0,0 +1,225 @@
+#pragma once
+
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "core/resources.h"
+#include "membership/name_table.h"
+#include "wire/messages.h"
+
+namespace coltsfoot::membership {
+
+/// Dense number of a worker within one process. It stays the same while the table knows the
+/// worker, also across restarts of its agent, and may be reused after `worker_table::Forget`.
+using worker_index = std::uint32_t;
+
+/// Stands for no worker.
+inline constexpr worker_index kNoWorker = std::numeric_limits<worker_index>::max();
+
+/// Timings of the worker table.
+struct worker_table_options {
+  core::nanoseconds heartbeat = std::chrono::seconds{5};  ///< interval of the agents' heartbeats
+  /// A worker whose newest heartbeat is older than this many intervals gets no new work.
+  std::uint32_t missed_heartbeats = 3;
+  /// A worker that has been silent or gone this long is removed by `Forget`.
+  core::nanoseconds forget_after = std::chrono::minutes{10};
+};
+
+/// Why a worker gets no new work.
+enum class worker_state : std::uint8_t {
+  live,
+  recovering,  ///< the agent does not yet know what its target runs
+  draining,    ///< the agent or an operator drains the worker
+  silent,      ///< no heartbeat within the limit
+  gone,        ///< said goodbye, or the row is not in use
+};
+
+/// What a heartbeat did to the table.
+enum class heartbeat_outcome : std::uint8_t {
+  added,     ///< first heartbeat of this worker
+  updated,   ///< newer heartbeat of the known incarnation
+  replaced,  ///< the agent restarted; all that was counted against the old incarnation is dropped
+  stale,     ///< not newer than a heartbeat already seen, or of a replaced incarnation; ignored
+};
+
+/// Result of `worker_table::OnHeartbeat`.
+struct heartbeat_result {
+  worker_index worker = kNoWorker;
+  heartbeat_outcome outcome = heartbeat_outcome::stale;
+};
+
+/// Load of one service on one worker as this entry sees it.
+struct service_row {
+  name_id service = kNoName;
+  std::uint32_t in_flight = 0;    ///< as last reported, by all entries
+  std::uint32_t queued = 0;       ///< as last reported
+  std::uint32_t average_us = 0;   ///< as last reported; 0 if not known
+  std::uint32_t sent_since = 0;   ///< requests of this entry since that report
+  std::uint32_t outstanding = 0;  ///< requests of this entry without an answer
+
+  /// @return requests that run or wait: the report and what was sent since, and at least this
+  /// entry's own outstanding requests.
+  std::uint32_t pending() const noexcept {
+    const std::uint32_t reported = in_flight + queued + sent_since;
+    return reported > outstanding ? reported : outstanding;
+  }
+};
+
+/// Columns of a worker that change rarely and are not read by scans.
+struct worker_identity {
+  std::string id;
+  std::uint64_t incarnation = 0;
+  std::uint64_t seq = 0;  ///< newest heartbeat received
+  wire::endpoint agent_tcp;
+  std::uint32_t running_tasks = 0;
+  std::uint32_t connections_total = 0;
+  std::uint32_t connections_free = 0;
+  core::config_version config = 0;
+};
+
+/// Names a part of a worker's capacity that this entry has promised.
+using assignment_id = std::uint64_t;
+
+/// Table of all known workers. Columns that placement scans are kept as one array each.
+///
+/// The free capacity of a worker is an estimate: what the last heartbeat reported, minus what this
+/// entry has assigned that the report cannot contain yet, plus what ended since. The estimate errs
+/// on the low side; the agent alone decides.
+class worker_table {
+ public:
+  explicit worker_table(worker_table_options options = {});
+
+  // Updates.
+
+  /// Applies a heartbeat.
+  /// An assignment is dropped from the estimate by the first heartbeat after `ConfirmAssignment`,
+  /// and unconfirmed by the second one after it was made, because the first may have been sent
+  /// before the assignment arrived.
+  heartbeat_result OnHeartbeat(const wire::agent_heartbeat& heartbeat, core::mono_time now);
+  /// Marks the worker as gone if the message is of its known incarnation.
+  /// @return the worker, or nothing if nothing changed.
+  std::optional<worker_index> OnGoodbye(const wire::agent_goodbye& goodbye);
+  /// Applies the load that an answer carries. Call it once for each attempt that was counted by
+  /// `OnRequestSent`. Has no effect on liveness.
+  void OnRequestReply(worker_index worker, const wire::request_reply& reply);
+  /// Counts a request that this entry sends to `worker`.
+  void OnRequestSent(worker_index worker, name_id service);
+  /// Counts a request as answered when no reply will come (connection lost, abandoned).
+  void OnRequestAbandoned(worker_index worker, name_id service);
+  /// Sets or clears a drain ordered by the fleet configuration (`worker.drain`, `worker.lost`).
+  void SetOperatorDrain(worker_index worker, bool drain);
+
+  /// Counts `need` against the worker's free capacity until a heartbeat contains it.
+  assignment_id Assign(worker_index worker, const core::resources& need);
+  /// Counts `need` against the worker until `ReleaseAssignment` or `ConvertHold`, whatever the
+  /// heartbeats say. Used to keep capacity that is being freed for one task.
+  assignment_id Hold(worker_index worker, const core::resources& need);
+  /// Turns a hold into an assignment made now.
+  void ConvertHold(worker_index worker, assignment_id id);
+  /// The agent says that the assignment started; the next heartbeat contains it.
+  void ConfirmAssignment(worker_index worker, assignment_id id);
+  /// The assignment did not start or has ended. If a heartbeat already contained it, `need` is
+  /// added to the free capacity until the next heartbeat.
+  void ReleaseAssignment(worker_index worker, assignment_id id, const core::resources& need);
+
+  /// Removes workers that have been silent or gone for `forget_after`, at most 64 per call.
+  /// @return their indexes; owners of per-worker columns reset them, since indexes are reused.
+  std::vector<worker_index> Forget(core::mono_time now);
+
+  // Queries. An index must be below `size()`.
+
+  /// @return the number of rows, including those not in use.
+  std::size_t size() const noexcept { return identity_.size(); }
+  /// @return the worker named `id`, or nothing.
+  std::optional<worker_index> Find(std::string_view id) const;
+  /// @return why the worker gets no new work, or `live`.
+  worker_state State(worker_index worker, core::mono_time now) const noexcept;
+  /// @return true if the entry may send new work to the worker.
+  bool IsDispatchable(worker_index worker, core::mono_time now) const noexcept {
+    return flags_[worker] == 0 && now - heard_[worker] <= silence_limit_;
+  }
+  /// @return the newest heartbeat, to name in a dispatch.
+  wire::liveness_token Token(worker_index worker) const;
+  const worker_identity& identity(worker_index worker) const { return identity_[worker]; }
+  /// @return when the newest heartbeat arrived.
+  core::mono_time heard(worker_index worker) const { return heard_[worker]; }
+  /// @return services of the worker's live target; empty without one.
+  std::span<const service_row> services(worker_index worker) const { return services_[worker]; }
+  /// @return the row of `service` on `worker`, or nullptr.
+  const service_row* FindService(worker_index worker, name_id service) const noexcept;
+  /// @return workers whose last heartbeat lists `service`, live or not, in no particular order.
+  std::span<const worker_index> Targets(name_id service) const noexcept;
+  /// @return the number of dispatchable workers.
+  std::size_t CountDispatchable(core::mono_time now) const noexcept;
+
+  // Columns, indexed by worker_index.
+
+  std::span<const core::resources> total() const noexcept { return total_; }
+  /// Estimated free capacity; a component may be negative while a hold waits for evictions.
+  std::span<const core::resources> available() const noexcept { return available_; }
+  std::span<const std::uint32_t> slots_total() const noexcept { return slots_total_; }
+  std::span<const std::uint32_t> slots_free() const noexcept { return slots_free_; }
+  std::span<const name_id> region() const noexcept { return region_; }
+  std::span<const name_id> zone() const noexcept { return zone_; }
+  std::span<const name_id> rack() const noexcept { return rack_; }
+
+  /// Names of services.
+  name_table& service_names() noexcept { return service_names_; }
+  const name_table& service_names() const noexcept { return service_names_; }
+  /// Names of regions, zones and racks.
+  name_table& place_names() noexcept { return place_names_; }
+  const name_table& place_names() const noexcept { return place_names_; }
+
+ private:
+  struct pending_assignment {
+    assignment_id id = 0;
+    core::resources need;
+    std::uint64_t made_at_seq = 0;
+    bool confirmed = false;
+    bool hold = false;
+  };
+
+  worker_index AddRow(const std::string& id);
+  void ApplyCapacity(worker_index worker, const wire::agent_heartbeat& heartbeat);
+  void ApplyServices(worker_index worker, const std::vector<wire::service_load>& loads);
+  void ClearServices(worker_index worker);
+  void DropContained(worker_index worker, std::uint64_t seq);
+  void Recompute(worker_index worker);
+  assignment_id AddPending(worker_index worker, const core::resources& need, bool hold);
+  service_row* MutableService(worker_index worker, name_id service) noexcept;
+  void SetFlag(worker_index worker, std::uint8_t flag, bool on) noexcept;
+
+  core::nanoseconds silence_limit_;
+  core::nanoseconds forget_after_;
+  name_table service_names_;
+  name_table place_names_;
+  std::unordered_map<std::string, worker_index> index_;
+  std::vector<worker_index> free_rows_;
+  assignment_id next_assignment_ = 1;
+
+  std::vector<std::uint8_t> flags_;
+  std::vector<core::mono_time> heard_;
+  std::vector<core::resources> total_;
+  std::vector<core::resources> available_;
+  std::vector<std::uint32_t> slots_total_;
+  std::vector<std::uint32_t> slots_free_;
+  std::vector<name_id> region_;
+  std::vector<name_id> zone_;
+  std::vector<name_id> rack_;
+  std::vector<worker_identity> identity_;
+  std::vector<std::vector<service_row>> services_;
+  std::vector<core::resources> reported_free_;
+  std::vector<core::resources> released_;
+  std::vector<std::vector<pending_assignment>> pending_;
+  std::vector<std::vector<worker_index>> targets_;
+};
+
+}  // namespace coltsfoot::membership
--- /dev/null
+++ b/libs/placement/include/placement/running_table.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "placement/types.h"
+
+namespace coltsfoot::placement {
+
+/// What was ordered for a running task.
+enum class running_state : std::uint8_t {
+  assigned,  ///< sent to the worker, not yet confirmed
+  running,
+  throttled,
+  evicting,  ///< checkpoint and stop ordered
+  stopping,  ///< stop without a checkpoint ordered
+};
+
+/// Task of this entry's shards that is assigned to a worker.
+struct running_task {
+  task_spec spec;
+  worker_index worker = kNoWorker;
+  membership::assignment_id assignment = 0;
+  running_state state = running_state::assigned;
+  core::mono_time assigned_at;
+  core::mono_time saved_at;    ///< start or newest checkpoint; work since then is lost by a stop
+  core::mono_time ordered_at;  ///< when `state` was ordered
+  bool borrows_headroom = false;
+};
+
+/// Tasks of this entry's shards by worker.
+class running_table {
+ public:
+  /// Adds a task; replaces an older assignment of the same task.
+  void Add(running_task task, const membership::worker_table& workers);
+  /// Removes a task.
+  /// @return the removed row, or nothing if the task is not in the table.
+  std::optional<running_task> Remove(std::string_view task);
+  /// @return the task, or nullptr. Valid until the next `Add` or `Remove`.
+  running_task* Find(std::string_view task) noexcept;
+  const running_task* Find(std::string_view task) const noexcept;
+  /// @return row numbers of the tasks on a worker, for `at`.
+  std::span<const std::uint32_t> OnWorker(worker_index worker) const noexcept;
+  const running_task& at(std::uint32_t row) const { return rows_[row]; }
+  running_task& at(std::uint32_t row) { return rows_[row]; }
+  /// @return the number of tasks.
+  std::size_t size() const noexcept { return index_.size(); }
+  /// @return processor use of batch tasks on the worker that are not being evicted, to skip
+  /// workers with nothing to evict.
+  std::int64_t BatchCpu(worker_index worker) const noexcept;
+  /// @return tasks of the same team and class as `spec` in a rack.
+  std::uint32_t CountInRack(const task_spec& spec, membership::name_id rack) const;
+  /// Orders a new state of a running task; keeps the sums right.
+  void SetState(running_task& task, running_state state, core::mono_time now);
+
+ private:
+  std::vector<running_task> rows_;
+  std::vector<std::uint32_t> free_rows_;
+  std::unordered_map<std::string, std::uint32_t> index_;
+  std::vector<std::vector<std::uint32_t>> by_worker_;
+  std::vector<std::int64_t> batch_cpu_;
+  std::vector<membership::name_id> rack_of_row_;
+  std::unordered_map<std::string, std::uint32_t> rack_counts_;
+};
+
+}  // namespace coltsfoot::placement
--- /dev/null
+++ b/libs/placement/include/placement/scheduler.h
@@ -0,0 +1,182 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "core/random_source.h"
+#include "placement/policy.h"
+#include "placement/preemption.h"
+#include "placement/reclaim.h"
+#include "placement/running_table.h"
+#include "placement/task_queue.h"
+
+namespace coltsfoot::placement {
+
+/// Settings of the scheduler; changed as a whole.
+struct scheduler_options {
+  policy_kind policy = policy_kind::weighted;
+  policy_options scoring;
+  preemption_options preemption;
+  reclaim_options reclaim;
+  queue_options queue;
+  std::uint32_t headroom_percent = 20;
+  bool borrow_headroom = true;
+  double evictions_per_minute = 20;  ///< this entry's part of the fleet's budget
+  /// A latency-critical task that has waited this long may preempt batch; urgent ones wait
+  /// `urgent_preempt_after`.
+  core::nanoseconds preempt_after = std::chrono::milliseconds{500};
+  core::nanoseconds urgent_preempt_after = std::chrono::milliseconds{40};
+  std::uint32_t plans_per_tick = 4;  ///< preemption plans
+};
+
+/// Start `task` on `worker`: append the assignment to the log, then send it.
+struct assign_action {
+  std::string task;
+  worker_index worker = kNoWorker;
+  bool is_probe = false;
+  bool operator==(const assign_action&) const = default;
+};
+
+/// What to order for a running task; the entry adds shard, fence and epoch.
+enum class control_kind : std::uint8_t {
+  throttle,
+  unthrottle,
+  evict,  ///< checkpoint, then stop
+  stop,   ///< an eviction did not end the task in time
+};
+
+/// Change a running task.
+struct control_action {
+  std::string task;
+  worker_index worker = kNoWorker;
+  control_kind kind = control_kind::throttle;
+  bool operator==(const control_action&) const = default;
+};
+
+/// No known worker is big enough for the task: it ends with `never_fits`. It has left the queue.
+struct give_up_action {
+  std::string task;
+  core::result_code code = core::result_code::never_fits;
+  bool operator==(const give_up_action&) const = default;
+};
+
+using scheduler_action = std::variant<assign_action, control_action, give_up_action>;
+
+/// Counters of the scheduler, for metrics.
+struct scheduler_counters {
+  std::uint64_t placed = 0;
+  std::uint64_t blocked = 0;
+  std::uint64_t over_quota = 0;
+  std::uint64_t preemptions = 0;  ///< plans carried out
+  std::uint64_t preempt_evictions = 0;
+  std::uint64_t preempt_stops = 0;
+  std::uint64_t reclaim_throttles = 0;
+  std::uint64_t reclaim_evictions = 0;
+  std::uint64_t never_fits = 0;
+  std::uint64_t budget_denied = 0;  ///< plans put off for lack of eviction budget
+};
+
+/// Systems of placement run over the tables each tick: queue pass, preemption, headroom reclaim.
+///
+/// Every task is queued, running or unknown here. The scheduler changes its tables when it returns
+/// an action; the caller carries all actions out and reports what became of them.
+class scheduler {
+ public:
+  /// All references must outlive the scheduler. `interference` and `quarantine` may be null.
+  scheduler(scheduler_options options, membership::worker_table& workers,
+            interference::model* interference, blame::quarantine* quarantine,
+            core::random_source& random);
+  ~scheduler();
+  scheduler(const scheduler&) = delete;
+  scheduler& operator=(const scheduler&) = delete;
+
+  /// Applies changed settings. Queued and running tasks stay.
+  void SetOptions(scheduler_options options);
+
+  /// Queues a new task, or one that was evicted, lost or refused.
+  /// @return see `task_queue::Push`.
+  core::result_code Submit(task_spec task, core::mono_time now);
+  /// Forgets a queued task.
+  /// @return true if it was queued; a running task must be cancelled at its worker.
+  bool CancelQueued(std::string_view task);
+  /// Adds a task that already runs, found by replay of the log or a shard report.
+  void Adopt(task_spec task, worker_index worker, core::mono_time started, core::mono_time now);
+  /// Puts a task's assignment that could not be recorded or was refused (`not run`) back into the
+  /// queue and keeps its submission time.
+  void OnRefused(std::string_view task, core::mono_time now);
+  /// The worker confirmed the start.
+  void OnStarted(std::string_view task, core::mono_time now);
+  /// A checkpoint of a task that runs on was recorded.
+  void OnCheckpointed(std::string_view task, core::mono_time now);
+  /// The assignment has ended in any way.
+  /// @return the task as it was placed, with `evictions` counted if it was being evicted, for a
+  /// new `Submit`; nothing if the task was not running.
+  std::optional<task_spec> OnEnded(std::string_view task, core::mono_time now);
+  /// Forgets a shard's task without any effect on its worker (the shard is owned elsewhere now).
+  void Drop(std::string_view task, core::mono_time now);
+  /// Resets the columns of a worker whose index is reused.
+  void OnWorkerForgotten(worker_index worker);
+
+  /// Runs one tick: queue pass, preemption plans and their next steps, headroom reclaim.
+  std::vector<scheduler_action> Tick(core::mono_time now);
+
+  /// Explains the placement of a queued task or of one that would be submitted.
+  placement_explanation Explain(const task_spec& task, core::mono_time now);
+  /// Tables for `routing_policy::Route`.
+  placement_view view() const;
+  task_queue& queue() noexcept { return queue_; }
+  const running_table& running() const noexcept { return running_; }
+  const scheduler_counters& counters() const noexcept { return counters_; }
+
+ private:
+  class queue_placer;
+  /// Capacity that is being freed for a task.
+  struct reservation {
+    std::string task;
+    worker_index worker = kNoWorker;
+    core::resources need;
+    membership::assignment_id hold = 0;
+    std::vector<std::string> victims;
+    core::mono_time step_at{};
+  };
+
+  attempt_outcome Place(const task_spec& task, core::mono_time now,
+                        std::vector<scheduler_action>& actions);
+  attempt_outcome PlaceReserved(const task_spec& task, core::mono_time now,
+                                std::vector<scheduler_action>& actions);
+  void Commit(const task_spec& task, const placement_choice& choice,
+              membership::assignment_id assignment, core::mono_time now,
+              std::vector<scheduler_action>& actions);
+  void RunPreemption(core::mono_time now, std::vector<scheduler_action>& actions);
+  void StartPreemption(const task_spec& task, core::mono_time now,
+                       std::vector<scheduler_action>& actions);
+  void AdvanceReservations(core::mono_time now, std::vector<scheduler_action>& actions);
+  bool AdvanceVictims(reservation& row, core::mono_time now,
+                      std::vector<scheduler_action>& actions);
+  void DropReservation(std::string_view task);
+  void RunReclaim(core::mono_time now, std::vector<scheduler_action>& actions);
+  void UpdateFleetTotal(core::mono_time now);
+  std::optional<running_task> Release(std::string_view task, core::mono_time now);
+
+  scheduler_options options_;
+  membership::worker_table& workers_;
+  interference::model* interference_;
+  blame::quarantine* quarantine_;
+  core::random_source& random_;
+  std::unique_ptr<placement_policy> policy_;
+  task_queue queue_;
+  running_table running_;
+  headroom_reclaim reclaim_;
+  eviction_budget budget_;
+  std::unordered_map<std::string, reservation> reservations_;
+  core::mono_time totals_at_{};
+  scheduler_counters counters_;
+};
+
+}  // namespace coltsfoot::placement
--- /dev/null
+++ b/libs/placement/include/placement/task_queue.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "core/result_code.h"
+#include "placement/types.h"
+
+namespace coltsfoot::placement {
+
+/// Limits of the queue.
+struct queue_options {
+  std::size_t limit = 100'000;           ///< queued tasks
+  std::uint32_t attempts_per_pass = 64;  ///< placement decisions per pass, placed or not
+  /// A batch task that has waited this long competes with latency-critical tasks.
+  core::nanoseconds aging = std::chrono::minutes{2};
+  /// Delay until a lane whose head could not be placed is tried again; doubles up to the maximum.
+  core::nanoseconds first_retry = std::chrono::milliseconds{20};
+  core::nanoseconds max_retry = std::chrono::milliseconds{500};
+};
+
+/// Outcome of one placement attempt.
+enum class attempt_outcome : std::uint8_t {
+  placed,   ///< the task leaves the queue
+  blocked,  ///< nothing is free now; tasks of the same shape are tried later
+  dropped,  ///< the task ends and leaves the queue
+};
+
+/// Places the task that the queue offers.
+class task_placer {
+ public:
+  virtual ~task_placer() = default;
+  virtual attempt_outcome TryPlace(const task_spec& task) = 0;
+};
+
+/// What a pass did.
+struct pass_stats {
+  std::uint32_t attempts = 0;
+  std::uint32_t placed = 0;
+  std::uint32_t over_quota = 0;  ///< lanes skipped because their team is at its quota
+};
+
+/// Queue of tasks without a worker.
+///
+/// Tasks with the same tier, team and shape (class, size, constraints) form a lane. Only the head
+/// of a lane is offered, so a pass costs as much for ten queued tasks as for ten thousand: when
+/// the head cannot be placed, the whole lane waits. Tiers are served in order; within a tier the
+/// team with the smallest dominant share of the fleet comes first, and within a team the task that
+/// was submitted first.
+class task_queue {
+ public:
+  explicit task_queue(queue_options options = {});
+
+  /// Adds a task.
+  /// @return ok; `queue_full` at the limit; `quota_exceeded` if the task alone exceeds the quota of
+  /// its team; `conflict` if the task is already queued.
+  core::result_code Push(task_spec task, core::mono_time now);
+  /// Removes a task, for example because it was cancelled. Costs the same for any queue length.
+  /// @return the task, or nothing if it is not queued.
+  std::optional<task_spec> Remove(std::string_view task);
+  /// @return the queued task, or nullptr. Valid until the next change.
+  const task_spec* Find(std::string_view task) const noexcept;
+  /// Offers heads of lanes to `placer` until all lanes wait or the limit of attempts is reached.
+  pass_stats RunPass(task_placer& placer, core::mono_time now);
+  /// Lets lanes of the tier that wait for a retry be tried in the next pass, for example after
+  /// capacity was freed for a task.
+  void RetryNow(std::string_view task);
+
+  /// Sets the capacity that dominant shares refer to.
+  void SetFleetTotal(const core::resources& total);
+  /// Sets or clears the processor quota of a team; zero means that the team runs nothing.
+  void SetQuota(std::string_view team, std::optional<std::int64_t> cpu_millis);
+  /// Counts a task of the team as running. `RunPass` does not do this itself.
+  void OnRunning(std::string_view team, const core::resources& need);
+  /// Counts a task of the team as no longer running.
+  void OnStopped(std::string_view team, const core::resources& need);
+  /// @return the resources in use by a team.
+  core::resources Usage(std::string_view team) const;
+  /// @return the largest share of any resource of the fleet that the team uses, in [0, 1].
+  double DominantShare(std::string_view team) const;
+  /// @return true if the quota of the team has room for `need` more.
+  bool IsWithinQuota(std::string_view team, const core::resources& need) const;
+
+  /// @return the number of queued tasks.
+  std::size_t size() const noexcept { return tasks_.size(); }
+  /// @return queued tasks of a tier.
+  std::size_t size(task_tier tier) const noexcept;
+  /// @return tasks of `tier` that wait longer than `age` at the head of their lanes, at most
+  /// `limit`, longest waiting first. Valid until the next change.
+  std::vector<const task_spec*> WaitingLongerThan(task_tier tier, core::nanoseconds age,
+                                                  std::size_t limit, core::mono_time now) const;
+
+ private:
+  using team_index = std::uint32_t;
+  using lane_index = std::uint32_t;
+  struct lane {
+    std::string key;
+    task_tier tier = task_tier::batch;
+    team_index team = 0;
+    std::list<task_spec> tasks;  ///< by submission
+    bool ready = false;          ///< in `ready_lanes`, else waits until `retry_at`
+    bool aged = false;           ///< competes one tier higher
+    core::mono_time retry_at{};
+    core::nanoseconds retry_delay{};
+    core::mono_time listed_at{};  ///< submission under which the lane is in the ordered sets
+  };
+  struct team_row {
+    std::string name;
+    core::resources usage;
+    double share = 0;
+    std::optional<std::int64_t> cpu_quota_millis;
+    /// Ready lanes by tier and submission of their head.
+    std::array<std::set<std::pair<core::mono_time, lane_index>>, kTiers> ready_lanes;
+  };
+  struct task_place {
+    lane_index lane = 0;
+    std::list<task_spec>::iterator position;
+  };
+
+  team_index Team(std::string_view name);
+  lane_index Lane(const task_spec& task, team_index team);
+  task_tier ServedTier(const lane& row) const noexcept;
+  void Activate(lane_index index);
+  void Deactivate(lane_index index);
+  void Park(lane_index index, core::mono_time now);
+  void WakeDue(core::mono_time now);
+  void PromoteAged(core::mono_time now);
+  void EraseTask(lane_index index, std::list<task_spec>::iterator position);
+  void ReleaseLane(lane_index index);
+  void Reshare(team_index team);
+  std::optional<lane_index> NextLane() const;
+  bool HasRoom(const team_row& team, const core::resources& need) const noexcept;
+
+  queue_options options_;
+  core::resources fleet_total_;
+  std::vector<team_row> teams_;
+  std::unordered_map<std::string, team_index> team_ids_;
+  std::vector<lane> lanes_;
+  std::vector<lane_index> free_lanes_;
+  std::unordered_map<std::string, lane_index> lane_ids_;
+  std::unordered_map<std::string, task_place> tasks_;
+  /// Teams with ready lanes by tier and dominant share.
+  std::array<std::set<std::pair<double, team_index>>, kTiers> ready_teams_;
+  /// All lanes by tier and submission of their head.
+  std::array<std::set<std::pair<core::mono_time, lane_index>>, kTiers> by_age_;
+  std::set<std::pair<core::mono_time, lane_index>> parked_;
+  std::array<std::size_t, kTiers> tier_sizes_{};
+};
+
+}  // namespace coltsfoot::placement
