Add the worker table

Placement needs a view of each worker that a burst of assignments between two heartbeats cannot overcommit. Subtracting every assignment until the next heartbeat is not enough: that heartbeat may have been sent before the assignment arrived. An assignment therefore counts until the first heartbeat after its confirmed start, or the second one after it was made. A property test over any order of assignments, confirmations and heartbeats checks that the estimate is never above what the agent has left. Incarnations are random numbers without an order, so the table remembers the replaced one to ignore its delayed datagrams.

--- a/libs/membership/include/membership/worker_table.h
+++ b/libs/membership/include/membership/worker_table.h
@@ -77,7 +77,8 @@
 struct worker_identity {
   std::string id;
   std::uint64_t incarnation = 0;
-  std::uint64_t seq = 0;  ///< newest heartbeat received
+  std::uint64_t replaced = 0;  ///< the incarnation before; its late messages are ignored
+  std::uint64_t seq = 0;       ///< newest heartbeat received
   wire::endpoint agent_tcp;
   std::uint32_t running_tasks = 0;
   std::uint32_t connections_total = 0;
@@ -108,8 +109,9 @@
   /// @return the worker, or nothing if nothing changed.
   std::optional<worker_index> OnGoodbye(const wire::agent_goodbye& goodbye);
   /// Applies the load that an answer carries. Call it once for each attempt that was counted by
-  /// `OnRequestSent`. Has no effect on liveness.
-  void OnRequestReply(worker_index worker, const wire::request_reply& reply);
+  /// `OnRequestSent`, with the same service: a refusal may carry no load. Has no effect on
+  /// liveness.
+  void OnRequestReply(worker_index worker, name_id service, const wire::request_reply& reply);
   /// Counts a request that this entry sends to `worker`.
   void OnRequestSent(worker_index worker, name_id service);
   /// Counts a request as answered when no reply will come (connection lost, abandoned).
--- /dev/null
+++ b/libs/membership/src/worker_table.cc
@@ -0,0 +1,304 @@
+#include "membership/worker_table.h"
+
+#include <algorithm>
+
+namespace coltsfoot::membership {
+
+namespace {
+
+constexpr std::uint8_t kRecovering = 1;
+constexpr std::uint8_t kAgentDrain = 2;
+constexpr std::uint8_t kOperatorDrain = 4;
+constexpr std::uint8_t kGone = 8;
+
+constexpr std::size_t kForgottenPerCall = 64;
+
+/// An unconfirmed assignment is contained in the second heartbeat after it at the latest, because
+/// that one was sent a whole interval after the assignment.
+constexpr std::uint64_t kHeartbeatsToContain = 2;
+
+core::resources Smaller(const core::resources& left, const core::resources& right) {
+  return {std::min(left.cpu_millis, right.cpu_millis), std::min(left.memory_mb, right.memory_mb),
+          std::min(left.accelerators, right.accelerators)};
+}
+
+void Decrement(std::uint32_t& count) {
+  if (count > 0) --count;
+}
+
+}  // namespace
+
+worker_table::worker_table(worker_table_options options)
+    : silence_limit_(options.heartbeat * options.missed_heartbeats),
+      forget_after_(options.forget_after) {}
+
+heartbeat_result worker_table::OnHeartbeat(const wire::agent_heartbeat& heartbeat,
+                                           core::mono_time now) {
+  const auto known = index_.find(heartbeat.worker);
+  const bool added = known == index_.end();
+  const worker_index worker = added ? AddRow(heartbeat.worker) : known->second;
+  worker_identity& identity = identity_[worker];
+  const bool restarted = !added && identity.incarnation != heartbeat.incarnation;
+  if (restarted && identity.replaced == heartbeat.incarnation) {
+    return {worker, heartbeat_outcome::stale};
+  }
+  if (!added && !restarted && heartbeat.seq <= identity.seq) {
+    return {worker, heartbeat_outcome::stale};
+  }
+  if (added || restarted) {
+    identity.replaced = identity.incarnation;
+    identity.incarnation = heartbeat.incarnation;
+    std::erase_if(pending_[worker], [](const pending_assignment& row) { return !row.hold; });
+    ClearServices(worker);
+    SetFlag(worker, kGone, false);
+  }
+  identity.seq = heartbeat.seq;
+  identity.agent_tcp = heartbeat.agent_tcp;
+  identity.running_tasks = heartbeat.running_tasks;
+  identity.connections_total = heartbeat.connections_total;
+  identity.connections_free = heartbeat.connections_free;
+  identity.config = heartbeat.config;
+  heard_[worker] = now;
+  SetFlag(worker, kRecovering, heartbeat.recovering);
+  SetFlag(worker, kAgentDrain, heartbeat.draining);
+  ApplyCapacity(worker, heartbeat);
+  ApplyServices(worker, heartbeat.services);
+  if (added) return {worker, heartbeat_outcome::added};
+  return {worker, restarted ? heartbeat_outcome::replaced : heartbeat_outcome::updated};
+}
+
+std::optional<worker_index> worker_table::OnGoodbye(const wire::agent_goodbye& goodbye) {
+  const auto worker = Find(goodbye.worker);
+  if (!worker || identity_[*worker].incarnation != goodbye.incarnation) return std::nullopt;
+  if ((flags_[*worker] & kGone) != 0) return std::nullopt;
+  SetFlag(*worker, kGone, true);
+  return worker;
+}
+
+void worker_table::OnRequestReply(worker_index worker, name_id service,
+                                  const wire::request_reply& reply) {
+  service_row* row = MutableService(worker, service);
+  if (row == nullptr) return;
+  Decrement(row->outstanding);
+  if (reply.load.service.empty()) {
+    Decrement(row->sent_since);
+    return;
+  }
+  row->in_flight = reply.load.in_flight;
+  row->queued = reply.load.queued;
+  row->average_us = reply.load.average_us;
+  row->sent_since = 0;
+  slots_free_[worker] = reply.slots_free;
+}
+
+void worker_table::OnRequestSent(worker_index worker, name_id service) {
+  if (service_row* row = MutableService(worker, service); row != nullptr) {
+    ++row->sent_since;
+    ++row->outstanding;
+  }
+}
+
+void worker_table::OnRequestAbandoned(worker_index worker, name_id service) {
+  if (service_row* row = MutableService(worker, service); row != nullptr) {
+    Decrement(row->outstanding);
+  }
+}
+
+void worker_table::SetOperatorDrain(worker_index worker, bool drain) {
+  SetFlag(worker, kOperatorDrain, drain);
+}
+
+assignment_id worker_table::Assign(worker_index worker, const core::resources& need) {
+  return AddPending(worker, need, false);
+}
+
+assignment_id worker_table::Hold(worker_index worker, const core::resources& need) {
+  return AddPending(worker, need, true);
+}
+
+void worker_table::ConvertHold(worker_index worker, assignment_id id) {
+  for (pending_assignment& row : pending_[worker]) {
+    if (row.id != id) continue;
+    row.hold = false;
+    row.made_at_seq = identity_[worker].seq;
+  }
+}
+
+void worker_table::ConfirmAssignment(worker_index worker, assignment_id id) {
+  for (pending_assignment& row : pending_[worker]) {
+    if (row.id == id) row.confirmed = true;
+  }
+}
+
+void worker_table::ReleaseAssignment(worker_index worker, assignment_id id,
+                                     const core::resources& need) {
+  const std::size_t erased =
+      std::erase_if(pending_[worker], [id](const pending_assignment& row) { return row.id == id; });
+  if (erased == 0) released_[worker] += need;
+  Recompute(worker);
+}
+
+std::vector<worker_index> worker_table::Forget(core::mono_time now) {
+  std::vector<worker_index> forgotten;
+  for (worker_index worker = 0; worker < size(); ++worker) {
+    if (forgotten.size() == kForgottenPerCall) break;
+    if (identity_[worker].id.empty() || now - heard_[worker] <= forget_after_) continue;
+    index_.erase(identity_[worker].id);
+    ClearServices(worker);
+    pending_[worker].clear();
+    identity_[worker] = {};
+    flags_[worker] = kGone;
+    total_[worker] = {};
+    available_[worker] = {};
+    free_rows_.push_back(worker);
+    forgotten.push_back(worker);
+  }
+  return forgotten;
+}
+
+std::optional<worker_index> worker_table::Find(std::string_view id) const {
+  const auto entry = index_.find(std::string(id));
+  if (entry == index_.end()) return std::nullopt;
+  return entry->second;
+}
+
+worker_state worker_table::State(worker_index worker, core::mono_time now) const noexcept {
+  const std::uint8_t flags = flags_[worker];
+  if ((flags & kGone) != 0) return worker_state::gone;
+  if (now - heard_[worker] > silence_limit_) return worker_state::silent;
+  if ((flags & kRecovering) != 0) return worker_state::recovering;
+  if (flags != 0) return worker_state::draining;
+  return worker_state::live;
+}
+
+wire::liveness_token worker_table::Token(worker_index worker) const {
+  return {identity_[worker].incarnation, identity_[worker].seq};
+}
+
+const service_row* worker_table::FindService(worker_index worker, name_id service) const noexcept {
+  for (const service_row& row : services_[worker]) {
+    if (row.service == service) return &row;
+  }
+  return nullptr;
+}
+
+std::span<const worker_index> worker_table::Targets(name_id service) const noexcept {
+  if (service >= targets_.size()) return {};
+  return targets_[service];
+}
+
+std::size_t worker_table::CountDispatchable(core::mono_time now) const noexcept {
+  std::size_t count = 0;
+  for (worker_index worker = 0; worker < size(); ++worker) {
+    count += IsDispatchable(worker, now) ? 1 : 0;
+  }
+  return count;
+}
+
+worker_index worker_table::AddRow(const std::string& id) {
+  worker_index worker = static_cast<worker_index>(size());
+  if (free_rows_.empty()) {
+    flags_.emplace_back();
+    heard_.emplace_back();
+    total_.emplace_back();
+    available_.emplace_back();
+    slots_total_.emplace_back();
+    slots_free_.emplace_back();
+    region_.push_back(kNoName);
+    zone_.push_back(kNoName);
+    rack_.push_back(kNoName);
+    identity_.emplace_back();
+    services_.emplace_back();
+    reported_free_.emplace_back();
+    released_.emplace_back();
+    pending_.emplace_back();
+  } else {
+    worker = free_rows_.back();
+    free_rows_.pop_back();
+  }
+  flags_[worker] = 0;
+  identity_[worker].id = id;
+  index_[id] = worker;
+  return worker;
+}
+
+void worker_table::ApplyCapacity(worker_index worker, const wire::agent_heartbeat& heartbeat) {
+  total_[worker] = heartbeat.total;
+  reported_free_[worker] = heartbeat.free;
+  slots_total_[worker] = heartbeat.slots_total;
+  slots_free_[worker] = heartbeat.slots_free;
+  region_[worker] = place_names_.Intern(heartbeat.region);
+  zone_[worker] = place_names_.Intern(heartbeat.zone);
+  rack_[worker] = place_names_.Intern(heartbeat.rack);
+  DropContained(worker, heartbeat.seq);
+}
+
+void worker_table::ApplyServices(worker_index worker,
+                                 const std::vector<wire::service_load>& loads) {
+  std::vector<service_row> rows;
+  rows.reserve(loads.size());
+  for (const wire::service_load& load : loads) {
+    const name_id service = service_names_.Intern(load.service);
+    const service_row* old = FindService(worker, service);
+    rows.push_back({.service = service,
+                    .in_flight = load.in_flight,
+                    .queued = load.queued,
+                    .average_us = load.average_us,
+                    .outstanding = old == nullptr ? 0 : old->outstanding});
+    if (targets_.size() <= service) targets_.resize(service + 1);
+    if (old == nullptr) targets_[service].push_back(worker);
+  }
+  for (const service_row& old : services_[worker]) {
+    const bool kept = std::any_of(rows.begin(), rows.end(), [&](const service_row& row) {
+      return row.service == old.service;
+    });
+    if (!kept) std::erase(targets_[old.service], worker);
+  }
+  services_[worker] = std::move(rows);
+}
+
+void worker_table::ClearServices(worker_index worker) {
+  for (const service_row& row : services_[worker]) std::erase(targets_[row.service], worker);
+  services_[worker].clear();
+}
+
+void worker_table::DropContained(worker_index worker, std::uint64_t seq) {
+  std::erase_if(pending_[worker], [seq](const pending_assignment& row) {
+    if (row.hold) return false;
+    return row.confirmed || seq >= row.made_at_seq + kHeartbeatsToContain;
+  });
+  released_[worker] = {};
+  Recompute(worker);
+}
+
+void worker_table::Recompute(worker_index worker) {
+  core::resources free = Smaller(reported_free_[worker] + released_[worker], total_[worker]);
+  for (const pending_assignment& row : pending_[worker]) free -= row.need;
+  available_[worker] = free;
+}
+
+assignment_id worker_table::AddPending(worker_index worker, const core::resources& need,
+                                       bool hold) {
+  const assignment_id id = next_assignment_++;
+  pending_[worker].push_back(
+      {.id = id, .need = need, .made_at_seq = identity_[worker].seq, .hold = hold});
+  available_[worker] -= need;
+  return id;
+}
+
+service_row* worker_table::MutableService(worker_index worker, name_id service) noexcept {
+  for (service_row& row : services_[worker]) {
+    if (row.service == service) return &row;
+  }
+  return nullptr;
+}
+
+void worker_table::SetFlag(worker_index worker, std::uint8_t flag, bool on) noexcept {
+  if (on) {
+    flags_[worker] |= flag;
+  } else {
+    flags_[worker] &= static_cast<std::uint8_t>(~flag);
+  }
+}
+
+}  // namespace coltsfoot::membership
--- /dev/null
+++ b/libs/membership/tests/worker_table_test.cc
@@ -0,0 +1,168 @@
+#include "membership/worker_table.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+namespace coltsfoot::membership {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr core::mono_time kStart{std::chrono::hours{1}};
+
+wire::agent_heartbeat Heartbeat(std::uint64_t seq, std::int64_t free_cpu = 16'000) {
+  wire::agent_heartbeat message;
+  message.worker = "w1";
+  message.incarnation = 7;
+  message.seq = seq;
+  message.zone = "treguier";
+  message.rack = "r1";
+  message.total = {16'000, 60'000, 2};
+  message.free = {free_cpu, 60'000, 2};
+  message.slots_total = 8;
+  message.slots_free = 8;
+  message.services = {{"planner", 2, 1, 900}};
+  return message;
+}
+
+// Guards against sending work to a worker whose agent has died or is cut off.
+TEST_CASE("a worker is silent after three heartbeat intervals") {
+  worker_table table;
+  const worker_index worker = table.OnHeartbeat(Heartbeat(1), kStart).worker;
+  CHECK(table.IsDispatchable(worker, kStart + seconds{15}));
+  CHECK_FALSE(table.IsDispatchable(worker, kStart + seconds{15} + core::nanoseconds{1}));
+  CHECK(table.State(worker, kStart + seconds{16}) == worker_state::silent);
+  table.OnHeartbeat(Heartbeat(2), kStart + seconds{20});
+  CHECK(table.IsDispatchable(worker, kStart + seconds{21}));
+}
+
+// Guards against a delayed datagram that revives an old view or an old incarnation.
+TEST_CASE("old heartbeats and old incarnations are ignored") {
+  worker_table table;
+  const worker_index worker = table.OnHeartbeat(Heartbeat(5, 8'000), kStart).worker;
+  CHECK(table.OnHeartbeat(Heartbeat(4, 100), kStart).outcome == heartbeat_outcome::stale);
+  CHECK(table.available()[worker].cpu_millis == 8'000);
+  auto restarted = Heartbeat(1);
+  restarted.incarnation = 8;
+  restarted.recovering = true;
+  CHECK(table.OnHeartbeat(restarted, kStart).outcome == heartbeat_outcome::replaced);
+  CHECK(table.State(worker, kStart) == worker_state::recovering);
+  CHECK(table.OnHeartbeat(Heartbeat(9), kStart).outcome == heartbeat_outcome::stale);
+  CHECK(table.Token(worker) == wire::liveness_token{8, 1});
+}
+
+// Guards against overcommitting a worker by a burst that its last report cannot contain, and
+// against counting an assignment twice or dropping it too early.
+TEST_CASE("assignments count until a heartbeat contains them") {
+  worker_table table;
+  const worker_index worker = table.OnHeartbeat(Heartbeat(1), kStart).worker;
+  const auto first = table.Assign(worker, {4'000, 1'000, 1});
+  table.Assign(worker, {2'000, 1'000, 0});
+  CHECK(table.available()[worker] == core::resources{10'000, 58'000, 1});
+  table.ConfirmAssignment(worker, first);
+  table.OnHeartbeat(Heartbeat(2, 12'000), kStart + seconds{5});
+  CHECK(table.available()[worker].cpu_millis == 10'000);
+  table.OnHeartbeat(Heartbeat(3, 10'000), kStart + seconds{10});
+  CHECK(table.available()[worker].cpu_millis == 10'000);
+  table.ReleaseAssignment(worker, first, {4'000, 1'000, 1});
+  CHECK(table.available()[worker].cpu_millis == 14'000);
+  CHECK(table.available()[worker].accelerators == 2);
+  table.OnHeartbeat(Heartbeat(4, 14'000), kStart + seconds{15});
+  CHECK(table.available()[worker].cpu_millis == 14'000);
+}
+
+// Guards against giving capacity that is being freed for one task to another.
+TEST_CASE("a hold outlasts heartbeats until it is converted") {
+  worker_table table;
+  const worker_index worker = table.OnHeartbeat(Heartbeat(1, 1'000), kStart).worker;
+  const auto hold = table.Hold(worker, {4'000, 0, 0});
+  for (std::uint64_t seq = 2; seq < 8; ++seq) table.OnHeartbeat(Heartbeat(seq, 1'000), kStart);
+  CHECK(table.available()[worker].cpu_millis == -3'000);
+  table.ConvertHold(worker, hold);
+  table.ConfirmAssignment(worker, hold);
+  table.OnHeartbeat(Heartbeat(8, 0), kStart);
+  CHECK(table.available()[worker].cpu_millis == 0);
+}
+
+// Guards against new work for a departing worker while it still renews its leases.
+TEST_CASE("goodbye holds for the incarnation") {
+  worker_table table;
+  const worker_index worker = table.OnHeartbeat(Heartbeat(1), kStart).worker;
+  CHECK_FALSE(table.OnGoodbye({"w1", 6}));
+  CHECK(table.OnGoodbye({"w1", 7}) == worker);
+  CHECK(table.OnHeartbeat(Heartbeat(2), kStart).outcome == heartbeat_outcome::updated);
+  CHECK(table.State(worker, kStart) == worker_state::gone);
+  auto restarted = Heartbeat(1);
+  restarted.incarnation = 8;
+  table.OnHeartbeat(restarted, kStart);
+  CHECK(table.State(worker, kStart) == worker_state::live);
+}
+
+// Guards against herding all requests to the worker with the lowest stale report.
+TEST_CASE("pending requests include what was sent since the report") {
+  worker_table table;
+  const worker_index worker = table.OnHeartbeat(Heartbeat(1), kStart).worker;
+  const name_id planner = *table.service_names().Find("planner");
+  table.OnRequestSent(worker, planner);
+  table.OnRequestSent(worker, planner);
+  CHECK(table.FindService(worker, planner)->pending() == 5);
+  wire::request_reply reply;
+  reply.load = {"planner", 0, 0, 1'200};
+  table.OnRequestReply(worker, planner, reply);
+  CHECK(table.FindService(worker, planner)->pending() == 1);
+  CHECK(table.FindService(worker, planner)->average_us == 1'200);
+  table.OnRequestReply(worker, planner, {});
+  CHECK(table.FindService(worker, planner)->pending() == 0);
+}
+
+// Guards against routing to a target that no longer offers a service, and against a reused index
+// that inherits state.
+TEST_CASE("targets follow the services and rows are reused clean") {
+  worker_table table;
+  const worker_index worker = table.OnHeartbeat(Heartbeat(1), kStart).worker;
+  const name_id planner = *table.service_names().Find("planner");
+  CHECK(table.Targets(planner).size() == 1);
+  auto without = Heartbeat(2);
+  without.services.clear();
+  table.OnHeartbeat(without, kStart);
+  CHECK(table.Targets(planner).empty());
+  table.SetOperatorDrain(worker, true);
+  table.Assign(worker, {1'000, 0, 0});
+  CHECK(table.Forget(kStart + std::chrono::minutes{11}) == std::vector{worker});
+  auto other = Heartbeat(1);
+  other.worker = "w2";
+  const auto added = table.OnHeartbeat(other, kStart + std::chrono::minutes{11});
+  CHECK(added.worker == worker);
+  CHECK(table.State(worker, kStart + std::chrono::minutes{11}) == worker_state::live);
+  CHECK(table.available()[worker].cpu_millis == 16'000);
+}
+
+// Guards against an estimate that is above what a correct agent will report next: any order of
+// assignments, confirmations and heartbeats.
+TEST_CASE("the estimate never exceeds the true free capacity") {
+  CHECK(rc::check([] {
+    worker_table table;
+    std::int64_t used = 0;  // as the agent commits it, at once
+    std::uint64_t seq = 1;
+    const worker_index worker = table.OnHeartbeat(Heartbeat(seq), kStart).worker;
+    std::vector<assignment_id> unconfirmed;
+    const auto steps = *rc::gen::container<std::vector<int>>(40, rc::gen::inRange(0, 3));
+    for (const int step : steps) {
+      if (step == 0 && used < 16'000) {
+        unconfirmed.push_back(table.Assign(worker, {1'000, 0, 0}));
+        used += 1'000;
+      } else if (step == 1 && !unconfirmed.empty()) {
+        table.ConfirmAssignment(worker, unconfirmed.back());
+        unconfirmed.pop_back();
+      } else if (step == 2) {
+        table.OnHeartbeat(Heartbeat(++seq, 16'000 - used), kStart);
+      }
+      RC_ASSERT(table.available()[worker].cpu_millis <= 16'000 - used);
+    }
+  }));
+}
+
+}  // namespace
+}  // namespace coltsfoot::membership
