--- a/libs/interference/include/interference/history.h
+++ b/libs/interference/include/interference/history.h
@@ -28,6 +28,9 @@
 /// What ran on one worker when, for the last `kMaxChanges` starts and ends.
 class worker_history {
  public:
+  /// @param since what ran before this time is not known.
+  explicit worker_history(core::mono_time since = {}) : complete_since_(since) {}
+
   /// Starts and ends that are kept. At 310 starts/s on 990 workers this covers more than a minute
   /// of an evenly loaded worker.
   static constexpr std::size_t kMaxChanges = 64;
@@ -48,7 +51,7 @@
 
   class_counts current_;
   std::deque<change> changes_;
-  core::mono_time complete_since_{};
+  core::mono_time complete_since_;
 };
 
 }  // namespace coltsfoot::interference
--- a/libs/interference/include/interference/model.h
+++ b/libs/interference/include/interference/model.h
@@ -50,7 +50,9 @@
 /// term is estimated with its variance; a report is shared among the classes that were co-located
 /// when it was measured in proportion to their variances, so that an uncertain pair learns most.
 /// A pair that turns harmful is predicted with more than half of its effect after 3 reports, and
-/// one that stops being harmful with less than half after 6.
+/// one that stops being harmful with less than half after 6. These figures hold for a new pair
+/// beside known ones and for a changed pair on its own; a changed pair beside others shares the
+/// change with them until they are measured apart.
 class model {
  public:
   explicit model(model_options options = {});
@@ -59,12 +61,15 @@
   /// the class has been idle for `class_idle`.
   class_id Class(std::string_view name, core::mono_time now);
 
+  /// @return the number of a known class, or `kOtherClass`.
+  class_id FindClass(std::string_view name) const;
+
   /// Records that one task of `task_class`, or the service of that name, starts on `worker`.
   void OnStarted(std::uint32_t worker, class_id task_class, core::mono_time now);
   /// Records the end of what `OnStarted` recorded.
   void OnEnded(std::uint32_t worker, class_id task_class, core::mono_time now);
   /// Forgets the history of a worker, for example because its agent restarted or is forgotten.
-  void ResetWorker(std::uint32_t worker);
+  void ResetWorker(std::uint32_t worker, core::mono_time now);
   /// Learns from a report. Classes that are sampled in the report but not in the history (tasks of
   /// other entries) count as co-located at that time.
   void OnUsage(std::uint32_t worker, const wire::usage_report& report, core::mono_time now);
@@ -89,21 +94,32 @@
   };
   struct class_row {
     std::string name;
+    std::uint32_t running = 0;  ///< tasks between `OnStarted` and `OnEnded`
     core::mono_time used;
   };
+  struct worker_row {
+    worker_history history;
+    /// Classes of other entries' tasks in the newest report.
+    class_counts foreign;
+    core::mono_time foreign_at{};
+  };
 
   pair_state& At(class_id victim, class_id aggressor);
   const pair_state& At(class_id victim, class_id aggressor) const;
   void ResetClass(class_id id);
+  class_id RecycleClass(core::mono_time now);
+  class_counts Sampled(const wire::usage_report& report, core::mono_time now);
   void Learn(class_id victim, const class_counts& beside, double log_slowdown);
-  worker_history& History(std::uint32_t worker);
+  worker_row& Row(std::uint32_t worker);
+  template <class Visitor>
+  void VisitPresent(std::uint32_t worker, Visitor visit) const;
 
   model_options options_;
   model_counters counters_;
   std::vector<class_row> classes_;
   std::unordered_map<std::string, class_id> ids_;
   std::vector<pair_state> pairs_;
-  std::vector<worker_history> workers_;
+  std::vector<worker_row> workers_;
   core::mono_time decayed_at_{};
 };
 
