Add worker quarantine, task verdicts and size correction

A worker that fails every task frees its capacity at once and so attracts the whole queue. Five different fast failures with at most half successes quarantine it; failures counted there are refunded to the tasks. Two opposite errors are ruled out by tests: a broken class that fails everywhere empties no fleet, and three bad workers do not make a class look broken while it succeeds on more workers than it fails on.

Corrected sizes use a decaying quantile and never go below the largest remembered observation, nor beyond the largest worker, which would turn a correction into never_fits.

--- a/libs/blame/include/blame/quarantine.h
+++ b/libs/blame/include/blame/quarantine.h
@@ -29,10 +29,11 @@
   double tolerated_success_share = 0.5;
   core::nanoseconds first_probe = std::chrono::seconds{5};  ///< doubles after each failed probe
   core::nanoseconds max_probe = std::chrono::minutes{5};
-  /// A probe without an outcome for this long counts as failed.
-  core::nanoseconds probe_timeout = std::chrono::minutes{1};
-  /// A class that failed on this many different workers within the window is itself at fault; its
-  /// failures do not count against workers.
+  /// A probe that runs for this long without failing has passed: a long task would otherwise keep
+  /// a healthy worker idle, and bad workers fail fast.
+  core::nanoseconds probe_passes_after = std::chrono::seconds{30};
+  /// A class that failed on this many different workers within the window, and on more workers
+  /// than it succeeded on, is itself at fault; its failures do not count against workers.
   std::uint32_t class_failure_workers = 3;
   /// At most this share of the fleet (at least one worker) is in quarantine at a time; beyond it
   /// the cause is not the workers.
@@ -54,6 +55,9 @@
 };
 
 /// Finds workers that fail everything, keeps work from them and probes them. Soft state.
+///
+/// For a failed task call `OnFailure` first, then `task_verdicts::OnFailed` if the returned refunds
+/// do not name the task, then `task_verdicts::Refund` for all of them.
 class quarantine {
  public:
   explicit quarantine(quarantine_options options = {});
@@ -61,7 +65,8 @@
   void SetOptions(const quarantine_options& options) { options_ = options; }
 
   /// Records that a piece of work succeeded on `worker`.
-  quarantine_change OnSuccess(std::uint32_t worker, core::mono_time now);
+  quarantine_change OnSuccess(std::uint32_t worker, std::string_view work_class,
+                              core::mono_time now);
   /// Records a failure.
   /// @param work id of the task or request. @param work_class task class or service.
   /// @param ran how long it ran. @param fleet_size dispatchable workers, for `max_share`.
@@ -72,7 +77,8 @@
   void OnProbeSent(std::uint32_t worker, core::mono_time now);
   /// Moves workers whose probe interval has passed to `probe_due`. Call it each tick; costs
   /// nothing per trusted worker.
-  void Tick(core::mono_time now);
+  /// @return workers that are trusted again.
+  std::vector<std::uint32_t> Tick(core::mono_time now);
   /// Forgets a worker, because its agent restarted or its index is reused.
   void ResetWorker(std::uint32_t worker);
 
@@ -94,29 +100,32 @@
   };
   struct worker_row {
     std::vector<failure> failures;  ///< fast failures of different work within the window
-    double successes = 0;           ///< within the window, decaying
+    double successes = 0;           ///< halves each window
     core::mono_time success_time{};
     core::nanoseconds probe_interval{};
-    core::mono_time next_event{};  ///< next probe, or timeout of the running one
+    core::mono_time next_event{};  ///< next probe, or the time at which the running one passes
+    core::mono_time released_at{};
   };
-  struct class_failure {
-    std::uint32_t worker;
-    core::mono_time time;
+  struct class_outcome {
+    std::uint32_t worker = 0;
+    core::mono_time failed_at{};
+    core::mono_time succeeded_at{};
   };
 
   worker_row& Row(std::uint32_t worker);
   void Expire(worker_row& row, core::mono_time now) const;
-  bool IsClassAtFault(std::string_view work_class, std::uint32_t worker, core::mono_time now);
-  bool ShouldQuarantine(std::uint32_t worker, std::size_t fleet_size, core::mono_time now);
+  class_outcome& Outcome(std::string_view work_class, std::uint32_t worker);
+  bool IsClassAtFault(const std::string& work_class, core::mono_time now) const;
+  bool ShouldQuarantine(worker_row& row, std::size_t fleet_size, core::mono_time now) const;
   quarantine_change Enter(std::uint32_t worker, core::mono_time now);
   void FailProbe(std::uint32_t worker, core::mono_time now);
-  void Release(std::uint32_t worker);
+  void Release(std::uint32_t worker, core::mono_time now);
 
   quarantine_options options_;
   std::vector<worker_standing> standing_;
   std::vector<worker_row> rows_;
   std::vector<std::uint32_t> untrusted_;
-  std::unordered_map<std::string, std::vector<class_failure>> class_failures_;
+  std::unordered_map<std::string, std::vector<class_outcome>> classes_;
 };
 
 }  // namespace coltsfoot::blame
--- a/libs/blame/include/blame/size_correction.h
+++ b/libs/blame/include/blame/size_correction.h
@@ -40,6 +40,8 @@
   double weight() const noexcept { return weight_; }
 
  private:
+  void Halve();
+
   static constexpr std::size_t kBuckets = 200;
   static constexpr double kMaxWeight = 256;
   std::array<float, kBuckets> counts_{};
@@ -57,9 +59,11 @@
   /// @param run_ms 0 if the task has not finished.
   void Observe(std::string_view task_class, const core::resources& observed, std::uint32_t run_ms,
                core::mono_time now);
-  /// @return the size to place a task of the class with. Accelerators are never changed. A size is
-  /// never below the largest remembered observation of the class.
-  task_size Correct(std::string_view task_class, const task_size& declared) const;
+  /// @param largest_worker a size is not raised beyond it, so that no task stops fitting.
+  /// @return the size to place a task of the class with. Accelerators are never changed. Otherwise
+  /// a size is never below the largest remembered observation of the class.
+  task_size Correct(std::string_view task_class, const task_size& declared,
+                    const core::resources& largest_worker) const;
   std::size_t classes() const noexcept { return classes_.size(); }
 
  private:
@@ -69,7 +73,8 @@
     decaying_quantile run_ms;
     core::mono_time observed_at{};
   };
-  double CorrectOne(const decaying_quantile& observed, double declared) const;
+  std::int64_t CorrectOne(const decaying_quantile& observed, std::int64_t declared) const;
+  void ForgetOldest();
 
   size_correction_options options_;
   std::unordered_map<std::string, class_row> classes_;
--- a/libs/blame/include/blame/verdicts.h
+++ b/libs/blame/include/blame/verdicts.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -44,8 +45,9 @@
   void OnEnded(std::string_view task);
   /// Removes `worker` from all tasks, because its index is reused.
   void ResetWorker(std::uint32_t worker);
-  /// @return workers on which the task failed; placement excludes them.
-  const std::vector<std::uint32_t>& FailedOn(std::string_view task) const;
+  /// @return workers on which the task failed; placement excludes them. Valid until the next
+  /// change.
+  std::span<const std::uint32_t> FailedOn(std::string_view task) const;
 
  private:
   verdict_options options_;
--- /dev/null
+++ b/libs/blame/src/size_correction.cc
@@ -0,0 +1,99 @@
+#include "blame/size_correction.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace coltsfoot::blame {
+
+namespace {
+
+constexpr double kBucketRatio = 1.1;
+/// A bucket below this weight is forgotten: a single value after five halvings.
+constexpr float kForgottenWeight = 0.05F;
+
+double UpperBound(std::size_t bucket) {
+  return std::pow(kBucketRatio, static_cast<double>(bucket + 1));
+}
+
+}  // namespace
+
+void decaying_quantile::Add(double value) {
+  if (value <= 0) return;
+  const double exponent = std::max(0.0, std::log(value) / std::log(kBucketRatio));
+  const std::size_t bucket = std::min(kBuckets - 1, static_cast<std::size_t>(exponent));
+  counts_[bucket] += 1;
+  weight_ += 1;
+  max_ = std::max(max_, value);
+  if (weight_ >= kMaxWeight) Halve();
+}
+
+void decaying_quantile::Halve() {
+  weight_ = 0;
+  std::size_t highest = 0;
+  for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
+    float& count = counts_[bucket];
+    count /= 2;
+    if (count < kForgottenWeight) count = 0;
+    if (count > 0) highest = bucket;
+    weight_ += count;
+  }
+  if (highest + 1 < kBuckets) max_ = std::min(max_, UpperBound(highest));
+}
+
+double decaying_quantile::Quantile(double quantile) const {
+  const double wanted = weight_ * quantile;
+  double seen = 0;
+  for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
+    seen += counts_[bucket];
+    if (seen > 0 && seen >= wanted) return std::min(UpperBound(bucket), max_);
+  }
+  return max_;
+}
+
+void size_correction::Observe(std::string_view task_class, const core::resources& observed,
+                              std::uint32_t run_ms, core::mono_time now) {
+  class_row& row = classes_[std::string(task_class)];
+  row.cpu_millis.Add(static_cast<double>(observed.cpu_millis));
+  row.memory_mb.Add(static_cast<double>(observed.memory_mb));
+  row.run_ms.Add(run_ms);
+  row.observed_at = now;
+  if (classes_.size() > options_.max_classes) ForgetOldest();
+}
+
+task_size size_correction::Correct(std::string_view task_class, const task_size& declared,
+                                   const core::resources& largest_worker) const {
+  const auto entry = classes_.find(std::string(task_class));
+  if (entry == classes_.end()) return declared;
+  const class_row& row = entry->second;
+  const core::resources& need = declared.need;
+  task_size corrected = declared;
+  corrected.need.cpu_millis = std::min(CorrectOne(row.cpu_millis, need.cpu_millis),
+                                       std::max(need.cpu_millis, largest_worker.cpu_millis));
+  corrected.need.memory_mb = std::min(CorrectOne(row.memory_mb, need.memory_mb),
+                                      std::max(need.memory_mb, largest_worker.memory_mb));
+  corrected.run_ms = static_cast<std::uint32_t>(CorrectOne(row.run_ms, declared.run_ms));
+  return corrected;
+}
+
+std::int64_t size_correction::CorrectOne(const decaying_quantile& observed,
+                                         std::int64_t declared) const {
+  if (observed.weight() <= 0) return declared;
+  const double size = static_cast<double>(declared);
+  double estimate =
+      std::max(observed.Quantile(options_.quantile) * options_.safety_factor, observed.max());
+  if (declared > 0) {
+    if (estimate < size && observed.weight() < options_.min_samples) return declared;
+    estimate = std::clamp(estimate, size * options_.min_ratio, size * options_.max_ratio);
+  }
+  return static_cast<std::int64_t>(std::ceil(std::max(estimate, observed.max())));
+}
+
+void size_correction::ForgetOldest() {
+  const auto oldest =
+      std::min_element(classes_.begin(), classes_.end(), [](const auto& left, const auto& right) {
+        return left.second.observed_at < right.second.observed_at;
+      });
+  classes_.erase(oldest);
+}
+
+}  // namespace coltsfoot::blame
--- /dev/null
+++ b/libs/blame/tests/blame_test.cc
@@ -0,0 +1,181 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "blame/quarantine.h"
+#include "blame/size_correction.h"
+#include "blame/verdicts.h"
+
+namespace coltsfoot::blame {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr core::mono_time kStart{std::chrono::hours{1}};
+constexpr std::size_t kFleet = 11;
+
+quarantine_change FailMany(quarantine& rows, std::uint32_t worker, int count,
+                           std::string_view work_class = "cut", core::mono_time now = kStart) {
+  quarantine_change change;
+  for (int i = 0; i < count; ++i) {
+    const std::string work = std::string(work_class) + std::to_string(i);
+    change = rows.OnFailure(worker, work, work_class, milliseconds{20}, kFleet, now);
+  }
+  return change;
+}
+
+// Guards against a worker that fails every task quickly and thereby attracts all of them.
+TEST_CASE("many fast failures of different work quarantine a worker and are refunded") {
+  quarantine rows;
+  CHECK_FALSE(FailMany(rows, 3, 4).entered);
+  const auto change = rows.OnFailure(3, "cut4", "cut", milliseconds{20}, kFleet, kStart);
+  CHECK(change.entered);
+  CHECK(change.refunds.size() == 5);
+  CHECK(rows.StandingOf(3) == worker_standing::quarantined);
+  const auto late = rows.OnFailure(3, "cut5", "cut", milliseconds{20}, kFleet, kStart);
+  CHECK(late.refunds == std::vector<refund>{{"cut5", 3}});
+}
+
+// Guards against quarantine of a healthy worker: one bad task that is retried, failures spread over
+// hours, tasks that fail after running, or a few failures among many successes.
+TEST_CASE("other failures do not quarantine a worker") {
+  quarantine rows;
+  for (int i = 0; i < 20; ++i) {
+    CHECK_FALSE(rows.OnFailure(0, "same", "cut", milliseconds{20}, kFleet, kStart).entered);
+    const std::string work = std::to_string(i);
+    CHECK_FALSE(rows.OnFailure(1, work, "cut", seconds{60}, kFleet, kStart).entered);
+    const auto spread = kStart + minutes{2 * i};
+    CHECK_FALSE(rows.OnFailure(2, work, "cut", milliseconds{20}, kFleet, spread).entered);
+  }
+  for (int i = 0; i < 20; ++i) rows.OnSuccess(4, "cut", kStart);
+  CHECK_FALSE(FailMany(rows, 4, 10).entered);
+}
+
+// Guards against emptying the fleet because one class of work is broken.
+TEST_CASE("a class that fails everywhere is not held against workers") {
+  quarantine rows;
+  for (int round = 0; round < 5; ++round) {
+    for (std::uint32_t worker = 0; worker < 5; ++worker) {
+      const std::string work = std::to_string(round) + "-" + std::to_string(worker);
+      rows.OnFailure(worker, work, "broken", milliseconds{20}, kFleet, kStart);
+    }
+  }
+  CHECK(rows.untrusted() == 0);
+}
+
+// Guards against the opposite error: three bad workers must not make a good class look broken.
+TEST_CASE("several bad workers are found while the class succeeds elsewhere") {
+  quarantine rows;
+  for (std::uint32_t worker = 3; worker < kFleet; ++worker) rows.OnSuccess(worker, "cut", kStart);
+  for (std::uint32_t worker = 0; worker < 4; ++worker) FailMany(rows, worker, 6);
+  // The fourth one is beyond `max_share` of eleven workers.
+  CHECK(rows.untrusted() == 3);
+}
+
+// Guards against probing a dead worker at full rate, and against never using it again.
+TEST_CASE("probes back off and a success releases") {
+  quarantine rows;
+  FailMany(rows, 0, 5);
+  core::mono_time now = kStart;
+  for (const int wait : {5, 10, 20}) {
+    rows.Tick(now + seconds{wait - 1});
+    CHECK(rows.StandingOf(0) == worker_standing::quarantined);
+    now += seconds{wait};
+    rows.Tick(now);
+    CHECK(rows.StandingOf(0) == worker_standing::probe_due);
+    rows.OnProbeSent(0, now);
+    CHECK(rows.StandingOf(0) == worker_standing::probing);
+    CHECK(rows.OnFailure(0, "probe", "cut", milliseconds{5}, kFleet, now).refunds.size() == 1);
+  }
+  now += seconds{40};
+  rows.Tick(now);
+  rows.OnProbeSent(0, now);
+  SUBCASE("a result") { CHECK(rows.OnSuccess(0, "cut", now).released); }
+  SUBCASE("a long run") { CHECK(rows.Tick(now + seconds{30}) == std::vector<std::uint32_t>{0}); }
+  CHECK(rows.StandingOf(0) == worker_standing::trusted);
+  FailMany(rows, 0, 5, "cut", now + seconds{31});
+  rows.Tick(now + seconds{31 + 79});
+  CHECK(rows.StandingOf(0) == worker_standing::quarantined);
+}
+
+// Guards against endless retries of a broken task and against blaming it for a bad worker.
+TEST_CASE("a task ends after different healthy workers") {
+  task_verdicts verdicts;
+  const verdict over{true, core::result_code::failed_everywhere};
+  CHECK_FALSE(verdicts.OnFailed("t", 1, kFleet).ends);
+  CHECK_FALSE(verdicts.OnFailed("t", 1, kFleet).ends);
+  CHECK_FALSE(verdicts.OnFailed("t", 2, kFleet).ends);
+  CHECK(verdicts.Refund("t", 1));
+  CHECK_FALSE(verdicts.Refund("t", 1));
+  CHECK_FALSE(verdicts.OnFailed("t", 3, kFleet).ends);
+  CHECK(std::ranges::equal(verdicts.FailedOn("t"), std::vector<std::uint32_t>{2, 3}));
+  CHECK(verdicts.OnFailed("t", 4, kFleet) == over);
+  verdicts.OnEnded("t");
+  CHECK(verdicts.FailedOn("t").empty());
+  verdicts.OnFailed("u", 0, 2);
+  CHECK(verdicts.OnFailed("u", 1, 2) == over);
+}
+
+// Guards against queueing forever what can never run, and against ending it while no worker is
+// known, for example just after a start.
+TEST_CASE("never_fits needs known workers that are all too small") {
+  CHECK(task_verdicts::JudgeFit(11, 0).code == core::result_code::never_fits);
+  CHECK_FALSE(task_verdicts::JudgeFit(11, 1).ends);
+  CHECK_FALSE(task_verdicts::JudgeFit(0, 0).ends);
+}
+
+constexpr core::resources kLargest{16'000, 60'000, 2};
+
+// Guards against both wrong directions of declared sizes.
+TEST_CASE("sizes are raised at once and lowered after enough samples") {
+  size_correction sizes;
+  const task_size declared{{4'000, 8'000, 1}, 1'000};
+  sizes.Observe("cut", {1'000, 12'000, 0}, 300, kStart);
+  auto corrected = sizes.Correct("cut", declared, kLargest);
+  CHECK(corrected.need.cpu_millis == 4'000);
+  CHECK(corrected.need.memory_mb >= 12'000);
+  for (int i = 0; i < 8; ++i) sizes.Observe("cut", {1'000, 12'000, 0}, 300, kStart);
+  corrected = sizes.Correct("cut", declared, kLargest);
+  CHECK(corrected.need.cpu_millis < 1'400);
+  CHECK(corrected.need.accelerators == 1);
+  CHECK(corrected.run_ms < 420);
+  CHECK(sizes.Correct("unknown", declared, kLargest) == declared);
+}
+
+// Guards against sizes below observed use, beyond all workers, or out of bounds.
+TEST_CASE("corrected sizes stay within their bounds") {
+  CHECK(rc::check([] {
+    size_correction sizes;
+    const auto used =
+        *rc::gen::nonEmpty(rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 100'000)));
+    const auto declared = *rc::gen::inRange(1, 50'000);
+    for (const int amount : used) sizes.Observe("c", {0, amount, 0}, 0, kStart);
+    const auto need = sizes.Correct("c", {{0, declared, 0}, 0}, kLargest).need;
+    const std::int64_t max = *std::max_element(used.begin(), used.end());
+    RC_ASSERT(need.memory_mb >= std::min<std::int64_t>(max, kLargest.memory_mb));
+    RC_ASSERT(need.memory_mb >= declared / 4);
+    RC_ASSERT(need.memory_mb <= std::max<std::int64_t>(max, std::int64_t{declared} * 4));
+    RC_ASSERT(need.memory_mb <= kLargest.memory_mb);
+    RC_ASSERT(need.cpu_millis == 0);
+  }));
+}
+
+// Guards against one extreme run that inflates a class for good, and against unbounded state.
+TEST_CASE("old observations and old classes are forgotten") {
+  size_correction sizes({.max_classes = 3});
+  sizes.Observe("cut", {0, 40'000, 0}, 0, kStart);
+  for (int i = 0; i < 2'000; ++i) sizes.Observe("cut", {0, 1'000, 0}, 0, kStart + seconds{1});
+  CHECK(sizes.Correct("cut", {{0, 2'000, 0}, 0}, kLargest).need.memory_mb < 1'500);
+  for (int i = 0; i < 5; ++i) {
+    sizes.Observe("c" + std::to_string(i), {1, 1, 0}, 0, kStart + seconds{2 + i});
+  }
+  CHECK(sizes.classes() == 3);
+}
+
+}  // namespace
+}  // namespace coltsfoot::blame
