--- a/libs/entry/src/agent_directory.cc
+++ b/libs/entry/src/agent_directory.cc
@@ -83,7 +83,7 @@
   if (worker >= names_.size()) names_.resize(worker + 1);
   names_[worker] = heartbeat.worker;
   const core::mono_time now = time_.Now();
-  interference_.ResetWorker(worker);
+  interference_.ResetWorker(worker, now);
   for (const auto& service : heartbeat.services) {
     interference_.OnStarted(worker, interference_.Class(service.service, now), now);
   }
--- a/libs/entry/src/request_router.cc
+++ b/libs/entry/src/request_router.cc
@@ -163,6 +163,7 @@
   row.in_flight.push_back(sent);
   workers_.OnRequestSent(target.worker, *workers_.service_names().Find(row.request.service));
   if (!SendAttempt(id, row, sent, target.is_probe)) {
+    workers_.OnRequestAbandoned(target.worker, *workers_.service_names().Find(row.request.service));
     EndAttempt(id, sent, result_code::connect_failed, "no connection to the agent");
     return;
   }
@@ -207,7 +208,6 @@
 
 void request_router::OnReply(const std::string& worker, const wire::request_reply& reply) {
   const auto index = workers_.Find(worker);
-  if (index) workers_.OnRequestReply(*index, reply);
   const auto found = requests_.find(reply.request_id);
   const auto matches = [&](const attempt& sent) {
     return sent.number == reply.attempt && index && sent.worker == *index;
@@ -219,6 +219,8 @@
   }
   auto& in_flight = found->second.in_flight;
   const attempt ended = *std::find_if(in_flight.begin(), in_flight.end(), matches);
+  workers_.OnRequestReply(*index, *workers_.service_names().Find(found->second.request.service),
+                          reply);
   if (reply.code == result_code::ok && core::StableHash(reply.body) != reply.digest) {
     EndAttempt(reply.request_id, ended, result_code::answer_truncated, "the answer is not whole");
   } else if (reply.code == result_code::ok) {
@@ -240,7 +242,7 @@
     service.hedge.Record(now - ended.sent);
   }
   if (ended.hedge) service.hedge.RecordWin();
-  quarantine_.OnSuccess(ended.worker, now);
+  quarantine_.OnSuccess(ended.worker, row.request.service, now);
   service.latency->Record(now - row.arrived);
   service.answered->Add();
   Complete(id, {result_code::ok, "", std::move(body)});
@@ -357,7 +359,10 @@
     }
   }
   for (const auto& [id, sent] : lost) {
-    if (requests_.contains(id)) {
+    const auto found = requests_.find(id);
+    if (found != requests_.end()) {
+      workers_.OnRequestAbandoned(*index,
+                                  *workers_.service_names().Find(found->second.request.service));
       EndAttempt(id, sent, result_code::connection_lost, "the link to the agent was lost");
     }
   }
--- a/libs/entry/src/task_controller.cc
+++ b/libs/entry/src/task_controller.cc
@@ -179,7 +179,7 @@
   row.worker = entry.worker;
   if (entry.state == ledger::task_state::assigned) {
     row.phase = task_phase::unresolved;
-    AdoptIfKnown(task, row, entry);
+    AdoptIfKnown(row, entry);
   } else if (entry.cancel_requested) {
     RecordCancelled(task, row, entry.epoch);
   } else {
@@ -187,8 +187,7 @@
   }
 }
 
-void task_controller::AdoptIfKnown(const std::string& task, soft_task& row,
-                                   const ledger::task_entry& entry) {
+void task_controller::AdoptIfKnown(soft_task& row, const ledger::task_entry& entry) {
   const auto worker = workers_.Find(row.worker);
   if (!worker || row.adopted) return;
   const core::mono_time now = time_.Now();
@@ -232,7 +231,7 @@
   for (auto& [task, row] : tasks_) {
     if (row.worker != worker || !IsSent(row.phase)) continue;
     shards.insert(row.shard);
-    if (const ledger::task_entry* entry = Entry(row.shard, task)) AdoptIfKnown(task, row, *entry);
+    if (const ledger::task_entry* entry = Entry(row.shard, task)) AdoptIfKnown(row, *entry);
   }
   for (const core::shard_index shard : shards) SendAdopt(worker, shard);
 }
@@ -303,7 +302,7 @@
   out.kind = spec.kind;
   out.urgent = spec.urgent;
   blame::task_size size{spec.need, spec.expected_ms};
-  if (correct_sizes_) size = sizes_.Correct(spec.task_class, size);
+  if (correct_sizes_) size = sizes_.Correct(spec.task_class, size, largest_worker_);
   out.need = size.need;
   out.expected_ms = size.run_ms;
   const std::int64_t age_ms = std::max<std::int64_t>(
@@ -541,7 +540,8 @@
 void task_controller::OnSucceeded(const ledger::task_entry& entry, const wire::task_event& event) {
   const core::mono_time now = time_.Now();
   sizes_.Observe(entry.spec.task_class, event.observed, event.run_ms, now);
-  if (const auto worker = workers_.Find(event.worker)) quarantine_.OnSuccess(*worker, now);
+  if (const auto worker = workers_.Find(event.worker))
+    quarantine_.OnSuccess(*worker, entry.spec.task_class, now);
 }
 
 void task_controller::OnFailed(const std::string& task, soft_task& row,
@@ -550,17 +550,19 @@
   const std::size_t fleet = workers_.CountDispatchable(now);
   blame::verdict verdict{};
   if (const auto worker = workers_.Find(event.worker)) {
-    verdict = verdicts_.OnFailed(task, *worker, fleet);
     const auto change = quarantine_.OnFailure(*worker, task, entry.spec.task_class,
                                               core::milliseconds{event.run_ms}, fleet, now);
+    const bool refunded =
+        std::any_of(change.refunds.begin(), change.refunds.end(),
+                    [&](const blame::refund& refund) { return refund.work == task; });
+    if (!refunded) verdict = verdicts_.OnFailed(task, *worker, fleet);
+    for (const blame::refund& refund : change.refunds) {
+      verdicts_.Refund(refund.work, refund.worker);
+    }
     if (change.entered) {
       spdlog::info("event=worker_quarantined worker={}", event.worker);
       metrics_.GetCounter("coltsfoot_quarantines_total").Add();
     }
-    for (const blame::refund& refund : change.refunds) {
-      verdicts_.Refund(refund.work, refund.worker);
-      if (refund.work == task) verdict.ends = false;
-    }
   }
   if (verdict.ends) {
     RecordEnd(task, row, ledger::task_finished{task, event.epoch, verdict.code, event.result},
@@ -665,9 +667,19 @@
   if (now < next_expiry_) return;
   next_expiry_ = now + kExpiryInterval;
   interference_.Decay(now);
+  UpdateLargestWorker();
   ExpireLeases();
 }
 
+void task_controller::UpdateLargestWorker() {
+  largest_worker_ = {};
+  for (const core::resources& total : workers_.total()) {
+    largest_worker_.cpu_millis = std::max(largest_worker_.cpu_millis, total.cpu_millis);
+    largest_worker_.memory_mb = std::max(largest_worker_.memory_mb, total.memory_mb);
+    largest_worker_.accelerators = std::max(largest_worker_.accelerators, total.accelerators);
+  }
+}
+
 void task_controller::ApplySettings() {
   const std::size_t entries = std::max<std::size_t>(ledger_.Entries().size(), 1);
   if (applied_config_ == config_.version() && applied_entries_ == entries) return;
@@ -771,7 +783,7 @@
 
 void task_controller::OnWorkerForgotten(membership::worker_index worker) {
   scheduler_.OnWorkerForgotten(worker);
-  interference_.ResetWorker(worker);
+  interference_.ResetWorker(worker, time_.Now());
   quarantine_.ResetWorker(worker);
   verdicts_.ResetWorker(worker);
 }
--- a/libs/entry/src/task_controller.h
+++ b/libs/entry/src/task_controller.h
@@ -10,7 +10,7 @@
 
 #include "blame/quarantine.h"
 #include "blame/size_correction.h"
-#include "blame/task_verdicts.h"
+#include "blame/verdicts.h"
 #include "config_controller.h"
 #include "core/clock.h"
 #include "entry/options.h"
@@ -121,8 +121,9 @@
   static bool IsSent(task_phase phase) noexcept;
   placement::task_spec PlacementSpec(const ledger::task_entry& entry);
   void TakeOver(const std::string& task, const ledger::task_entry& entry, core::shard_index shard);
-  void AdoptIfKnown(const std::string& task, soft_task& row, const ledger::task_entry& entry);
+  void AdoptIfKnown(soft_task& row, const ledger::task_entry& entry);
   void SendAdopt(const std::string& worker, core::shard_index shard);
+  void UpdateLargestWorker();
   void ExpireLeases();
   core::mono_time SilentUntil(const soft_task& row);
   void RecordEnd(const std::string& task, soft_task& row, ledger::record change,
@@ -157,6 +158,7 @@
   core::config_version applied_config_ = 0;
   std::size_t applied_entries_ = 0;
   bool correct_sizes_ = true;
+  core::resources largest_worker_;  ///< componentwise
   std::unordered_map<std::string, soft_task> tasks_;
   std::unordered_map<std::string, worker_state> worker_states_;
   std::multimap<std::string, end_handler> waiters_;
