--- a/libs/config/include/config/changes.h
+++ b/libs/config/include/config/changes.h
@@ -10,7 +10,9 @@
 #include "config/fleet_config.h"
 
 /// Changes of the fleet configuration. Each returns a new value with the next version number and
-/// leaves its input as it is; the caller writes the new value with compare-and-swap.
+/// leaves its input as it is; the caller writes the new value with compare-and-swap. A repeated
+/// change that is already in force gives `base` itself, with the same version: there is nothing to
+/// write.
 namespace coltsfoot::config {
 
 /// Who changes the configuration and when.
--- a/libs/config/include/config/json_form.h
+++ b/libs/config/include/config/json_form.h
@@ -23,6 +23,9 @@
 /// with one row per setting of the catalogue. A setting without a value has `"value":null`.
 std::string RenderConfig(const fleet_config& config);
 
+/// Reads such an answer, so that a terminal can explain values. Its version has no token.
+std::optional<fleet_config> ParseConfigAnswer(std::string_view json, core::last_error& error);
+
 /// @return one exception as in `RenderConfig`.
 std::string RenderException(const config_exception& exception);
 
--- a/libs/config/include/config/resolved_settings.h
+++ b/libs/config/include/config/resolved_settings.h
@@ -45,7 +45,8 @@
 /// Resolves all settings for one subject without a cache.
 resolved_settings Resolve(const fleet_config& config, const subject& about);
 
-/// @return the values of one worker that its agent acts on.
+/// @return the values of one worker that its agent acts on. A worker that is declared lost gets no
+/// new work either, in case it is still alive.
 wire::agent_policy DeriveAgentPolicy(const fleet_config& config, const subject& worker);
 
 /// Resolved settings of one configuration version, cheap enough to ask for each request: names
@@ -55,7 +56,7 @@
  public:
   explicit settings_view(fleet_config_ptr config);
 
-  /// @return the settings in force for a subject.
+  /// @return the settings in force for a subject; valid until the next call.
   const resolved_settings& For(const subject& about);
   /// @return the settings in force where no exception applies.
   const resolved_settings& fleet_wide() const noexcept { return fleet_wide_; }
--- /dev/null
+++ b/libs/config/src/time_text.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/clock.h"
+
+namespace coltsfoot::config {
+
+/// @return `time` in UTC, for example "2026-12-04T04:40:00.000Z".
+std::string FormatTime(core::wall_time time);
+
+/// @return the time in a text that `FormatTime` made, or nothing.
+std::optional<core::wall_time> ParseTime(std::string_view text);
+
+}  // namespace coltsfoot::config
