Implement request limits at the entry

Teams are ordered by virtual time, charged with occupied time per share. Virtual time as the highest seen so far pushed back newly active teams when expected times were too long; it now follows the last dispatch.

The concurrency limit first let its minimum latency drift upward and rose to its maximum of 64 against targets that serve 4, 8 and 16 requests at once. Measuring the minimum at a quarter of the limit every 10 s keeps it below 2.6 times that number in the test.

--- a/libs/admission/include/admission/concurrency_limit.h
+++ b/libs/admission/include/admission/concurrency_limit.h
@@ -8,7 +8,7 @@
 
 /// Options of a concurrency limit.
 struct concurrency_options {
-  double initial = 8;    ///< requests in flight at the start
+  double initial = 4;    ///< requests in flight at the start
   double least = 1;      ///< the limit never falls below this
   double greatest = 64;  ///< a worker has 64 connections
   /// Latency above this multiple of the minimum means that requests wait inside the target.
@@ -20,9 +20,13 @@
   core::nanoseconds window = core::milliseconds{100};
   /// Fewest answers in a window before the limit moves.
   std::uint32_t window_answers = 8;
-  /// Part of the difference by which the minimum rises towards the present latency per window. It
-  /// lets the limit follow a service that has become slower for good.
-  double minimum_rise = 0.01;
+  /// Time between measurements of the minimum. Under steady load the limit drops to a quarter for
+  /// one window each time, because otherwise the latency that the limit itself causes would pass
+  /// for the minimum.
+  core::nanoseconds probe_interval = std::chrono::seconds{10};
+  /// Part of the difference by which the minimum rises per measurement; it falls at once. It lets
+  /// the limit follow a service that has become slower for good.
+  double minimum_rise = 0.5;
 
   bool operator==(const concurrency_options&) const = default;
 };
@@ -36,7 +40,8 @@
 
 /// Number of requests that one entry keeps in flight at one target. It rises by one per window
 /// while latency stays near a slowly moving minimum and the limit is in use, and falls in
-/// proportion when latency rises or the target refuses.
+/// proportion when latency rises or the target refuses. The minimum rises only by measurements at
+/// low concurrency.
 class concurrency_limit {
  public:
   explicit concurrency_limit(concurrency_options options = {});
@@ -57,7 +62,11 @@
   core::nanoseconds minimum_latency() const noexcept;
 
  private:
+  std::uint32_t ProbeLimit() const noexcept;
+  void Count(attempt_end end, core::nanoseconds latency) noexcept;
   void CloseWindow(core::mono_time now) noexcept;
+  void StartWindow(core::mono_time now) noexcept;
+  void MoveMinimum(double average_ns, bool measured, core::mono_time now) noexcept;
   void Adjust(double average_ns) noexcept;
 
   concurrency_options options_;
@@ -69,6 +78,9 @@
   std::uint32_t window_answers_ = 0;
   std::uint32_t window_overloads_ = 0;
   std::uint32_t window_peak_ = 0;
+  core::mono_time next_probe_{};
+  bool probing_ = false;
+  std::uint32_t probe_skip_ = 0;  ///< answers to attempts from before the probe
 };
 
 }  // namespace coltsfoot::admission
--- a/libs/admission/include/admission/fair_queue.h
+++ b/libs/admission/include/admission/fair_queue.h
@@ -51,19 +51,21 @@
   bool operator==(const next_result&) const = default;
 };
 
-/// Bounded queue of one service that divides the service between teams. The next request is of
-/// the team with the fewest requests in flight in proportion to its share; among equals the team
-/// that was served longest ago. When the queue is full, a team above its share of the places is
-/// refused, and a team below it displaces the newest waiting request of the team farthest above.
-/// Each operation costs at most one pass over the teams present, never one over the requests.
+/// Bounded queue of one service that divides the service between teams. Each team has a virtual
+/// time that grows by the time its requests occupy places, divided by its share; the next request
+/// is of the waiting team with the lowest. A team therefore gets its share however many requests
+/// it or others send and however long they take, and waits at most until the others have used
+/// theirs. When the queue is full, a team above its share of the queue is refused, and a team below
+/// it displaces the newest waiting request of the team farthest above. Each operation costs at most
+/// one pass over the teams present; only `Expire` passes over the requests.
 class fair_queue {
  public:
   /// @param limit most requests that may wait.
   explicit fair_queue(std::size_t limit) : limit_(limit) {}
 
-  /// Decides about a new request.
-  /// @param share relative share of the team (`team.request_share`); 0 admits the team only while
-  /// nobody else waits.
+  /// Decides about a new request. After the verdict `wait`, call `Next` if a place is free.
+  /// @param share relative share of the team (`team.request_share`); with 0 its requests are
+  /// dispatched only while no other team waits.
   /// @param service expected time to answer.
   /// @param place_free true if a target could take a request now.
   admit_result Admit(waiting_request request, double share, core::nanoseconds service,
@@ -77,7 +79,8 @@
 
   /// Records the end of a dispatched request of a team. Call once for each request that `Admit`
   /// or `Next` gave to dispatch.
-  void Finish(const std::string& team);
+  /// @param occupied time for which the request occupied places at targets, over all attempts.
+  void Finish(const std::string& team, core::nanoseconds occupied);
 
   /// Removes a waiting request, for example because its caller is gone.
   /// @return false if it does not wait here.
@@ -96,7 +99,8 @@
   struct team_state {
     double share = 1;
     std::uint32_t in_flight = 0;
-    std::uint64_t last_served = 0;  ///< number of the dispatch
+    double charged_ns = 0;  ///< expected time of the requests in flight
+    double virtual_ns = 0;  ///< occupied time divided by the share
     std::list<waiting_request> waiting;
   };
   using team_map = std::map<std::string, team_state, std::less<>>;
@@ -105,19 +109,22 @@
     std::list<waiting_request>::iterator position;
   };
 
+  team_state& Activate(const std::string& name, double share);
+  bool MakeRoom(team_state& arriving, admit_result& result);
   void Enqueue(waiting_request request, team_state& team);
   waiting_request Dequeue(team_state& team, std::list<waiting_request>::iterator position);
-  void MarkServed(team_state& team);
+  void Charge(team_state& team, core::nanoseconds service);
   void NoteDispatch(core::mono_time now);
+  void NoteRemoval();
   void ForgetIfIdle(team_map::iterator team);
   team_map::iterator PickTeam();
   team_map::iterator FarthestAboveShare();
-  double ShareSum() const;
+  static bool MayDisplace(const team_state& arriving, const team_state& victim);
 
   std::size_t limit_;
   team_map teams_;
   std::unordered_map<std::uint64_t, place> places_;
-  std::uint64_t dispatches_ = 0;
+  double virtual_now_ns_ = 0;  ///< virtual time of the last dispatch
   core::mono_time last_dispatch_{};
   bool backlog_since_dispatch_ = false;
   double dispatch_interval_ns_ = 0;
--- /dev/null
+++ b/libs/admission/src/service_time.cc
@@ -0,0 +1,30 @@
+#include "admission/service_time.h"
+
+#include <algorithm>
+
+namespace coltsfoot::admission {
+namespace {
+
+// The average follows roughly the last 32 answers.
+constexpr double kSmoothing = 1.0 / 32;
+
+}  // namespace
+
+void service_time::Record(core::nanoseconds measured) noexcept {
+  count_ += 1;
+  // The first answers count equally, so that the average does not start from one outlier.
+  const double weight = std::max(kSmoothing, 1.0 / static_cast<double>(count_));
+  average_ns_ += weight * (static_cast<double>(measured.count()) - average_ns_);
+}
+
+core::nanoseconds service_time::expected() const noexcept {
+  return core::nanoseconds{static_cast<std::int64_t>(average_ns_)};
+}
+
+core::result_code CheckDeadline(core::nanoseconds left, core::nanoseconds wait,
+                                core::nanoseconds service) noexcept {
+  const bool in_time = left.count() > 0 && wait + service <= left;
+  return in_time ? core::result_code::ok : core::result_code::deadline_unmeetable;
+}
+
+}  // namespace coltsfoot::admission
--- /dev/null
+++ b/libs/admission/tests/admission_test.cc
@@ -0,0 +1,287 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <queue>
+#include <string>
+#include <vector>
+
+#include "admission/concurrency_limit.h"
+#include "admission/fair_queue.h"
+#include "admission/service_time.h"
+#include "core/random_source.h"
+
+namespace coltsfoot::admission {
+namespace {
+
+using core::milliseconds;
+using core::result_code;
+using action = admit_result::action;
+
+constexpr core::mono_time kStart{std::chrono::hours{1}};
+constexpr milliseconds kService{10};
+
+waiting_request Request(std::uint64_t id, const std::string& team,
+                        milliseconds left = milliseconds{60'000}) {
+  return {id, team, kStart + left};
+}
+
+/// Service with a number of places, which the teams keep overloaded. Counts the time that each
+/// team occupies places.
+class overload_model {
+ public:
+  struct load {
+    double share;
+    int requests_per_ms;
+    milliseconds takes;
+  };
+
+  overload_model(std::map<std::string, load> teams, std::size_t places)
+      : teams_(std::move(teams)), free_(places) {}
+
+  std::map<std::string, double> Run(milliseconds length) {
+    for (milliseconds at{0}; at < length; ++at) {
+      const core::mono_time now = kStart + at;
+      while (!running_.empty() && running_.top().first <= now) {
+        const std::string team = running_.top().second;
+        running_.pop();
+        queue_.Finish(team, teams_[team].takes);
+        free_ += 1;
+      }
+      Arrive(now);
+      for (; free_ > 0; --free_) {
+        auto next = queue_.Next(kService, now);
+        if (!next.dispatch) break;
+        Start(next.dispatch->team, now);
+      }
+    }
+    return occupied_ms_;
+  }
+
+ private:
+  void Arrive(core::mono_time now) {
+    for (const auto& [name, load] : teams_) {
+      for (int count = 0; count < load.requests_per_ms; ++count) {
+        const auto result = queue_.Admit({next_id_++, name, now + std::chrono::hours{1}},
+                                         load.share, kService, free_ > 0, now);
+        if (result.verdict != action::dispatch) continue;
+        free_ -= 1;
+        Start(name, now);
+      }
+    }
+  }
+  void Start(const std::string& team, core::mono_time now) {
+    running_.emplace(now + teams_[team].takes, team);
+    occupied_ms_[team] += static_cast<double>(teams_[team].takes.count());
+  }
+
+  using ending = std::pair<core::mono_time, std::string>;
+  std::map<std::string, load> teams_;
+  std::size_t free_;
+  fair_queue queue_{64};
+  std::priority_queue<ending, std::vector<ending>, std::greater<>> running_;
+  std::map<std::string, double> occupied_ms_;
+  std::uint64_t next_id_ = 1;
+};
+
+}  // namespace
+
+// Guards against work that starts although its caller can no longer use the answer.
+TEST_CASE("requests that cannot finish in time are refused before they start") {
+  CHECK(CheckDeadline(milliseconds{10}, milliseconds{4}, milliseconds{6}) == result_code::ok);
+  CHECK(CheckDeadline(milliseconds{9}, milliseconds{4}, milliseconds{6}) ==
+        result_code::deadline_unmeetable);
+  CHECK(CheckDeadline({}, {}, {}) == result_code::deadline_unmeetable);
+
+  fair_queue queue(8);
+  CHECK(queue.Admit(Request(1, "a", milliseconds{5}), 1, kService, true, kStart).code ==
+        result_code::deadline_unmeetable);
+  CHECK(queue.Admit(Request(2, "a", milliseconds{20}), 1, kService, false, kStart).verdict ==
+        action::wait);
+  CHECK(queue.Admit(Request(3, "a"), 1, kService, false, kStart).verdict == action::wait);
+  const next_result next = queue.Next(kService, kStart + milliseconds{15});
+  REQUIRE(next.refused.size() == 1);
+  CHECK(next.refused[0].request.id == 2);
+  CHECK(next.refused[0].code == result_code::deadline_unmeetable);
+  CHECK(next.dispatch->id == 3);
+}
+
+// Guards against a queue that admits more than can be served before the deadlines.
+TEST_CASE("the expected wait follows the rate of dispatch") {
+  fair_queue queue(1000);
+  for (std::uint64_t id = 0; id < 200; ++id) {
+    queue.Admit(Request(id, "a"), 1, kService, false, kStart);
+  }
+  core::mono_time now = kStart;
+  for (int count = 0; count < 100; ++count) queue.Next(kService, now += milliseconds{10});
+  const auto wait = core::ToMs(queue.ExpectedWait("a", 1));
+  CHECK(wait > 900);
+  CHECK(wait <= 1010);
+  CHECK(queue.Admit({500, "a", now + milliseconds{500}}, 1, kService, false, now).code ==
+        result_code::deadline_unmeetable);
+  // Another team waits only for its turn.
+  CHECK(queue.Admit({501, "b", now + milliseconds{500}}, 1, kService, false, now).verdict ==
+        action::wait);
+}
+
+// Guards against unbounded queues, and against one team that fills the queue for all.
+TEST_CASE("a full queue makes room for a team below its share") {
+  fair_queue queue(4);
+  for (std::uint64_t id = 1; id <= 4; ++id) {
+    CHECK(queue.Admit(Request(id, "big"), 1, kService, false, kStart).verdict == action::wait);
+  }
+  CHECK(queue.Admit(Request(5, "big"), 1, kService, false, kStart).code == result_code::queue_full);
+  const auto small = queue.Admit(Request(6, "small"), 1, kService, false, kStart);
+  CHECK(small.verdict == action::wait);
+  REQUIRE(small.displaced.has_value());
+  CHECK(small.displaced->request.id == 4);
+  CHECK(small.displaced->code == result_code::fair_share_exceeded);
+  CHECK(queue.Admit(Request(7, "big"), 1, kService, false, kStart).code ==
+        result_code::fair_share_exceeded);
+  CHECK(queue.size() == 4);
+  // A share of nearly nothing is still a place.
+  CHECK(queue.Admit(Request(8, "tiny"), 0.001, kService, false, kStart).verdict == action::wait);
+  CHECK(queue.Remove(8));
+  CHECK_FALSE(queue.Remove(8));
+  fair_queue none(0);
+  CHECK(none.Admit(Request(1, "a"), 1, kService, false, kStart).code == result_code::queue_full);
+  CHECK(none.Admit(Request(1, "a"), 1, kService, true, kStart).verdict == action::dispatch);
+}
+
+// Guards against a team that gets more of an overloaded service by sending more or longer requests.
+TEST_CASE("teams occupy an overloaded service by their shares") {
+  auto occupied = overload_model({{"flood", {1, 20, milliseconds{10}}},
+                                  {"long", {1, 2, milliseconds{200}}},
+                                  {"double", {2, 2, milliseconds{10}}}},
+                                 10)
+                      .Run(milliseconds{20'000});
+  const double sum = occupied["flood"] + occupied["long"] + occupied["double"];
+  CHECK(occupied["flood"] / sum == doctest::Approx(0.25).epsilon(0.1));
+  CHECK(occupied["long"] / sum == doctest::Approx(0.25).epsilon(0.1));
+  CHECK(occupied["double"] / sum == doctest::Approx(0.5).epsilon(0.1));
+}
+
+// Guards against starvation, whatever the shares and the sizes of the requests are.
+TEST_CASE("every team with a share is served in an overload") {
+  CHECK(rc::check([] {
+    std::map<std::string, overload_model::load> teams;
+    const int count = *rc::gen::inRange(2, 12);
+    double sum = 0;
+    for (int index = 0; index < count; ++index) {
+      const double share = *rc::gen::element(0.1, 0.5, 1.0, 3.0);
+      sum += share;
+      teams["t" + std::to_string(index)] = {share, *rc::gen::inRange(1, 10),
+                                            milliseconds{*rc::gen::inRange(1, 60)}};
+    }
+    auto occupied = overload_model(teams, 4).Run(milliseconds{4000});
+    for (const auto& [name, load] : teams) {
+      const double fair = 4 * 4000 * load.share / sum;
+      const auto takes = static_cast<double>(load.takes.count());
+      const bool can_use = load.requests_per_ms * takes * 4000 >= fair;
+      if (can_use) RC_ASSERT(occupied[name] >= 0.5 * fair - 2 * takes);
+      RC_ASSERT(occupied[name] > 0);
+    }
+  }));
+}
+
+// Guards against counts that drift when requests are cancelled, displaced or refused.
+TEST_CASE("size and requests in flight stay exact in random use") {
+  CHECK(rc::check([](const std::vector<std::uint8_t>& steps) {
+    fair_queue queue(5);
+    std::map<std::uint64_t, std::string> waiting;
+    std::map<std::string, std::uint32_t> in_flight;
+    core::mono_time now = kStart;
+    std::uint64_t id = 0;
+    for (const std::uint8_t step : steps) {
+      const std::string team(1, static_cast<char>('a' + step % 3));
+      now += milliseconds{step % 5};
+      if (step < 120) {
+        const auto result = queue.Admit({++id, team, now + milliseconds{12 + step % 40}}, 1,
+                                        kService, step % 7 == 0, now);
+        if (result.verdict == action::wait) waiting[id] = team;
+        if (result.verdict == action::dispatch) in_flight[team] += 1;
+        if (result.displaced) RC_ASSERT(waiting.erase(result.displaced->request.id) == 1);
+      } else if (step < 180) {
+        const auto result = queue.Next(kService, now);
+        for (const auto& refused : result.refused) {
+          RC_ASSERT(waiting.erase(refused.request.id) == 1);
+        }
+        if (result.dispatch) {
+          RC_ASSERT(waiting.erase(result.dispatch->id) == 1);
+          in_flight[result.dispatch->team] += 1;
+        }
+      } else if (step < 200 && !waiting.empty()) {
+        RC_ASSERT(queue.Remove(waiting.begin()->first));
+        waiting.erase(waiting.begin());
+      } else if (step < 210) {
+        for (const auto& gone : queue.Expire(kService, now)) waiting.erase(gone.request.id);
+      } else if (in_flight[team] > 0) {
+        queue.Finish(team, kService);
+        in_flight[team] -= 1;
+      }
+      RC_ASSERT(queue.size() == waiting.size());
+      RC_ASSERT(queue.size() <= 5U);
+      RC_ASSERT(queue.InFlight(team) == in_flight[team]);
+    }
+  }));
+}
+
+namespace {
+
+/// Drives a limit against a target that serves `capacity` requests at once and lets others wait.
+std::uint32_t SettleLimit(concurrency_limit& limit, double capacity, milliseconds service,
+                          int rounds, core::mono_time& now) {
+  for (int round = 0; round < rounds; ++round) {
+    std::uint32_t taken = 0;
+    while (limit.TryAcquire()) ++taken;
+    const double slowdown = std::max(1.0, taken / capacity);
+    const auto latency = std::chrono::duration_cast<core::nanoseconds>(service * slowdown);
+    now += latency;
+    for (; taken > 0; --taken) limit.Release(attempt_end::answered, latency, now);
+  }
+  return limit.limit();
+}
+
+}  // namespace
+
+// Guards against a limit that lets requests pile up inside a target, or that stays too low.
+TEST_CASE("the concurrency limit settles near the capacity of the target") {
+  for (const double capacity : {4.0, 8.0, 16.0}) {
+    concurrency_limit limit;
+    core::mono_time now = kStart;
+    const std::uint32_t settled = SettleLimit(limit, capacity, milliseconds{20}, 1000, now);
+    CHECK(settled >= capacity);
+    CHECK(settled <= capacity * 2.6);
+  }
+}
+
+// Guards against a limit that never recovers after a target was slow.
+TEST_CASE("the limit falls when the target slows down and recovers") {
+  concurrency_limit limit;
+  core::mono_time now = kStart;
+  const std::uint32_t before = SettleLimit(limit, 16, milliseconds{20}, 1000, now);
+  for (int round = 0; round < 10; ++round) {
+    std::uint32_t taken = 0;
+    while (limit.TryAcquire()) ++taken;
+    now += milliseconds{400};
+    for (; taken > 0; --taken) limit.Release(attempt_end::answered, milliseconds{400}, now);
+  }
+  CHECK(limit.limit() <= before / 4);
+  CHECK(limit.limit() >= 1);
+  CHECK(SettleLimit(limit, 16, milliseconds{20}, 1000, now) >= 16);
+}
+
+// Guards against a limit that ignores refusals because refused attempts have no latency.
+TEST_CASE("refusals of the target lower the limit") {
+  concurrency_limit limit;
+  core::mono_time now = kStart;
+  for (int round = 0; round < 200; ++round) {
+    REQUIRE(limit.TryAcquire());
+    limit.Release(attempt_end::overloaded, {}, now += milliseconds{10});
+  }
+  CHECK(limit.limit() == 1);
+  CHECK(limit.in_flight() == 0);
+}
+
+}  // namespace coltsfoot::admission
