--- /dev/null
+++ b/libs/retry/src/hedge_policy.cc
@@ -0,0 +1,73 @@
+#include "retry/hedge_policy.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace coltsfoot::retry {
+namespace {
+
+// Buckets grow by a tenth from 50 microseconds; 160 of them reach beyond 3 minutes.
+constexpr double kLowestNs = 50'000;
+constexpr double kGrowth = 1.1;
+constexpr std::uint32_t kFewest = 50;
+// Counts are halved at this total, so that old latencies lose their weight.
+constexpr std::uint32_t kHalveAt = 2000;
+constexpr double kPercent = 100;
+
+std::size_t BucketOf(core::nanoseconds latency, std::size_t buckets) {
+  const auto ns = static_cast<double>(latency.count());
+  if (ns <= kLowestNs) return 0;
+  const double index = std::ceil(std::log(ns / kLowestNs) / std::log(kGrowth));
+  return std::min(buckets - 1, static_cast<std::size_t>(index));
+}
+
+}  // namespace
+
+void latency_percentile::Record(core::nanoseconds latency) noexcept {
+  counts_[BucketOf(latency, kBuckets)] += 1;
+  total_ += 1;
+  if (total_ < kHalveAt) return;
+  total_ = 0;
+  for (std::uint32_t& count : counts_) {
+    count /= 2;
+    total_ += count;
+  }
+}
+
+std::optional<core::nanoseconds> latency_percentile::Percentile(double percentile) const noexcept {
+  if (total_ < kFewest) return std::nullopt;
+  const double wanted = percentile / kPercent * total_;
+  double seen = 0;
+  std::size_t index = 0;
+  for (; index + 1 < kBuckets; ++index) {
+    seen += counts_[index];
+    if (seen >= wanted) break;
+  }
+  const double upper = kLowestNs * std::pow(kGrowth, static_cast<double>(index));
+  return core::nanoseconds{static_cast<std::int64_t>(upper)};
+}
+
+void hedge_policy::Configure(bool enabled, double after_percentile) noexcept {
+  enabled_ = enabled;
+  after_percentile_ = after_percentile;
+}
+
+std::optional<core::nanoseconds> hedge_policy::Plan(const hedge_candidate& request) noexcept {
+  requests_ += 1;
+  if (!enabled_ || !request.idempotent || !request.latency_critical) return std::nullopt;
+  const auto delay = latencies_.Percentile(after_percentile_);
+  if (!delay || *delay >= request.time_left) return std::nullopt;
+  return delay;
+}
+
+bool hedge_policy::TryHedge(retry_budget& budget) noexcept {
+  if (!enabled_ || !budget.TryWithdraw()) return false;
+  hedges_ += 1;
+  return true;
+}
+
+double hedge_policy::share() const noexcept {
+  return requests_ == 0 ? 0 : static_cast<double>(hedges_) / static_cast<double>(requests_);
+}
+
+}  // namespace coltsfoot::retry
