Let the stand-in target name the key of a task and stop announcing early

The history checker follows a key from the caller to what ran; for tasks the key comes from the member `key` of a JSON payload. A departing target no longer announces itself while requests in progress finish, because an agent would otherwise keep choosing it until the goodbye.

--- a/test/fakes/src/fake_target.cc
+++ b/test/fakes/src/fake_target.cc
@@ -109,7 +109,9 @@
   void Tick() {
     target_.Tick();
     const core::mono_time now = time_.Now();
-    if (!saying_goodbye_ && now >= next_announcement_) {
+    // A departing target is no longer announced, so that the agent sends it nothing new however
+    // long the requests in progress take.
+    if (!stopping_ && now >= next_announcement_) {
       next_announcement_ = now + kAnnouncePeriod;
       Post("/v1/announce", [] {});
     }
--- a/test/fakes/src/target.cc
+++ b/test/fakes/src/target.cc
@@ -180,6 +180,7 @@
   const json payload = json::parse(run.payload, nullptr, false);
   const json details = payload.is_object() ? payload : json::object();
   run.work_ms = details.value("work_ms", static_cast<double>(run.expected_ms));
+  run.key = details.value("key", "");
   run.used = ResourcesFrom(details, "use", run.need);
   run.must_fail = faults_.fail_every_task || details.value("fail", false);
   run.progress_ms = std::strtod(run.checkpoint.c_str(), nullptr);
@@ -534,6 +535,7 @@
             {"committed", ToJson(Committed())},
             {"requests", serving_.size()}};
   if (!reason.empty()) line["reason"] = reason;
+  if (!run.key.empty()) line["key"] = run.key;
   truth_(line.dump());
 }
 
--- a/test/fakes/src/target.h
+++ b/test/fakes/src/target.h
@@ -96,6 +96,7 @@
     core::resources used;
     std::int64_t expected_ms = 0;
     std::string payload;
+    std::string key;  ///< member `key` of a JSON payload
     std::string checkpoint;
     core::mono_time lease_until;
     core::mono_time started;
