--- /dev/null
+++ b/test/harness/include/harness/relay.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "wire/messages.h"
+
+namespace coltsfoot::harness {
+
+/// Parses "IP:PORT".
+wire::endpoint ToEndpoint(const std::string& text);
+
+/// Relay between agents and entries, on its own thread. It rewrites the endpoints in heartbeats and
+/// acks, so that all traffic between an agent and an entry passes through it in both directions.
+class relay {
+ public:
+  enum class direction : std::uint8_t { to_entry, to_agent, both };
+
+  relay();
+  ~relay();
+  relay(const relay&) = delete;
+  relay& operator=(const relay&) = delete;
+
+  /// Adds the link of one agent and one entry.
+  /// @param entry_udp the entry's real UDP endpoint.
+  /// @return the UDP endpoint that the agent uses in place of the entry's.
+  wire::endpoint AddLink(const std::string& agent, const std::string& entry,
+                         const wire::endpoint& entry_udp);
+  /// Cuts all links of an entry: datagrams are lost, TCP data stalls.
+  void Cut(const std::string& entry, direction which);
+  /// Ends all cuts of an entry; stalled TCP data is delivered.
+  void Heal(const std::string& entry);
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace coltsfoot::harness
