--- /dev/null
+++ b/libs/agent/include/agent/capacity_ledger.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "core/resources.h"
+
+namespace coltsfoot::agent {
+
+/// The only place that commits a worker's processors, memory, accelerators, slots and
+/// connections. Each reservation is made before the work starts and released only when it is
+/// known to have stopped.
+class capacity_ledger {
+ public:
+  /// Sets what the target offers. Existing reservations stay, also when they no longer fit.
+  void SetTotal(const core::resources& total, std::uint32_t slots, std::uint32_t connections);
+  /// Sets the percent of the processors that batch tasks must leave free; 0 lets them use all.
+  void SetHeadroom(std::uint32_t percent);
+
+  /// Reserves `need` for a task.
+  /// @return false, without any effect, if it does not fit or the task holds a reservation.
+  bool ReserveTask(const std::string& task, const core::resources& need, core::task_kind kind);
+  /// Records a task that was found running. Always succeeds: what runs is committed, and nothing
+  /// else fits until it has ended.
+  void CommitRunningTask(const std::string& task, const core::resources& need);
+  void ReleaseTask(const std::string& task);
+
+  /// Takes a connection for a request. @return false if all are taken.
+  bool TakeConnection();
+  void ReleaseConnection();
+  /// Takes a slot for a request that starts. @return false if all are taken.
+  bool TakeSlot();
+  void ReleaseSlot();
+
+  const core::resources& total() const noexcept { return total_; }
+  const core::resources& committed() const noexcept { return committed_; }
+  std::uint32_t slots_total() const noexcept { return slots_total_; }
+  std::uint32_t connections_total() const noexcept { return connections_total_; }
+  /// @return what is free; no component is negative.
+  core::resources free() const;
+  std::uint32_t slots_free() const;
+  std::uint32_t connections_free() const;
+
+ private:
+  core::resources total_;
+  core::resources committed_;
+  std::uint32_t headroom_percent_ = 0;
+  std::uint32_t slots_total_ = 0;
+  std::uint32_t slots_used_ = 0;
+  std::uint32_t connections_total_ = 0;
+  std::uint32_t connections_used_ = 0;
+  std::map<std::string, core::resources> tasks_;
+};
+
+}  // namespace coltsfoot::agent
--- /dev/null
+++ b/libs/agent/include/agent/controller.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "agent/entry_link.h"
+#include "agent/options.h"
+#include "agent/target_client.h"
+#include "core/clock.h"
+#include "metrics/registry.h"
+#include "wire/frame.h"
+
+namespace coltsfoot::agent {
+
+/// Control logic of an agent: one thread, no sockets, no wall clock. The referenced objects must
+/// outlive it.
+class controller {
+ public:
+  controller(const agent_options& options, const core::clock& time, metrics::registry& metrics,
+             target_client& target, entry_link& link);
+  ~controller();
+  controller(const controller&) = delete;
+  controller& operator=(const controller&) = delete;
+
+  /// Handles a frame of an entry.
+  void OnFrame(connection_id from, const wire::raw_message& message);
+  /// Handles the end of a connection.
+  void OnDisconnected(connection_id connection);
+  /// Handles a datagram of an entry.
+  void OnDatagram(const wire::raw_message& message);
+  /// Handles an announcement of the target.
+  void OnAnnounce(const target_announcement& announcement);
+  /// Handles the target's departure.
+  /// @param instance the departing instance; empty stands for the current one.
+  void OnGoodbye(const std::string& instance);
+  /// Runs what is due; called every 20 ms.
+  void Tick();
+
+  /// Says goodbye to the entries, refuses new work and evicts the tasks.
+  void BeginShutdown();
+  /// @return true after BeginShutdown when nothing runs and each event is acknowledged, or when
+  /// the longest wait is over.
+  bool finished() const;
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace coltsfoot::agent
--- /dev/null
+++ b/libs/agent/src/admission_gate.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <optional>
+
+#include "core/clock.h"
+#include "core/error.h"
+#include "heartbeat_log.h"
+#include "wire/messages.h"
+
+namespace coltsfoot::agent {
+
+/// Whether the worker takes new work at all.
+struct worker_state {
+  std::string worker;  ///< id of this worker
+  std::uint64_t incarnation = 0;
+  bool recovering = true;    ///< the target's tasks are not yet known
+  bool target_live = false;  ///< the target announces itself
+  bool stopping = false;     ///< the agent shuts down
+  wire::agent_policy policy;
+
+  /// @return true if running tasks are handed over and new work is refused.
+  bool draining() const noexcept { return stopping || policy.drain; }
+};
+
+/// Checks that are the same for requests and tasks.
+class admission_gate {
+ public:
+  admission_gate(const core::clock& time, const heartbeat_log& heartbeats, worker_state& state)
+      : time_(time), heartbeats_(heartbeats), state_(state) {}
+
+  /// Puts a policy in force if it is newer than ours.
+  void Adopt(const std::optional<wire::agent_policy>& policy);
+  /// @return why a message with this token and configuration version is refused, or nothing.
+  std::optional<core::error_reason> Refusal(const wire::liveness_token& token,
+                                            core::config_version config) const;
+  /// @return the end of a lease that counts from the token's heartbeat, or nothing if it is stale.
+  std::optional<core::mono_time> LeaseEnd(const wire::liveness_token& token) const;
+
+ private:
+  const core::clock& time_;
+  const heartbeat_log& heartbeats_;
+  worker_state& state_;
+};
+
+}  // namespace coltsfoot::agent
--- /dev/null
+++ b/libs/agent/src/capacity_ledger.cc
@@ -0,0 +1,78 @@
+#include "agent/capacity_ledger.h"
+
+#include <algorithm>
+
+namespace coltsfoot::agent {
+namespace {
+
+constexpr std::uint32_t kPercent = 100;
+
+}  // namespace
+
+void capacity_ledger::SetTotal(const core::resources& total, std::uint32_t slots,
+                               std::uint32_t connections) {
+  total_ = total;
+  slots_total_ = slots;
+  connections_total_ = connections;
+}
+
+void capacity_ledger::SetHeadroom(std::uint32_t percent) {
+  headroom_percent_ = std::min(percent, kPercent);
+}
+
+bool capacity_ledger::ReserveTask(const std::string& task, const core::resources& need,
+                                  core::task_kind kind) {
+  if (!need.IsValid() || tasks_.contains(task)) return false;
+  core::resources usable = total_;
+  if (kind == core::task_kind::batch) {
+    usable.cpu_millis = usable.cpu_millis * (kPercent - headroom_percent_) / kPercent;
+  }
+  // Compared against what is left, because a sum could overflow for a damaged `need`.
+  if (!need.FitsIn(usable - committed_)) return false;
+  tasks_.emplace(task, need);
+  committed_ += need;
+  return true;
+}
+
+void capacity_ledger::CommitRunningTask(const std::string& task, const core::resources& need) {
+  if (tasks_.emplace(task, need).second) committed_ += need;
+}
+
+void capacity_ledger::ReleaseTask(const std::string& task) {
+  const auto found = tasks_.find(task);
+  if (found == tasks_.end()) return;
+  committed_ -= found->second;
+  tasks_.erase(found);
+}
+
+bool capacity_ledger::TakeConnection() {
+  if (connections_used_ >= connections_total_) return false;
+  ++connections_used_;
+  return true;
+}
+
+void capacity_ledger::ReleaseConnection() { --connections_used_; }
+
+bool capacity_ledger::TakeSlot() {
+  if (slots_used_ >= slots_total_) return false;
+  ++slots_used_;
+  return true;
+}
+
+void capacity_ledger::ReleaseSlot() { --slots_used_; }
+
+core::resources capacity_ledger::free() const {
+  const core::resources rest = total_ - committed_;
+  return {std::max<std::int64_t>(rest.cpu_millis, 0), std::max<std::int64_t>(rest.memory_mb, 0),
+          std::max<std::int64_t>(rest.accelerators, 0)};
+}
+
+std::uint32_t capacity_ledger::slots_free() const {
+  return slots_total_ - std::min(slots_used_, slots_total_);
+}
+
+std::uint32_t capacity_ledger::connections_free() const {
+  return connections_total_ - std::min(connections_used_, connections_total_);
+}
+
+}  // namespace coltsfoot::agent
--- /dev/null
+++ b/libs/agent/src/controller.cc
@@ -0,0 +1,329 @@
+#include "agent/controller.h"
+
+#include <spdlog/spdlog.h>
+
+#include <optional>
+#include <utility>
+
+#include "admission_gate.h"
+#include "agent/capacity_ledger.h"
+#include "entry_directory.h"
+#include "event_outbox.h"
+#include "heartbeat_log.h"
+#include "request_manager.h"
+#include "target_monitor.h"
+#include "task_manager.h"
+
+namespace coltsfoot::agent {
+namespace {
+
+using core::result_code;
+using wire::message_type;
+
+// By then every lease has lapsed and the target has stopped every task. Events without an
+// acknowledgement are sent by the next agent, which reads them from the target.
+constexpr core::milliseconds kShutdownSlack{5000};
+// An entry's list outlives two lost acks.
+constexpr int kListHeartbeats = 3;
+
+}  // namespace
+
+class controller::impl {
+ public:
+  impl(const agent_options& options, const core::clock& time, metrics::registry& metrics,
+       target_client& target, entry_link& link)
+      : options_(options),
+        time_(time),
+        metrics_(metrics),
+        link_(link),
+        heartbeats_(options.lease_ttl),
+        entries_(options.entries, options.heartbeat * kListHeartbeats),
+        gate_(time, heartbeats_, state_),
+        outbox_(time, link, entries_),
+        tasks_(time, metrics, options.lease_ttl, ledger_, state_, gate_, entries_, outbox_, target),
+        requests_(time, metrics, ledger_, state_, entries_, target, link),
+        monitor_(time, metrics, options.announce_timeout, state_, ledger_, tasks_, requests_,
+                 target, [this](const target_event& event) { SendUsage(event); }) {
+    state_.worker = options.worker;
+    state_.incarnation = options.incarnation;
+  }
+
+  void OnFrame(connection_id from, const wire::raw_message& message) {
+    if (message.type != message_type::hello && entries_.ProcessOf(from).empty()) {
+      DropPeer(from, "no_hello");
+      return;
+    }
+    switch (message.type) {
+      case message_type::hello:
+        With<wire::hello>(from, message, [&](auto value) { Greet(from, value); });
+        break;
+      case message_type::dispatch_request:
+        With<wire::dispatch_request>(from, message, [&](auto value) {
+          Adopt(value.policy);
+          const auto refusal = gate_.Refusal(value.token, value.config);
+          requests_.Dispatch(from, std::move(value), refusal);
+        });
+        break;
+      case message_type::cancel_request:
+        With<wire::cancel_request>(from, message,
+                                   [&](auto value) { requests_.Cancel(from, value); });
+        break;
+      case message_type::start_task:
+        With<wire::start_task>(from, message, [&](auto value) {
+          Adopt(value.policy);
+          tasks_.Start(from, value);
+        });
+        break;
+      case message_type::control_task:
+        With<wire::control_task>(from, message, [&](auto value) { tasks_.Control(from, value); });
+        break;
+      case message_type::adopt_shard:
+        With<wire::adopt_shard>(from, message, [&](auto value) { AnswerAdoption(from, value); });
+        break;
+      case message_type::event_ack:
+        With<wire::event_ack>(from, message, [&](auto value) { Acknowledge(value); });
+        break;
+      default:
+        DropPeer(from, "unknown_message");
+    }
+    NoticeChanges();
+  }
+
+  void OnDisconnected(connection_id connection) {
+    if (entries_.ProcessOf(connection).empty()) return;
+    spdlog::info("event=entry_disconnected entry={}", entries_.ProcessOf(connection));
+    entries_.Forget(connection);
+    requests_.Disconnected(connection);
+  }
+
+  void OnDatagram(const wire::raw_message& message) {
+    core::last_error error;
+    const auto ack = wire::FromRaw<wire::heartbeat_ack>(message, error);
+    if (!ack) {
+      CountDrop("bad_datagram");
+      return;
+    }
+    if (ack->incarnation != options_.incarnation) {
+      CountDrop("other_incarnation");
+      return;
+    }
+    Adopt(ack->policy);
+    entries_.SetList(ack->entry, ack->entries, time_.Now());
+    const auto lease_until = heartbeats_.LeaseEnd(ack->seq, time_.Now());
+    if (lease_until) {
+      tasks_.ExtendLeases(ack->entry, ack->shards, *lease_until);
+    } else {
+      CountDrop("late_ack");
+    }
+    NoticeChanges();
+  }
+
+  void OnAnnounce(const target_announcement& announcement) {
+    monitor_.Announce(announcement);
+    NoticeChanges();
+  }
+
+  void OnGoodbye(const std::string& instance) {
+    monitor_.Goodbye(instance);
+    NoticeChanges();
+  }
+
+  void Tick() {
+    monitor_.Tick();
+    tasks_.Tick();
+    requests_.Tick();
+    outbox_.Tick();
+    NoticeChanges();
+    if (time_.Now() >= next_heartbeat_) SendHeartbeat();
+  }
+
+  void BeginShutdown() {
+    if (state_.stopping) return;
+    state_.stopping = true;
+    shutdown_limit_ = time_.Now() + options_.lease_ttl + kShutdownSlack;
+    const std::string goodbye =
+        wire::ToDatagram(wire::agent_goodbye{options_.worker, options_.incarnation});
+    for (const auto& entry : entries_.HeartbeatTargets(time_.Now())) {
+      link_.SendDatagram(entry, goodbye);
+    }
+    tasks_.EvictAll();
+    NoticeChanges();
+  }
+
+  bool finished() const {
+    if (!state_.stopping) return false;
+    return (tasks_.idle() && requests_.idle() && outbox_.empty()) || time_.Now() >= shutdown_limit_;
+  }
+
+ private:
+  /// What entries must learn without waiting for the next heartbeat.
+  struct visible_state {
+    bool recovering = true;
+    bool target_live = false;
+    bool draining = false;
+    bool operator==(const visible_state&) const = default;
+  };
+
+  template <class Message, class Handler>
+  void With(connection_id from, const wire::raw_message& raw, Handler handle) {
+    core::last_error error;
+    auto message = wire::FromRaw<Message>(raw, error);
+    if (message) {
+      handle(std::move(*message));
+    } else {
+      DropPeer(from, "bad_message");
+    }
+  }
+
+  void DropPeer(connection_id from, std::string_view reason) {
+    CountDrop(reason);
+    link_.Close(from);
+    OnDisconnected(from);
+  }
+
+  void Greet(connection_id from, const wire::hello& message) {
+    if (message.process.empty()) {
+      DropPeer(from, "no_hello");
+      return;
+    }
+    spdlog::info("event=entry_connected entry={}", message.process);
+    entries_.Identify(from, message.process);
+    outbox_.ResendTo(from);
+  }
+
+  void Adopt(const std::optional<wire::agent_policy>& policy) {
+    const core::config_version before = state_.policy.version;
+    gate_.Adopt(policy);
+    if (state_.policy.version == before) return;
+    ledger_.SetHeadroom(state_.policy.latency_critical_headroom);
+    metrics_.GetGauge("coltsfoot_agent_config_version")
+        .Set(static_cast<std::int64_t>(state_.policy.version));
+  }
+
+  void AnswerAdoption(connection_id from, const wire::adopt_shard& message) {
+    wire::shard_report report = tasks_.Adopt(from, message);
+    report.worker = options_.worker;
+    report.incarnation = options_.incarnation;
+    link_.SendFrame(from, wire::ToFrame(report));
+    if (report.code == result_code::ok) outbox_.ResendShard(message.shard);
+  }
+
+  void Acknowledge(const wire::event_ack& ack) {
+    if (ack.incarnation != options_.incarnation || !outbox_.Acknowledge(ack.event_id)) {
+      CountDrop("unknown_ack");
+    }
+  }
+
+  void SendUsage(const target_event& event) {
+    const std::string frame =
+        wire::ToFrame(wire::usage_report{options_.worker, event.age_ms, event.samples});
+    for (const connection_id connection : entries_.Connections()) {
+      link_.SendFrame(connection, frame);
+    }
+  }
+
+  void NoticeChanges() {
+    const visible_state now{state_.recovering, state_.target_live, state_.draining()};
+    if (now == visible_) return;
+    if (now.draining != visible_.draining) {
+      spdlog::info("event={} tasks={}", now.draining ? "draining" : "drain_ended", tasks_.size());
+    }
+    visible_ = now;
+    SendHeartbeat();
+  }
+
+  void SendHeartbeat() {
+    SetGauges();
+    wire::agent_heartbeat beat;
+    beat.worker = options_.worker;
+    beat.incarnation = options_.incarnation;
+    beat.agent_tcp = options_.tcp;
+    beat.region = options_.region;
+    beat.zone = options_.zone;
+    beat.rack = options_.rack;
+    beat.total = ledger_.total();
+    beat.free = ledger_.free();
+    beat.slots_total = ledger_.slots_total();
+    beat.slots_free = ledger_.slots_free();
+    beat.connections_total = ledger_.connections_total();
+    beat.connections_free = ledger_.connections_free();
+    beat.running_tasks = static_cast<std::uint32_t>(tasks_.size());
+    beat.config = state_.policy.version;
+    beat.recovering = state_.recovering;
+    beat.draining = state_.draining();
+    if (state_.target_live) beat.services = requests_.Loads();
+    beat.seq = heartbeats_.Add(time_.Now());
+    next_heartbeat_ = time_.Now() + options_.heartbeat;
+    std::string datagram = wire::ToDatagram(beat);
+    while (datagram.empty() && !beat.services.empty()) {
+      CountDrop("service_not_announced");
+      beat.services.pop_back();
+      datagram = wire::ToDatagram(beat);
+    }
+    for (const auto& entry : entries_.HeartbeatTargets(time_.Now())) {
+      link_.SendDatagram(entry, datagram);
+    }
+  }
+
+  void SetGauges() {
+    const auto set = [this](std::string_view name, std::size_t value) {
+      metrics_.GetGauge(name).Set(static_cast<std::int64_t>(value));
+    };
+    set("coltsfoot_agent_tasks", tasks_.size());
+    set("coltsfoot_agent_requests_queued", requests_.queued());
+    set("coltsfoot_agent_events_waiting", outbox_.size());
+    set("coltsfoot_agent_event_bytes_waiting", outbox_.bytes());
+    set("coltsfoot_agent_slots_free", ledger_.slots_free());
+    metrics_.GetGauge("coltsfoot_agent_cpu_committed_millis").Set(ledger_.committed().cpu_millis);
+    metrics_.GetGauge("coltsfoot_agent_memory_committed_mb").Set(ledger_.committed().memory_mb);
+  }
+
+  void CountDrop(std::string_view reason) {
+    metrics_.GetCounter("coltsfoot_drops_total", {"where", "agent"}, {"reason", reason}).Add();
+  }
+
+  const agent_options options_;
+  const core::clock& time_;
+  metrics::registry& metrics_;
+  entry_link& link_;
+  worker_state state_;
+  heartbeat_log heartbeats_;
+  capacity_ledger ledger_;
+  entry_directory entries_;
+  admission_gate gate_;
+  event_outbox outbox_;
+  task_manager tasks_;
+  request_manager requests_;
+  target_monitor monitor_;
+  visible_state visible_;
+  core::mono_time next_heartbeat_;
+  core::mono_time shutdown_limit_;
+};
+
+controller::controller(const agent_options& options, const core::clock& time,
+                       metrics::registry& metrics, target_client& target, entry_link& link)
+    : impl_(std::make_unique<impl>(options, time, metrics, target, link)) {}
+
+controller::~controller() = default;
+
+void controller::OnFrame(connection_id from, const wire::raw_message& message) {
+  impl_->OnFrame(from, message);
+}
+
+void controller::OnDisconnected(connection_id connection) { impl_->OnDisconnected(connection); }
+
+void controller::OnDatagram(const wire::raw_message& message) { impl_->OnDatagram(message); }
+
+void controller::OnAnnounce(const target_announcement& announcement) {
+  impl_->OnAnnounce(announcement);
+}
+
+void controller::OnGoodbye(const std::string& instance) { impl_->OnGoodbye(instance); }
+
+void controller::Tick() { impl_->Tick(); }
+
+void controller::BeginShutdown() { impl_->BeginShutdown(); }
+
+bool controller::finished() const { return impl_->finished(); }
+
+}  // namespace coltsfoot::agent
--- /dev/null
+++ b/libs/agent/src/target_monitor.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "admission_gate.h"
+#include "agent/capacity_ledger.h"
+#include "agent/target_client.h"
+#include "metrics/registry.h"
+#include "request_manager.h"
+#include "task_manager.h"
+
+namespace coltsfoot::agent {
+
+/// Follows the worker's target: whether it is alive, which instance it is, what it runs and what
+/// happens there.
+class target_monitor {
+ public:
+  using usage_handler = std::function<void(const target_event&)>;
+
+  target_monitor(const core::clock& time, metrics::registry& metrics,
+                 core::milliseconds announce_timeout, worker_state& state, capacity_ledger& ledger,
+                 task_manager& tasks, request_manager& requests, target_client& target,
+                 usage_handler on_usage);
+
+  void Announce(const target_announcement& announcement);
+  /// @param instance the departing instance; empty stands for the current one.
+  void Goodbye(const std::string& instance);
+  void Tick();
+
+ private:
+  void ChangeInstance(const target_announcement& announcement);
+  void MarkFormer(const std::string& instance);
+  void Learn();
+  void LearnEvents(const task_listing& listing);
+  void Poll();
+  void Handle(const event_batch& batch);
+  void RetryLater();
+
+  const core::clock& time_;
+  metrics::registry& metrics_;
+  core::milliseconds announce_timeout_;
+  worker_state& state_;
+  capacity_ledger& ledger_;
+  task_manager& tasks_;
+  request_manager& requests_;
+  target_client& target_;
+  usage_handler on_usage_;
+  std::optional<target_announcement> current_;
+  core::mono_time last_announced_;
+  std::deque<std::string> former_instances_;
+  std::uint64_t generation_ = 0;
+  std::uint64_t next_event_ = 0;
+  bool call_in_flight_ = false;
+  core::mono_time next_call_;
+};
+
+}  // namespace coltsfoot::agent
--- /dev/null
+++ b/libs/agent/src/task_manager.cc
@@ -0,0 +1,604 @@
+#include "task_manager.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "wire/frame.h"
+
+namespace coltsfoot::agent {
+namespace {
+
+using core::error_reason;
+using core::result_code;
+using wire::task_event;
+using wire::task_event_kind;
+
+constexpr core::milliseconds kRetryDelay{1000};
+// Acks of several entries arrive within milliseconds of each other; one call carries them all.
+constexpr core::milliseconds kLeasePushDelay{100};
+// How long the event of a task that the target no longer runs may take to arrive.
+constexpr core::milliseconds kOutcomeWait{2000};
+// The target stops a task at its deadline. For as long as one of its calls may take, the report
+// waits for the last checkpoint, without which the work would resume from an older one.
+constexpr core::milliseconds kLapseGrace{5000};
+// A start is refused by its token when it is older than one lease time. The factor allows for a
+// message that was accepted just before and for entries that retry.
+constexpr int kSeenEpochLeases = 4;
+// Results wait in memory while the key-value service is down; the process must stay below 32 MB.
+constexpr std::size_t kMaxWaitingEventBytes = 8U << 20U;
+constexpr std::size_t kEventOverheadBytes = 4096;
+
+}  // namespace
+
+task_manager::task_manager(const core::clock& time, metrics::registry& metrics,
+                           core::milliseconds lease_ttl, capacity_ledger& ledger,
+                           const worker_state& state, const admission_gate& gate,
+                           entry_directory& entries, event_outbox& outbox, target_client& target)
+    : time_(time),
+      metrics_(metrics),
+      lease_ttl_(lease_ttl),
+      ledger_(ledger),
+      state_(state),
+      gate_(gate),
+      entries_(entries),
+      outbox_(outbox),
+      target_(target) {}
+
+void task_manager::Start(connection_id from, const wire::start_task& message) {
+  const fence_order order =
+      entries_.Observe(message.shard, message.fence, entries_.ProcessOf(from));
+  if (order == fence_order::raised) outbox_.ResendShard(message.shard);
+  if (task_entry* known = Find(message.task, message.epoch); known != nullptr) {
+    // A repeated message: the owner did not get the answer to the first.
+    if (known->phase == task_phase::running) {
+      outbox_.SendOnce(MakeEvent(known->spec, task_event_kind::started, result_code::ok));
+    }
+    CountDrop("repeated_start");
+    return;
+  }
+  if (outbox_.ResendTask({message.task, message.epoch})) {
+    CountDrop("repeated_start");
+    return;
+  }
+  if (auto reason = RefusalOf(message, order)) {
+    Refuse(message, std::move(*reason));
+    return;
+  }
+  if (!ledger_.ReserveTask(message.task, message.need, message.kind)) {
+    Refuse(message,
+           {result_code::no_capacity, "not enough free processors, memory or accelerators"});
+    return;
+  }
+  RememberEpoch(message.task, message.epoch);
+  task_entry& entry = tasks_[message.task];
+  entry.spec = {.task = message.task,
+                .epoch = message.epoch,
+                .shard = message.shard,
+                .fence = message.fence,
+                .team = message.team,
+                .task_class = message.task_class,
+                .kind = message.kind,
+                .need = message.need,
+                .expected_ms = message.expected_ms,
+                .payload = message.payload,
+                .checkpoint = message.checkpoint,
+                .lease_until = gate_.LeaseEnd(message.token).value_or(core::mono_time{})};
+  StepStarting(entry, time_.Now());
+}
+
+std::optional<error_reason> task_manager::RefusalOf(const wire::start_task& message,
+                                                    fence_order order) const {
+  if (order == fence_order::stale) {
+    return error_reason{result_code::stale_fence, "a newer owner of the shard is known"};
+  }
+  if (IsSeen(message.task, message.epoch)) {
+    return error_reason{result_code::stale_epoch, "this epoch or a higher one is known"};
+  }
+  if (auto reason = gate_.Refusal(message.token, message.config)) return reason;
+  if (tasks_.contains(message.task)) {
+    return error_reason{result_code::no_capacity, "an earlier assignment has not yet stopped"};
+  }
+  if (outbox_.bytes() >= kMaxWaitingEventBytes) {
+    return error_reason{result_code::no_capacity, "too many results wait for their owner"};
+  }
+  return std::nullopt;
+}
+
+void task_manager::Refuse(const wire::start_task& message, error_reason reason) {
+  metrics_.CountRefusal("agent", reason.code);
+  task_spec spec;
+  spec.task = message.task;
+  spec.epoch = message.epoch;
+  spec.shard = message.shard;
+  task_event event = MakeEvent(spec, task_event_kind::refused, reason.code);
+  event.result = std::move(reason.message);
+  // The owner may assign the task elsewhere once it has this event, so the epoch must not start
+  // here any more.
+  RememberEpoch(message.task, message.epoch);
+  outbox_.Keep(std::move(event));
+}
+
+bool task_manager::IsSeen(const std::string& task, core::epoch_number epoch) const {
+  const auto found = seen_.find(task);
+  return found != seen_.end() && epoch <= found->second.epoch;
+}
+
+void task_manager::RememberEpoch(const std::string& task, core::epoch_number epoch) {
+  seen_epoch& seen = seen_[task];
+  seen.epoch = std::max(seen.epoch, epoch);
+  seen.forget_at = time_.Now() + lease_ttl_ * kSeenEpochLeases;
+}
+
+task_manager::task_entry* task_manager::Find(const std::string& task, core::epoch_number epoch) {
+  const auto found = tasks_.find(task);
+  if (found == tasks_.end() || found->second.spec.epoch != epoch) return nullptr;
+  return &found->second;
+}
+
+void task_manager::StepStarting(task_entry& entry, core::mono_time now) {
+  if (entry.call_in_flight || now < entry.next_call) return;
+  if (now < entry.spec.lease_until && !entry.end) {
+    SendStart(entry);
+  } else if (entry.uncertain && now >= entry.spec.lease_until) {
+    // A start call without a known outcome may still reach the target, but not take effect any
+    // more: the lease in it has lapsed. The stop proves what runs.
+    if (!entry.end) PlanEnd(entry, {task_event_kind::evicted, result_code::lease_lapsed});
+    SendStop(entry);
+  } else if (!entry.uncertain) {
+    End({entry.spec.task, entry.spec.epoch},
+        MakeEvent(entry.spec, task_event_kind::refused, result_code::stale_token));
+  }
+}
+
+void task_manager::SendStart(task_entry& entry) {
+  entry.call_in_flight = true;
+  const wire::task_ref task{entry.spec.task, entry.spec.epoch};
+  target_.Start(entry.spec, [this, task, generation = generation_](start_result result) {
+    if (generation == generation_) OnStarted(task, std::move(result));
+  });
+}
+
+void task_manager::OnStarted(const wire::task_ref& task, start_result result) {
+  task_entry* entry = Find(task.task, task.epoch);
+  if (entry == nullptr || entry->phase != task_phase::starting) {
+    CountDrop("late_answer");
+    return;
+  }
+  entry->call_in_flight = false;
+  entry->next_call = time_.Now() + kRetryDelay;
+  const bool not_run = !entry->uncertain;
+  task_event refused = MakeEvent(entry->spec, task_event_kind::refused, result_code::no_capacity);
+  refused.result = std::move(result.reason);
+  switch (result.outcome) {
+    case start_outcome::started:
+      ConfirmStart(*entry);
+      return;
+    case start_outcome::epoch_known:
+      if (!not_run) {
+        ConfirmStart(*entry);
+        VerifyRunning(task);
+        return;
+      }
+      refused.code = result_code::stale_epoch;
+      break;
+    case start_outcome::refused:
+      break;
+    case start_outcome::not_sent:
+      refused.code = result_code::connect_failed;
+      break;
+    case start_outcome::unknown:
+      entry->uncertain = true;
+      return;
+  }
+  // After a call without a known outcome another answer does not prove that the task never runs.
+  if (!not_run) return;
+  metrics_.CountRefusal("agent", refused.code);
+  End(task, std::move(refused));
+}
+
+void task_manager::ConfirmStart(task_entry& entry) {
+  entry.phase = task_phase::running;
+  entry.uncertain = false;
+  entry.started = time_.Now();
+  entry.next_call = entry.started;
+  entry.spec.payload = {};
+  outbox_.SendOnce(MakeEvent(entry.spec, task_event_kind::started, result_code::ok));
+}
+
+void task_manager::VerifyRunning(const wire::task_ref& task) {
+  target_.List([this, task, generation = generation_](std::optional<task_listing> listing) {
+    task_entry* entry = Find(task.task, task.epoch);
+    if (generation != generation_ || entry == nullptr || !listing) return;
+    for (const listed_task& item : listing->tasks) {
+      if (item.spec.task == task.task && item.spec.epoch == task.epoch && !item.ended) return;
+    }
+    Vanish(*entry);
+  });
+}
+
+void task_manager::Control(connection_id from, const wire::control_task& message) {
+  const fence_order order =
+      entries_.Observe(message.shard, message.fence, entries_.ProcessOf(from));
+  if (order == fence_order::stale) {
+    metrics_.CountRefusal("agent", result_code::stale_fence);
+    return;
+  }
+  if (order == fence_order::raised) outbox_.ResendShard(message.shard);
+  task_entry* entry = Find(message.task, message.epoch);
+  if (entry == nullptr) {
+    if (outbox_.ResendTask({message.task, message.epoch})) return;
+    if (state_.recovering || IsSeen(message.task, message.epoch)) {
+      metrics_.CountRefusal("agent",
+                            state_.recovering ? result_code::recovering : result_code::stale_epoch);
+      return;
+    }
+    // The worker does not run this assignment. Remembering the epoch makes sure it never will.
+    RememberEpoch(message.task, message.epoch);
+    task_spec spec;
+    spec.task = message.task;
+    spec.epoch = message.epoch;
+    spec.shard = message.shard;
+    outbox_.Keep(MakeEvent(spec, task_event_kind::lost, result_code::not_found));
+    return;
+  }
+  switch (message.action) {
+    case wire::task_action::checkpoint:
+      TakeCheckpoint(*entry);
+      return;
+    case wire::task_action::throttle:
+      target_.Control(message.task, message.epoch, target_action::throttle, [](control_result) {});
+      return;
+    case wire::task_action::unthrottle:
+      target_.Control(message.task, message.epoch, target_action::unthrottle,
+                      [](control_result) {});
+      return;
+    case wire::task_action::evict:
+      PlanEnd(*entry, {task_event_kind::evicted, result_code::evicted});
+      return;
+    case wire::task_action::cancel:
+      PlanEnd(*entry, {task_event_kind::cancelled, result_code::cancelled});
+      return;
+  }
+  CountDrop("unknown_action");
+}
+
+void task_manager::TakeCheckpoint(task_entry& entry) {
+  const wire::task_ref task{entry.spec.task, entry.spec.epoch};
+  target_.Control(
+      task.task, task.epoch, target_action::checkpoint,
+      [this, task, generation = generation_](control_result result) {
+        task_entry* found = Find(task.task, task.epoch);
+        if (generation != generation_ || found == nullptr) return;
+        if (result.outcome != control_outcome::done || found->phase != task_phase::running) return;
+        found->spec.checkpoint = std::move(result.checkpoint);
+        outbox_.SendOnce(MakeEvent(found->spec, task_event_kind::checkpointed, result_code::ok));
+      });
+}
+
+void task_manager::PlanEnd(task_entry& entry, planned_end end) {
+  if (entry.phase != task_phase::starting && entry.phase != task_phase::running) return;
+  // A cancellation wins over an eviction, after which the task would be started again.
+  const bool cancels = end.kind == task_event_kind::cancelled;
+  if (!entry.end || cancels) entry.end = end;
+  if (entry.phase == task_phase::running && !entry.call_in_flight) {
+    entry.next_call = time_.Now();
+    SendStop(entry);
+  }
+}
+
+void task_manager::SendStop(task_entry& entry) {
+  entry.call_in_flight = true;
+  const wire::task_ref task{entry.spec.task, entry.spec.epoch};
+  const auto stop = [this, task, generation = generation_] {
+    target_.Control(task.task, task.epoch, target_action::stop,
+                    [this, task, generation](control_result result) {
+                      if (generation == generation_) OnStopped(task, std::move(result));
+                    });
+  };
+  // The checkpoint comes first because a target may answer the stop without one.
+  target_.Control(task.task, task.epoch, target_action::checkpoint,
+                  [this, task, generation = generation_, stop](control_result result) {
+                    if (generation != generation_) return;
+                    task_entry* found = Find(task.task, task.epoch);
+                    if (found == nullptr) return;
+                    if (result.outcome == control_outcome::not_running) {
+                      OnStopped(task, std::move(result));
+                      return;
+                    }
+                    if (!result.checkpoint.empty()) {
+                      found->spec.checkpoint = std::move(result.checkpoint);
+                    }
+                    stop();
+                  });
+}
+
+void task_manager::OnStopped(const wire::task_ref& task, control_result result) {
+  task_entry* entry = Find(task.task, task.epoch);
+  if (entry == nullptr) {
+    CountDrop("late_answer");
+    return;
+  }
+  entry->call_in_flight = false;
+  entry->next_call = time_.Now() + kRetryDelay;
+  if (result.outcome == control_outcome::failed) return;
+  if (entry->phase == task_phase::unconfirmed) {
+    Remove(task.task);
+    return;
+  }
+  if (result.outcome == control_outcome::not_running) {
+    Vanish(*entry);
+    return;
+  }
+  if (!result.checkpoint.empty()) entry->spec.checkpoint = std::move(result.checkpoint);
+  const planned_end end = entry->end.value_or(planned_end{});
+  End(task, MakeEvent(entry->spec, end.kind, end.code));
+}
+
+void task_manager::Vanish(task_entry& entry) {
+  if (entry.phase == task_phase::unconfirmed || entry.phase == task_phase::vanished) return;
+  entry.phase = task_phase::vanished;
+  entry.vanished = time_.Now();
+}
+
+wire::shard_report task_manager::Adopt(connection_id from, const wire::adopt_shard& message) {
+  const fence_order order =
+      entries_.Observe(message.shard, message.fence, entries_.ProcessOf(from));
+  wire::shard_report report;
+  report.shard = message.shard;
+  report.fence = entries_.FenceOf(message.shard);
+  if (order == fence_order::stale) {
+    report.code = result_code::stale_fence;
+  } else if (state_.recovering) {
+    report.code = result_code::recovering;
+  } else {
+    for (const auto& [id, entry] : tasks_) {
+      if (entry.spec.shard != message.shard || entry.phase == task_phase::unconfirmed) continue;
+      report.running.push_back({id, entry.spec.epoch});
+    }
+    report.ended = outbox_.EndedOf(message.shard);
+    return report;
+  }
+  metrics_.CountRefusal("agent", report.code);
+  return report;
+}
+
+void task_manager::ExtendLeases(const std::string& entry,
+                                const std::vector<wire::shard_grant>& grants,
+                                core::mono_time lease_until) {
+  for (const wire::shard_grant& grant : grants) {
+    const fence_order order = entries_.Observe(grant.shard, grant.fence, entry);
+    if (order == fence_order::stale) {
+      CountDrop("stale_fence");
+      continue;
+    }
+    if (order == fence_order::raised) outbox_.ResendShard(grant.shard);
+    for (auto& [id, task] : tasks_) {
+      // A task that must stop keeps its deadline, at which the target stops it in any case. So
+      // does one that may not run: its start must lose effect at a known time.
+      const bool extends = task.phase != task_phase::unconfirmed && !task.end && !task.uncertain &&
+                           state_.target_live;
+      if (task.spec.shard != grant.shard || !extends) continue;
+      if (lease_until <= task.spec.lease_until || time_.Now() >= task.spec.lease_until) continue;
+      task.spec.lease_until = lease_until;
+      task.lease_changed = true;
+    }
+  }
+}
+
+void task_manager::OnTargetEvent(target_event event) {
+  const wire::task_ref task{event.task, event.epoch};
+  task_entry* entry = Find(event.task, event.epoch);
+  task_event out;
+  if (entry != nullptr) {
+    if (entry->phase == task_phase::unconfirmed) {
+      Remove(event.task);
+      return;
+    }
+    out = MakeEvent(entry->spec, task_event_kind::finished, result_code::ok);
+  } else {
+    const auto shard = core::ShardOfTask(event.task);
+    const auto seen = seen_.find(event.task);
+    const bool reported = seen != seen_.end() && event.epoch <= seen->second.epoch;
+    if (!shard || reported) {
+      CountDrop(shard ? "late_event" : "unknown_task");
+      return;
+    }
+    // It ended while no agent was there to report it.
+    task_spec spec;
+    spec.task = event.task;
+    spec.epoch = event.epoch;
+    spec.shard = *shard;
+    out = MakeEvent(spec, task_event_kind::finished, result_code::ok);
+  }
+  if (event.type == target_event_type::failed) {
+    out.kind = task_event_kind::failed;
+    out.code = result_code::task_failed;
+  } else if (event.type == target_event_type::lapsed) {
+    const planned_end end = entry != nullptr && entry->end
+                                ? *entry->end
+                                : planned_end{task_event_kind::evicted, result_code::lease_lapsed};
+    out.kind = end.kind;
+    out.code = end.code;
+  }
+  out.result = std::move(event.result);
+  if (!event.checkpoint.empty()) out.checkpoint = std::move(event.checkpoint);
+  out.run_ms = event.run_ms;
+  out.observed = event.observed;
+  End(task, std::move(out));
+}
+
+void task_manager::Relearn(const task_listing& listing) {
+  for (const listed_task& item : listing.tasks) {
+    entries_.Observe(item.spec.shard, item.spec.fence, "");
+    // The event of a task that has ended is still to come, so its epoch is not yet marked as seen.
+    if (item.ended || tasks_.contains(item.spec.task)) continue;
+    RememberEpoch(item.spec.task, item.spec.epoch);
+    ledger_.CommitRunningTask(item.spec.task, item.spec.need);
+    task_entry& entry = tasks_[item.spec.task];
+    entry.spec = item.spec;
+    entry.phase = task_phase::running;
+    entry.started = time_.Now();
+  }
+}
+
+void task_manager::LoseAll() {
+  ++generation_;
+  push_in_flight_ = false;
+  while (!tasks_.empty()) {
+    task_entry& entry = tasks_.begin()->second;
+    if (entry.phase == task_phase::unconfirmed) {
+      Remove(entry.spec.task);
+      continue;
+    }
+    const bool cancelled = entry.end && entry.end->kind == task_event_kind::cancelled;
+    End({entry.spec.task, entry.spec.epoch},
+        cancelled ? MakeEvent(entry.spec, task_event_kind::cancelled, result_code::cancelled)
+                  : MakeEvent(entry.spec, task_event_kind::lost, result_code::no_target));
+  }
+}
+
+void task_manager::EvictAll() {
+  for (auto& [id, entry] : tasks_) {
+    if (!entry.end) PlanEnd(entry, {task_event_kind::evicted, result_code::evicted});
+  }
+}
+
+void task_manager::Tick() {
+  const core::mono_time now = time_.Now();
+  if (state_.draining()) EvictAll();
+  std::vector<wire::task_ref> over;
+  std::vector<wire::task_ref> all;
+  all.reserve(tasks_.size());
+  for (const auto& [id, entry] : tasks_) all.push_back({id, entry.spec.epoch});
+  for (const wire::task_ref& task : all) {
+    if (task_entry* entry = Find(task.task, task.epoch)) Step(*entry, now, over);
+  }
+  for (const wire::task_ref& task : over) {
+    const task_entry* entry = Find(task.task, task.epoch);
+    const planned_end end =
+        entry->end.value_or(planned_end{task_event_kind::lost, result_code::outcome_unknown});
+    End(task, MakeEvent(entry->spec, end.kind, end.code));
+  }
+  PushLeases(now);
+  std::erase_if(seen_, [&](const auto& item) {
+    return item.second.forget_at <= now && !tasks_.contains(item.first);
+  });
+}
+
+void task_manager::Step(task_entry& entry, core::mono_time now, std::vector<wire::task_ref>& over) {
+  switch (entry.phase) {
+    case task_phase::starting:
+      if (!entry.uncertain || now < entry.spec.lease_until + kLapseGrace) {
+        StepStarting(entry, now);
+        return;
+      }
+      if (!entry.end) PlanEnd(entry, {task_event_kind::evicted, result_code::lease_lapsed});
+      break;
+    case task_phase::vanished:
+      if (now >= entry.vanished + kOutcomeWait) over.push_back({entry.spec.task, entry.spec.epoch});
+      return;
+    case task_phase::running:
+      if (now >= entry.spec.lease_until && !entry.end) {
+        metrics_.GetCounter("coltsfoot_agent_leases_lapsed_total").Add();
+        PlanEnd(entry, {task_event_kind::evicted, result_code::lease_lapsed});
+        return;
+      }
+      break;
+    case task_phase::unconfirmed:
+      break;
+  }
+  if (entry.end && !entry.call_in_flight && now >= entry.next_call) SendStop(entry);
+  if (entry.phase != task_phase::unconfirmed && entry.end &&
+      now >= entry.spec.lease_until + kLapseGrace) {
+    // The target has stopped the task at its deadline. The resources stay committed until it
+    // says so.
+    Report(entry, MakeEvent(entry.spec, entry.end->kind, entry.end->code));
+    entry.phase = task_phase::unconfirmed;
+  }
+}
+
+void task_manager::PushLeases(core::mono_time now) {
+  if (push_in_flight_ || now < next_push_) return;
+  std::vector<lease_deadline> batch;
+  for (auto& [id, entry] : tasks_) {
+    if (!entry.lease_changed || entry.phase != task_phase::running) continue;
+    batch.push_back({id, entry.spec.epoch, entry.spec.lease_until});
+  }
+  if (batch.empty()) return;
+  push_in_flight_ = true;
+  target_.PushLeases(batch, [this, batch, generation = generation_](bool done) {
+    if (generation != generation_) return;
+    push_in_flight_ = false;
+    next_push_ = time_.Now() + kLeasePushDelay;
+    if (!done) return;
+    for (const lease_deadline& pushed : batch) {
+      task_entry* entry = Find(pushed.task, pushed.epoch);
+      if (entry != nullptr && entry->spec.lease_until == pushed.lease_until) {
+        entry->lease_changed = false;
+      }
+    }
+  });
+}
+
+task_event task_manager::MakeEvent(const task_spec& spec, task_event_kind kind,
+                                   result_code code) const {
+  task_event out;
+  out.incarnation = state_.incarnation;
+  out.worker = state_.worker;
+  out.shard = spec.shard;
+  out.task = spec.task;
+  out.epoch = spec.epoch;
+  out.kind = kind;
+  out.code = code;
+  out.checkpoint = spec.checkpoint;
+  return out;
+}
+
+void task_manager::Report(task_entry& entry, task_event event) {
+  if (event.run_ms == 0 && entry.started != core::mono_time{}) {
+    event.run_ms = static_cast<std::uint32_t>(core::ToMs(time_.Now() - entry.started));
+  }
+  outbox_.Keep(std::move(event));
+}
+
+void task_manager::End(const wire::task_ref& task, task_event event) {
+  // A finished task needs no checkpoint, and a frame has room for one large value only.
+  if (event.kind == task_event_kind::finished) event.checkpoint.clear();
+  if (event.result.size() + event.checkpoint.size() + kEventOverheadBytes > wire::kMaxFrameBytes) {
+    CountDrop("event_too_large");
+    event.result = "the result or checkpoint exceeds the size limit";
+    event.checkpoint.clear();
+    event.kind = task_event_kind::failed;
+    event.code = result_code::body_too_large;
+  }
+  metrics_.GetCounter("coltsfoot_agent_tasks_ended_total", {"code", core::ToString(event.code)})
+      .Add();
+  RememberEpoch(task.task, task.epoch);
+  if (task_entry* entry = Find(task.task, task.epoch)) {
+    Report(*entry, std::move(event));
+    Remove(task.task);
+  } else {
+    outbox_.Keep(std::move(event));
+  }
+}
+
+void task_manager::Remove(const std::string& task) {
+  // The last use of `task` is the erasure, because it may be part of the entry.
+  RememberEpoch(task, 0);
+  ledger_.ReleaseTask(task);
+  tasks_.erase(task);
+}
+
+bool task_manager::IsRunning(const wire::task_ref& task) const {
+  const auto found = tasks_.find(task.task);
+  return found != tasks_.end() && found->second.spec.epoch == task.epoch &&
+         found->second.phase == task_phase::running;
+}
+
+void task_manager::CountDrop(std::string_view reason) {
+  metrics_.GetCounter("coltsfoot_drops_total", {"where", "agent"}, {"reason", reason}).Add();
+}
+
+}  // namespace coltsfoot::agent
--- /dev/null
+++ b/libs/agent/tests/request_test.cc
@@ -0,0 +1,148 @@
+#include <doctest/doctest.h>
+
+#include <set>
+
+#include "fixture.h"
+
+namespace coltsfoot::agent {
+
+using core::result_code;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Guards against more requests at the target than it has slots, and against an unbounded queue.
+TEST_CASE("slots bound what runs, the queue limit and the connections bound what waits") {
+  fixture test;
+  test.Recover();
+  test.SetPolicy({.version = 1, .queue_limit = 1});
+  for (std::uint64_t id = 1; id <= 3; ++id) test.Request(id);
+  CHECK(test.target.runs.size() == 2);
+  test.Request(4);
+  CHECK(test.LastReply() == result_code::queue_full);
+  test.SetPolicy({.version = 2, .queue_limit = 100});
+  test.Request(5);
+  CHECK(test.LastReply() == result_code::queue_full);  // version 2 is in force, request names it
+  CHECK(test.Sent<wire::request_reply>().size() == 1);
+  test.Request(6);
+  CHECK(test.Sent<wire::request_reply>().size() == 2);  // all 4 connections are taken
+  fixture::Take(test.target.runs).second({result_code::ok, "", "a"});
+  CHECK(test.target.runs.size() == 2);
+  const auto reply = test.Sent<wire::request_reply>().back();
+  CHECK(reply.request_id == 1);
+  CHECK(reply.body == "a");
+  CHECK(reply.digest == core::StableHash("a"));
+}
+
+// Guards against running work whose caller has given up by the time that it is done.
+TEST_CASE("a request that cannot finish in time is refused before it is queued or started") {
+  fixture test;
+  test.Recover();
+  test.SetPolicy({.version = 1, .queue_limit = 10});
+  test.Request(1);
+  test.time.Advance(milliseconds{400});
+  fixture::Take(test.target.runs).second({result_code::ok, "", ""});
+  test.Request(2, 300);
+  CHECK(test.LastReply() == result_code::deadline_unmeetable);
+  test.Request(3, 5000);
+  test.Request(4, 5000);
+  test.Request(5, 700);
+  CHECK(test.target.runs.size() == 2);
+  test.time.Advance(milliseconds{350});
+  test.control.Tick();
+  const auto reply = test.Sent<wire::request_reply>().back();
+  CHECK(reply.request_id == 5);
+  CHECK(reply.code == result_code::deadline_unmeetable);
+  CHECK(test.target.runs.size() == 2);
+  test.Pass(seconds{12});
+  test.Request(6, 300);  // the average has decayed, so the service is tried again
+  CHECK(test.LastReply() != result_code::deadline_unmeetable);
+}
+
+// Guards against a slot that is given away while the target still works, and against a second
+// reply to the same attempt.
+TEST_CASE("a late answer is dropped and its slot stays taken until then") {
+  fixture test;
+  test.Recover();
+  test.Request(1, 500);
+  test.Pass(milliseconds{600});
+  CHECK(test.LastReply() == result_code::deadline_exceeded);
+  test.Request(2, 500);
+  CHECK(test.Sent<wire::request_reply>().size() == 1);
+  test.Request(3, 500);
+  CHECK(test.LastReply() == result_code::queue_full);
+  const auto replies = test.Sent<wire::request_reply>().size();
+  fixture::Take(test.target.runs).second({result_code::ok, "", "late"});
+  CHECK(test.Sent<wire::request_reply>().size() == replies);
+  CHECK(test.metrics
+            .GetCounter("coltsfoot_drops_total", {"where", "agent"}, {"reason", "late_answer"})
+            .value() == 1);
+}
+
+// Guards against running a request whose caller no longer waits.
+TEST_CASE("a cancelled request that waits for a slot is dropped") {
+  fixture test;
+  test.Recover();
+  test.SetPolicy({.version = 1, .queue_limit = 10});
+  for (std::uint64_t id = 1; id <= 3; ++id) test.Request(id);
+  test.control.OnFrame(fixture::kEntry, fixture::Raw(wire::cancel_request{3, 0}));
+  CHECK(test.LastReply() == result_code::cancelled);
+  test.control.OnFrame(fixture::kEntry, fixture::Raw(wire::cancel_request{1, 0}));
+  fixture::Take(test.target.runs).second({result_code::connection_lost, "", ""});
+  CHECK(test.LastReply() == result_code::connection_lost);
+  CHECK(test.target.runs.size() == 1);
+}
+
+// Guards against work sent to a target that is gone or departs, or before it is known.
+TEST_CASE("requests are refused without a live target") {
+  fixture test;
+  test.control.Tick();
+  test.Request(1);
+  CHECK(test.LastReply() == result_code::recovering);
+  test.Recover();
+  test.Pass(milliseconds{3100}, true, false);
+  CHECK(test.LastBeat().services.empty());
+  test.Request(2);
+  CHECK(test.LastReply() == result_code::no_target);
+  test.control.OnAnnounce(fixture::Announcement());
+  CHECK(test.LastBeat().services.size() == 1);
+  test.control.OnGoodbye("i1");
+  test.control.OnAnnounce(fixture::Announcement());  // delayed
+  test.Request(3);
+  CHECK(test.LastReply() == result_code::no_target);
+  CHECK(test.target.runs.empty());
+}
+
+// Guards against an agent that serves peers that are no entries, or crashes on damaged messages.
+TEST_CASE("a peer without hello or with a damaged message is disconnected") {
+  fixture test;
+  test.control.OnFrame(8, fixture::Raw(wire::cancel_request{1, 0}));
+  CHECK(test.link.closed == std::vector<connection_id>{8});
+  test.control.OnFrame(fixture::kEntry, {wire::message_type::start_task, "x"});
+  CHECK(test.link.closed == std::vector<connection_id>{8, fixture::kEntry});
+}
+
+// Guards against entries that are never told of the worker, and against heartbeats to entries that
+// are gone.
+TEST_CASE("heartbeats follow the list in the acks and keep the configured entries") {
+  fixture test;
+  test.control.Tick();
+  wire::heartbeat_ack ack;
+  ack.entry = "entry-1";
+  ack.incarnation = fixture::kIncarnation;
+  ack.seq = test.LastSeq();
+  const auto receivers = [&] {
+    test.link.datagrams.clear();
+    test.Pass(seconds{5}, false);
+    std::set<std::uint16_t> ports;
+    for (const auto& [to, raw] : test.link.datagrams) ports.insert(to.port);
+    return ports;
+  };
+  ack.entries = {{"127.0.0.1", 7000}, {"127.0.0.1", 7100}};
+  test.control.OnDatagram(fixture::Raw(ack));
+  CHECK(receivers() == std::set<std::uint16_t>{7000, 7100});
+  ack.entries = {{"127.0.0.1", 7200}};
+  test.control.OnDatagram(fixture::Raw(ack));
+  CHECK(receivers() == std::set<std::uint16_t>{7000, 7200});
+}
+
+}  // namespace coltsfoot::agent
--- /dev/null
+++ b/libs/agent/tests/task_test.cc
@@ -0,0 +1,278 @@
+#include <doctest/doctest.h>
+
+#include "fixture.h"
+
+namespace coltsfoot::agent {
+
+using core::result_code;
+using std::chrono::seconds;
+using wire::task_event_kind;
+
+// Guards against a task that starts from a message that a pause has delayed past the lease.
+TEST_CASE("a start with a stale token or another incarnation is refused") {
+  fixture test;
+  test.Recover();
+  const wire::start_task delayed = test.StartMessage();
+  test.Pass(seconds{16});
+  test.Send(delayed);
+  CHECK(test.LastEvent(task_event_kind::refused) == result_code::stale_token);
+  wire::start_task foreign = test.StartMessage(2);
+  foreign.token.incarnation = 1;
+  test.Send(foreign);
+  CHECK(test.LastEvent(task_event_kind::refused) == result_code::stale_token);
+  wire::start_task future = test.StartMessage(3);
+  future.token.seq += 1;
+  test.Send(future);
+  CHECK(test.LastEvent(task_event_kind::refused) == result_code::stale_token);
+  CHECK(test.target.starts.empty());
+}
+
+// Guards against a former owner of a shard that still starts, stops or renews.
+TEST_CASE("messages with a lower fence than the highest seen have no effect") {
+  fixture test;
+  test.Recover();
+  test.RunTask();
+  test.control.OnFrame(fixture::kEntry, fixture::Raw(wire::adopt_shard{3, 6}));
+  const auto report = test.Sent<wire::shard_report>().back();
+  CHECK(report.code == result_code::ok);
+  CHECK(report.running == std::vector<wire::task_ref>{{fixture::kTask, 1}});
+  test.Send(test.StartMessage(1, "t03-0000000000000002"));
+  CHECK(test.LastEvent(task_event_kind::refused) == result_code::stale_fence);
+  test.control.OnFrame(fixture::kEntry, fixture::Raw(wire::control_task{
+                                            3, 5, fixture::kTask, 1, wire::task_action::cancel}));
+  CHECK(test.target.controls.empty());
+  test.control.OnFrame(fixture::kEntry, fixture::Raw(wire::adopt_shard{3, 5}));
+  CHECK(test.Sent<wire::shard_report>().back().code == result_code::stale_fence);
+  test.Pass(seconds{16});  // acks carry fence 5
+  REQUIRE(test.target.controls.size() == 1);
+  CHECK(test.target.controls.front().action == target_action::checkpoint);
+}
+
+// Guards against an assignment that runs again after the owner was told that it did not run or
+// had ended.
+TEST_CASE("an epoch that was refused or has ended never starts") {
+  fixture test;
+  test.Recover();
+  wire::start_task big = test.StartMessage(4);
+  big.need = {5000, 0, 0};
+  test.Send(big);
+  CHECK(test.LastEvent(task_event_kind::refused) == result_code::no_capacity);
+  test.control.OnFrame(fixture::kEntry, fixture::Raw(wire::event_ack{fixture::kIncarnation, 1}));
+  test.Send(test.StartMessage(4));
+  CHECK(test.LastEvent(task_event_kind::refused) == result_code::stale_epoch);
+  test.Send(test.StartMessage(3));
+  CHECK(test.LastEvent(task_event_kind::refused) == result_code::stale_epoch);
+  CHECK(test.target.starts.empty());
+  test.RunTask(5);
+  CHECK(test.LastEvent(task_event_kind::started) == result_code::ok);
+}
+
+// Guards against a dispatch decided under an older configuration, and against a worker that acts
+// under a version that it does not know.
+TEST_CASE("tasks are checked against the configuration version") {
+  fixture test;
+  test.Recover();
+  test.SetPolicy({.version = 7, .queue_limit = 1});
+  test.Send(test.StartMessage(1));
+  CHECK(test.LastEvent(task_event_kind::refused) == result_code::stale_config);
+  wire::start_task newer = test.StartMessage(2);
+  newer.config = 8;
+  test.Send(newer);
+  CHECK(test.LastEvent(task_event_kind::refused) == result_code::config_pending);
+  newer.epoch = 3;
+  newer.policy = wire::agent_policy{.version = 8};
+  test.Send(newer);
+  CHECK(test.target.starts.size() == 1);
+  CHECK_MESSAGE(test.target.starts.front().first.lease_until > test.time.Now(), "has a lease");
+}
+
+// Guards against a worker that runs a task after the owner may have started it elsewhere.
+TEST_CASE("a lease that is not renewed ends the task with its checkpoint") {
+  fixture test;
+  test.Recover();
+  test.RunTask();
+  test.Pass(seconds{20});
+  CHECK(test.target.controls.empty());
+  REQUIRE(!test.target.pushes.empty());
+  CHECK(test.target.pushes.back().front().lease_until > test.time.Now() + seconds{9});
+  test.Pass(seconds{16}, false);
+  REQUIRE(test.target.controls.size() == 1);
+  test.Ack();  // late: the lease has lapsed and stays so
+  fixture::Take(test.target.controls).done({control_outcome::done, "half"});
+  CHECK(test.target.controls.front().action == target_action::stop);
+  fixture::Take(test.target.controls).done({control_outcome::done, ""});
+  CHECK(test.LastEvent(task_event_kind::evicted) == result_code::lease_lapsed);
+  CHECK(test.Sent<wire::task_event>().back().checkpoint == "half");
+  test.Pass(seconds{5});
+  CHECK(test.LastBeat().free.cpu_millis == 4000);
+}
+
+// Guards against releasing what a silent target may still use, and against an owner that waits
+// for ever for the end of a lapsed task.
+TEST_CASE("a lapsed task is reported although the target does not confirm, but stays committed") {
+  fixture test;
+  test.Recover();
+  test.RunTask();
+  test.Pass(seconds{16}, true, false);  // no announcements: leases are not renewed
+  fixture::Take(test.target.controls).done({control_outcome::failed, ""});
+  fixture::Take(test.target.controls).done({control_outcome::failed, ""});
+  test.Pass(seconds{5}, true, false);
+  CHECK(test.LastEvent(task_event_kind::evicted) == result_code::lease_lapsed);
+  test.Pass(seconds{6}, true, false);
+  CHECK(test.LastBeat().free.cpu_millis == 3000);
+  CHECK(test.LastBeat().services.empty());
+  test.Recover({}, {}, "i2");
+  CHECK(test.LastBeat().free.cpu_millis == 4000);
+  CHECK(test.Sent<wire::task_event>().back().kind == task_event_kind::evicted);
+}
+
+// Guards against a restarted agent that forgets what runs, admits over it or shortens leases.
+TEST_CASE("a restarted agent relearns its tasks before it admits anything") {
+  fixture test;
+  test.Send(test.StartMessage(1));
+  CHECK(test.LastEvent(task_event_kind::refused) == result_code::stale_token);  // no heartbeat yet
+  test.control.Tick();
+  test.Send(test.StartMessage(2));
+  CHECK(test.LastEvent(task_event_kind::refused) == result_code::recovering);
+  listed_task running;
+  running.spec = {.task = "t03-0000000000000009", .epoch = 7, .shard = 3, .fence = 6};
+  running.spec.need = {3500, 0, 0};
+  running.spec.lease_until = test.time.Now() + seconds{10};
+  target_event ended{.id = 1, .type = target_event_type::finished, .task = "t03-0000000000000008"};
+  ended.epoch = 2;
+  ended.result = "r";
+  test.Recover({running}, {ended});
+  CHECK(test.LastEvent(task_event_kind::finished) == result_code::ok);
+  CHECK_FALSE(test.LastBeat().recovering);
+  test.Send(test.StartMessage(3));
+  CHECK(test.LastEvent(task_event_kind::refused) == result_code::stale_fence);
+  wire::start_task next = test.StartMessage(4);
+  next.fence = 6;
+  test.Send(next);
+  CHECK(test.LastEvent(task_event_kind::refused) == result_code::no_capacity);
+  test.Pass(seconds{9}, false);
+  CHECK(test.target.controls.empty());
+  test.Pass(seconds{2}, false);
+  CHECK(test.target.controls.size() == 1);
+}
+
+// Guards against tasks of a dead target that are believed to run, and against answers and
+// announcements of the former instance that arrive late.
+TEST_CASE("a changed target instance loses the tasks of the former one") {
+  fixture test;
+  test.Recover();
+  test.RunTask();
+  test.Send(test.StartMessage(1, "t03-0000000000000002"));
+  test.Recover({}, {}, "i2");
+  const auto events = test.Sent<wire::task_event>();
+  CHECK(events[events.size() - 2].kind == task_event_kind::lost);
+  CHECK(events.back().kind == task_event_kind::lost);
+  fixture::Take(test.target.starts).second({start_outcome::started, ""});
+  test.control.OnAnnounce(fixture::Announcement("i1"));
+  CHECK(test.Sent<wire::task_event>().size() == events.size());
+  CHECK(test.LastBeat().free.cpu_millis == 4000);
+  CHECK(test.target.lists.empty());
+}
+
+// Guards against an end of a task that is lost with a connection or with the shard's owner.
+TEST_CASE("an event is sent again until the owner acknowledges it") {
+  fixture test;
+  test.Recover();
+  test.RunTask();
+  target_event finished{.id = 1, .type = target_event_type::finished, .task = fixture::kTask};
+  finished.epoch = 1;
+  finished.result = "result";
+  test.TargetEvent(finished);
+  const wire::task_event event = test.Sent<wire::task_event>().back();
+  CHECK(event.kind == task_event_kind::finished);
+  CHECK(event.result == "result");
+  test.TargetEvent(finished);  // the target repeats itself
+  CHECK(test.Sent<wire::task_event>().size() == 2);
+
+  test.control.OnDisconnected(fixture::kEntry);
+  test.control.OnFrame(2, fixture::Raw(wire::hello{"entry-1"}));
+  CHECK(test.Sent<wire::task_event>().size() == 3);
+  test.control.OnFrame(3, fixture::Raw(wire::hello{"entry-2"}));
+  CHECK_MESSAGE(test.Sent<wire::task_event>().size() == 3, "another entry owns the shard");
+  test.control.OnFrame(3, fixture::Raw(wire::adopt_shard{3, 6}));
+  const auto report = test.Sent<wire::shard_report>().back();
+  CHECK(report.ended == std::vector<wire::task_ref>{{fixture::kTask, 1}});
+  CHECK(test.link.frames.back().first == 3);
+  CHECK(test.Sent<wire::task_event>().back() == event);
+  test.Pass(seconds{6});
+  CHECK(test.Sent<wire::task_event>().size() == 5);
+  test.control.OnFrame(3, fixture::Raw(wire::event_ack{7, event.event_id}));
+  test.Pass(seconds{30});
+  CHECK(test.Sent<wire::task_event>().size() > 5);
+  const auto sent = test.Sent<wire::task_event>().size();
+  test.control.OnFrame(3, fixture::Raw(wire::event_ack{fixture::kIncarnation, event.event_id}));
+  test.Pass(seconds{120});
+  CHECK(test.Sent<wire::task_event>().size() == sent);
+}
+
+// Guards against a start that is reported as not run although a lost call may have taken effect.
+TEST_CASE("a start without a known outcome is repeated until the target tells") {
+  fixture test;
+  test.Recover();
+  test.Send(test.StartMessage());
+  fixture::Take(test.target.starts).second({start_outcome::unknown, ""});
+  test.Pass(seconds{2});
+  fixture::Take(test.target.starts).second({start_outcome::refused, "full"});
+  CHECK(test.Sent<wire::task_event>().empty());
+  test.Pass(seconds{2});
+  fixture::Take(test.target.starts).second({start_outcome::epoch_known, ""});
+  CHECK(test.LastEvent(task_event_kind::started) == result_code::ok);
+  fixture::Take(test.target.lists)(task_listing{"i1", {}});
+  test.Pass(seconds{3});
+  CHECK(test.LastEvent(task_event_kind::lost) == result_code::outcome_unknown);
+}
+
+// Guards against a stop that cuts tasks off, exits before their handover is recorded or takes new
+// work.
+TEST_CASE("a shutdown hands tasks over and waits for acknowledgements") {
+  fixture test;
+  test.Recover();
+  test.RunTask();
+  test.Request(1);
+  test.control.BeginShutdown();
+  CHECK(test.link.datagrams.back().second.type == wire::message_type::agent_heartbeat);
+  CHECK(test.LastBeat().draining);
+  CHECK(test.link.datagrams[test.link.datagrams.size() - 2].second.type ==
+        wire::message_type::agent_goodbye);
+  test.Request(2);
+  CHECK(test.LastReply() == result_code::draining);
+  test.Send(test.StartMessage(9, "t03-0000000000000002"));
+  CHECK(test.LastEvent(task_event_kind::refused) == result_code::draining);
+  fixture::Take(test.target.controls).done({control_outcome::done, "half"});
+  fixture::Take(test.target.controls).done({control_outcome::done, ""});
+  CHECK(test.LastEvent(task_event_kind::evicted) == result_code::evicted);
+  fixture::Take(test.target.runs).second({result_code::ok, "", "answer"});
+  CHECK(test.LastReply() == result_code::ok);
+  CHECK_FALSE(test.control.finished());
+  for (const auto& event : test.Sent<wire::task_event>()) {
+    test.control.OnFrame(fixture::kEntry,
+                         fixture::Raw(wire::event_ack{event.incarnation, event.event_id}));
+  }
+  CHECK(test.control.finished());
+}
+
+// Guards against a drain that stops the agent or outlives the policy.
+TEST_CASE("a drain by policy evicts tasks and ends with the policy") {
+  fixture test;
+  test.Recover();
+  test.RunTask();
+  test.SetPolicy({.version = 1, .drain = true});
+  test.control.Tick();
+  fixture::Take(test.target.controls).done({control_outcome::not_running, ""});
+  test.TargetEvent({.type = target_event_type::finished, .task = fixture::kTask, .epoch = 1});
+  CHECK(test.LastEvent(task_event_kind::finished) == result_code::ok);
+  test.Request(1);
+  CHECK(test.LastReply() == result_code::draining);
+  test.SetPolicy({.version = 2});
+  CHECK_FALSE(test.LastBeat().draining);
+  test.Request(2);
+  CHECK(test.target.runs.size() == 1);
+  CHECK_FALSE(test.control.finished());
+}
+
+}  // namespace coltsfoot::agent
