--- /dev/null
+++ b/libs/agent/include/agent/network_link.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "agent/entry_link.h"
+#include "metrics/registry.h"
+#include "wire/transport.h"
+
+namespace coltsfoot::agent {
+
+/// Sockets towards entries: a listener for their connections and a socket for heartbeats. All
+/// calls and callbacks belong to the context's thread.
+class network_link final : public entry_link {
+ public:
+  struct handlers {
+    std::function<void(connection_id, const wire::raw_message&)> on_frame;
+    std::function<void(connection_id)> on_disconnected;
+    std::function<void(const wire::raw_message&)> on_datagram;
+  };
+
+  /// @throws std::system_error if an address cannot be bound.
+  network_link(asio::io_context& context, const wire::endpoint& tcp, const wire::endpoint& udp,
+               metrics::registry& metrics);
+  /// Sets the callbacks; call before the context runs.
+  void Start(handlers callbacks);
+
+  bool SendFrame(connection_id to, std::string frame) override;
+  void SendDatagram(const wire::endpoint& to, const std::string& datagram) override;
+  void Close(connection_id connection) override;
+
+  wire::endpoint tcp_endpoint() const { return listener_.local(); }
+  wire::endpoint udp_endpoint() const { return udp_.local(); }
+  /// @return the bytes that wait to be sent on all connections.
+  std::size_t queued_bytes() const;
+
+ private:
+  void Accept(std::shared_ptr<wire::tcp_connection> connection);
+
+  handlers handlers_;
+  std::map<connection_id, std::shared_ptr<wire::tcp_connection>> connections_;
+  connection_id last_id_ = 0;
+  metrics::counter& bytes_sent_;
+  wire::udp_socket udp_;
+  wire::tcp_listener listener_;
+};
+
+}  // namespace coltsfoot::agent
--- /dev/null
+++ b/libs/agent/include/agent/target_api.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "agent/target_client.h"
+#include "http/server.h"
+#include "metrics/registry.h"
+
+namespace coltsfoot::agent {
+
+/// What the target's calls lead to. May be called from any thread.
+struct target_api_handlers {
+  std::function<void(target_announcement)> on_announce;
+  std::function<void(std::string instance)> on_goodbye;
+};
+
+/// @return a handler of the agent's HTTP calls: `POST /v1/announce`, `POST /v1/goodbye`,
+/// `GET /healthz` and `GET /metrics`. Wrong input gets a numbered error. `metrics` must outlive it.
+http::request_handler MakeTargetApi(target_api_handlers handlers, metrics::registry& metrics);
+
+}  // namespace coltsfoot::agent
