Close an entry's former connections when it connects again

Cause: a start_task that still waits in a former connection could be read after the shard_report of the new connection, which tells the owner that the assignment does not run. The owner then gives the task to another worker, and it runs twice. Ruled out: comparing message numbers across connections, because the order of delivery between two connections is not known to either side. Before: the new test starts the task after the report (2 of 3 checks fail). After: the former connection is closed at the hello; the test passes.

--- a/libs/agent/src/controller.cc
+++ b/libs/agent/src/controller.cc
@@ -186,6 +186,11 @@
       DropPeer(from, "no_hello");
       return;
     }
+    // A start that still waits in a former connection must not be read after this connection's
+    // adopt_shard, whose report tells the owner that the assignment does not run.
+    for (const connection_id former : entries_.ConnectionsOf(message.process)) {
+      if (former != from) DropPeer(former, "replaced_connection");
+    }
     spdlog::info("event=entry_connected entry={}", message.process);
     entries_.Identify(from, message.process);
     outbox_.ResendTo(from);
--- a/libs/agent/src/entry_directory.cc
+++ b/libs/agent/src/entry_directory.cc
@@ -13,6 +13,14 @@
   return found == connections_.end() ? "" : found->second;
 }
 
+std::vector<connection_id> entry_directory::ConnectionsOf(const std::string& process) const {
+  std::vector<connection_id> out;
+  for (const auto& [connection, other] : connections_) {
+    if (other == process) out.push_back(connection);
+  }
+  return out;
+}
+
 std::optional<connection_id> entry_directory::ConnectionFor(core::shard_index shard) const {
   if (connections_.empty()) return std::nullopt;
   const auto owner = shards_.find(shard);
--- a/libs/agent/src/entry_directory.h
+++ b/libs/agent/src/entry_directory.h
@@ -30,6 +30,8 @@
   void Forget(connection_id connection);
   /// @return the process at the other end, or "" before its hello.
   std::string ProcessOf(connection_id connection) const;
+  /// @return all connections of an entry.
+  std::vector<connection_id> ConnectionsOf(const std::string& process) const;
   /// @return the newest connection of the owner of `shard`, else of any entry.
   std::optional<connection_id> ConnectionFor(core::shard_index shard) const;
   /// @return the newest connection of each entry.
--- a/libs/agent/tests/task_test.cc
+++ b/libs/agent/tests/task_test.cc
@@ -48,6 +48,19 @@
   CHECK(test.target.controls.front().action == target_action::checkpoint);
 }
 
+// Guards against a start that was left in a former connection of the entry and is read after the
+// report that the assignment does not run; the owner gives such a task to another worker.
+TEST_CASE("a new connection of an entry ends its former ones") {
+  fixture test;
+  test.Recover();
+  test.control.OnFrame(2, fixture::Raw(wire::hello{"entry-1"}));
+  CHECK(test.link.closed == std::vector<connection_id>{fixture::kEntry});
+  test.control.OnFrame(2, fixture::Raw(wire::adopt_shard{3, 5}));
+  CHECK(test.Sent<wire::shard_report>().back().running.empty());
+  test.Send(test.StartMessage());
+  CHECK(test.target.starts.empty());
+}
+
 // Guards against an assignment that runs again after the owner was told that it did not run or
 // had ended.
 TEST_CASE("an epoch that was refused or has ended never starts") {
