--- /dev/null
+++ b/libs/ledger/src/kv_lease.cc
@@ -0,0 +1,66 @@
+#include "kv_lease.h"
+
+#include <algorithm>
+
+namespace coltsfoot::ledger {
+
+void kv_lease::Tick() {
+  if (waiting_ || revoked_ || context_.time.Now() < next_call_) return;
+  if (lease_ == 0) {
+    Grant();
+  } else {
+    Renew();
+  }
+}
+
+void kv_lease::Grant() {
+  waiting_ = true;
+  const core::mono_time sent = context_.time.Now();
+  // A grant whose answer is lost leaves a lease without keys, which lapses by itself.
+  context_.kv.GrantLease(context_.options.store_lease_ttl,
+                         scope_.Wrap([this, sent](const store::lease_result& result) {
+                           if (result.status == store::kv_status::ok) lease_ = result.lease;
+                           OnAnswer(result, sent);
+                         }));
+}
+
+void kv_lease::Renew() {
+  waiting_ = true;
+  const core::mono_time sent = context_.time.Now();
+  context_.kv.RenewLease(lease_, scope_.Wrap([this, sent](const store::lease_result& result) {
+    if (result.status == store::kv_status::not_found) {
+      waiting_ = false;
+      next_call_ = context_.time.Now();
+      context_.metrics.lease_lapses.Add();
+      listener_.OnLeaseLapsed(std::exchange(lease_, 0));
+      return;
+    }
+    OnAnswer(result, sent);
+  }));
+}
+
+void kv_lease::OnAnswer(const store::lease_result& result, core::mono_time sent) {
+  waiting_ = false;
+  if (result.status == store::kv_status::ok) {
+    backoff_.Reset();
+    confirmed_ = sent;
+    next_call_ = sent + context_.options.renew_interval;
+    listener_.OnLeaseConfirmed(lease_, sent);
+    return;
+  }
+  CountRetry(context_, "ledger_lease", result.status);
+  const core::nanoseconds longest = context_.options.renew_interval;
+  next_call_ = context_.time.Now() + std::min(longest, backoff_.Next(context_.random));
+}
+
+void kv_lease::Revoke(std::function<void()> done) {
+  revoked_ = true;
+  if (lease_ == 0) {
+    done();
+    return;
+  }
+  context_.kv.RevokeLease(
+      lease_, scope_.Wrap([done = std::move(done)](const store::lease_result&) { done(); }));
+}
+
+}  // namespace coltsfoot::ledger
--- /dev/null
+++ b/libs/ledger/src/shard_log.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "ledger/keys.h"
+#include "ledger_context.h"
+
+namespace coltsfoot::ledger {
+
+/// Receives what happens to a `shard_log`.
+class shard_log_listener {
+ public:
+  virtual ~shard_log_listener() = default;
+  /// The table shows one more batch; callbacks of its records run next.
+  virtual void OnBatchCommitted() = 0;
+  /// Another writer has appended. The log appends no more; the listener may destroy it.
+  virtual void OnLogTaken() = 0;
+  /// @return until when no other entry can have deleted a key of this shard's log that the owner
+  /// does not know of.
+  virtual core::mono_time TruncationHorizon() const = 0;
+};
+
+/// Next call of an append that is not yet resolved.
+enum class append_step : std::uint8_t { put, read_back };
+
+/// Batch whose append is not yet confirmed.
+struct append_attempt {
+  log_index index = 0;
+  log_batch batch;
+  std::string bytes;
+  std::vector<shard_manager::append_callback> callbacks;
+  core::mono_time first_sent;
+  append_step next = append_step::put;
+  core::mono_time not_before;  ///< of the next call
+  bool waiting = false;        ///< a call is out
+  bool maybe_written = false;  ///< a write may have taken effect although it is not confirmed
+  bool proved_absent = false;  ///< another batch has the index
+};
+
+/// Appends to the log of one shard and applies what is confirmed to its table. One append is in
+/// flight at a time.
+class shard_log {
+ public:
+  using append_callback = shard_manager::append_callback;
+
+  /// @param fence of all batches that this log writes.
+  shard_log(const ledger_context& context, core::shard_index shard, shard_table table,
+            core::fence_number fence, shard_log_listener& listener);
+
+  /// Queues a record of `bytes` encoded bytes.
+  void Append(record change, std::size_t bytes, append_callback done);
+  /// Sends what is due. @param may_write false while the entry's lease may have lapsed; reads that
+  /// resolve an append go on.
+  void Tick(bool may_write);
+  /// Ends the log: callbacks of all records that are not confirmed run.
+  void Abandon();
+
+  const shard_table& table() const noexcept { return table_; }
+  /// @return queued records and those of the append in flight.
+  std::size_t pending() const noexcept;
+  /// @return true if there are signs of another writer that are not yet resolved.
+  bool suspect() const noexcept { return suspect_; }
+  /// @return true if the append in flight may be in the store already.
+  bool MaybeWritten() const noexcept;
+
+ private:
+  struct queued_record {
+    record change;
+    std::size_t bytes = 0;
+    append_callback done;
+  };
+
+  void BuildAttempt();
+  void Put();
+  void OnPut(const store::write_result& result);
+  void ReadBack();
+  void OnReadBack(const store::range_result& result);
+  void RetryLater(append_step next, store::kv_status status);
+  void Commit();
+  void Taken(bool proved_absent);
+
+  const ledger_context& context_;
+  core::shard_index shard_;
+  shard_table table_;
+  core::fence_number fence_;
+  shard_log_listener& listener_;
+  std::deque<queued_record> queue_;
+  std::optional<append_attempt> attempt_;
+  core::mono_time next_append_{};
+  bool suspect_ = false;
+  bool taken_ = false;
+  backoff backoff_;
+  call_scope scope_;
+};
+
+}  // namespace coltsfoot::ledger
