Add coltsfootctl

Abseil's own parser ends the program with 1 at an unknown flag, which scripts could not tell from a refusal, and keeps only the last of repeated list flags. program::ParseCommandLine sets the same flags through Abseil's reflection and returns the mistake.

--- /dev/null
+++ b/libs/ctl/src/text_table.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace coltsfoot::ctl {
+
+/// Rows of texts, printed in aligned columns.
+class text_table {
+ public:
+  explicit text_table(std::vector<std::string> header) { rows_.push_back(std::move(header)); }
+  /// Adds a row with as many cells as the header.
+  void Add(std::vector<std::string> row) { rows_.push_back(std::move(row)); }
+  /// @return one line per row; the last column is not padded.
+  std::string Render() const;
+
+ private:
+  std::vector<std::vector<std::string>> rows_;
+};
+
+}  // namespace coltsfoot::ctl
--- /dev/null
+++ b/libs/program/tests/command_line_test.cc
@@ -0,0 +1,51 @@
+#include "program/command_line.h"
+
+#include <absl/flags/flag.h>
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+ABSL_FLAG(std::vector<std::string>, test_list, {}, "a list");
+ABSL_FLAG(std::int64_t, test_number, 7, "a number");
+ABSL_FLAG(bool, test_switch, true, "a switch");
+
+namespace coltsfoot::program {
+namespace {
+
+std::optional<command_line> Parse(std::vector<const char*> arguments, std::string& mistake) {
+  arguments.insert(arguments.begin(), "program");
+  return ParseCommandLine(static_cast<int>(arguments.size()), arguments.data(), mistake);
+}
+
+}  // namespace
+
+// Guards against a list flag whose first values are lost, and against a flag's value that is taken
+// for a word.
+TEST_CASE("flags and words may be mixed") {
+  std::string mistake;
+  const auto line = Parse({"config", "--test_list=a", "set", "--test_list", "b,c",
+                           "--notest_switch", "--test_number", "9", "--", "--name"},
+                          mistake);
+  REQUIRE(line.has_value());
+  CHECK(line->words == std::vector<std::string>{"config", "set", "--name"});
+  CHECK_FALSE(line->help);
+  CHECK(absl::GetFlag(FLAGS_test_list) == std::vector<std::string>{"a", "b", "c"});
+  CHECK(absl::GetFlag(FLAGS_test_number) == 9);
+  CHECK_FALSE(absl::GetFlag(FLAGS_test_switch));
+  CHECK(Parse({"-h"}, mistake)->help);
+  CHECK(DescribeFlags(__FILE__).find("--test_number") != std::string::npos);
+}
+
+// Guards against a tool that goes on with a misspelt flag.
+TEST_CASE("mistakes are returned") {
+  std::string mistake;
+  CHECK_FALSE(Parse({"--test_nothing"}, mistake).has_value());
+  CHECK(mistake == "there is no flag --test_nothing");
+  CHECK_FALSE(Parse({"--test_number"}, mistake).has_value());
+  CHECK(mistake == "the flag --test_number needs a value");
+  CHECK_FALSE(Parse({"--test_number=x"}, mistake).has_value());
+  CHECK_FALSE(Parse({"--notest_number"}, mistake).has_value());
+}
+
+}  // namespace coltsfoot::program
