Simplify the delay of the stand-in target's usage reports

A report waits in its own queue and becomes an event, with an id, after the delay. Before, each event carried two times and late ones were renumbered in the list of all events.

--- a/test/fakes/src/target.cc
+++ b/test/fakes/src/target.cc
@@ -378,8 +378,7 @@
     const std::string result = event_type == "finished"
                                    ? fmt::format("task={} payload={}", id, run.payload)
                                    : (event_type == "failed" ? "task failed" : "");
-    AddEvent({.visible = at,
-              .measured = at,
+    AddEvent({.at = at,
               .body = Members({{"type", event_type},
                                {"task", id},
                                {"epoch", run.epoch},
@@ -413,10 +412,9 @@
     if (load > 0) add(service, "", {std::lround(cpu), 0, 0}, Speed(service, nullptr));
   }
   if (samples.empty()) return;
-  AddEvent({.is_usage = true,
-            .visible = now + core::milliseconds{faults_.usage_delay_ms},
-            .measured = now,
-            .body = Members({{"type", "usage"}, {"samples", std::move(samples)}})});
+  delayed_usage_.push_back({.is_usage = true,
+                            .at = now,
+                            .body = Members({{"type", "usage"}, {"samples", std::move(samples)}})});
 }
 
 void target::AddEvent(event item) {
@@ -438,45 +436,34 @@
   waits_.push_back({since, time_.Now() + wait, std::move(respond)});
 }
 
-bool target::HasEventSince(std::uint64_t since) const {
-  const core::mono_time now = time_.Now();
-  return std::any_of(events_.begin(), events_.end(),
-                     [&](const event& each) { return each.id > since && each.visible <= now; });
-}
-
 std::string target::EventsSince(std::uint64_t since) const {
   const core::mono_time now = time_.Now();
   std::uint64_t next = std::min(since, next_event_ - 1);
   std::string list;
   for (const event& each : events_) {
     if (each.id <= since) continue;
-    // A delayed usage event is given a later id when it becomes visible.
-    if (each.visible > now) continue;
     next = std::max(next, each.id);
     list += fmt::format(R"({}{{"id":{},"age_ms":{},{}}})", list.empty() ? "" : ",", each.id,
-                        core::ToMs(now - each.measured), each.body);
+                        core::ToMs(now - each.at), each.body);
   }
   return fmt::format(R"({{"instance":"{}","next":{},"events":[{}]}})", options_.instance, next,
                      list);
 }
 
 void target::AnswerWaits() {
-  // An event that becomes visible late is renumbered, so that a reader that has already seen
-  // later ids does not miss it.
   const core::mono_time now = time_.Now();
-  for (std::size_t index = 0; index < events_.size(); ++index) {
-    event& each = events_[index];
-    if (each.measured == each.visible || each.visible > now) continue;
-    event moved = std::move(each);
-    events_.erase(events_.begin() + static_cast<std::ptrdiff_t>(index--));
-    moved.visible = moved.measured;
-    AddEvent(std::move(moved));
+  // A usage event gets its id after the delay, so that a reader that has seen later ids does not
+  // miss it.
+  const core::milliseconds delay{faults_.usage_delay_ms};
+  while (!delayed_usage_.empty() && delayed_usage_.front().at + delay <= now) {
+    AddEvent(std::move(delayed_usage_.front()));
+    delayed_usage_.pop_front();
   }
   std::vector<event_wait> rest;
   std::vector<event_wait> due;
   for (event_wait& wait : waits_) {
-    const bool answer =
-        wait.expires <= now || wait.since >= next_event_ || HasEventSince(wait.since);
+    const bool answer = wait.expires <= now || wait.since >= next_event_ ||
+                        (!events_.empty() && events_.back().id > wait.since);
     (answer ? due : rest).push_back(std::move(wait));
   }
   waits_ = std::move(rest);
--- a/test/fakes/src/target.h
+++ b/test/fakes/src/target.h
@@ -117,8 +117,7 @@
   struct event {
     std::uint64_t id = 0;
     bool is_usage = false;
-    core::mono_time visible;
-    core::mono_time measured;
+    core::mono_time at;
     std::string body;  ///< members of the JSON object, without braces
   };
   struct event_wait {
@@ -146,7 +145,6 @@
   void AddEvent(event item);
   void AnswerWaits();
   std::string EventsSince(std::uint64_t since) const;
-  bool HasEventSince(std::uint64_t since) const;
 
   double Speed(const std::string& work_class, const task_run* self) const;
   double LoadOf(const std::string& work_class, const task_run* self) const;
@@ -168,6 +166,7 @@
   std::deque<task_run> ended_;
   std::vector<service_request> serving_;
   std::deque<service_request> queued_;
+  std::deque<event> delayed_usage_;
   std::deque<event> events_;
   std::vector<event_wait> waits_;
   std::uint64_t next_event_ = 1;
