--- a/libs/entry/src/request_router.cc
+++ b/libs/entry/src/request_router.cc
@@ -234,7 +234,7 @@
   const core::mono_time now = time_.Now();
   active_request& row = requests_.at(id);
   service_state& service = Service(row.request.service);
-  ReleaseLimit(ended, admission::attempt_end::answered);
+  ReleaseLimit(row, ended, admission::attempt_end::answered);
   std::erase_if(row.in_flight, [&](const attempt& sent) { return sent.number == ended.number; });
   service.expected.Record(now - ended.sent);
   if (ended.number == 1) {
@@ -254,8 +254,9 @@
   active_request& row = requests_.at(id);
   const bool refused_for_load = code == result_code::no_capacity || code == result_code::queue_full;
   const bool lost = core::IsOutcomeUnknown(code);
-  ReleaseLimit(ended, refused_for_load || lost ? admission::attempt_end::overloaded
-                                               : admission::attempt_end::ignored);
+  ReleaseLimit(row, ended,
+               refused_for_load || lost ? admission::attempt_end::overloaded
+                                        : admission::attempt_end::ignored);
   if (lost || code == result_code::connect_failed) {
     workers_.OnRequestAbandoned(ended.worker, *workers_.service_names().Find(row.request.service));
   }
@@ -291,8 +292,10 @@
   Complete(id, {hides_a_run ? result_code::outcome_unknown : code, row.last_reason, ""});
 }
 
-void request_router::ReleaseLimit(const attempt& ended, admission::attempt_end how) {
+void request_router::ReleaseLimit(active_request& row, const attempt& ended,
+                                  admission::attempt_end how) {
   const core::mono_time now = time_.Now();
+  row.occupied += now - ended.sent;
   Limit(ended.worker).Release(how, now - ended.sent, now);
 }
 
@@ -310,12 +313,12 @@
         .Add();
   }
   service_state& service = Service(row.request.service);
+  CancelOthers(id, row);
   if (row.dispatched) {
-    service.queue.Finish(row.request.team);
+    service.queue.Finish(row.request.team, row.occupied);
   } else {
     service.queue.Remove(id);
   }
-  CancelOthers(id, row);
   row.request.done(std::move(outcome));
   if (row.dispatched) Pump(row.request.service);
 }
@@ -323,7 +326,7 @@
 void request_router::CancelOthers(std::uint64_t id, active_request& row) {
   const auto service = workers_.service_names().Find(row.request.service);
   for (const attempt& sent : row.in_flight) {
-    ReleaseLimit(sent, admission::attempt_end::ignored);
+    ReleaseLimit(row, sent, admission::attempt_end::ignored);
     workers_.OnRequestAbandoned(sent.worker, *service);
     agents_.Send(workers_.identity(sent.worker).id,
                  wire::ToFrame(wire::cancel_request{id, sent.number}));
--- a/libs/entry/src/request_router.h
+++ b/libs/entry/src/request_router.h
@@ -74,6 +74,7 @@
     std::vector<attempt> in_flight;
     std::vector<membership::worker_index> tried;
     std::uint32_t attempts = 0;
+    core::nanoseconds occupied{0};  ///< sum over the ended attempts
     core::nanoseconds last_delay{0};
     bool dispatched = false;    ///< counted as in flight by the queue of its service
     bool may_have_run = false;  ///< an attempt ended without the proof "not run"
@@ -118,7 +119,7 @@
   void OnTimer(const timer& due);
   void OnDeadline(std::uint64_t id, const active_request& row);
   void PlanHedge(std::uint64_t id, active_request& row);
-  void ReleaseLimit(const attempt& ended, admission::attempt_end how);
+  void ReleaseLimit(active_request& row, const attempt& ended, admission::attempt_end how);
   void CancelOthers(std::uint64_t id, active_request& row);
   void Schedule(core::mono_time at, std::uint64_t id, timer_kind kind);
 
--- a/libs/entry/src/task_controller.cc
+++ b/libs/entry/src/task_controller.cc
@@ -16,10 +16,10 @@
 
 constexpr core::milliseconds kExpiryInterval{100};
 constexpr core::milliseconds kAdoptInterval{1000};
+constexpr std::size_t kMaxQueuedTasks = 100'000;
 constexpr core::milliseconds kFirstPause{20};
 constexpr core::milliseconds kLongestPause{2000};
 constexpr std::uint32_t kMaxPauseDoublings = 7;
-constexpr core::milliseconds kOverQuotaPause{5000};
 constexpr std::string_view kWhere = "task";
 
 placement::scheduler_options DefaultOptions() { return {}; }
@@ -75,6 +75,13 @@
     done({result_code::store_unavailable, "the task cannot be recorded"});
     return;
   }
+  const result_code admitted = CheckAdmission(spec);
+  if (admitted != result_code::ok) {
+    metrics_.CountRefusal(kWhere, admitted);
+    done({admitted, admitted == result_code::queue_full ? "too many tasks are queued"
+                                                        : "the task alone exceeds the quota"});
+    return;
+  }
   const std::string task = spec.task;
   const std::uint64_t digest = spec.request_digest;
   ledger_.Append(
@@ -106,6 +113,13 @@
       });
 }
 
+result_code task_controller::CheckAdmission(const ledger::task_spec& spec) {
+  if (scheduler_.queue().size() >= kMaxQueuedTasks) return result_code::queue_full;
+  if (!config_.is_known()) return result_code::no_configuration;
+  const auto quota = config_.view().For({.team = spec.team}).team_cpu_quota_millis;
+  return quota && spec.need.cpu_millis > *quota ? result_code::quota_exceeded : result_code::ok;
+}
+
 void task_controller::Cancel(core::shard_index shard, const std::string& task, done_handler done) {
   const ledger::task_entry* entry = Entry(shard, task);
   if (entry == nullptr) {
@@ -316,17 +330,12 @@
 }
 
 void task_controller::Enqueue(soft_task& row, const ledger::task_entry& entry) {
-  const core::mono_time now = time_.Now();
   if (config_.is_known()) {
     scheduler_.queue().SetQuota(
         entry.spec.team, config_.view().For({.team = entry.spec.team}).team_cpu_quota_millis);
   }
   row.phase = task_phase::queued;
-  const result_code code = scheduler_.Submit(PlacementSpec(entry), now);
-  if (code == result_code::ok || code == result_code::conflict) return;
-  metrics_.CountRefusal(kWhere, code);
-  row.phase = task_phase::resting;
-  row.resume_at = now + kOverQuotaPause;
+  scheduler_.Resubmit(PlacementSpec(entry));
 }
 
 void task_controller::RunScheduler() {
@@ -402,6 +411,7 @@
   const auto fence = ledger_.Fence(row.shard);
   const placement::running_task* placed = scheduler_.running().Find(task);
   if (!worker || !fence || placed == nullptr) {
+    row.refusal = result_code::connect_failed;
     Requeue(task, row, result_code::connect_failed);
     return;
   }
@@ -431,6 +441,7 @@
   row.phase = task_phase::starting;
   row.started = time_.Now();
   if (!SendTo(row.worker, wire::ToFrame(message))) {
+    row.refusal = result_code::connect_failed;
     Requeue(task, row, result_code::connect_failed);
     return;
   }
@@ -483,10 +494,6 @@
       row.phase = task_phase::running;
       row.refusals = 0;
       if (row.adopted) scheduler_.OnStarted(event.task, time_.Now());
-      if (const auto worker = workers_.Find(row.worker)) {
-        interference_.OnStarted(*worker, interference_.Class(entry->spec.task_class, time_.Now()),
-                                time_.Now());
-      }
       if (entry->cancel_requested) SendControl(event.task, row, wire::task_action::cancel);
       return;
     case wire::task_event_kind::refused:
@@ -533,7 +540,7 @@
 void task_controller::OnRefused(const std::string& task, soft_task& row,
                                 const wire::task_event& event) {
   metrics_.CountRetry(kWhere, event.code);
-  row.refusals += 1;
+  row.refusal = event.code;
   RecordEnd(task, row, ledger::task_requeued{task, event.epoch, event.code, false}, &event);
 }
 
@@ -599,28 +606,42 @@
   const ledger::task_entry* entry = Entry(row.shard, task);
   const bool runs_again =
       entry != nullptr && entry->state == ledger::task_state::queued && !entry->cancel_requested;
-  if (runs_again && row.refusals > 0) {
-    // The worker stays counted as taken during the pause, so that the task is not sent straight
-    // back to a worker whose reported capacity is out of date.
-    const auto doublings = std::min(row.refusals - 1, kMaxPauseDoublings);
+  if (runs_again && row.refusal && row.adopted) {
+    const auto doublings = std::min(row.refusals, kMaxPauseDoublings);
+    row.refusals += 1;
     row.phase = task_phase::resting;
-    row.resume_at = time_.Now() + std::min(kFirstPause * (1U << doublings), kLongestPause);
+    // A full worker is known to the scheduler from now on; the other reasons need time to pass.
+    const bool at_once = *row.refusal == result_code::no_capacity;
+    row.resume_at =
+        time_.Now() + (at_once ? core::milliseconds{0}
+                               : std::min(kFirstPause * (1U << doublings), kLongestPause));
+    if (at_once) Resume(task, row);
     return;
   }
   LeaveWorker(task, row);
   Resync(task);
 }
 
+void task_controller::Resume(const std::string& task, soft_task& row) {
+  const ledger::task_entry* entry = Entry(row.shard, task);
+  const bool runs_again =
+      entry != nullptr && entry->state == ledger::task_state::queued && !entry->cancel_requested;
+  if (!runs_again) {
+    LeaveWorker(task, row);
+    Resync(task);
+    return;
+  }
+  scheduler_.OnRefused(task, row.refusal.value_or(result_code::no_capacity), time_.Now());
+  row.adopted = false;
+  row.refusal.reset();
+  row.phase = task_phase::queued;
+}
+
 void task_controller::LeaveWorker(const std::string& task, soft_task& row) {
   const core::mono_time now = time_.Now();
   if (!row.adopted) return;
   row.adopted = false;
   scheduler_.OnEnded(task, now);
-  const auto worker = workers_.Find(row.worker);
-  const ledger::task_entry* entry = Entry(row.shard, task);
-  if (worker && entry != nullptr) {
-    interference_.OnEnded(*worker, interference_.Class(entry->spec.task_class, now), now);
-  }
 }
 
 void task_controller::Resync(const std::string& task) {
@@ -729,10 +750,7 @@
     metrics_.GetCounter("coltsfoot_leases_lapsed_total").Add();
     Requeue(task, tasks_.at(task), result_code::lease_lapsed);
   }
-  for (const std::string& task : rested) {
-    LeaveWorker(task, tasks_.at(task));
-    Resync(task);
-  }
+  for (const std::string& task : rested) Resume(task, tasks_.at(task));
   for (const auto& [worker, shard] : unresolved) SendAdopt(worker, shard);
   for (auto& [task, row] : tasks_) {
     if (unresolved.contains({row.worker, row.shard}) && row.phase == task_phase::unresolved) {
--- a/libs/entry/src/task_controller.h
+++ b/libs/entry/src/task_controller.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -93,6 +94,7 @@
     core::epoch_number epoch = 0;
     std::uint64_t sent_number = 0;  ///< position among the messages to the worker
     std::uint32_t refusals = 0;
+    std::optional<core::result_code> refusal;  ///< why the last assignment did not start
     core::mono_time resume_at{};
     core::mono_time started{};
     bool cancel_sent = false;
@@ -107,6 +109,7 @@
     std::map<core::shard_index, core::fence_number> reported;
   };
 
+  core::result_code CheckAdmission(const ledger::task_spec& spec);
   void ApplySettings();
   void RunScheduler();
   void CarryOut(const placement::scheduler_action& action);
@@ -131,6 +134,7 @@
   void OnEndRecorded(const std::string& task, core::epoch_number epoch,
                      ledger::append_outcome outcome);
   void Resync(const std::string& task);
+  void Resume(const std::string& task, soft_task& row);
   void LeaveWorker(const std::string& task, soft_task& row);
   void Finish(const std::string& task);
   void Requeue(const std::string& task, soft_task& row, core::result_code code);
