--- a/libs/entry/src/api.cc
+++ b/libs/entry/src/api.cc
@@ -247,18 +247,51 @@
 }
 
 void api::ForwardToOwner(call_context& context, core::shard_index shard, core::mono_time deadline) {
-  const auto owner = use_.ledger.OwnerOf(shard);
-  if (context.forwarded || !owner || owner->entry == use_.options.id) {
+  if (context.forwarded) {
     use_.metrics.CountRefusal("forward", result_code::not_owner);
-    context.respond(ErrorResponse(result_code::not_owner, "the shard has no known owner now"));
+    context.respond(ErrorResponse(result_code::not_owner, "the shard moved to another entry"));
+    return;
+  }
+  const core::mono_time now = use_.time.Now();
+  if (!HasReachableOwner(shard)) {
+    // A takeover takes about the lease in the key-value service; callers need not retry meanwhile.
+    const core::mono_time until = std::min(deadline, now + 2 * use_.options.store_lease_ttl);
+    use_.metrics.GetCounter("coltsfoot_calls_held_total").Add();
+    held_.push_back({context.call, context.respond, shard, deadline, until});
     return;
   }
   http::request call = context.call;
-  const auto left = std::max<std::int64_t>(core::ToMs(deadline - use_.time.Now()), 1);
+  const auto left = std::max<std::int64_t>(core::ToMs(deadline - now), 1);
   call.headers["X-Deadline-Ms"] = std::to_string(std::min(left, kMaxDeadlineMs));
   // The owner answers a little before the forwarding entry gives up.
   constexpr core::milliseconds kGrace{200};
-  use_.peers.Forward(owner->entry, call, deadline + kGrace, context.respond);
+  use_.peers.Forward(use_.ledger.OwnerOf(shard)->entry, call, deadline + kGrace, context.respond);
+}
+
+bool api::HasReachableOwner(core::shard_index shard) const {
+  const auto owner = use_.ledger.OwnerOf(shard);
+  return owner && owner->entry != use_.options.id && use_.peers.CanReach(owner->entry);
+}
+
+void api::RetryHeld() {
+  const core::mono_time now = use_.time.Now();
+  std::list<held_call> due;
+  for (auto item = held_.begin(); item != held_.end();) {
+    const auto next = std::next(item);
+    const bool retry = use_.ledger.Fence(item->shard) || HasReachableOwner(item->shard);
+    if (retry || item->until <= now) due.splice(due.end(), held_, item);
+    item = next;
+  }
+  for (held_call& item : due) {
+    if (item.until <= now) {
+      use_.metrics.CountRefusal("forward", result_code::not_owner);
+      item.respond(ErrorResponse(result_code::not_owner, "the shard has no reachable owner now"));
+      continue;
+    }
+    const auto left = std::max<std::int64_t>(core::ToMs(item.deadline - now), 1);
+    item.call.headers["X-Deadline-Ms"] = std::to_string(std::min(left, kMaxDeadlineMs));
+    Handle(item.call, false, item.respond);
+  }
 }
 
 // Tasks.
@@ -589,6 +622,7 @@
     return true;
   });
   for (const auto& answer : due) answer();
+  RetryHeld();
 }
 
 void api::StartShutdown() { shutting_down_ = true; }
--- a/libs/entry/src/api.h
+++ b/libs/entry/src/api.h
@@ -52,7 +52,7 @@
   /// From now on refuses new work; waiting calls are answered with the present state.
   void StartShutdown();
   /// @return calls that have not been answered and are not requests to a service.
-  std::size_t waiting() const noexcept { return waits_.size(); }
+  std::size_t waiting() const noexcept { return waits_.size() + held_.size(); }
 
  private:
   struct call_context {
@@ -65,6 +65,14 @@
     core::mono_time until;
     std::function<void()> answer;
   };
+  /// Call about a shard without a reachable owner. Nothing of it was sent anywhere.
+  struct held_call {
+    http::request call;
+    http::responder respond;
+    core::shard_index shard = 0;
+    core::mono_time deadline;
+    core::mono_time until;
+  };
   using wait_list = std::list<waiting_call>;
   using merge_function = std::function<http::response(const std::vector<std::string>& bodies)>;
 
@@ -87,6 +95,8 @@
                     const config_controller::change_function& change, http::responder respond);
   /// Forwards to the owner of a shard, or answers why that is not possible.
   void ForwardToOwner(call_context& context, core::shard_index shard, core::mono_time deadline);
+  bool HasReachableOwner(core::shard_index shard) const;
+  void RetryHeld();
   /// Collects the answers of all entries to the same call.
   void FanOut(call_context& context, std::string own, merge_function merge);
   /// @return the time for which the call may run.
@@ -95,6 +105,7 @@
   parts use_;
   bool shutting_down_ = false;
   wait_list waits_;
+  std::list<held_call> held_;
 };
 
 }  // namespace coltsfoot::entry
--- a/libs/entry/src/peer_directory.h
+++ b/libs/entry/src/peer_directory.h
@@ -48,6 +48,8 @@
   /// sent and `connection_lost` or `deadline_exceeded` if its outcome is unknown.
   void Forward(const std::string& entry, const http::request& call, core::mono_time deadline,
                http::responder respond);
+  /// @return true if there is a link to the entry.
+  bool CanReach(const std::string& entry) const { return links_.is_up(entry); }
   /// Keeps links to the registered entries, sends the status, expires forwarded calls.
   void Tick(const std::vector<ledger::live_entry>& entries);
 
--- a/libs/entry/src/request_router.cc
+++ b/libs/entry/src/request_router.cc
@@ -153,7 +153,7 @@
 
 void request_router::Dispatch(std::uint64_t id, const picked_target& target, bool hedge) {
   active_request& row = requests_.at(id);
-  const attempt sent{++row.attempts, target.worker, time_.Now(), hedge};
+  const attempt sent{++row.attempts, target.worker, time_.Now(), hedge, target.is_probe};
   if (!Limit(target.worker).TryAcquire()) {
     row.last_code = result_code::concurrency_limit;
     if (row.in_flight.empty()) DispatchOrFail(id);
@@ -162,7 +162,7 @@
   row.tried.push_back(target.worker);
   row.in_flight.push_back(sent);
   workers_.OnRequestSent(target.worker, *workers_.service_names().Find(row.request.service));
-  if (!SendAttempt(id, row, sent, target.is_probe)) {
+  if (!SendAttempt(id, row, sent)) {
     workers_.OnRequestAbandoned(target.worker, *workers_.service_names().Find(row.request.service));
     EndAttempt(id, sent, result_code::connect_failed, "no connection to the agent");
     return;
@@ -170,11 +170,10 @@
   if (!hedge) PlanHedge(id, row);
 }
 
-bool request_router::SendAttempt(std::uint64_t id, active_request& row, const attempt& sent,
-                                 bool is_probe) {
+bool request_router::SendAttempt(std::uint64_t id, const active_request& row, const attempt& sent) {
   const core::mono_time now = time_.Now();
   const auto& identity = workers_.identity(sent.worker);
-  if (is_probe) quarantine_.OnProbeSent(sent.worker, now);
+  if (sent.probe) quarantine_.OnProbeSent(sent.worker, now);
   wire::dispatch_request message;
   message.request_id = id;
   message.attempt = sent.number;
@@ -265,6 +264,7 @@
     quarantine_.OnFailure(ended.worker, std::to_string(id), row.request.service, now - ended.sent,
                           workers_.CountDispatchable(now), now);
   }
+  if (ended.probe && core::IsNotRun(code)) quarantine_.OnProbeNotRun(ended.worker);
   row.may_have_run = row.may_have_run || !core::IsNotRun(code);
   row.last_code = code;
   row.last_reason = std::move(reason);
--- a/libs/entry/src/request_router.h
+++ b/libs/entry/src/request_router.h
@@ -67,6 +67,7 @@
     membership::worker_index worker = membership::kNoWorker;
     core::mono_time sent;
     bool hedge = false;
+    bool probe = false;  ///< tells whether a quarantined worker has recovered
   };
   struct active_request {
     service_request request;
@@ -109,7 +110,7 @@
   admission::concurrency_limit& Limit(membership::worker_index worker);
   void Dispatch(std::uint64_t id, const picked_target& target, bool hedge);
   void DispatchOrFail(std::uint64_t id);
-  bool SendAttempt(std::uint64_t id, active_request& row, const attempt& sent, bool is_probe);
+  bool SendAttempt(std::uint64_t id, const active_request& row, const attempt& sent);
   void EndAttempt(std::uint64_t id, const attempt& ended, core::result_code code,
                   std::string reason);
   void Succeed(std::uint64_t id, const attempt& ended, std::string body);
