Add unused probes and released holds

A probe that is refused or never recorded says nothing about the worker; without OnProbeNotRun it would pass after 30 s. A hold was never sent to the worker, so ending it must not credit free capacity as the end of an assignment does.

--- a/libs/blame/include/blame/quarantine.h
+++ b/libs/blame/include/blame/quarantine.h
@@ -75,6 +75,9 @@
                               std::size_t fleet_size, core::mono_time now);
   /// Records that work was sent to a worker in state `probe_due`; it is now `probing`.
   void OnProbeSent(std::uint32_t worker, core::mono_time now);
+  /// The probe was refused or its assignment could not be recorded: the worker is `probe_due`
+  /// again.
+  void OnProbeNotRun(std::uint32_t worker);
   /// Moves workers whose probe interval has passed to `probe_due`. Call it each tick; costs
   /// nothing per trusted worker.
   /// @return workers that are trusted again.
--- a/libs/blame/src/quarantine.cc
+++ b/libs/blame/src/quarantine.cc
@@ -60,6 +60,12 @@
   row.next_event = now + options_.probe_passes_after;
 }
 
+void quarantine::OnProbeNotRun(std::uint32_t worker) {
+  if (StandingOf(worker) == worker_standing::probing) {
+    standing_[worker] = worker_standing::probe_due;
+  }
+}
+
 std::vector<std::uint32_t> quarantine::Tick(core::mono_time now) {
   std::vector<std::uint32_t> passed;
   for (const std::uint32_t worker : untrusted_) {
--- a/libs/membership/include/membership/worker_table.h
+++ b/libs/membership/include/membership/worker_table.h
@@ -132,6 +132,9 @@
   /// added to the free capacity until the next heartbeat.
   void ReleaseAssignment(worker_index worker, assignment_id id, const core::resources& need);
 
+  /// Ends a hold that was not converted.
+  void ReleaseHold(worker_index worker, assignment_id id);
+
   /// Removes workers that have been silent or gone for `forget_after`, at most 64 per call.
   /// @return their indexes; owners of per-worker columns reset them, since indexes are reused.
   std::vector<worker_index> Forget(core::mono_time now);
--- a/libs/membership/src/worker_table.cc
+++ b/libs/membership/src/worker_table.cc
@@ -138,6 +138,11 @@
   Recompute(worker);
 }
 
+void worker_table::ReleaseHold(worker_index worker, assignment_id id) {
+  std::erase_if(pending_[worker], [id](const pending_assignment& row) { return row.id == id; });
+  Recompute(worker);
+}
+
 std::vector<worker_index> worker_table::Forget(core::mono_time now) {
   std::vector<worker_index> forgotten;
   for (worker_index worker = 0; worker < size(); ++worker) {
@@ -146,6 +151,8 @@
     index_.erase(identity_[worker].id);
     ClearServices(worker);
     pending_[worker].clear();
+    reported_free_[worker] = {};
+    released_[worker] = {};
     identity_[worker] = {};
     flags_[worker] = kGone;
     total_[worker] = {};
