Add task placement and request routing

All policies share one scan with one set of filters, so that a baseline can only differ in how it chooses. The weighted policy scores at most 128 workers that pass, from a random row on: the cost is then bounded on large fleets, while a call that finds none has still seen all workers. A worker that is due for a probe is preferred by batch; with a neutral score it would stay idle on a quiet fleet. Routing draws two targets, and scans only if eight draws find no two eligible ones.

A property test checks for random fleets that no policy chooses a worker that the filters remove, and that each finds one if there is one.

--- a/libs/placement/include/placement/running_table.h
+++ b/libs/placement/include/placement/running_table.h
@@ -31,6 +31,7 @@
   core::mono_time saved_at;    ///< start or newest checkpoint; work since then is lost by a stop
   core::mono_time ordered_at;  ///< when `state` was ordered
   bool borrows_headroom = false;
+  interference::class_id interference_class = interference::kOtherClass;
 };
 
 /// Tasks of this entry's shards by worker.
@@ -53,19 +54,27 @@
   /// @return processor use of batch tasks on the worker that are not being evicted, to skip
   /// workers with nothing to evict.
   std::int64_t BatchCpu(worker_index worker) const noexcept;
-  /// @return tasks of the same team and class as `spec` in a rack.
-  std::uint32_t CountInRack(const task_spec& spec, membership::name_id rack) const;
+  /// @return the number of tasks of the same team and class as `spec` by rack (`name_id`); racks
+  /// beyond the end have none. Valid until the next `Add` or `Remove`.
+  std::span<const std::uint32_t> CountsByRack(const task_spec& spec) const;
   /// Orders a new state of a running task; keeps the sums right.
   void SetState(running_task& task, running_state state, core::mono_time now);
 
  private:
+  /// Tasks of one team and class.
+  struct group_row {
+    std::vector<std::uint32_t> by_rack;
+    std::uint32_t total = 0;
+  };
+  void CountBatch(const running_task& task, std::int64_t sign);
+
   std::vector<running_task> rows_;
   std::vector<std::uint32_t> free_rows_;
   std::unordered_map<std::string, std::uint32_t> index_;
   std::vector<std::vector<std::uint32_t>> by_worker_;
   std::vector<std::int64_t> batch_cpu_;
   std::vector<membership::name_id> rack_of_row_;
-  std::unordered_map<std::string, std::uint32_t> rack_counts_;
+  std::unordered_map<std::string, group_row> groups_;
 };
 
 }  // namespace coltsfoot::placement
--- /dev/null
+++ b/libs/placement/tests/fleet.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "placement/types.h"
+
+namespace coltsfoot::placement {
+
+/// Fleet of equal workers that speak through heartbeats, with the agents' own view of what is free.
+/// Three workers share a rack, and racks alternate between three zones.
+class test_fleet {
+ public:
+  static constexpr core::resources kWorker{16'000, 60'000, 2};
+  static constexpr core::mono_time kStart{std::chrono::hours{1}};
+
+  explicit test_fleet(std::uint32_t workers) : free_(workers, kWorker), load_(workers) {
+    names_.reserve(workers);
+    for (std::uint32_t i = 0; i < workers; ++i) names_.push_back("w" + std::to_string(i));
+    Beat(kStart);
+  }
+
+  /// Sends a heartbeat of each worker.
+  void Beat(core::mono_time now) {
+    ++seq_;
+    for (std::uint32_t i = 0; i < free_.size(); ++i) Beat(i, now);
+  }
+  void Beat(std::uint32_t worker, core::mono_time now) {
+    table.OnHeartbeat(Heartbeat(worker), now);
+  }
+  wire::agent_heartbeat Heartbeat(std::uint32_t worker) const {
+    wire::agent_heartbeat message;
+    message.worker = names_[worker];
+    message.incarnation = 1;
+    message.seq = seq_;
+    message.zone = "zone" + std::to_string(worker / 3 % 3);
+    message.rack = "rack" + std::to_string(worker / 3);
+    message.total = kWorker;
+    message.free = free_[worker];
+    message.slots_total = 8;
+    message.slots_free = 8;
+    message.services = {{"planner", load_[worker], 0, 1'000}};
+    return message;
+  }
+  /// What the agent of a worker has left.
+  core::resources& free(std::uint32_t worker) { return free_[worker]; }
+  /// Requests in flight on a worker.
+  std::uint32_t& load(std::uint32_t worker) { return load_[worker]; }
+  placement_view View() const { return {.workers = &table}; }
+
+  membership::worker_table table;
+
+ private:
+  std::vector<std::string> names_;
+  std::vector<core::resources> free_;
+  std::vector<std::uint32_t> load_;
+  std::uint64_t seq_ = 0;
+};
+
+/// Builds a task of a class; the class is also the start of its name.
+inline task_spec MakeTask(const std::string& task, core::task_kind kind, core::resources need,
+                          std::string team = "team",
+                          core::mono_time submitted = test_fleet::kStart) {
+  task_spec spec;
+  spec.task = task;
+  spec.team = std::move(team);
+  spec.task_class = kind == core::task_kind::batch ? "rerun" : "watch";
+  spec.kind = kind;
+  spec.need = need;
+  spec.submitted = submitted;
+  return spec;
+}
+
+}  // namespace coltsfoot::placement
