--- a/libs/placement/include/placement/task_queue.h
+++ b/libs/placement/include/placement/task_queue.h
@@ -2,8 +2,8 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <list>
-#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -20,6 +20,8 @@
 struct queue_options {
   std::size_t limit = 100'000;           ///< queued tasks
   std::uint32_t attempts_per_pass = 64;  ///< placement decisions per pass, placed or not
+  /// Decisions per pass that place nothing. They scan the whole worker table.
+  std::uint32_t blocked_per_pass = 16;
   /// A batch task that has waited this long competes with latency-critical tasks.
   core::nanoseconds aging = std::chrono::minutes{2};
   /// Delay until a lane whose head could not be placed is tried again; doubles up to the maximum.
@@ -62,7 +64,11 @@
   /// Adds a task.
   /// @return ok; `queue_full` at the limit; `quota_exceeded` if the task alone exceeds the quota of
   /// its team; `conflict` if the task is already queued.
-  core::result_code Push(task_spec task, core::mono_time now);
+  core::result_code Push(task_spec task);
+  /// Adds a task that was accepted before (evicted, refused by a worker, replayed from the log).
+  /// No limit applies, since an accepted task must not be lost.
+  /// @return false if the task is already queued.
+  bool Requeue(task_spec task);
   /// Removes a task, for example because it was cancelled. Costs the same for any queue length.
   /// @return the task, or nothing if it is not queued.
   std::optional<task_spec> Remove(std::string_view task);
@@ -70,9 +76,6 @@
   const task_spec* Find(std::string_view task) const noexcept;
   /// Offers heads of lanes to `placer` until all lanes wait or the limit of attempts is reached.
   pass_stats RunPass(task_placer& placer, core::mono_time now);
-  /// Lets lanes of the tier that wait for a retry be tried in the next pass, for example after
-  /// capacity was freed for a task.
-  void RetryNow(std::string_view task);
 
   /// Sets the capacity that dominant shares refer to.
   void SetFleetTotal(const core::resources& total);
@@ -93,10 +96,12 @@
   std::size_t size() const noexcept { return tasks_.size(); }
   /// @return queued tasks of a tier.
   std::size_t size(task_tier tier) const noexcept;
-  /// @return tasks of `tier` that wait longer than `age` at the head of their lanes, at most
-  /// `limit`, longest waiting first. Valid until the next change.
-  std::vector<const task_spec*> WaitingLongerThan(task_tier tier, core::nanoseconds age,
-                                                  std::size_t limit, core::mono_time now) const;
+  /// Lists tasks of `tier` that wait longer than `age`, lane by lane, oldest lane first.
+  /// @param skip tasks to leave out; the cost grows with them and with `limit` only.
+  /// @return at most `limit` tasks. Valid until the next change.
+  std::vector<const task_spec*> WaitingLongerThan(
+      task_tier tier, core::nanoseconds age, std::size_t limit, core::mono_time now,
+      const std::function<bool(const task_spec&)>& skip) const;
 
  private:
   using team_index = std::uint32_t;
@@ -110,7 +115,7 @@
     bool aged = false;           ///< competes one tier higher
     core::mono_time retry_at{};
     core::nanoseconds retry_delay{};
-    core::mono_time listed_at{};  ///< submission under which the lane is in the ordered sets
+    core::mono_time head_at{};  ///< submission of the head, the key in the ordered sets
   };
   struct team_row {
     std::string name;
@@ -127,7 +132,9 @@
 
   team_index Team(std::string_view name);
   lane_index Lane(const task_spec& task, team_index team);
-  task_tier ServedTier(const lane& row) const noexcept;
+  static task_tier ServedTier(const lane& row) noexcept;
+  void List(lane_index index);
+  void Unlist(lane_index index);
   void Activate(lane_index index);
   void Deactivate(lane_index index);
   void Park(lane_index index, core::mono_time now);
@@ -137,7 +144,7 @@
   void ReleaseLane(lane_index index);
   void Reshare(team_index team);
   std::optional<lane_index> NextLane() const;
-  bool HasRoom(const team_row& team, const core::resources& need) const noexcept;
+  static bool HasRoom(const team_row& team, const core::resources& need) noexcept;
 
   queue_options options_;
   core::resources fleet_total_;
