--- a/libs/placement/include/placement/preemption.h
+++ b/libs/placement/include/placement/preemption.h
@@ -25,18 +25,19 @@
   bool operator==(const victim&) const = default;
 };
 
-/// Limits evictions per minute. The budget refills continuously.
+/// Limits evictions per minute. The budget refills continuously. A rate of zero forbids them.
 class eviction_budget {
  public:
   /// @param per_minute evictions per minute; also the most that can be saved up.
   explicit eviction_budget(double per_minute) : per_minute_(per_minute), tokens_(per_minute) {}
   void SetRate(double per_minute) noexcept { per_minute_ = per_minute; }
   /// Takes one eviction from the budget.
-  /// @param overdraw takes it even if the budget is empty, down to one minute's worth of debt.
+  /// @param overdraw takes it even if the budget is empty. The debt, at most one minute's worth,
+  /// delays later evictions.
   /// @return true if the eviction may happen.
   bool Take(core::mono_time now, bool overdraw = false);
-  /// @return evictions that may happen now.
-  double Available(core::mono_time now);
+  /// @return evictions that may happen now; infinity with `overdraw` unless they are forbidden.
+  double Available(core::mono_time now, bool overdraw = false);
 
  private:
   double per_minute_;
@@ -51,8 +52,8 @@
   core::nanoseconds protect_started = std::chrono::seconds{30};
   /// The same for a task that was evicted before.
   core::nanoseconds protect_evicted = std::chrono::seconds{120};
-  /// An urgent task that has waited this long overrides both protections and overdraws the
-  /// eviction budget, so that it starts within 6.4 s.
+  /// An urgent task that has waited this long overrides both protections, and the scheduler lets
+  /// it overdraw the eviction budget, so that it starts within 6.4 s.
   core::nanoseconds urgent_override = std::chrono::milliseconds{1500};
   /// Share of a task's processors that an agent frees when the task is throttled. Zero means that
   /// agents keep the whole size committed; victims are then evicted at once.
@@ -60,6 +61,8 @@
   /// A step that has not freed the capacity within this time is followed by the next one.
   core::nanoseconds throttle_patience = std::chrono::milliseconds{500};
   core::nanoseconds evict_patience = std::chrono::milliseconds{2000};
+  /// Capacity that is still missing this long after the plan is looked for on another worker.
+  core::nanoseconds plan_patience = std::chrono::milliseconds{4000};
   /// Workers whose victims are compared per plan.
   std::uint32_t max_candidates = 64;
   /// Evictions per plan.
--- a/libs/placement/include/placement/reclaim.h
+++ b/libs/placement/include/placement/reclaim.h
@@ -22,6 +22,9 @@
   /// Throttling that has not helped for this long is followed by evictions, one per interval.
   core::nanoseconds evict_after = std::chrono::seconds{3};
   core::nanoseconds evict_interval = std::chrono::seconds{2};
+  /// As in `preemption_options`: tasks that preemption throttled are unthrottled after `calm` when
+  /// what they gave up is free again.
+  std::uint32_t throttle_frees_percent = 0;
 };
 
 /// Change that reclaim orders for one task.
@@ -68,11 +71,11 @@
   };
   void Examine(worker_index worker, const placement_view& view, running_table& running,
                eviction_budget& budget, core::mono_time now, std::vector<reclaim_action>& actions);
-  void Throttle(worker_index worker, running_table& running, core::mono_time now,
-                std::vector<reclaim_action>& actions);
-  void Unthrottle(worker_index worker, running_table& running, core::mono_time now,
-                  std::vector<reclaim_action>& actions);
-  void EvictOne(worker_index worker, running_table& running, eviction_budget& budget,
+  void Throttle(worker_index worker, std::int64_t borrowed, running_table& running,
+                core::mono_time now, std::vector<reclaim_action>& actions);
+  void Unthrottle(worker_index worker, std::int64_t free_cpu, running_table& running,
+                  core::mono_time now, std::vector<reclaim_action>& actions) const;
+  bool EvictOne(worker_index worker, running_table& running, eviction_budget& budget,
                 core::mono_time now, std::vector<reclaim_action>& actions);
 
   reclaim_options options_;
--- a/libs/placement/include/placement/scheduler.h
+++ b/libs/placement/include/placement/scheduler.h
@@ -33,6 +33,12 @@
   core::nanoseconds preempt_after = std::chrono::milliseconds{500};
   core::nanoseconds urgent_preempt_after = std::chrono::milliseconds{40};
   std::uint32_t plans_per_tick = 4;  ///< preemption plans
+  /// A batch task that has waited this long gets capacity kept for it on one worker, so that
+  /// smaller tasks do not overtake it forever. At most one worker in `workers_per_kept_task`.
+  core::nanoseconds keep_capacity_after = std::chrono::minutes{5};
+  std::uint32_t workers_per_kept_task = 20;
+  /// No task is given up within this time after the first tick, while workers report.
+  core::nanoseconds learn_fleet_for = std::chrono::seconds{20};
 };
 
 /// Start `task` on `worker`: append the assignment to the log, then send it.
@@ -59,7 +65,8 @@
   bool operator==(const control_action&) const = default;
 };
 
-/// No known worker is big enough for the task: it ends with `never_fits`. It has left the queue.
+/// The task ends and has left the queue: `never_fits` if no known worker is big enough,
+/// `failed_everywhere` if it has failed on all that are.
 struct give_up_action {
   std::string task;
   core::result_code code = core::result_code::never_fits;
@@ -78,7 +85,8 @@
   std::uint64_t preempt_stops = 0;
   std::uint64_t reclaim_throttles = 0;
   std::uint64_t reclaim_evictions = 0;
-  std::uint64_t never_fits = 0;
+  std::uint64_t given_up = 0;
+  std::uint64_t kept_capacity = 0;  ///< reservations for batch tasks that waited long
   std::uint64_t budget_denied = 0;  ///< plans put off for lack of eviction budget
 };
 
@@ -96,27 +104,31 @@
   scheduler(const scheduler&) = delete;
   scheduler& operator=(const scheduler&) = delete;
 
-  /// Applies changed settings. Queued and running tasks stay.
+  /// Applies changed settings but for `queue` and `reclaim`, which are fixed at construction.
+  /// Queued and running tasks stay.
   void SetOptions(scheduler_options options);
 
-  /// Queues a new task, or one that was evicted, lost or refused.
+  /// Queues a new task.
   /// @return see `task_queue::Push`.
-  core::result_code Submit(task_spec task, core::mono_time now);
+  core::result_code Submit(task_spec task);
+  /// Queues a task that was accepted before: evicted, lost, failed or replayed from the log.
+  void Resubmit(task_spec task);
   /// Forgets a queued task.
   /// @return true if it was queued; a running task must be cancelled at its worker.
   bool CancelQueued(std::string_view task);
   /// Adds a task that already runs, found by replay of the log or a shard report.
   void Adopt(task_spec task, worker_index worker, core::mono_time started, core::mono_time now);
-  /// Puts a task's assignment that could not be recorded or was refused (`not run`) back into the
-  /// queue and keeps its submission time.
-  void OnRefused(std::string_view task, core::mono_time now);
+  /// Queues a task again whose assignment could not be recorded or was refused (not run). After
+  /// `no_capacity` the worker stays charged until its next heartbeats show what it has, since its
+  /// free capacity was estimated too high.
+  void OnRefused(std::string_view task, core::result_code code, core::mono_time now);
   /// The worker confirmed the start.
   void OnStarted(std::string_view task, core::mono_time now);
   /// A checkpoint of a task that runs on was recorded.
   void OnCheckpointed(std::string_view task, core::mono_time now);
   /// The assignment has ended in any way.
-  /// @return the task as it was placed, with `evictions` counted if it was being evicted, for a
-  /// new `Submit`; nothing if the task was not running.
+  /// @return the task as it was placed, with `evictions` counted if it was being evicted, for
+  /// `Resubmit`; nothing if the task was not running.
   std::optional<task_spec> OnEnded(std::string_view task, core::mono_time now);
   /// Forgets a shard's task without any effect on its worker (the shard is owned elsewhere now).
   void Drop(std::string_view task, core::mono_time now);
@@ -135,34 +147,40 @@
   const scheduler_counters& counters() const noexcept { return counters_; }
 
  private:
+  using actions = std::vector<scheduler_action>;
   class queue_placer;
   /// Capacity that is being freed for a task.
   struct reservation {
-    std::string task;
     worker_index worker = kNoWorker;
     core::resources need;
     membership::assignment_id hold = 0;
+    std::uint64_t number = 0;  ///< earlier reservations on a worker are served first
+    bool kept = false;         ///< made by `KeepCapacity`; has no victims and no end
+    core::mono_time started;
     std::vector<std::string> victims;
-    core::mono_time step_at{};
   };
 
-  attempt_outcome Place(const task_spec& task, core::mono_time now,
-                        std::vector<scheduler_action>& actions);
-  attempt_outcome PlaceReserved(const task_spec& task, core::mono_time now,
-                                std::vector<scheduler_action>& actions);
-  void Commit(const task_spec& task, const placement_choice& choice,
-              membership::assignment_id assignment, core::mono_time now,
-              std::vector<scheduler_action>& actions);
-  void RunPreemption(core::mono_time now, std::vector<scheduler_action>& actions);
-  void StartPreemption(const task_spec& task, core::mono_time now,
-                       std::vector<scheduler_action>& actions);
-  void AdvanceReservations(core::mono_time now, std::vector<scheduler_action>& actions);
-  bool AdvanceVictims(reservation& row, core::mono_time now,
-                      std::vector<scheduler_action>& actions);
-  void DropReservation(std::string_view task);
-  void RunReclaim(core::mono_time now, std::vector<scheduler_action>& actions);
+  attempt_outcome Place(const task_spec& task, core::mono_time now, actions& out);
+  std::optional<core::result_code> JudgeGivingUp(const task_spec& task, core::mono_time now) const;
+  void Commit(task_spec task, const placement_choice& choice, membership::assignment_id assignment,
+              core::mono_time now, actions& out);
+  interference::class_id StartClass(worker_index worker, std::string_view task_class,
+                                    core::mono_time now);
+  void AdvanceReservations(core::mono_time now, actions& out);
+  bool IsSatisfied(const reservation& row) const;
+  void AdvanceVictims(const reservation& row, core::mono_time now, actions& out);
+  void DropReservation(const std::string& task);
+  void Reserve(const task_spec& task, worker_index worker, bool kept,
+               std::vector<std::string> victims, core::mono_time now);
+  void RunPreemption(task_tier tier, core::nanoseconds after, core::mono_time now, actions& out);
+  void StartPreemption(const task_spec& task, core::mono_time now, actions& out);
+  void KeepCapacity(core::mono_time now);
+  void DropKeptCapacity();
+  void Order(running_task& task, victim_step step, core::mono_time now, actions& out);
+  void RunReclaim(core::mono_time now, actions& out);
   void UpdateFleetTotal(core::mono_time now);
-  std::optional<running_task> Release(std::string_view task, core::mono_time now);
+  std::optional<running_task> Release(std::string_view task, bool release_capacity,
+                                      core::mono_time now);
 
   scheduler_options options_;
   membership::worker_table& workers_;
@@ -175,7 +193,11 @@
   headroom_reclaim reclaim_;
   eviction_budget budget_;
   std::unordered_map<std::string, reservation> reservations_;
+  std::uint64_t next_reservation_ = 0;
+  std::uint32_t kept_ = 0;  ///< reservations made by `KeepCapacity`
+  std::size_t fleet_size_ = 0;
   core::mono_time totals_at_{};
+  core::mono_time first_tick_{};
   scheduler_counters counters_;
 };
 
