Bound the configuration document and replace bytes that are not UTF-8

The author of a removed exception comes from an HTTP header and may hold any bytes; writing them as JSON threw an exception, which would have ended the entry. A document larger than the key-value service takes was accepted as a change and would then have failed at each write.

coltsfootctl reports texts that are no UTF-8 as a mistake (2) and answers that it cannot read as an unknown outcome (3).

--- a/libs/config/src/changes.cc
+++ b/libs/config/src/changes.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "config/json_form.h"
 #include "names.h"
 
 namespace coltsfoot::config {
@@ -15,17 +16,26 @@
 // Versions that are kept to explain conflicts. 1,200 changes a day are fewer than one a minute, so
 // that these cover the time in which an operator edits.
 constexpr std::size_t kVersionsKept = 64;
+// The key-value service holds values up to 1 MB.
+constexpr std::size_t kMostDocumentBytes = 900'000;
 
 fleet_config::parts PartsOf(const fleet_config& config) {
   return {config.version(), config.token(), config.author(), config.defaults(),
           config.exceptions()};
 }
 
-fleet_config NextVersion(fleet_config::parts content, const change_stamp& stamp) {
+std::optional<fleet_config> NextVersion(fleet_config::parts content, const change_stamp& stamp,
+                                        core::last_error& error) {
   content.version += 1;
   content.token = stamp.token;
   content.author = stamp.author;
-  return fleet_config(std::move(content));
+  fleet_config next(std::move(content));
+  if (ToJson(next).size() > kMostDocumentBytes) {
+    return error.Set(result_code::invalid_argument,
+                     "the configuration would not fit into the key-value service; remove "
+                     "exceptions that are no longer needed");
+  }
+  return next;
 }
 
 bool CheckAuthor(const change_stamp& stamp, core::last_error& error) {
@@ -156,7 +166,7 @@
   if (!ApplySet(change, content.defaults, error)) return std::nullopt;
   if (!ApplyUnset(change, content.defaults, error)) return std::nullopt;
   if (content.defaults == base.defaults() && base.version() != 0) return base;
-  return NextVersion(std::move(content), stamp);
+  return NextVersion(std::move(content), stamp, error);
 }
 
 std::optional<fleet_config> AddException(const fleet_config& base, const exception_request& wanted,
@@ -171,7 +181,7 @@
   }
   fleet_config::parts content = PartsOf(base);
   content.exceptions.push_back(std::move(*added));
-  return NextVersion(std::move(content), stamp);
+  return NextVersion(std::move(content), stamp, error);
 }
 
 std::optional<fleet_config> RemoveException(const fleet_config& base, std::string_view id,
@@ -181,7 +191,7 @@
   const auto found = FindById(content.exceptions, id);
   if (found == content.exceptions.end()) return NoSuchException(id, error);
   content.exceptions.erase(found);
-  return NextVersion(std::move(content), stamp);
+  return NextVersion(std::move(content), stamp, error);
 }
 
 std::optional<fleet_config> AddChallenge(const fleet_config& base, std::string_view id,
@@ -200,7 +210,7 @@
       });
   if (repeated) return base;
   found->challenges.push_back({stamp.author, wanted.text, stamp.at});
-  return NextVersion(std::move(content), stamp);
+  return NextVersion(std::move(content), stamp, error);
 }
 
 std::vector<std::string> DescribeChanges(const fleet_config& older, const fleet_config& newer) {
--- a/libs/config/src/json_form.cc
+++ b/libs/config/src/json_form.cc
@@ -189,6 +189,12 @@
   return info;
 }
 
+// Text from outside JSON, such as the author in an HTTP header, may hold bytes that are not UTF-8.
+// They are replaced, because an exception here would end the process.
+std::string Dump(const ordered_json& value) {
+  return value.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
+}
+
 std::optional<setting_value> ReadChecked(object_reader& fields, const setting_info& info,
                                          const std::optional<setting_value>& value) {
   if (!value) return std::nullopt;
@@ -327,7 +333,7 @@
 std::string ToJson(const fleet_config& config) {
   ordered_json document = DocumentJson(config);
   document["token"] = config.token();
-  return document.dump();
+  return Dump(document);
 }
 
 std::optional<fleet_config> ParseFleetConfig(std::string_view json, core::last_error& error) {
@@ -349,11 +355,11 @@
                     {"description", info.description}});
   }
   answer["settings"] = std::move(rows);
-  return answer.dump();
+  return Dump(answer);
 }
 
 std::string RenderException(const config_exception& exception) {
-  return ExceptionJson(exception).dump();
+  return Dump(ExceptionJson(exception));
 }
 
 std::optional<defaults_change> ParseDefaultsChange(std::string_view json, core::last_error& error) {
--- a/libs/config/tests/config_test.cc
+++ b/libs/config/tests/config_test.cc
@@ -169,6 +169,21 @@
   CHECK(added->exceptions().size() == 1);
 }
 
+// Guards against an entry that ends because of bytes in an HTTP header, and against a document that
+// the KV service refuses for its size after the change was accepted.
+TEST_CASE("odd and oversized texts cannot break the document") {
+  core::last_error error;
+  const exception_request wanted{
+      "e1", {scope_kind::worker, "w1"}, "worker.drain", true, "amira", std::string(1'000'000, 'x'),
+      {}};
+  CHECK_FALSE(AddException({}, wanted, stamp, error).has_value());
+  CHECK(error.reason().code == result_code::invalid_argument);
+  const auto odd =
+      ChangeDefaults({}, {{{"hedge.enabled", false}}, {}, "", {}}, {"t", "a\xff", {}}, error);
+  REQUIRE(odd.has_value());
+  CHECK(ParseFleetConfig(ToJson(*odd), error)->author() == "a\xEF\xBF\xBD");
+}
+
 // Guards against an operator who cannot see why a value holds.
 TEST_CASE("an explanation names the exception, its author, reason and challenges") {
   core::last_error error;
--- a/libs/ctl/src/run.cc
+++ b/libs/ctl/src/run.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <nlohmann/json.hpp>
 #include <ostream>
 #include <string_view>
 
@@ -12,6 +13,9 @@
 namespace coltsfoot::ctl {
 namespace {
 
+// Error number of nlohmann-json for text that cannot be written as JSON.
+constexpr int kNotUtf8 = 316;
+
 /// One command and how it is called.
 struct command {
   std::string_view words;      ///< for example "config set"
@@ -128,6 +132,17 @@
   return fmt::format("There is no command \"{}\".", words[0]);
 }
 
+exit_code RunGuarded(const command& wanted, session& run) {
+  try {
+    return wanted.run(run);
+  } catch (const nlohmann::json::exception& failure) {
+    if (failure.id == kNotUtf8) return run.Usage("Texts must be UTF-8.");
+    // The call itself may have taken effect.
+    run.around.err << "An answer cannot be read: " << failure.what() << '\n';
+    return exit_code::unknown;
+  }
+}
+
 }  // namespace
 
 exit_code Run(const options& flags, const std::vector<std::string>& words,
@@ -148,7 +163,7 @@
   for (const std::string& entry : cleaned.entries) {
     if (!IsUrl(entry)) return run.Usage(fmt::format("\"{}\" is not http://IP:PORT.", entry));
   }
-  return found->run(run);
+  return RunGuarded(*found, run);
 }
 
 std::string HelpText() {
--- a/libs/ctl/tests/ctl_test.cc
+++ b/libs/ctl/tests/ctl_test.cc
@@ -179,6 +179,17 @@
              {"payload", ""}});
 }
 
+// Guards against a tool that ends without a usable exit code.
+TEST_CASE("texts and answers that are no JSON have an exit code") {
+  terminal run({Answer(202, result_code::ok, "gone"), Answer(200, result_code::ok, "[]")});
+  run.flags.team = run.flags.task_class = "plan";
+  CHECK(run.Run({"task", "submit"}) == 3);
+  CHECK(run.Run({"workers"}) == 3);
+  run.flags.payload = "\xff";
+  CHECK(run.Run({"task", "submit"}) == 2);
+  CHECK(run.via.calls.size() == 2);
+}
+
 // Guards against a change that is sent twice and so undoes another operator's change.
 TEST_CASE("a change with an unknown outcome is read back, not repeated") {
   core::last_error error;
