Let responders outlive their HTTP server

Ruled out: the order of members in fake-platform alone, because the entry holds waiting calls in the same way. After: a responder holds a weak reference; unanswered requests end with the server. A test answers after the end of the server.

--- a/libs/entry/src/claim_controller.cc
+++ b/libs/entry/src/claim_controller.cc
@@ -152,8 +152,9 @@
 
 void claim_controller::Tick() {
   const core::mono_time now = time_.Now();
-  for (auto& [key, claim] : running_) {
-    std::erase_if(claim.waiters, [&](waiter& waiting) {
+  for (auto& item : running_) {
+    running_claim& claim = item.second;
+    std::erase_if(claim.waiters, [&claim, now](waiter& waiting) {
       if (waiting.deadline > now) return false;
       // Before the dispatch nothing has run, and `OnClaimed` dispatches nothing without waiters.
       waiting.done(
--- a/libs/entry/src/config_controller.cc
+++ b/libs/entry/src/config_controller.cc
@@ -133,6 +133,11 @@
     done(error.reason(), version());
     return;
   }
+  if (next->version() == version()) {
+    // A repeated change that is already in force needs no write.
+    done({core::result_code::ok, ""}, version());
+    return;
+  }
   Write(std::move(*next), std::move(done));
 }
 
--- a/libs/entry/src/peer_directory.cc
+++ b/libs/entry/src/peer_directory.cc
@@ -18,6 +18,7 @@
 
 std::vector<wire::name_value> ToList(const auto& map) {
   std::vector<wire::name_value> out;
+  out.reserve(map.size());
   for (const auto& [name, value] : map) out.push_back({name, value});
   return out;
 }
--- a/libs/entry/src/task_controller.cc
+++ b/libs/entry/src/task_controller.cc
@@ -823,6 +823,7 @@
     if (placed != nullptr) usage[placed->spec.team] += placed->spec.need;
   }
   std::vector<wire::team_usage> out;
+  out.reserve(usage.size());
   for (const auto& [team, used] : usage) out.push_back({team, used});
   return out;
 }
--- a/libs/http/include/http/server.h
+++ b/libs/http/include/http/server.h
@@ -10,7 +10,8 @@
 
 namespace coltsfoot::http {
 
-/// Sends the answer to one request. May be called from any thread, once; later calls are ignored.
+/// Sends the answer to one request. May be called from any thread, once; later calls, and calls
+/// after the end of the server, are ignored.
 using responder = std::function<void(response)>;
 
 /// Handles one request on a traffic thread. It must not block; it answers through `responder`, at
@@ -46,7 +47,7 @@
 
  private:
   class impl;
-  std::unique_ptr<impl> impl_;
+  std::shared_ptr<impl> impl_;
 };
 
 }  // namespace coltsfoot::http
--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -6,6 +6,7 @@
 #include <mutex>
 #include <restinio/all.hpp>
 #include <thread>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -27,10 +28,20 @@
       std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
 };
 
+/// @return the path with percent-encoded bytes decoded; unchanged if the encoding is broken.
+std::string DecodePath(restinio::string_view_t path) {
+  try {
+    return restinio::utils::unescape_percent_encoding<restinio::utils::relaxed_unescape_traits>(
+        path);
+  } catch (const restinio::exception_t&) {
+    return std::string(path);
+  }
+}
+
 request Convert(const restinio::request_t& source) {
   request out;
   out.method = source.header().method().c_str();
-  out.path = std::string(source.header().path());
+  out.path = DecodePath(source.header().path());
   const auto query =
       restinio::parse_query<restinio::parse_query_traits::relaxed>(source.header().query());
   for (const auto& [key, value] : query) out.query.emplace(std::string(key), std::string(value));
@@ -56,11 +67,16 @@
 
 }  // namespace
 
-class server::impl {
+class server::impl : public std::enable_shared_from_this<server::impl> {
  public:
   impl(server_options options, request_handler handler)
       : options_(std::move(options)), handler_(std::move(handler)), server_(MakeServer()) {
     server_.open_sync();
+  }
+
+  /// Starts the traffic threads. Not part of the constructor, because requests need
+  /// `weak_from_this`.
+  void Run() {
     for (std::size_t index = 0; index < options_.threads; ++index) {
       threads_.emplace_back([this] { context_.run(); });
     }
@@ -74,13 +90,23 @@
     closing_ = true;
     {
       std::unique_lock lock(mutex_);
-      idle_.wait_for(lock, limit, [this] { return in_progress_ == 0; });
+      idle_.wait_for(lock, limit, [this] { return IsIdle(); });
     }
     // The last answer is still on its way to the socket when the count reaches zero.
     std::this_thread::sleep_for(std::chrono::milliseconds{50});
     Stop();
   }
 
+  void Stop() {
+    if (stopped_.exchange(true)) return;
+    closing_ = true;
+    restinio::asio_ns::post(context_, [this] { server_.close_sync(); });
+    context_.stop();
+    for (auto& thread : threads_) thread.join();
+    const std::lock_guard lock(mutex_);
+    in_progress_.clear();
+  }
+
  private:
   restinio::http_server_t<server_traits> MakeServer() {
     return restinio::http_server_t<server_traits>{
@@ -116,22 +142,39 @@
       http::Send(handle, TooLarge(), false);
       return;
     }
+    request received = Convert(*handle);
+    std::uint64_t id = 0;
+    {
+      const std::lock_guard lock(mutex_);
+      id = ++last_id_;
+      in_progress_.emplace(id, std::move(handle));
+    }
+    // A responder may outlive the server, so it must not own the connection.
+    handler_(std::move(received), [weak = weak_from_this(), id](response answer) {
+      if (const auto self = weak.lock()) self->Answer(id, std::move(answer));
+    });
+  }
+
+  void Answer(std::uint64_t id, response answer) {
+    restinio::request_handle_t handle;
     {
       const std::lock_guard lock(mutex_);
-      ++in_progress_;
+      auto node = in_progress_.extract(id);
+      if (node.empty()) return;
+      handle = std::move(node.mapped());
+      ++sending_;
     }
-    const bool keep_alive = handle->header().should_keep_alive();
-    auto answered = std::make_shared<std::atomic<bool>>(false);
-    handler_(Convert(*handle), [this, handle, answered, keep_alive](response answer) {
-      if (answered->exchange(true)) return;
-      // RESTinio's connections are not safe to use from other threads; answer on its own context.
-      restinio::asio_ns::post(context_, [this, handle, keep_alive, answer = std::move(answer)] {
-        http::Send(handle, answer, keep_alive && !closing_);
-        Finished();
-      });
+    // RESTinio's connections are not safe to use from other threads; answer on its own context.
+    restinio::asio_ns::post(context_, [this, handle, answer = std::move(answer)] {
+      http::Send(handle, answer, handle->header().should_keep_alive() && !closing_);
+      const std::lock_guard lock(mutex_);
+      --sending_;
+      if (IsIdle()) idle_.notify_all();
     });
   }
 
+  bool IsIdle() const { return in_progress_.empty() && sending_ == 0; }
+
   static response TooLarge() {
     response answer =
         JsonResponse(413, R"({"code":102,"name":"body_too_large",)"
@@ -141,19 +184,6 @@
     return answer;
   }
 
-  void Finished() {
-    const std::lock_guard lock(mutex_);
-    if (--in_progress_ == 0) idle_.notify_all();
-  }
-
-  void Stop() {
-    if (stopped_.exchange(true)) return;
-    closing_ = true;
-    restinio::asio_ns::post(context_, [this] { server_.close_sync(); });
-    context_.stop();
-    for (auto& thread : threads_) thread.join();
-  }
-
   server_options options_;
   request_handler handler_;
   std::uint16_t port_ = 0;
@@ -161,16 +191,20 @@
   std::atomic<bool> stopped_{false};
   std::mutex mutex_;
   std::condition_variable idle_;
-  std::size_t in_progress_ = 0;
+  std::uint64_t last_id_ = 0;
+  std::size_t sending_ = 0;
+  std::unordered_map<std::uint64_t, restinio::request_handle_t> in_progress_;
   restinio::asio_ns::io_context context_;
   restinio::http_server_t<server_traits> server_;
   std::vector<std::thread> threads_;
 };
 
 server::server(server_options options, request_handler handler)
-    : impl_(std::make_unique<impl>(std::move(options), std::move(handler))) {}
+    : impl_(std::make_shared<impl>(std::move(options), std::move(handler))) {
+  impl_->Run();
+}
 
-server::~server() = default;
+server::~server() { impl_->Stop(); }
 
 std::uint16_t server::port() const noexcept { return impl_->port(); }
 
--- a/libs/http/tests/http_test.cc
+++ b/libs/http/tests/http_test.cc
@@ -36,6 +36,19 @@
   CHECK(result.answer->FindHeader("x-seen") == "t");
 }
 
+// Guards against keys of the key-value service that differ from those that were sent.
+TEST_CASE("an encoded path arrives decoded") {
+  server echo({}, [](request received, responder respond) { respond({200, {}, received.path}); });
+  const auto client = MakeCurlClient();
+  const auto result =
+      CallAndWait(*client, {.url = UrlOf(echo, "/kv/" + UrlEncode("log/3/000000000001"))});
+  REQUIRE(result.answer.has_value());
+  CHECK(result.answer->body == "/kv/log/3/000000000001");
+  const auto broken = CallAndWait(*client, {.url = UrlOf(echo, "/kv/%zz")});
+  REQUIRE(broken.answer.has_value());
+  CHECK(broken.answer->body == "/kv/%zz");
+}
+
 // Guards against a caller that cannot tell an oversized body from a fault.
 TEST_CASE("an oversized body gets a numbered error") {
   server target({.body_limit = 10}, [](request, responder respond) { respond({}); });
@@ -64,6 +77,22 @@
   CHECK(result.answer->body == "late");
 }
 
+// Guards against a crash when a request is still unanswered at the end of the server, for example a
+// waiting watch.
+TEST_CASE("a responder may outlive its server") {
+  std::promise<responder> received;
+  auto target = std::make_unique<server>(
+      server_options{}, [&](request, responder respond) { received.set_value(respond); });
+  const auto client = MakeCurlClient();
+  std::promise<call_result> ended;
+  client->Send({.url = UrlOf(*target, "/")},
+               [&](call_result result) { ended.set_value(std::move(result)); });
+  const responder respond = received.get_future().get();
+  target.reset();
+  respond({});
+  CHECK_FALSE(ended.get_future().get().answer.has_value());
+}
+
 // Guards against a refused connection that is reported as an unknown outcome.
 TEST_CASE("a call to a closed port fails with connect_failed") {
   std::uint16_t port = 0;
--- a/libs/program/include/program/program.h
+++ b/libs/program/include/program/program.h
@@ -34,7 +34,7 @@
 /// Runs the context on this thread.
 /// @param tick called every `period` on the context.
 /// @param on_stop called once on the context at the first SIGTERM or SIGINT; it must lead to
-/// `context.stop()`.
+/// `context.stop()`. A second signal stops the context at once.
 void RunUntilStopped(asio::io_context& context, core::milliseconds period,
                      std::function<void()> tick, std::function<void()> on_stop);
 
--- a/libs/program/src/program.cc
+++ b/libs/program/src/program.cc
@@ -71,9 +71,15 @@
 void RunUntilStopped(asio::io_context& context, core::milliseconds period,
                      std::function<void()> tick, std::function<void()> on_stop) {
   asio::signal_set signals(context, SIGTERM, SIGINT);
-  signals.async_wait([&on_stop](asio::error_code failure, int signal) {
+  signals.async_wait([&](asio::error_code failure, int signal) {
     if (failure) return;
     spdlog::info("event=stopping signal={}", signal);
+    // A second signal ends the program without waiting for work to be handed over.
+    signals.async_wait([&context](asio::error_code second_failure, int second) {
+      if (second_failure) return;
+      spdlog::warn("event=stopping_at_once signal={}", second);
+      context.stop();
+    });
     on_stop();
   });
   asio::steady_timer timer(context);
