--- a/libs/program/src/command_line.cc
+++ b/libs/program/src/command_line.cc
@@ -94,7 +94,7 @@
     const std::string initial = flag->DefaultValue();
     const std::string shown = initial.empty() ? "" : fmt::format(" (default {})", initial);
     const std::string key{flag->Name()};
-    lines[key] = fmt::format("  --{:<18} {}{}\n", key, flag->Help(), shown);
+    lines[key] = fmt::format("  --{:<23} {}{}\n", key, flag->Help(), shown);
   }
   std::string text;
   for (const auto& [name, line] : lines) text += line;
