--- a/libs/ctl/src/task_commands.cc
+++ b/libs/ctl/src/task_commands.cc
@@ -35,7 +35,8 @@
   for (const char* field : {"task", "team", "task_class", "kind", "urgent", "state", "code", "name",
                             "reason", "epoch", "worker", "evictions", "attempts", "result"}) {
     const std::string text = TextOf(view, field);
-    if (!text.empty()) run.around.out << fmt::format("{:<12}{}\n", field, text);
+    const bool says_nothing = text.empty() || (text == "ok" && std::string_view(field) == "reason");
+    if (!says_nothing) run.around.out << fmt::format("{:<12}{}\n", field, text);
   }
 }
 
