--- a/libs/placement/tests/scheduler_test.cc
+++ b/libs/placement/tests/scheduler_test.cc
@@ -286,7 +286,7 @@
 }
 
 // Guards against a burst that overcommits workers through a stale view: agents would have to
-// refuse. 310 starts a second for a minute with heartbeats each 5 s.
+// refuse. 300 starts within a second, with heartbeats each 5 s.
 TEST_CASE("a burst is placed without refusals") {
   simulation run(100);
   int submitted = 0;
