Remove the reopening of settled interference estimates

The floor of the variance alone keeps the stated detection within 3 reports and unlearning within 6, so the rule did not earn its state.

--- a/libs/interference/include/interference/model.h
+++ b/libs/interference/include/interference/model.h
@@ -15,7 +15,7 @@
 /// Limits and rates of the model.
 struct model_options {
   /// Classes with estimates of their own; further ones share `kOtherClass`. The state of the
-  /// estimates is 24 bytes times the square of this number.
+  /// estimates is 8 bytes times the square of this number.
   std::uint32_t max_classes = 128;
   /// Time in which an estimate that gets no reports loses half of its mean.
   core::nanoseconds half_life = std::chrono::minutes{10};
@@ -41,7 +41,6 @@
   std::uint64_t reports = 0;
   std::uint64_t samples = 0;
   std::uint64_t too_old = 0;  ///< measured before the start of the worker's history
-  std::uint64_t changes = 0;  ///< pairs whose estimate was reopened by contradicting reports
 };
 
 /// Learns from delayed usage reports how task classes slow each other down on one worker.
@@ -90,7 +89,6 @@
   struct pair_state {
     float mean = 0;  ///< logarithm of the slowdown
     float variance = 0;
-    float surprise = 0;  ///< moving average of the signed, normalized prediction errors
   };
   struct class_row {
     std::string name;
--- a/libs/interference/src/model.cc
+++ b/libs/interference/src/model.cc
@@ -9,14 +9,12 @@
 
 /// Variance of a pair without reports: a slowdown of 1.65 is one standard deviation.
 constexpr float kPriorVariance = 0.25F;
-/// Variance that is never undercut, so that later reports keep a weight of about a third.
+/// Variance that is never undercut, so that each later report keeps a weight of a third and a
+/// changed load is learned within a few reports.
 constexpr float kMinVariance = 0.005F;
 /// Variance of one report: about 10 % of the run time.
 constexpr double kReportVariance = 0.01;
-/// Error of one report in standard deviations is cut off here; one report alone stays below
-/// `kReopen`, two in the same direction exceed it.
-constexpr double kMaxError = 4;
-constexpr float kReopen = 2.5F;
+
 constexpr float kMinMean = -0.1F;
 constexpr float kMaxMean = 3;
 /// Classes of other entries' tasks are believed for this long after a report.
@@ -232,17 +230,12 @@
     variance += pair.variance;
   }
   const double error = log_slowdown - predicted;
-  const double normalized = std::clamp(error / std::sqrt(variance), -kMaxError, kMaxError);
+
   for (const class_count& row : beside) {
     pair_state& pair = At(victim, row.task_class);
     const auto gain = static_cast<float>(pair.variance / variance);
     pair.mean = std::clamp(pair.mean + gain * static_cast<float>(error), kMinMean, kMaxMean);
     pair.variance = std::max(kMinVariance, pair.variance * (1 - gain));
-    pair.surprise = 0.5F * pair.surprise + 0.5F * static_cast<float>(normalized);
-    if (std::abs(pair.surprise) < kReopen) continue;
-    pair.variance = kPriorVariance;
-    pair.surprise = 0;
-    ++counters_.changes;
   }
 }
 
