Test preemption plans on full workers and the effect of weights

Mutation trials showed that the plan property almost never saw a plan with victims: removing the check for batch or the step that gives back superfluous victims went unnoticed. Workers are now full, and the test requires that plans with victims were seen. A new test covers the goal weights.

--- a/libs/placement/tests/policy_test.cc
+++ b/libs/placement/tests/policy_test.cc
@@ -140,6 +140,22 @@
   CHECK(policy->Choose(task, view, kNow, random, nullptr)->worker == 2);
 }
 
+// Guards against weights without effect: throughput fills workers so that big tasks find empty
+// ones, the other goals keep batch where most is free.
+TEST_CASE("the weights decide between packing and spreading") {
+  test_fleet fleet(2);
+  fleet.free(0) = {8'000, 30'000, 2};
+  fleet.Beat(kNow);
+  core::seeded_random random(1);
+  const auto task = MakeTask("t", task_kind::batch, {1'000, 1'000, 0});
+  const std::pair<goal_weights, worker_index> cases[] = {
+      {{1, 0, 0}, 1}, {{0, 1, 0}, 0}, {{0, 0, 1}, 1}};
+  for (const auto& [weights, expected] : cases) {
+    const auto policy = MakePlacementPolicy(policy_kind::weighted, {.weights = weights});
+    CHECK(policy->Choose(task, fleet.View(), kNow, random, nullptr)->worker == expected);
+  }
+}
+
 // Guards against a probe that never happens and against probing with critical work.
 TEST_CASE("a worker that is due for a probe gets the next batch task only") {
   test_fleet fleet(4);
--- a/libs/placement/tests/scheduler_test.cc
+++ b/libs/placement/tests/scheduler_test.cc
@@ -174,12 +174,13 @@
 // Guards against plans that free too little, take more than needed, or touch work that is not
 // batch, for any mix on the workers.
 TEST_CASE("a preemption plan frees enough with no superfluous victim") {
-  CHECK(rc::check([] {
+  int plans_with_victims = 0;
+  CHECK(rc::check([&plans_with_victims] {
     test_fleet fleet(4);
     running_table running;
     int number = 0;
     for (worker_index worker = 0; worker < 4; ++worker) {
-      for (int i = *rc::gen::inRange(0, 7); i > 0; --i) {
+      for (int i = *rc::gen::inRange(3, 9); i > 0; --i) {
         const core::resources need{*rc::gen::inRange(100, 5'000), *rc::gen::inRange(100, 20'000),
                                    *rc::gen::inRange(0, 2)};
         if (!need.FitsIn(fleet.free(worker))) continue;
@@ -187,7 +188,7 @@
         auto spec =
             MakeTask(std::to_string(number++),
                      *rc::gen::element(task_kind::batch, task_kind::latency_critical), need);
-        const auto since = kStart - seconds{*rc::gen::inRange(0, 90)};
+        const auto since = kStart - seconds{*rc::gen::inRange(0, 300)};
         running.Add({.spec = spec,
                      .worker = worker,
                      .state = running_state::running,
@@ -196,15 +197,19 @@
                     fleet.table);
       }
     }
+    for (worker_index worker = 0; worker < 4; ++worker) {
+      fleet.free(worker) = {*rc::gen::inRange(0, 500), *rc::gen::inRange(0, 2'000), 0};
+    }
     fleet.Beat(kStart);
     placement_view view = fleet.View();
     view.running = &running;
     const auto task = MakeTask(
         "watch", task_kind::latency_critical,
-        {*rc::gen::inRange(1, 16'000), *rc::gen::inRange(1, 60'000), *rc::gen::inRange(0, 3)});
-    const double budget = *rc::gen::inRange(0, 4);
+        {*rc::gen::inRange(600, 6'000), *rc::gen::inRange(1, 20'000), *rc::gen::inRange(0, 2)});
+    const double budget = *rc::gen::inRange(1, 5);
     const auto plan = PlanPreemption(task, seconds{1}, budget, view, {}, kStart);
     if (!plan) return;
+    plans_with_victims += plan->victims.empty() ? 0 : 1;
     RC_ASSERT(static_cast<double>(plan->victims.size()) <= budget);
     core::resources free = fleet.table.available()[plan->worker];
     for (const victim& row : plan->victims) {
@@ -219,6 +224,7 @@
       RC_ASSERT(!task.need.FitsIn(free - running.Find(row.task)->spec.need));
     }
   }));
+  CHECK(plans_with_victims > 20);
 }
 
 // Guards against evicting the work that is most expensive to repeat.
