Repeat lost evictions, rotate preemption plans, and wait for restarting workers

Three gaps found in review: - An eviction order that is lost left its task in the state `evicting` for good, so it was never a victim again. After 10 s the order now counts as lost. - Tasks whose plan fails were planned again in each tick and kept others from their turn, and a plan without victims looked at the whole fleet. Failed plans now wait 100 ms and a plan looks at 512 workers at most, from a row that moves with time. - A task whose only big enough worker restarts was given up, because a worker that said goodbye did not count.

--- a/libs/membership/include/membership/worker_table.h
+++ b/libs/membership/include/membership/worker_table.h
@@ -145,6 +145,8 @@
   std::size_t size() const noexcept { return identity_.size(); }
   /// @return the worker named `id`, or nothing.
   std::optional<worker_index> Find(std::string_view id) const;
+  /// @return false if the row is not in use.
+  bool IsKnown(worker_index worker) const noexcept { return !identity_[worker].id.empty(); }
   /// @return why the worker gets no new work, or `live`.
   worker_state State(worker_index worker, core::mono_time now) const noexcept;
   /// @return true if the entry may send new work to the worker.
--- a/libs/placement/benchmark/placement_benchmark.cc
+++ b/libs/placement/benchmark/placement_benchmark.cc
@@ -5,6 +5,7 @@
 
 #include "../tests/fleet.h"
 #include "placement/policy.h"
+#include "placement/preemption.h"
 #include "placement/router.h"
 #include "placement/running_table.h"
 #include "placement/task_queue.h"
@@ -79,6 +80,18 @@
   }
 }
 
+// Plans room for one urgent task on full workers; ten batch tasks run on each.
+void PlanVictims(benchmark::State& state) {
+  loaded_fleet loaded(static_cast<std::uint32_t>(state.range(0)));
+  auto task = MakeTask("t", task_kind::latency_critical, {12'000, 20'000, 0});
+  task.urgent = true;
+  const core::mono_time now = kNow + std::chrono::seconds{3};
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(
+        PlanPreemption(task, std::chrono::seconds{3}, 100, loaded.view, {}, now));
+  }
+}
+
 void RouteRequest(benchmark::State& state) {
   loaded_fleet loaded(static_cast<std::uint32_t>(state.range(0)));
   core::seeded_random random(1);
@@ -153,6 +166,7 @@
 
 BENCHMARK(PlaceTask)->Apply(Fleets);
 BENCHMARK(PlaceTaskNowhere)->Apply(Fleets);
+BENCHMARK(PlanVictims)->Apply(Fleets);
 BENCHMARK(RouteRequest)->Apply(Fleets);
 BENCHMARK(QueuePass)->Apply(FleetsAndQueues)->Unit(benchmark::kMicrosecond);
 BENCHMARK(QueuePassNowhere)->Apply(FleetsAndQueues)->Unit(benchmark::kMicrosecond);
--- a/libs/placement/include/placement/preemption.h
+++ b/libs/placement/include/placement/preemption.h
@@ -63,8 +63,9 @@
   core::nanoseconds evict_patience = std::chrono::milliseconds{2000};
   /// Capacity that is still missing this long after the plan is looked for on another worker.
   core::nanoseconds plan_patience = std::chrono::milliseconds{4000};
-  /// Workers whose victims are compared per plan.
+  /// Workers whose victims are compared per plan, and workers that are looked at for that.
   std::uint32_t max_candidates = 64;
+  std::uint32_t max_examined = 512;
   /// Evictions per plan.
   std::uint32_t max_victims = 8;
 };
--- a/libs/placement/include/placement/scheduler.h
+++ b/libs/placement/include/placement/scheduler.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -32,7 +34,7 @@
   /// `urgent_preempt_after`.
   core::nanoseconds preempt_after = std::chrono::milliseconds{500};
   core::nanoseconds urgent_preempt_after = std::chrono::milliseconds{40};
-  std::uint32_t plans_per_tick = 4;  ///< preemption plans
+  std::uint32_t plans_per_tick = 8;  ///< preemption plans
   /// A batch task that has waited this long gets capacity kept for it on one worker, so that
   /// smaller tasks do not overtake it forever. At most one worker in `workers_per_kept_task`.
   core::nanoseconds keep_capacity_after = std::chrono::minutes{5};
@@ -87,6 +89,7 @@
   std::uint64_t reclaim_evictions = 0;
   std::uint64_t given_up = 0;
   std::uint64_t kept_capacity = 0;  ///< reservations for batch tasks that waited long
+  std::uint64_t lost_orders = 0;    ///< evictions that did not end their task in time
   std::uint64_t budget_denied = 0;  ///< plans put off for lack of eviction budget
 };
 
@@ -177,6 +180,7 @@
   void KeepCapacity(core::mono_time now);
   void DropKeptCapacity();
   void Order(running_task& task, victim_step step, core::mono_time now, actions& out);
+  void ForgetLostOrders(core::mono_time now);
   void RunReclaim(core::mono_time now, actions& out);
   void UpdateFleetTotal(core::mono_time now);
   std::optional<running_task> Release(std::string_view task, bool release_capacity,
@@ -193,6 +197,8 @@
   headroom_reclaim reclaim_;
   eviction_budget budget_;
   std::unordered_map<std::string, reservation> reservations_;
+  std::unordered_map<std::string, core::mono_time> plan_retries_;
+  std::deque<std::pair<core::mono_time, std::string>> orders_;  ///< evictions by time
   std::uint64_t next_reservation_ = 0;
   std::uint32_t kept_ = 0;  ///< reservations made by `KeepCapacity`
   std::size_t fleet_size_ = 0;
--- a/libs/placement/include/placement/types.h
+++ b/libs/placement/include/placement/types.h
@@ -90,7 +90,7 @@
 
   std::uint32_t examined = 0;
   std::array<std::uint32_t, kFilterReasons> removed{};  ///< by filter_reason
-  /// Workers that are not gone, and those of them whose total capacity holds the task.
+  /// Workers in the table, also those that restart, and those whose total capacity holds the task.
   std::uint32_t known = 0;
   std::uint32_t big_enough = 0;
   std::vector<scored_worker> best;  ///< at most `kBest`, best first
--- a/libs/placement/src/policy.cc
+++ b/libs/placement/src/policy.cc
@@ -75,7 +75,7 @@
  private:
   static void Keep(std::optional<scored_worker>& best, const scored_worker& candidate);
   static void Explain(const task_spec& task, const membership::worker_table& workers,
-                      worker_index worker, core::mono_time now, const filter_result& result,
+                      worker_index worker, const filter_result& result,
                       placement_explanation& explain);
   static void KeepBest(placement_explanation& explain, const scored_worker& candidate);
 };
@@ -98,7 +98,7 @@
   worker_index worker = FirstRow(rows, random);
   for (std::size_t i = 0; i < rows; ++i, worker = worker + 1 < rows ? worker + 1 : 0) {
     const filter_result result = filter.Apply(worker);
-    if (explain != nullptr) Explain(task, *view.workers, worker, now, result, *explain);
+    if (explain != nullptr) Explain(task, *view.workers, worker, result, *explain);
     if (result.removed_by) continue;
     const scored_worker candidate{worker, Score(input, worker, random)};
     Keep(result.borrows ? best_borrowing : best, candidate);
@@ -121,10 +121,10 @@
 }
 
 void scanning_policy::Explain(const task_spec& task, const membership::worker_table& workers,
-                              worker_index worker, core::mono_time now, const filter_result& result,
+                              worker_index worker, const filter_result& result,
                               placement_explanation& explain) {
   ++explain.examined;
-  if (workers.State(worker, now) != membership::worker_state::gone) {
+  if (workers.IsKnown(worker)) {
     ++explain.known;
     if (task.need.FitsIn(workers.total()[worker])) ++explain.big_enough;
   }
--- a/libs/placement/src/preemption.cc
+++ b/libs/placement/src/preemption.cc
@@ -12,6 +12,8 @@
 
 /// Work that each eviction wastes besides the lost work itself: checkpoint, transfer and restart.
 constexpr double kCpuSecondsPerEviction = 2;
+/// Prime by which the first worker of a plan moves each millisecond.
+constexpr std::uint64_t kTurnStride = 104'729;
 /// An eviction that was ordered longer ago than this no longer counts as capacity to come.
 constexpr core::nanoseconds kEvictionTrusted = std::chrono::seconds{5};
 
@@ -58,9 +60,13 @@
 std::optional<preemption_plan> plan_search::Run() {
   const std::size_t rows = view_.workers->size();
   std::optional<preemption_plan> best;
+  if (rows == 0) return best;
   std::uint32_t compared = 0;
-  const std::size_t start = rows == 0 ? 0 : core::StableHash(task_.task) % rows;
-  for (std::size_t i = 0; i < rows && compared < options_.max_candidates; ++i) {
+  // The start differs between tasks and between attempts, so that all workers get their turn.
+  const auto turn = static_cast<std::uint64_t>(core::ToMs(now_.time_since_epoch()));
+  const std::size_t start = (core::StableHash(task_.task) + turn * kTurnStride) % rows;
+  const std::size_t examined = std::min<std::size_t>(rows, options_.max_examined);
+  for (std::size_t i = 0; i < examined && compared < options_.max_candidates; ++i) {
     const auto worker = static_cast<worker_index>((start + i) % rows);
     if (!task_.need.FitsIn(view_.workers->total()[worker])) continue;
     if (filter_.ApplyWithoutCapacity(worker)) continue;
--- a/libs/placement/src/scheduler.cc
+++ b/libs/placement/src/scheduler.cc
@@ -10,6 +10,11 @@
 namespace {
 
 constexpr core::nanoseconds kTotalsInterval = std::chrono::seconds{1};
+/// Delay until the next plan for a task whose plan failed, so that others get their turn.
+constexpr core::nanoseconds kPlanRetry = std::chrono::milliseconds{100};
+/// An eviction that has not ended its task after this time is taken as lost; the task may then be
+/// chosen again.
+constexpr core::nanoseconds kOrderLost = std::chrono::seconds{10};
 
 reclaim_options ReclaimOptions(const scheduler_options& options) {
   reclaim_options reclaim = options.reclaim;
@@ -136,6 +141,7 @@
   actions out;
   if (first_tick_ == core::mono_time{}) first_tick_ = now;
   UpdateFleetTotal(now);
+  ForgetLostOrders(now);
   AdvanceReservations(now, out);
   queue_placer placer(*this, now, out);
   counters_.over_quota += queue_.RunPass(placer, now).over_quota;
@@ -184,7 +190,8 @@
   bool known = false;
   bool big_enough = false;
   for (worker_index worker = 0; worker < workers_.size(); ++worker) {
-    if (workers_.State(worker, now) == membership::worker_state::gone) continue;
+    // A worker that restarts is gone for a while and still counts.
+    if (!workers_.IsKnown(worker)) continue;
     known = true;
     if (!task.need.FitsIn(workers_.total()[worker])) continue;
     big_enough = true;
@@ -299,9 +306,11 @@
 void scheduler::RunPreemption(task_tier tier, core::nanoseconds after, core::mono_time now,
                               actions& out) {
   if (queue_.size(tier) == 0) return;
+  std::erase_if(plan_retries_, [now](const auto& entry) { return entry.second <= now; });
   const auto waiting = queue_.WaitingLongerThan(
       tier, after, options_.plans_per_tick, now, [this](const task_spec& task) {
-        return reservations_.contains(task.task) || !queue_.IsWithinQuota(task.team, task.need);
+        return reservations_.contains(task.task) || plan_retries_.contains(task.task) ||
+               !queue_.IsWithinQuota(task.team, task.need);
       });
   for (const task_spec* task : waiting) StartPreemption(*task, now, out);
 }
@@ -314,6 +323,7 @@
   const double budget = budget_.Available(now, overdue);
   const auto plan = PlanPreemption(task, waited, budget, view(), options_.preemption, now);
   if (!plan) {
+    plan_retries_[task.task] = now + kPlanRetry;
     if (budget < 1) ++counters_.budget_denied;
     return;
   }
@@ -381,9 +391,21 @@
     state = running_state::stopping;
   }
   running_.SetState(task, state, now);
+  if (IsEnding(task)) orders_.emplace_back(now, task.spec.task);
   out.emplace_back(control_action{task.spec.task, task.worker, kind});
 }
 
+void scheduler::ForgetLostOrders(core::mono_time now) {
+  while (!orders_.empty() && now - orders_.front().first > kOrderLost) {
+    const auto [ordered_at, name] = std::move(orders_.front());
+    orders_.pop_front();
+    running_task* task = running_.Find(name);
+    if (task == nullptr || !IsEnding(*task) || task->ordered_at != ordered_at) continue;
+    ++counters_.lost_orders;
+    running_.SetState(*task, running_state::running, now);
+  }
+}
+
 void scheduler::RunReclaim(core::mono_time now, actions& out) {
   for (const reclaim_action& action : reclaim_.Tick(view(), running_, budget_, now)) {
     control_kind kind = control_kind::throttle;
@@ -392,6 +414,7 @@
     } else if (action.action == reclaim_action::kind::evict) {
       ++counters_.reclaim_evictions;
       kind = control_kind::evict;
+      orders_.emplace_back(now, action.task);
     } else {
       kind = control_kind::unthrottle;
     }
