Lower sizes only after finished tasks

The entry observes each usage report of a running task as well. Eight samples of one long task that had not yet reached its peak were enough to lower the declared size of its whole class. Lowering now needs eight finished tasks; samples of running tasks still raise a size at once.

--- a/libs/blame/include/blame/size_correction.h
+++ b/libs/blame/include/blame/size_correction.h
@@ -13,11 +13,13 @@
 
 /// Rules of the size correction.
 struct size_correction_options {
-  double quantile = 0.95;         ///< of observed peaks per class
-  double safety_factor = 1.2;     ///< on the quantile
-  double min_ratio = 0.25;        ///< lowest corrected size relative to the declared one
-  double max_ratio = 4;           ///< highest, unless more was observed
-  std::uint32_t min_samples = 8;  ///< before a size is lowered; raising needs one
+  double quantile = 0.95;      ///< of observed peaks per class
+  double safety_factor = 1.2;  ///< on the quantile
+  double min_ratio = 0.25;     ///< lowest corrected size relative to the declared one
+  double max_ratio = 4;        ///< highest, unless more was observed
+  /// Finished tasks before a size is lowered. Raising needs one observation, also of a running
+  /// task; many observations of one task that has just started say little about its peak.
+  std::uint32_t min_finished = 8;
   std::size_t max_classes = 512;  ///< the class that was observed longest ago is forgotten
 };
 
@@ -68,12 +70,14 @@
 
  private:
   struct class_row {
+    std::uint32_t finished = 0;
     decaying_quantile cpu_millis;
     decaying_quantile memory_mb;
     decaying_quantile run_ms;
     core::mono_time observed_at{};
   };
-  std::int64_t CorrectOne(const decaying_quantile& observed, std::int64_t declared) const;
+  std::int64_t CorrectOne(const decaying_quantile& observed, std::int64_t declared,
+                          bool may_lower) const;
   void ForgetOldest();
 
   size_correction_options options_;
--- a/libs/blame/src/size_correction.cc
+++ b/libs/blame/src/size_correction.cc
@@ -56,6 +56,7 @@
   row.cpu_millis.Add(static_cast<double>(observed.cpu_millis));
   row.memory_mb.Add(static_cast<double>(observed.memory_mb));
   row.run_ms.Add(run_ms);
+  if (run_ms > 0) ++row.finished;
   row.observed_at = now;
   if (classes_.size() > options_.max_classes) ForgetOldest();
 }
@@ -66,23 +67,24 @@
   if (entry == classes_.end()) return declared;
   const class_row& row = entry->second;
   const core::resources& need = declared.need;
+  const bool may_lower = row.finished >= options_.min_finished;
   task_size corrected = declared;
-  corrected.need.cpu_millis = std::min(CorrectOne(row.cpu_millis, need.cpu_millis),
+  corrected.need.cpu_millis = std::min(CorrectOne(row.cpu_millis, need.cpu_millis, may_lower),
                                        std::max(need.cpu_millis, largest_worker.cpu_millis));
-  corrected.need.memory_mb = std::min(CorrectOne(row.memory_mb, need.memory_mb),
+  corrected.need.memory_mb = std::min(CorrectOne(row.memory_mb, need.memory_mb, may_lower),
                                       std::max(need.memory_mb, largest_worker.memory_mb));
-  corrected.run_ms = static_cast<std::uint32_t>(CorrectOne(row.run_ms, declared.run_ms));
+  corrected.run_ms = static_cast<std::uint32_t>(CorrectOne(row.run_ms, declared.run_ms, may_lower));
   return corrected;
 }
 
-std::int64_t size_correction::CorrectOne(const decaying_quantile& observed,
-                                         std::int64_t declared) const {
+std::int64_t size_correction::CorrectOne(const decaying_quantile& observed, std::int64_t declared,
+                                         bool may_lower) const {
   if (observed.weight() <= 0) return declared;
   const double size = static_cast<double>(declared);
   double estimate =
       std::max(observed.Quantile(options_.quantile) * options_.safety_factor, observed.max());
   if (declared > 0) {
-    if (estimate < size && observed.weight() < options_.min_samples) return declared;
+    if (estimate < size && !may_lower) return declared;
     estimate = std::clamp(estimate, size * options_.min_ratio, size * options_.max_ratio);
   }
   return static_cast<std::int64_t>(std::ceil(std::max(estimate, observed.max())));
--- a/libs/blame/tests/blame_test.cc
+++ b/libs/blame/tests/blame_test.cc
@@ -147,6 +147,16 @@
   CHECK(sizes.Correct("unknown", declared, kLargest) == declared);
 }
 
+// Guards against lowering a class by many samples of one task that has not reached its peak.
+TEST_CASE("samples of a running task do not lower a size") {
+  size_correction sizes;
+  const task_size declared{{4'000, 8'000, 0}, 1'000};
+  for (int i = 0; i < 100; ++i) sizes.Observe("cut", {100, 500, 0}, 0, kStart);
+  CHECK(sizes.Correct("cut", declared, kLargest) == declared);
+  sizes.Observe("cut", {100, 9'000, 0}, 0, kStart);
+  CHECK(sizes.Correct("cut", declared, kLargest).need.memory_mb >= 9'000);
+}
+
 // Guards against sizes below observed use, beyond all workers, or out of bounds.
 TEST_CASE("corrected sizes stay within their bounds") {
   CHECK(rc::check([] {
@@ -154,7 +164,7 @@
     const auto used =
         *rc::gen::nonEmpty(rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 100'000)));
     const auto declared = *rc::gen::inRange(1, 50'000);
-    for (const int amount : used) sizes.Observe("c", {0, amount, 0}, 0, kStart);
+    for (const int amount : used) sizes.Observe("c", {0, amount, 0}, 1, kStart);
     const auto need = sizes.Correct("c", {{0, declared, 0}, 0}, kLargest).need;
     const std::int64_t max = *std::max_element(used.begin(), used.end());
     RC_ASSERT(need.memory_mb >= std::min<std::int64_t>(max, kLargest.memory_mb));
@@ -169,7 +179,7 @@
 TEST_CASE("old observations and old classes are forgotten") {
   size_correction sizes({.max_classes = 3});
   sizes.Observe("cut", {0, 40'000, 0}, 0, kStart);
-  for (int i = 0; i < 2'000; ++i) sizes.Observe("cut", {0, 1'000, 0}, 0, kStart + seconds{1});
+  for (int i = 0; i < 2'000; ++i) sizes.Observe("cut", {0, 1'000, 0}, 1, kStart + seconds{1});
   CHECK(sizes.Correct("cut", {{0, 2'000, 0}, 0}, kLargest).need.memory_mb < 1'500);
   for (int i = 0; i < 5; ++i) {
     sizes.Observe("c" + std::to_string(i), {1, 1, 0}, 0, kStart + seconds{2 + i});
