--- a/libs/placement/tests/scheduler_test.cc
+++ b/libs/placement/tests/scheduler_test.cc
@@ -55,6 +55,7 @@
   core::mono_time now = kStart;
   core::nanoseconds evict_delay = milliseconds{300};
   bool ignores_evict = false;
+  bool ignores_stop = false;
   std::map<std::string, run> runs;
   std::map<std::string, core::mono_time> started;
   std::map<std::string, core::resources> needs;
@@ -75,7 +76,7 @@
         controls.push_back(*control);
         if (control->kind == control_kind::evict && !ignores_evict) {
           messages_.emplace(now + evict_delay, *control);
-        } else if (control->kind == control_kind::stop) {
+        } else if (control->kind == control_kind::stop && !ignores_stop) {
           messages_.emplace(now + milliseconds{20}, *control);
         }
       } else {
@@ -151,6 +152,19 @@
   CHECK(run.refused == 0);
 }
 
+// The same at the size that is expected in two years: one second of starts, all of them urgent.
+TEST_CASE("a peak of urgent starts on 990 full workers is in time") {
+  simulation run(990);
+  run.FillWithBatch(4, core::nanoseconds{0});
+  run.Run(seconds{1});
+  for (int i = 0; i < 310; ++i) {
+    run.subject.Submit(Urgent("u" + std::to_string(i), {4'000, 8'000, 0}, run.now));
+  }
+  run.Run(milliseconds{6'400});
+  CHECK(run.started.size() == 310);
+  CHECK(run.evicted == 310);
+}
+
 // Guards against preemption for latency-critical work beyond the budget, and against evicting a
 // task that has just started.
 TEST_CASE("latency-critical work preempts within budget and protection") {
@@ -174,12 +188,13 @@
 // Guards against plans that free too little, take more than needed, or touch work that is not
 // batch, for any mix on the workers.
 TEST_CASE("a preemption plan frees enough with no superfluous victim") {
-  CHECK(rc::check([] {
+  int plans_with_victims = 0;
+  CHECK(rc::check([&plans_with_victims] {
     test_fleet fleet(4);
     running_table running;
     int number = 0;
     for (worker_index worker = 0; worker < 4; ++worker) {
-      for (int i = *rc::gen::inRange(0, 7); i > 0; --i) {
+      for (int i = *rc::gen::inRange(3, 9); i > 0; --i) {
         const core::resources need{*rc::gen::inRange(100, 5'000), *rc::gen::inRange(100, 20'000),
                                    *rc::gen::inRange(0, 2)};
         if (!need.FitsIn(fleet.free(worker))) continue;
@@ -187,7 +202,7 @@
         auto spec =
             MakeTask(std::to_string(number++),
                      *rc::gen::element(task_kind::batch, task_kind::latency_critical), need);
-        const auto since = kStart - seconds{*rc::gen::inRange(0, 90)};
+        const auto since = kStart - seconds{*rc::gen::inRange(0, 300)};
         running.Add({.spec = spec,
                      .worker = worker,
                      .state = running_state::running,
@@ -196,15 +211,19 @@
                     fleet.table);
       }
     }
+    for (worker_index worker = 0; worker < 4; ++worker) {
+      fleet.free(worker) = {*rc::gen::inRange(0, 500), *rc::gen::inRange(0, 2'000), 0};
+    }
     fleet.Beat(kStart);
     placement_view view = fleet.View();
     view.running = &running;
     const auto task = MakeTask(
         "watch", task_kind::latency_critical,
-        {*rc::gen::inRange(1, 16'000), *rc::gen::inRange(1, 60'000), *rc::gen::inRange(0, 3)});
-    const double budget = *rc::gen::inRange(0, 4);
+        {*rc::gen::inRange(600, 6'000), *rc::gen::inRange(1, 20'000), *rc::gen::inRange(0, 2)});
+    const double budget = *rc::gen::inRange(1, 5);
     const auto plan = PlanPreemption(task, seconds{1}, budget, view, {}, kStart);
     if (!plan) return;
+    plans_with_victims += plan->victims.empty() ? 0 : 1;
     RC_ASSERT(static_cast<double>(plan->victims.size()) <= budget);
     core::resources free = fleet.table.available()[plan->worker];
     for (const victim& row : plan->victims) {
@@ -219,6 +238,7 @@
       RC_ASSERT(!task.need.FitsIn(free - running.Find(row.task)->spec.need));
     }
   }));
+  CHECK(plans_with_victims > 20);
 }
 
 // Guards against evicting the work that is most expensive to repeat.
@@ -286,7 +306,7 @@
 }
 
 // Guards against a burst that overcommits workers through a stale view: agents would have to
-// refuse. 310 starts a second for a minute with heartbeats each 5 s.
+// refuse. 300 starts within a second, with heartbeats each 5 s.
 TEST_CASE("a burst is placed without refusals") {
   simulation run(100);
   int submitted = 0;
@@ -323,6 +343,34 @@
   CHECK(run.subject.queue().size() == 1);
 }
 
+// Guards against ending a task because the only worker that is big enough restarts.
+TEST_CASE("a worker that restarts still counts as big enough") {
+  simulation run(2);
+  auto heartbeat = run.fleet.Heartbeat(0);
+  heartbeat.worker = "big";
+  heartbeat.total = heartbeat.free = {64'000, 200'000, 8};
+  run.fleet.table.OnHeartbeat(heartbeat, run.now);
+  run.fleet.table.OnGoodbye({"big", 1});
+  run.subject.Submit(MakeTask("large", task_kind::batch, {40'000, 1, 0}));
+  run.Run(seconds{60});
+  CHECK(run.given_up.empty());
+}
+
+// Guards against a task that can never be a victim again because an order was lost.
+TEST_CASE("a lost eviction order is given again") {
+  simulation run(1);
+  run.FillWithBatch(1, seconds{60});
+  run.ignores_evict = true;
+  run.ignores_stop = true;
+  run.subject.Submit(Urgent("u", {1'000, 1'000, 0}, run.now));
+  run.Run(seconds{5});
+  CHECK(run.controls.size() == 2);
+  run.ignores_evict = false;
+  run.Run(seconds{10});
+  CHECK(run.IsRunning("u"));
+  CHECK(run.subject.counters().lost_orders == 1);
+}
+
 // Guards against a big batch task that small ones overtake for ever.
 TEST_CASE("capacity is kept for a batch task that has waited long") {
   scheduler_options options;
