ledger: test the mechanisms that no test would have missed

Two removals still pass: the version check when a key is adopted (the verify step catches the consequence) and the reset of the registration at a lapse (the lease id differs anyway).

--- a/libs/ledger/tests/shard_manager_test.cc
+++ b/libs/ledger/tests/shard_manager_test.cc
@@ -200,11 +200,16 @@
   a.paused = true;
   test_entry& b = fleet.Start("b");
   REQUIRE(fleet.RunUntil([&] { return Owns(b); }));
-  int number = 0;
-  REQUIRE(fleet.RunUntil([&] {
-    fleet.Submit(b, std::to_string(number++));
-    return b.manager.Table(0)->next_index() > 20 && !fleet.store.items.contains(key);
-  }));
+  // The last batch is the one that the snapshot covers, so that no other log key is left.
+  const auto has_snapshot = [&] {
+    return fleet.store.items.contains(SnapshotKey(0, b.manager.Table(0)->next_index() - 1, 0));
+  };
+  for (int number = 0; number < 50 && !has_snapshot(); ++number) {
+    fleet.Submit(b, std::to_string(number));
+    fleet.Run(milliseconds{200});
+  }
+  REQUIRE(fleet.RunUntil([&] { return fleet.store.CountKeys(LogPrefix(0)) == 1; }));
+  fleet.Run(seconds{5});
   a.client.ReleaseDelayed();
   REQUIRE(fleet.store.items.contains(key));
   a.paused = false;
@@ -288,6 +293,73 @@
   CHECK(a.manager.Fence(0) == 3);
 }
 
+// Guards against the mirror image: the old owner retakes its key before the taker's `owner_changed`
+// is in the log.
+TEST_CASE("a taker that lost its key meanwhile does not become owner") {
+  fleet fleet;
+  test_entry& a = fleet.Start("a");
+  REQUIRE(fleet.RunUntil([&] { return Owns(a); }));
+  SetDown(a, true);
+  fleet.EndOwnersLease();
+  test_entry& b = fleet.Start("b");
+  REQUIRE(fleet.RunUntil([&] { return fleet.store.items.contains(OwnerKey(0)); }));
+  // `b` hears nothing of the end of its lease either.
+  b.client.fate = [](bool, const std::string& key) {
+    if (key.empty()) return call_fate::refused;
+    return key.starts_with("log/0/0") ? call_fate::held : call_fate::answered;
+  };
+  fleet.Run(milliseconds{200});
+  fleet.EndOwnersLease();
+  SetDown(a, false);
+  REQUIRE(fleet.RunUntil([&] { return fleet.store.items.contains(OwnerKey(0)); }));
+  fleet.Run(milliseconds{200});
+  const std::size_t batches = fleet.store.CountKeys(LogPrefix(0));
+  b.client.ReleaseDelayed();
+  fleet.Run(milliseconds{200});
+  CHECK(fleet.store.CountKeys(LogPrefix(0)) == batches + 1);
+  CHECK(a.manager.Grants() == std::vector<lease_grant>{{0, 1}});
+  CHECK(b.listener.owned.empty());
+  const auto& outcome = fleet.Submit(a, "t");
+  REQUIRE(fleet.RunUntil([&] { return outcome.has_value(); }));
+  CHECK(outcome == append_outcome::not_committed);
+  CHECK(fleet.RunUntil([&] { return Owns(a) || Owns(b); }));
+}
+
+// Guards against an owner whose key was removed or replaced under a living lease: the shard would
+// be free for others, or would have a second owner.
+TEST_CASE("an owner notices a change of its key") {
+  fleet fleet;
+  test_entry& a = fleet.Start("a");
+  REQUIRE(fleet.RunUntil([&] { return Owns(a); }));
+  fleet.store.Erase(OwnerKey(0));
+  fleet.Run(seconds{1});
+  CHECK(fleet.store.items.contains(OwnerKey(0)));
+  CHECK(a.manager.Fence(0) == 1);
+  fleet.store.Erase(OwnerKey(0));
+  fleet.store.items[OwnerKey(0)] = {"z 1-1", ++fleet.store.revision, 0};
+  fleet.store.change_of_key[OwnerKey(0)] = fleet.store.revision;
+  fleet.Run(seconds{1});
+  CHECK(a.listener.lost == std::vector{std::pair(core::shard_index{0}, shard_loss::owner_taken)});
+  CHECK(a.manager.OwnerOf(0) == shard_owner{"z", std::nullopt});
+}
+
+// Guards against an owner that serves a shard of which it does not know all records.
+TEST_CASE("a log with a gap has no owner") {
+  fleet fleet;
+  test_entry& a = fleet.Start("a");
+  REQUIRE(fleet.RunUntil([&] { return Owns(a); }));
+  fleet.Submit(a, "1");
+  fleet.Run(seconds{1});
+  fleet.Submit(a, "2");
+  fleet.Run(seconds{1});
+  a.paused = true;
+  fleet.store.Erase(LogKey(0, 2));
+  test_entry& b = fleet.Start("b");
+  fleet.Run(seconds{30});
+  CHECK(fleet.store.items.at(OwnerKey(0)).value.starts_with("b "));
+  CHECK_FALSE(Owns(b));
+}
+
 // Guards against state that differs between the live table and a replay, and against a log or
 // snapshots that grow for ever.
 TEST_CASE("a takeover after snapshots and truncation restores the live table") {
@@ -326,11 +398,12 @@
   std::optional<bool> released;
   b.manager.Shutdown([&](bool all) { released = all; });
   CHECK_FALSE(b.manager.MayAppend(0));
+  // Others take a shard only once the entry that it hashes to is off the list.
+  REQUIRE(fleet.RunUntil([&] { return fleet.store.CountKeys("owner/") == 0; }));
+  CHECK(fleet.store.CountKeys("entries/") == 0);
   REQUIRE(fleet.RunUntil([&] { return released.has_value(); }));
   CHECK(released == true);
   CHECK(last == append_outcome::committed);
-  CHECK(fleet.store.CountKeys("owner/") == 0);
-  CHECK(fleet.store.CountKeys("entries/") == 0);
   test_entry& c = fleet.Start("c");
   REQUIRE(fleet.RunUntil([&] { return Owns(c); }));
   CHECK(c.manager.OwnedSince(0)->graceful);
@@ -354,6 +427,24 @@
   CHECK(a.manager.Grants().empty());
 }
 
+// Guards against an owner that renews execution leases while its final record may be in the log,
+// and against one that stops to renew them although the record is proved absent.
+TEST_CASE("grants stop while the final record of an ownership may be written") {
+  for (const call_fate fate : {call_fate::held, call_fate::delayed, call_fate::refused}) {
+    fleet fleet;
+    test_entry& a = fleet.Start("a");
+    REQUIRE(fleet.RunUntil([&] { return Owns(a); }));
+    fleet.Run(seconds{1});
+    a.client.fate = [fate](bool is_write, const std::string& key) {
+      return is_write && key.starts_with("log/") ? fate : call_fate::answered;
+    };
+    a.manager.Shutdown([](bool) {});
+    fleet.Run(milliseconds{400});
+    CHECK(Owns(a));
+    CHECK(a.manager.Grants().size() == (fate == call_fate::refused ? 1 : 0));
+  }
+}
+
 // Guards against tasks that hash to different shards after a change of the settings.
 TEST_CASE("an entry with another shard count takes no shard") {
   fleet fleet;
