Send non-idempotent requests and task starts at most once

libcurl sends a request again on a new connection when a kept-alive one is closed without an answer. In a trial a server that closed the connection after the second request saw three requests for two calls. A non-idempotent request would run twice; and the second of two equal task starts is answered with 409, which the agent takes as proof that the task does not run.

http::call gets `at_most_once`, which uses a new connection: libcurl repeats requests on reused connections only. One connect per such call over loopback is cheap beside the work. The new test fails without the option (three requests).

--- a/libs/agent/src/http_target_client.cc
+++ b/libs/agent/src/http_target_client.cc
@@ -82,7 +82,11 @@
   }
 
   void Start(const task_spec& task, std::function<void(start_result)> done) override {
-    Call(Post("/tasks", StartBody(task)), ToStartResult, std::move(done));
+    http::call call = Post("/tasks", StartBody(task));
+    // The second of two equal starts is answered as a known epoch, which would be taken as proof
+    // that the task does not run.
+    call.at_most_once = true;
+    Call(std::move(call), ToStartResult, std::move(done));
   }
 
   void List(std::function<void(std::optional<task_listing>)> done) override {
@@ -134,6 +138,7 @@
                     {"X-Deadline-Ms", std::to_string(request.time_left.count())},
                     {"Content-Type", "application/octet-stream"}};
     call.timeout = request.timeout;
+    call.at_most_once = !request.idempotent;
     Call(std::move(call), ToServiceAnswer, std::move(done));
   }
 
--- a/libs/agent/tests/network_test.cc
+++ b/libs/agent/tests/network_test.cc
@@ -102,6 +102,7 @@
   CHECK(test.Run(test.Answer(200, "out")).code == result_code::answer_truncated);
   CHECK(test.Run(test.Answer(503, "")).code == result_code::no_capacity);
   CHECK(test.Run(test.Answer(500, "why")).code == result_code::target_error);
+  CHECK_FALSE(test.via.calls.back().at_most_once);
   for (const auto code : {result_code::connect_failed, result_code::connection_lost,
                           result_code::answer_truncated, result_code::deadline_exceeded}) {
     CHECK(test.Run({std::nullopt, {code, ""}}).code == code);
@@ -112,6 +113,7 @@
 TEST_CASE("answers to a start map to outcomes") {
   protocol_fixture test;
   CHECK(test.Start(test.Answer(200, "{}")).outcome == start_outcome::started);
+  CHECK(test.via.calls.back().at_most_once);
   const auto body = nlohmann::json::parse(test.via.calls.back().body);
   CHECK(body.at("payload") == "AP8=");
   CHECK(body.at("kind") == "batch");
--- a/libs/http/include/http/client.h
+++ b/libs/http/include/http/client.h
@@ -18,6 +18,9 @@
   header_map headers;
   std::string body;
   std::chrono::milliseconds timeout{5000};
+  /// Uses a new connection, on which the request is sent at most once. On a kept-alive connection
+  /// libcurl sends it again if the server closes the connection without an answer.
+  bool at_most_once = false;
 
   bool operator==(const call&) const = default;
 };
--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -122,6 +122,7 @@
     curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(handle, CURLOPT_PROXY, "");
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(request.timeout.count()));
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, request.at_most_once ? 1L : 0L);
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, AppendBody);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, item.get());
     curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, AppendHeader);
--- a/libs/http/tests/http_test.cc
+++ b/libs/http/tests/http_test.cc
@@ -1,8 +1,10 @@
 #include <doctest/doctest.h>
 
+#include <asio.hpp>
 #include <atomic>
 #include <future>
 #include <thread>
+#include <vector>
 
 #include "http/client.h"
 #include "http/server.h"
@@ -78,4 +80,38 @@
   CHECK(result.reason.code == core::result_code::connect_failed);
 }
 
+// Guards against a non-idempotent request that runs twice: libcurl sends a request again if a
+// kept-alive connection is closed without an answer.
+TEST_CASE("an at-most-once call is not sent again when the connection is closed") {
+  std::atomic<int> received{0};
+  asio::io_context context;
+  asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+  const std::uint16_t port = acceptor.local_endpoint().port();
+  // Answers the first request and closes the connection of each other one without an answer.
+  const auto serve = [&received](asio::ip::tcp::socket peer) {
+    asio::error_code failure;
+    std::string text;
+    while (asio::read_until(peer, asio::dynamic_buffer(text), "\r\n\r\n", failure) != 0) {
+      text.clear();
+      if (++received != 1) return;
+      asio::write(peer, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+    }
+  };
+  // With and without a repetition the client opens two connections.
+  std::vector<std::thread> servers;
+  servers.reserve(2);
+  for (int connection = 0; connection < 2; ++connection) {
+    servers.emplace_back([&] { serve(acceptor.accept()); });
+  }
+  auto client = MakeCurlClient();
+  const call request{.method = "POST",
+                     .url = "http://127.0.0.1:" + std::to_string(port) + "/",
+                     .at_most_once = true};
+  CHECK(CallAndWait(*client, request).answer.has_value());
+  CHECK(CallAndWait(*client, request).reason.code == core::result_code::connection_lost);
+  CHECK(received == 2);
+  client.reset();
+  for (auto& thread : servers) thread.join();
+}
+
 }  // namespace coltsfoot::http
