Report tasks that a former agent stopped

The target emits no event for a task that is stopped on request. If the agent died between the stop and the owner's acknowledgement, its successor knew nothing of the eviction: the owner learned from the shard report that the task does not run and resumed it from the older checkpoint of its log.

The target still lists such a task as ended, with its checkpoint. After the list and the events are handled, each listed assignment that ended without an event is reported as evicted. Repeated reports of recorded ends are harmless: the owner acknowledges and ignores them.

--- a/libs/agent/src/target_monitor.cc
+++ b/libs/agent/src/target_monitor.cc
@@ -125,6 +125,7 @@
                        }
                        tasks_.Relearn(listing);
                        Handle(*batch);
+                       tasks_.ReportEnded(listing);
                        state_.recovering = false;
                        call_in_flight_ = false;
                        spdlog::info("event=recovered instance={} tasks={}", current_->instance,
--- a/libs/agent/src/task_manager.cc
+++ b/libs/agent/src/task_manager.cc
@@ -443,6 +443,16 @@
   }
 }
 
+void task_manager::ReportEnded(const task_listing& listing) {
+  for (const listed_task& item : listing.tasks) {
+    if (!item.ended || IsSeen(item.spec.task, item.spec.epoch)) continue;
+    // The target emits no event for a task that the former agent stopped. If that agent could not
+    // report the eviction, the checkpoint is only in this list.
+    End({item.spec.task, item.spec.epoch},
+        MakeEvent(item.spec, task_event_kind::evicted, result_code::evicted));
+  }
+}
+
 void task_manager::LoseAll() {
   ++generation_;
   push_in_flight_ = false;
--- a/libs/agent/src/task_manager.h
+++ b/libs/agent/src/task_manager.h
@@ -37,6 +37,8 @@
   void OnTargetEvent(target_event event);
   /// Takes over the tasks that the target listed after a start of this agent.
   void Relearn(const task_listing& listing);
+  /// Reports listed tasks that have ended without an event, after all events were handled.
+  void ReportEnded(const task_listing& listing);
   /// Reports every task as lost, because the target that ran them is gone.
   void LoseAll();
   /// Ends every task, because the target departs.
--- a/libs/agent/tests/task_test.cc
+++ b/libs/agent/tests/task_test.cc
@@ -156,6 +156,25 @@
   CHECK(test.target.controls.size() == 1);
 }
 
+// Guards against a checkpoint that is lost when an agent dies between the stop of a task and the
+// acknowledgement of its eviction.
+TEST_CASE("a restarted agent reports what its predecessor stopped") {
+  fixture test;
+  listed_task stopped{.spec = {.task = fixture::kTask, .epoch = 2, .shard = 3}, .ended = true};
+  stopped.spec.checkpoint = "half";
+  listed_task finished = stopped;
+  finished.spec.task = "t03-0000000000000008";
+  target_event event{.id = 1, .type = target_event_type::finished, .task = finished.spec.task};
+  event.epoch = 2;
+  test.Recover({stopped, finished}, {event});
+  const auto events = test.Sent<wire::task_event>();
+  REQUIRE(events.size() == 2);
+  CHECK(events[0].kind == task_event_kind::finished);
+  CHECK(events[1].kind == task_event_kind::evicted);
+  CHECK(events[1].task == fixture::kTask);
+  CHECK(events[1].checkpoint == "half");
+}
+
 // Guards against tasks of a dead target that are believed to run, and against answers and
 // announcements of the former instance that arrive late.
 TEST_CASE("a changed target instance loses the tasks of the former one") {
