Keep known entries when an ack lists none

Heartbeats go to the configured entries and to the list in acks. An entry that cannot read the key-value service may send an empty list; replacing the former one would stop the renewal of all leases that the forgotten entries grant, and evict their tasks during an outage. An empty list now keeps the last one.

--- a/libs/agent/src/entry_directory.cc
+++ b/libs/agent/src/entry_directory.cc
@@ -49,7 +49,11 @@
 
 void entry_directory::SetList(const std::string& entry, std::vector<wire::endpoint> list,
                               core::mono_time now) {
-  lists_[entry] = {std::move(list), now + list_lifetime_};
+  entry_list& known = lists_[entry];
+  known.expires = now + list_lifetime_;
+  // An entry that cannot read the key-value service may know no list. Forgetting the others for
+  // that would end the renewal of their leases.
+  if (!list.empty()) known.endpoints = std::move(list);
 }
 
 std::set<wire::endpoint> entry_directory::HeartbeatTargets(core::mono_time now) {
--- a/libs/agent/src/entry_directory.h
+++ b/libs/agent/src/entry_directory.h
@@ -42,7 +42,7 @@
   /// @return the highest fence seen of `shard`; 0 if none.
   core::fence_number FenceOf(core::shard_index shard) const;
 
-  /// Replaces the list of UDP endpoints that `entry` sent.
+  /// Replaces the list of UDP endpoints that `entry` sent; an empty list keeps the last one.
   void SetList(const std::string& entry, std::vector<wire::endpoint> list, core::mono_time now);
   /// @return the UDP endpoints that get heartbeats.
   std::set<wire::endpoint> HeartbeatTargets(core::mono_time now);
--- a/libs/agent/tests/request_test.cc
+++ b/libs/agent/tests/request_test.cc
@@ -140,6 +140,9 @@
   ack.entries = {{"127.0.0.1", 7000}, {"127.0.0.1", 7100}};
   test.control.OnDatagram(fixture::Raw(ack));
   CHECK(receivers() == std::set<std::uint16_t>{7000, 7100});
+  ack.entries.clear();
+  test.control.OnDatagram(fixture::Raw(ack));
+  CHECK(receivers() == std::set<std::uint16_t>{7000, 7100});
   ack.entries = {{"127.0.0.1", 7200}};
   test.control.OnDatagram(fixture::Raw(ack));
   CHECK(receivers() == std::set<std::uint16_t>{7000, 7200});
--- a/libs/agent/tests/task_test.cc
+++ b/libs/agent/tests/task_test.cc
@@ -193,6 +193,35 @@
   CHECK(test.target.lists.empty());
 }
 
+// Guards against an owner that waits for ever for a task that the worker does not run, and against
+// an eviction that wins over a cancellation.
+TEST_CASE("control messages act on the named assignment only") {
+  fixture test;
+  test.Recover();
+  test.RunTask(2);
+  const auto control = [&](core::epoch_number epoch, wire::task_action action) {
+    test.control.OnFrame(fixture::kEntry,
+                         fixture::Raw(wire::control_task{3, 5, fixture::kTask, epoch, action}));
+  };
+  control(1, wire::task_action::cancel);
+  CHECK(test.target.controls.empty());
+  control(2, wire::task_action::throttle);
+  CHECK(fixture::Take(test.target.controls).action == target_action::throttle);
+  control(2, wire::task_action::checkpoint);
+  fixture::Take(test.target.controls).done({control_outcome::done, "half"});
+  CHECK(test.LastEvent(task_event_kind::checkpointed) == result_code::ok);
+  control(2, wire::task_action::evict);
+  control(2, wire::task_action::cancel);
+  fixture::Take(test.target.controls).done({control_outcome::done, ""});
+  fixture::Take(test.target.controls).done({control_outcome::done, ""});
+  CHECK(test.LastEvent(task_event_kind::cancelled) == result_code::cancelled);
+  CHECK(test.Sent<wire::task_event>().back().checkpoint == "half");
+  test.control.OnFrame(
+      fixture::kEntry,
+      fixture::Raw(wire::control_task{3, 5, "t03-00000000000000ff", 1, wire::task_action::cancel}));
+  CHECK(test.LastEvent(task_event_kind::lost) == result_code::not_found);
+}
+
 // Guards against an end of a task that is lost with a connection or with the shard's owner.
 TEST_CASE("an event is sent again until the owner acknowledges it") {
   fixture test;
