Bound the bytes of admitted requests

Connections bound the number of requests at an agent, not their size: 64 requests of up to 2 MiB would need 128 MB, and the process must stay below 32 MB. Above 8 MiB new requests are refused as queue_full (not run).

--- a/libs/agent/src/request_manager.cc
+++ b/libs/agent/src/request_manager.cc
@@ -20,6 +20,8 @@
 constexpr std::int64_t kMostHalvings = 30;
 // After the deadline the slot stays taken for as long as the target may still work on the request.
 constexpr core::milliseconds kLateAnswerLimit{10000};
+// The process must stay below 32 MB with all connections taken.
+constexpr std::size_t kMaxBodyBytes = 8U << 20U;
 constexpr std::size_t kReplyOverheadBytes = 1024;
 
 }  // namespace
@@ -67,6 +69,8 @@
   }
   active_request item;
   item.deadline = time_.Now() + core::milliseconds{request.deadline_ms};
+  item.body_bytes = request.body.size();
+  body_bytes_ += item.body_bytes;
   item.request = std::move(request);
   ++services_[item.request.service].queued;
   active_.emplace(key, std::move(item));
@@ -82,6 +86,9 @@
   if (must_wait && queue_.size() >= state_.policy.queue_limit) {
     return error_reason{result_code::queue_full, "the queue for slots is at its limit"};
   }
+  if (body_bytes_ + request.body.size() > kMaxBodyBytes) {
+    return error_reason{result_code::queue_full, "too many bytes of requests wait"};
+  }
   const core::nanoseconds wait =
       must_wait ? ExpectedWait(request.service) : core::nanoseconds::zero();
   if (wait + Average(request.service) >= core::milliseconds{request.deadline_ms}) {
@@ -141,15 +148,13 @@
 }
 
 void request_manager::Finish(const request_key& key, service_answer answer) {
-  const auto node = active_.extract(key);
-  if (node.empty()) return;
-  const active_request& item = node.mapped();
+  if (!active_.contains(key)) return;
+  const active_request item = Remove(key);
   service_state& service = services_[item.request.service];
   --service.in_flight;
   const core::nanoseconds duration = time_.Now() - item.started;
   if (answer.code == result_code::ok) AddSample(service, duration);
   ledger_.ReleaseSlot();
-  ledger_.ReleaseConnection();
   if (item.answered) {
     metrics_.GetCounter("coltsfoot_drops_total", {"where", "agent"}, {"reason", "late_answer"})
         .Add();
@@ -163,6 +168,13 @@
   StartWaiting();
 }
 
+request_manager::active_request request_manager::Remove(const request_key& key) {
+  active_request out = std::move(active_.extract(key).mapped());
+  body_bytes_ -= out.body_bytes;
+  ledger_.ReleaseConnection();
+  return out;
+}
+
 void request_manager::AddSample(service_state& service, core::nanoseconds duration) {
   service_time_.Record(duration);
   service.average = service.average.count() == 0
@@ -173,11 +185,9 @@
 
 void request_manager::DropQueued(const request_key& key, const error_reason& reason) {
   std::erase(queue_, key);
-  const auto node = active_.extract(key);
-  const std::string& service = node.mapped().request.service;
-  --services_[service].queued;
-  ledger_.ReleaseConnection();
-  Reply(key, service, reason, "");
+  const active_request item = Remove(key);
+  --services_[item.request.service].queued;
+  Reply(key, item.request.service, reason, "");
 }
 
 void request_manager::Reply(const request_key& key, const std::string& service, error_reason reason,
--- a/libs/agent/src/request_manager.h
+++ b/libs/agent/src/request_manager.h
@@ -55,6 +55,7 @@
     core::mono_time deadline;
     core::mono_time started;
     bool running = false;
+    std::size_t body_bytes = 0;
     bool answered = false;  ///< the entry has its reply; the target still works
   };
   struct service_state {
@@ -70,6 +71,8 @@
   core::nanoseconds ExpectedWait(const std::string& service) const;
   void StartWaiting();
   void Start(const request_key& key, active_request& item);
+  /// Removes a request and releases its connection.
+  active_request Remove(const request_key& key);
   void Finish(const request_key& key, service_answer answer);
   void AddSample(service_state& service, core::nanoseconds duration);
   void DropQueued(const request_key& key, const core::error_reason& reason);
@@ -86,6 +89,7 @@
   entry_link& link_;
   std::map<std::string, service_state> services_;
   std::map<request_key, active_request> active_;
+  std::size_t body_bytes_ = 0;     ///< of all active requests
   std::deque<request_key> queue_;  ///< first in, first out
 };
 
--- a/libs/agent/tests/fixture.h
+++ b/libs/agent/tests/fixture.h
@@ -146,13 +146,14 @@
     Send(StartMessage(epoch, task));
     Take(target.starts).second({start_outcome::started, ""});
   }
-  void Request(std::uint64_t id, std::uint32_t deadline_ms = 1000) {
+  void Request(std::uint64_t id, std::uint32_t deadline_ms = 1000, std::string body = "") {
     wire::dispatch_request out;
     out.request_id = id;
     out.service = "strawline";
     out.deadline_ms = deadline_ms;
     out.token = Token();
     out.config = version;
+    out.body = std::move(body);
     control.OnFrame(kEntry, Raw(out));
   }
   void SetPolicy(wire::agent_policy policy) {
--- a/libs/agent/tests/request_test.cc
+++ b/libs/agent/tests/request_test.cc
@@ -33,6 +33,19 @@
   CHECK(reply.digest == core::StableHash("a"));
 }
 
+// Guards against large requests that together exceed the memory of the agent.
+TEST_CASE("the bytes of admitted requests are bounded") {
+  fixture test;
+  test.Recover();
+  const std::string body(5U << 20U, 'x');
+  test.Request(1, 1000, body);
+  test.Request(2, 1000, body);
+  CHECK(test.LastReply() == result_code::queue_full);
+  fixture::Take(test.target.runs).second({result_code::ok, "", ""});
+  test.Request(3, 1000, body);
+  CHECK(test.target.runs.size() == 1);
+}
+
 // Guards against running work whose caller has given up by the time that it is done.
 TEST_CASE("a request that cannot finish in time is refused before it is queued or started") {
   fixture test;
