--- a/libs/agent/tests/task_test.cc
+++ b/libs/agent/tests/task_test.cc
@@ -169,6 +169,25 @@
   CHECK(test.target.controls.size() == 1);
 }
 
+// Guards against a checkpoint that is lost when an agent dies between the stop of a task and the
+// acknowledgement of its eviction.
+TEST_CASE("a restarted agent reports what its predecessor stopped") {
+  fixture test;
+  listed_task stopped{.spec = {.task = fixture::kTask, .epoch = 2, .shard = 3}, .ended = true};
+  stopped.spec.checkpoint = "half";
+  listed_task finished = stopped;
+  finished.spec.task = "t03-0000000000000008";
+  target_event event{.id = 1, .type = target_event_type::finished, .task = finished.spec.task};
+  event.epoch = 2;
+  test.Recover({stopped, finished}, {event});
+  const auto events = test.Sent<wire::task_event>();
+  REQUIRE(events.size() == 2);
+  CHECK(events[0].kind == task_event_kind::finished);
+  CHECK(events[1].kind == task_event_kind::evicted);
+  CHECK(events[1].task == fixture::kTask);
+  CHECK(events[1].checkpoint == "half");
+}
+
 // Guards against tasks of a dead target that are believed to run, and against answers and
 // announcements of the former instance that arrive late.
 TEST_CASE("a changed target instance loses the tasks of the former one") {
@@ -187,6 +206,35 @@
   CHECK(test.target.lists.empty());
 }
 
+// Guards against an owner that waits for ever for a task that the worker does not run, and against
+// an eviction that wins over a cancellation.
+TEST_CASE("control messages act on the named assignment only") {
+  fixture test;
+  test.Recover();
+  test.RunTask(2);
+  const auto control = [&](core::epoch_number epoch, wire::task_action action) {
+    test.control.OnFrame(fixture::kEntry,
+                         fixture::Raw(wire::control_task{3, 5, fixture::kTask, epoch, action}));
+  };
+  control(1, wire::task_action::cancel);
+  CHECK(test.target.controls.empty());
+  control(2, wire::task_action::throttle);
+  CHECK(fixture::Take(test.target.controls).action == target_action::throttle);
+  control(2, wire::task_action::checkpoint);
+  fixture::Take(test.target.controls).done({control_outcome::done, "half"});
+  CHECK(test.LastEvent(task_event_kind::checkpointed) == result_code::ok);
+  control(2, wire::task_action::evict);
+  control(2, wire::task_action::cancel);
+  fixture::Take(test.target.controls).done({control_outcome::done, ""});
+  fixture::Take(test.target.controls).done({control_outcome::done, ""});
+  CHECK(test.LastEvent(task_event_kind::cancelled) == result_code::cancelled);
+  CHECK(test.Sent<wire::task_event>().back().checkpoint == "half");
+  test.control.OnFrame(
+      fixture::kEntry,
+      fixture::Raw(wire::control_task{3, 5, "t03-00000000000000ff", 1, wire::task_action::cancel}));
+  CHECK(test.LastEvent(task_event_kind::lost) == result_code::not_found);
+}
+
 // Guards against an end of a task that is lost with a connection or with the shard's owner.
 TEST_CASE("an event is sent again until the owner acknowledges it") {
   fixture test;
