Pass the strict resume rule through the test fleet

Tests without partitions check that a stopped task resumes from exactly the checkpoint that the stop returned; tests with partitions cannot.

--- a/test/harness/include/harness/fleet.h
+++ b/test/harness/include/harness/fleet.h
@@ -97,7 +97,8 @@
   /// @return the lines of the targets' ground truth that contain all of `texts`.
   std::vector<std::string> Truth(const std::vector<std::string>& texts) const;
   /// @return what the history checker finds in the ground truth and the callers' history.
-  std::vector<std::string> Violations() const;
+  /// `strict_resume` as in history::bounds.
+  std::vector<std::string> Violations(bool strict_resume = false) const;
   const std::filesystem::path& directory() const { return directory_; }
 
  private:
--- a/test/harness/src/fleet.cc
+++ b/test/harness/src/fleet.cc
@@ -232,12 +232,13 @@
   return out;
 }
 
-std::vector<std::string> fleet::Violations() const {
+std::vector<std::string> fleet::Violations(bool strict_resume) const {
   std::vector<std::string> lines = Truth({});
   for (std::string& line : ReadLines(directory_ / "callers.history")) {
     lines.push_back(std::move(line));
   }
   history::bounds limits;
+  limits.strict_resume = strict_resume;
   limits.departure = options_.timings.DepartureBound();
   return history::Check(lines, limits);
 }
