--- a/libs/entry/src/task_controller.cc
+++ b/libs/entry/src/task_controller.cc
@@ -547,8 +547,9 @@
 void task_controller::OnSucceeded(const ledger::task_entry& entry, const wire::task_event& event) {
   const core::mono_time now = time_.Now();
   sizes_.Observe(entry.spec.task_class, event.observed, event.run_ms, now);
-  if (const auto worker = workers_.Find(event.worker))
+  if (const auto worker = workers_.Find(event.worker)) {
     quarantine_.OnSuccess(*worker, entry.spec.task_class, now);
+  }
 }
 
 void task_controller::OnFailed(const std::string& task, soft_task& row,
