http: never send a request twice, nor claim that a sent one was not

Found by failure_requests: after an entry was killed, a caller got connect_failed (221, "not run") for a non-idempotent request that had run. libcurl repeats a request, POST included, when a reused connection breaks before the first byte of the answer. If the server is gone, the repetition fails to connect, which the client reported as proof that nothing was sent; if the server still listens, the request arrives twice.

libcurl has no option against the repetition. A callback before each attempt now refuses the second one, and connect_failed is reported only if no attempt got a connection.

--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -26,6 +26,7 @@
   call_handler handler;
   response answer;
   curl_slist* header_list = nullptr;
+  bool sent = false;  ///< libcurl had a connection and began to send the request
 
   ~transfer() { curl_slist_free_all(header_list); }
 };
@@ -48,12 +49,21 @@
   return size * count;
 }
 
-core::result_code CodeOf(CURLcode failure) {
+// libcurl sends a request again when a reused connection breaks before the answer. The server may
+// have run it the first time, so only the first attempt is allowed.
+int AllowOneAttempt(void* target, char* /*remote_ip*/, char* /*local_ip*/, int /*remote_port*/,
+                    int /*local_port*/) {
+  return std::exchange(static_cast<transfer*>(target)->sent, true) ? CURL_PREREQFUNC_ABORT
+                                                                   : CURL_PREREQFUNC_OK;
+}
+
+core::result_code CodeOf(CURLcode failure, bool sent) {
   switch (failure) {
     case CURLE_COULDNT_CONNECT:
     case CURLE_COULDNT_RESOLVE_HOST:
     case CURLE_URL_MALFORMAT:
-      return core::result_code::connect_failed;
+      // The second connection of a request whose first one broke proves nothing.
+      return sent ? core::result_code::connection_lost : core::result_code::connect_failed;
     case CURLE_OPERATION_TIMEDOUT:
       return core::result_code::deadline_exceeded;
     case CURLE_PARTIAL_FILE:
@@ -127,6 +137,8 @@
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, item.get());
     curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, AppendHeader);
     curl_easy_setopt(handle, CURLOPT_HEADERDATA, item.get());
+    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, AllowOneAttempt);
+    curl_easy_setopt(handle, CURLOPT_PREREQDATA, item.get());
     if (request.method != "GET" || !request.body.empty()) {
       curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
                        static_cast<curl_off_t>(request.body.size()));
@@ -180,7 +192,7 @@
       result.answer = std::move(item.answer);
       result.reason.code = core::result_code::ok;
     } else {
-      result.reason = {CodeOf(failure), curl_easy_strerror(failure)};
+      result.reason = {CodeOf(failure, item.sent), curl_easy_strerror(failure)};
     }
     item.handler(std::move(result));
   }
--- a/libs/http/tests/http_test.cc
+++ b/libs/http/tests/http_test.cc
@@ -1,8 +1,13 @@
 #include <doctest/doctest.h>
 
+#include <array>
 #include <asio.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
 #include <atomic>
 #include <future>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -16,6 +21,69 @@
   return "http://127.0.0.1:" + std::to_string(target.port()) + std::string(path);
 }
 
+/// Answers the first request on a kept-alive connection, and breaks the connection when it has read
+/// the second. Counts the requests it reads, on all connections.
+class breaking_server {
+ public:
+  /// @param goes_away whether it also stops to listen, as a process that dies does.
+  explicit breaking_server(bool goes_away) : goes_away_(goes_away), thread_([this] { Run(); }) {}
+  ~breaking_server() { thread_.join(); }
+
+  std::string Url() const {
+    return "http://127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()) + "/";
+  }
+  /// Waits until the connection is broken and, unless the server goes away, for a repetition.
+  int requests() {
+    done_.get_future().wait();
+    return requests_;
+  }
+
+ private:
+  void Run() {
+    {
+      asio::ip::tcp::socket socket = acceptor_.accept();
+      Read(socket);
+      asio::write(socket, asio::buffer(kAnswer.data(), kAnswer.size()));
+      Read(socket);
+      if (goes_away_) acceptor_.close();
+    }
+    if (!goes_away_) WaitForRepetition();
+    done_.set_value();
+  }
+
+  void Read(asio::ip::tcp::socket& socket) {
+    std::array<char, 1024> buffer{};
+    std::string text;
+    asio::error_code failure;
+    while (!failure && !text.ends_with("body")) {
+      const std::size_t count = socket.read_some(asio::buffer(buffer), failure);
+      text.append(buffer.data(), count);
+    }
+    if (!failure) ++requests_;
+  }
+
+  void WaitForRepetition() {
+    asio::ip::tcp::socket again(context_);
+    acceptor_.async_accept(again, [&](asio::error_code failure) {
+      if (!failure) Read(again);
+    });
+    context_.run_for(std::chrono::milliseconds{500});
+    acceptor_.close();
+    context_.restart();
+    context_.run();
+  }
+
+  static constexpr std::string_view kAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  bool goes_away_;
+  asio::io_context context_;
+  asio::ip::tcp::acceptor acceptor_{context_, {asio::ip::make_address("127.0.0.1"), 0}};
+  std::atomic<int> requests_{0};
+  std::promise<void> done_;
+  std::thread thread_;
+};
+
+call Post(const std::string& url) { return {.method = "POST", .url = url, .body = "body"}; }
+
 }  // namespace
 
 // Guards against lost query parameters, headers or bodies between client and server.
@@ -143,4 +211,28 @@
   for (auto& thread : servers) thread.join();
 }
 
+// Guards against "not run" for a request that the server had read before it died: libcurl tries a
+// reused connection again, and then reports that it could not connect.
+TEST_CASE("a request that was sent on a reused connection never fails with connect_failed") {
+  breaking_server target(true);
+  const auto client = MakeCurlClient();
+  const std::string url = target.Url();
+  CHECK(CallAndWait(*client, Post(url)).answer.has_value());
+  const auto result = CallAndWait(*client, Post(url));
+  CHECK_FALSE(result.answer.has_value());
+  CHECK(result.reason.code == core::result_code::connection_lost);
+  CHECK(target.requests() == 2);
+}
+
+// Guards against a second run of a non-idempotent request that nobody asked for.
+TEST_CASE("a request is not sent again when a reused connection breaks") {
+  breaking_server target(false);
+  const auto client = MakeCurlClient();
+  const std::string url = target.Url();
+  CHECK(CallAndWait(*client, Post(url)).answer.has_value());
+  const auto result = CallAndWait(*client, Post(url));
+  CHECK(result.reason.code == core::result_code::connection_lost);
+  CHECK(target.requests() == 2);
+}
+
 }  // namespace coltsfoot::http
