Wait for the owners of all shards before a test begins

An entry writes the owner key before it has read the log of the shard, so the key does not yet mean that the shard is served. The fleet now sums the shards that the entries' readyz lists. Before, the first requests of failure_requests were refused with not_owner.

--- a/test/harness/include/harness/fleet.h
+++ b/test/harness/include/harness/fleet.h
@@ -57,7 +57,8 @@
   fleet(const fleet&) = delete;
   fleet& operator=(const fleet&) = delete;
 
-  /// Waits until each entry is ready and knows `workers` workers with a target.
+  /// Waits until each shard has an owner, and each entry is ready and knows `workers` workers with
+  /// a target.
   bool WaitReady(core::milliseconds bound = core::milliseconds{15000});
 
   /// @return base URL of an entry, which stays the same when the entry is restarted.
--- a/test/harness/src/fleet.cc
+++ b/test/harness/src/fleet.cc
@@ -16,6 +16,7 @@
 using nlohmann::json;
 
 constexpr std::size_t kZones = 3;
+constexpr std::uint32_t kShardCount = 8;  // the default of the entry
 constexpr std::size_t kWorkersPerRack = 3;
 
 std::filesystem::path MakeDirectory() {
@@ -197,25 +198,25 @@
 }
 
 bool fleet::WaitReady(core::milliseconds bound) {
-  const auto knows_all = [this](const std::string& entry) {
-    const auto ready = calls_.Call("GET", entry + "/readyz");
-    if (!ready.answer || ready.answer->status != 200) return false;
-    const auto workers = calls_.Call("GET", entry + "/v1/workers");
-    if (!workers.answer || workers.answer->status != 200) return false;
-    const json body = json::parse(workers.answer->body, nullptr, false);
-    if (!body.is_object() || !body.contains("workers")) return false;
-    std::size_t serving = 0;
-    for (const json& worker : body["workers"]) {
-      const auto services = worker.find("services");
-      if (services != worker.end() && !services->empty()) ++serving;
-    }
-    return serving >= options_.workers;
+  const auto get = [this](const std::string& url) {
+    const auto result = calls_.Call("GET", url);
+    if (!result.answer || result.answer->status != 200) return json::object();
+    json body = json::parse(result.answer->body, nullptr, false);
+    return body.is_object() ? body : json::object();
   };
   return WaitUntil(bound, [&] {
+    std::size_t owned = 0;
     for (const std::string& entry : Entries()) {
-      if (!knows_all(entry)) return false;
+      const json ready = get(entry + "/readyz");
+      if (!ready.value("ready", false)) return false;
+      owned += ready.value("shards", json::array()).size();
+      std::size_t serving = 0;
+      for (const json& worker : get(entry + "/v1/workers").value("workers", json::array())) {
+        if (!worker.value("services", json::array()).empty()) ++serving;
+      }
+      if (serving < options_.workers) return false;
     }
-    return true;
+    return owned == kShardCount;
   });
 }
 
