--- a/test/harness/include/harness/fleet.h
+++ b/test/harness/include/harness/fleet.h
@@ -79,6 +79,8 @@
   void StartEntry(std::size_t index);
   void StartAgent(std::size_t index);
   void StartTarget(std::size_t index);
+  /// Starts one more entry, of which the agents learn from the others.
+  void AddEntry();
   /// Kills a target and records that its work has ended.
   void KillTarget(std::size_t index);
   /// Kills the agent and the target of a worker, as the loss of a host does.
--- a/test/harness/src/fleet.cc
+++ b/test/harness/src/fleet.cc
@@ -119,6 +119,12 @@
   entry_udp_[index] = entries_[index]->Endpoint("udp");
 }
 
+void fleet::AddEntry() {
+  entries_.emplace_back();
+  for (auto* ports : {&entry_http_, &entry_tcp_, &entry_udp_}) ports->emplace_back();
+  StartEntry(entries_.size() - 1);
+}
+
 std::vector<std::string> fleet::EntryUdp(std::size_t agent) {
   if (!options_.relayed) return entry_udp_;
   std::vector<std::string>& faces = relayed_udp_[agent];
