Take checkpoints of running tasks at an interval

Ruled out: checkpoints driven by the agent, because the interval is a fleet setting and the record is the owner's.

--- a/libs/config/include/config/resolved_settings.h
+++ b/libs/config/include/config/resolved_settings.h
@@ -38,6 +38,7 @@
   bool worker_lost = false;
   bool interference_enabled = false;
   bool sizes_correction = false;
+  core::milliseconds checkpoint_interval{0};
 
   bool operator==(const resolved_settings&) const = default;
 };
--- a/libs/config/include/config/settings_catalogue.h
+++ b/libs/config/include/config/settings_catalogue.h
@@ -33,6 +33,7 @@
   worker_lost,
   interference_enabled,
   sizes_correction,
+  tasks_checkpoint_interval_ms,
 };
 
 /// Type of a setting's value.
--- a/libs/config/src/resolved_settings.cc
+++ b/libs/config/src/resolved_settings.cc
@@ -71,6 +71,7 @@
   out.worker_lost = read.Flag(worker_lost);
   out.interference_enabled = read.Flag(interference_enabled);
   out.sizes_correction = read.Flag(sizes_correction);
+  out.checkpoint_interval = core::milliseconds{read.Integer(tasks_checkpoint_interval_ms)};
   return out;
 }
 
--- a/libs/config/src/settings_catalogue.cc
+++ b/libs/config/src/settings_catalogue.cc
@@ -91,6 +91,10 @@
          "Whether placement uses the interference estimates."),
     Flag(sizes_correction, "sizes.correction", true, kClass | kTeam, kFleetWide,
          "Whether observed usage corrects declared sizes and run times."),
+    Integer(tasks_checkpoint_interval_ms, "tasks.checkpoint_interval_ms", 1000, kHourMs,
+            std::int64_t{30'000}, kClass | kTeam,
+            "Time between checkpoints of a running task, in ms; bounds the work that a lost worker "
+            "costs."),
 };
 
 constexpr bool IsInIdOrder() {
--- a/libs/entry/src/task_controller.cc
+++ b/libs/entry/src/task_controller.cc
@@ -207,7 +207,6 @@
   const core::mono_time now = time_.Now();
   scheduler_.Adopt(PlacementSpec(entry), *worker, now, now);
   row.adopted = true;
-  row.started = now;
 }
 
 void task_controller::OnShardLost(core::shard_index shard) {
@@ -269,14 +268,8 @@
     if (row.sent_number > adopted->second) continue;
     const wire::task_ref ref{task, row.epoch};
     if (running.contains(ref)) {
-      if (row.phase != task_phase::running) {
-        row.phase = task_phase::running;
-        if (row.adopted) scheduler_.OnStarted(task, time_.Now());
-      }
       const ledger::task_entry* entry = Entry(row.shard, task);
-      if (entry != nullptr && entry->cancel_requested) {
-        SendControl(task, row, wire::task_action::cancel);
-      }
+      if (entry != nullptr) MarkRunning(task, row, *entry);
     } else if (!ended.contains(ref)) {
       stopped.push_back(task);
     }
@@ -439,7 +432,6 @@
   message.payload = entry.spec.payload;
   message.checkpoint = entry.checkpoint;
   row.phase = task_phase::starting;
-  row.started = time_.Now();
   if (!SendTo(row.worker, wire::ToFrame(message))) {
     row.refusal = result_code::connect_failed;
     Requeue(task, row, result_code::connect_failed);
@@ -468,6 +460,31 @@
   SendTo(event.worker, wire::ToFrame(wire::event_ack{event.incarnation, event.event_id}));
 }
 
+void task_controller::MarkRunning(const std::string& task, soft_task& row,
+                                  const ledger::task_entry& entry) {
+  const core::mono_time now = time_.Now();
+  if (row.phase != task_phase::running) {
+    row.phase = task_phase::running;
+    row.next_checkpoint = now + CheckpointInterval(entry);
+    if (row.adopted) scheduler_.OnStarted(task, now);
+  }
+  if (entry.cancel_requested) SendControl(task, row, wire::task_action::cancel);
+}
+
+core::milliseconds task_controller::CheckpointInterval(const ledger::task_entry& entry) {
+  return config_.view()
+      .For({.task_class = entry.spec.task_class, .team = entry.spec.team})
+      .checkpoint_interval;
+}
+
+// A task that resumes on another worker loses what it did since its last checkpoint.
+void task_controller::TakeCheckpoint(const std::string& task, soft_task& row) {
+  const ledger::task_entry* entry = Entry(row.shard, task);
+  if (entry == nullptr) return;
+  row.next_checkpoint = time_.Now() + CheckpointInterval(*entry);
+  SendControl(task, row, wire::task_action::checkpoint);
+}
+
 void task_controller::OnTaskEvent(const wire::task_event& event) {
   const ledger::shard_table* table = ledger_.Table(event.shard);
   if (table == nullptr) return;  // the agent sends it again to the owner
@@ -491,10 +508,8 @@
   switch (event.kind) {
     case wire::task_event_kind::started:
       if (row.phase != task_phase::starting && row.phase != task_phase::unresolved) return;
-      row.phase = task_phase::running;
       row.refusals = 0;
-      if (row.adopted) scheduler_.OnStarted(event.task, time_.Now());
-      if (entry->cancel_requested) SendControl(event.task, row, wire::task_action::cancel);
+      MarkRunning(event.task, row, *entry);
       return;
     case wire::task_event_kind::refused:
       OnRefused(event.task, row, event);
@@ -729,13 +744,18 @@
   const core::mono_time now = time_.Now();
   std::vector<std::string> lapsed;
   std::vector<std::string> rested;
+  std::vector<std::string> checkpoint_due;
   std::set<std::pair<std::string, core::shard_index>> unresolved;
   for (const auto& [task, row] : tasks_) {
     switch (row.phase) {
       case task_phase::starting:
       case task_phase::running:
       case task_phase::unresolved:
-        if (now > SilentUntil(row)) lapsed.push_back(task);
+        if (now > SilentUntil(row)) {
+          lapsed.push_back(task);
+        } else if (row.phase == task_phase::running && now >= row.next_checkpoint) {
+          checkpoint_due.push_back(task);
+        }
         if (row.phase == task_phase::unresolved && row.resume_at <= now) {
           unresolved.emplace(row.worker, row.shard);
         }
@@ -751,6 +771,7 @@
     metrics_.GetCounter("coltsfoot_leases_lapsed_total").Add();
     Requeue(task, tasks_.at(task), result_code::lease_lapsed);
   }
+  for (const std::string& task : checkpoint_due) TakeCheckpoint(task, tasks_.at(task));
   for (const std::string& task : rested) Resume(task, tasks_.at(task));
   for (const auto& [worker, shard] : unresolved) SendAdopt(worker, shard);
   for (auto& [task, row] : tasks_) {
--- a/libs/entry/src/task_controller.h
+++ b/libs/entry/src/task_controller.h
@@ -96,7 +96,7 @@
     std::uint32_t refusals = 0;
     std::optional<core::result_code> refusal;  ///< why the last assignment did not start
     core::mono_time resume_at{};
-    core::mono_time started{};
+    core::mono_time next_checkpoint{};
     bool cancel_sent = false;
     bool adopted = false;  ///< counted by the scheduler as running
   };
@@ -117,6 +117,7 @@
   void OnAssigned(const std::string& task, core::epoch_number epoch,
                   ledger::append_outcome outcome);
   void SendStart(const std::string& task, soft_task& row, const ledger::task_entry& entry);
+  void MarkRunning(const std::string& task, soft_task& row, const ledger::task_entry& entry);
   void SendControl(const std::string& task, const soft_task& row, wire::task_action action);
   bool SendTo(const std::string& worker, std::string frame);
   void Enqueue(soft_task& row, const ledger::task_entry& entry);
@@ -128,6 +129,8 @@
   void SendAdopt(const std::string& worker, core::shard_index shard);
   void UpdateLargestWorker();
   void ExpireLeases();
+  core::milliseconds CheckpointInterval(const ledger::task_entry& entry);
+  void TakeCheckpoint(const std::string& task, soft_task& row);
   core::mono_time SilentUntil(const soft_task& row);
   void RecordEnd(const std::string& task, soft_task& row, ledger::record change,
                  const wire::task_event* event);
