Test the entry's controllers and cancel tasks whose requeue was being recorded

The tests run the router, claims and tasks against a store in memory and a virtual clock. Cause of the fault they found: a cancellation that was recorded while the end of the task's assignment was on its way into the log was dropped, because the task was still marked as ending; the task stayed queued for ever and was never offered again (state queued, cancel_requested, epoch 3).

--- a/libs/entry/src/task_controller.cc
+++ b/libs/entry/src/task_controller.cc
@@ -672,6 +672,7 @@
     return;
   }
   row.epoch = entry->epoch;
+  row.phase = task_phase::queued;  // the end of the former assignment is recorded
   if (entry->state == ledger::task_state::assigned) {
     row.phase = task_phase::unresolved;
   } else if (entry->cancel_requested) {
--- /dev/null
+++ b/libs/entry/tests/task_test.cc
@@ -0,0 +1,208 @@
+#include <doctest/doctest.h>
+
+#include "fixture.h"
+
+namespace coltsfoot::entry {
+
+using core::milliseconds;
+using core::result_code;
+using wire::task_event_kind;
+
+// Guards against an assignment that takes effect before it is recorded.
+TEST_CASE("a start is sent only after its assignment is in the log") {
+  fixture test;
+  test.Start();
+  test.SubmitTask();
+  CHECK(test.submitted.code == result_code::ok);
+  CHECK(test.LastStart().epoch == 1);
+  test.tasks.OnTaskEvent(test.Event(task_event_kind::lost));
+  test.kv.fate = [](bool is_write, const std::string&) {
+    return is_write ? ledger::call_fate::refused : ledger::call_fate::answered;
+  };
+  test.Pass(milliseconds{2000});
+  CHECK(test.agents.Sent<wire::start_task>().size() == 1);
+  CHECK(test.agents.Sent<wire::event_ack>().empty());
+  test.kv.fate = {};
+  test.Pass(milliseconds{2000});
+  CHECK(test.LastStart().epoch == 2);
+  CHECK(test.agents.Sent<wire::event_ack>().size() == 1);
+}
+
+// Guards against a result that is lost, and against one of a former assignment that counts.
+TEST_CASE("a result counts with the current epoch only and is acknowledged when recorded") {
+  fixture test;
+  test.Start();
+  test.SubmitTask();
+  wire::task_event former = test.Event(task_event_kind::finished);
+  former.epoch = 0;
+  test.tasks.OnTaskEvent(former);
+  test.Pass(milliseconds{200});
+  CHECK(test.Entry().state == ledger::task_state::assigned);
+
+  wire::task_event done = test.Event(task_event_kind::finished);
+  done.result = "whole result";
+  bool ended = false;
+  test.tasks.WaitForEnd(fixture::kTask, [&ended] { ended = true; });
+  test.tasks.OnTaskEvent(done);
+  test.tasks.OnTaskEvent(done);
+  CHECK_FALSE(ended);
+  test.Pass(milliseconds{200});
+  CHECK(ended);
+  CHECK(test.Entry().result == "whole result");
+}
+
+// Guards against a task that runs in two places because its worker was given up too early.
+TEST_CASE("a silent worker keeps its task for the whole lease") {
+  fixture test;
+  test.Start();
+  test.SubmitTask();
+  test.tasks.OnTaskEvent(test.Event(task_event_kind::started));
+  test.Beat();
+  test.silent = test.LastWorker();
+  test.Pass(milliseconds{15'900});
+  CHECK(test.agents.Sent<wire::start_task>().size() == 1);
+  test.Pass(milliseconds{1000});
+  REQUIRE(test.agents.Sent<wire::start_task>().size() == 2);
+  CHECK(test.LastWorker() != test.silent);
+  CHECK(test.LastStart().epoch == 2);
+}
+
+// Guards against a new owner that trusts the silence of a worker whose lease the former owner may
+// still renew.
+TEST_CASE("a new owner waits for the grace of the former one, unless the worker is declared lost") {
+  for (const bool declared_lost : {false, true}) {
+    core::manual_clock time;
+    ledger::memory_store store(time);
+    fixture former(&store, &time, "entry-1");
+    former.Start();
+    former.SubmitTask();
+    former.tasks.OnTaskEvent(former.Event(task_event_kind::started));
+
+    fixture successor(&store, &time, "entry-2");
+    successor.silent = former.LastWorker();
+    successor.Pass(milliseconds{20'000});
+    REQUIRE(successor.ledger.Fence(fixture::kShard) == 2);
+    if (declared_lost) {
+      successor.config.Change(
+          std::nullopt, "ana",
+          [&](const config::fleet_config& base, const config::change_stamp& stamp,
+              core::last_error& error) {
+            config::exception_request wanted;
+            wanted.id = "lost";
+            wanted.applies_to = {config::scope_kind::worker, successor.silent};
+            wanted.setting = "worker.lost";
+            wanted.value = true;
+            wanted.author = "ana";
+            wanted.reason = "site confirms the power cut";
+            return config::AddException(base, wanted, stamp, error);
+          },
+          [](const core::error_reason& reason, core::config_version) {
+            CHECK(reason.code == result_code::ok);
+          });
+    }
+    successor.Pass(milliseconds{120'000});
+    CHECK(successor.agents.Sent<wire::start_task>().size() == (declared_lost ? 1 : 0));
+    successor.Pass(milliseconds{80'000});
+    REQUIRE(successor.agents.Sent<wire::start_task>().size() == 1);
+    CHECK(successor.LastWorker() != successor.silent);
+  }
+}
+
+// Guards against a task that is started elsewhere although it runs, and against one that waits for
+// ever although it does not.
+TEST_CASE("a shard report decides about the assignments that were sent before it was asked for") {
+  fixture test;
+  test.Start();
+  test.SubmitTask();
+  wire::shard_report report;
+  report.worker = test.LastWorker();
+  report.shard = fixture::kShard;
+  report.fence = *test.ledger.Fence(fixture::kShard);
+  test.tasks.OnShardReport(report);  // nobody asked
+  test.tasks.OnWorkerReachable(report.worker);
+  report.running = {{fixture::kTask, 1}, {"t00-00000000000000ff", 3}};
+  test.tasks.OnShardReport(report);
+  test.Pass(milliseconds{400});
+  CHECK(test.agents.Sent<wire::start_task>().size() == 1);
+  CHECK(test.tasks.Find(fixture::kShard, fixture::kTask).running);
+  const auto controls = test.agents.Sent<wire::control_task>();
+  REQUIRE(controls.size() == 1);  // the assignment that the log does not know
+  CHECK(controls[0].second.task == "t00-00000000000000ff");
+  CHECK(controls[0].second.action == wire::task_action::cancel);
+
+  report.running.clear();
+  test.tasks.OnShardReport(report);
+  test.Pass(milliseconds{400});
+  CHECK(test.agents.Sent<wire::start_task>().size() == 2);
+  // This report was asked for before the second start was sent and says nothing about it.
+  report.worker = test.LastWorker();
+  test.tasks.OnShardReport(report);
+  test.Pass(milliseconds{400});
+  CHECK(test.agents.Sent<wire::start_task>().size() == 2);
+}
+
+// Guards against a cancelled task that runs, and against one that ends twice.
+TEST_CASE("a cancellation wins before the start and loses against a recorded result") {
+  fixture test;
+  test.Start();
+  core::error_reason reason;
+  const auto note = [&reason](const core::error_reason& got) { reason = got; };
+  test.agents.up = false;
+  test.SubmitTask();
+  test.tasks.Cancel(fixture::kShard, fixture::kTask, note);
+  test.Pass(milliseconds{3000});
+  CHECK(reason.code == result_code::ok);
+  CHECK(test.Entry().code == result_code::cancelled);
+  CHECK(test.agents.Sent<wire::start_task>().empty());
+
+  test.agents.up = true;
+  const std::string second = test.SubmitTask("t00-0000000000000002");
+  test.tasks.OnTaskEvent(test.Event(task_event_kind::started));
+  test.tasks.Cancel(fixture::kShard, second, note);
+  test.tasks.OnTaskEvent(test.Event(task_event_kind::finished));
+  test.Pass(milliseconds{500});
+  CHECK(test.Entry(second).code == result_code::ok);
+  test.tasks.Cancel(fixture::kShard, second, note);
+  CHECK(reason.code == result_code::conflict);
+}
+
+// Guards against lost work when a worker is lost between evictions.
+TEST_CASE("a task resumes from its last checkpoint") {
+  fixture test;
+  test.Start();
+  test.SubmitTask();
+  test.tasks.OnTaskEvent(test.Event(task_event_kind::started));
+  test.Pass(milliseconds{31'000});
+  const auto controls = test.agents.Sent<wire::control_task>();
+  REQUIRE_FALSE(controls.empty());
+  CHECK(controls.back().second.action == wire::task_action::checkpoint);
+  wire::task_event saved = test.Event(task_event_kind::checkpointed);
+  saved.checkpoint = "half";
+  test.tasks.OnTaskEvent(saved);
+  test.Pass(milliseconds{200});
+  test.silent = test.LastWorker();
+  test.Pass(milliseconds{25'000});
+  REQUIRE(test.agents.Sent<wire::start_task>().size() == 2);
+  CHECK(test.LastStart().checkpoint == "half");
+}
+
+// Guards against a task that is tried for ever, and against one that is given up because of one bad
+// worker.
+TEST_CASE("a task that fails on three workers ends with a code of its own") {
+  fixture test;
+  test.Start();
+  test.SubmitTask();
+  for (int attempt = 0; attempt < 3; ++attempt) {
+    REQUIRE(test.agents.Sent<wire::start_task>().size() == static_cast<std::size_t>(attempt + 1));
+    wire::task_event failed = test.Event(task_event_kind::failed);
+    failed.run_ms = 60'000;
+    failed.result = "bad input";
+    test.tasks.OnTaskEvent(failed);
+    test.Pass(milliseconds{2000});
+  }
+  CHECK(test.Entry().state == ledger::task_state::ended);
+  CHECK(test.Entry().code == result_code::failed_everywhere);
+  CHECK(test.Entry().result == "bad input");
+}
+
+}  // namespace coltsfoot::entry
