Defer teams that use up placement attempts without success

Attempts per pass are bounded, and teams were served strictly by tier and share. A team with a small share and thousands of blocked or over-quota shapes took every attempt of every pass: in a new test, neither a batch task of another team nor the team's own small task was placed within 30 s, although there was room. Resting such a team was ruled out: its blocked lanes would wake together with it and come first again. A team that fails four times now comes after all others for a second, and lanes that were blocked line up by the time of their retry instead of their submission.

--- a/libs/placement/include/placement/task_queue.h
+++ b/libs/placement/include/placement/task_queue.h
@@ -27,6 +27,10 @@
   /// Delay until a lane whose head could not be placed is tried again; doubles up to the maximum.
   core::nanoseconds first_retry = std::chrono::milliseconds{20};
   core::nanoseconds max_retry = std::chrono::milliseconds{500};
+  /// A team that fails this often in a tier without a success comes after all others, also of lower
+  /// tiers, for `deferral`. Otherwise one team with many blocked shapes would use up all attempts.
+  std::uint32_t misses_per_turn = 4;
+  core::nanoseconds deferral = std::chrono::seconds{1};
 };
 
 /// Outcome of one placement attempt.
@@ -56,7 +60,7 @@
 /// of a lane is offered, so a pass costs as much for ten queued tasks as for ten thousand: when
 /// the head cannot be placed, the whole lane waits. Tiers are served in order; within a tier the
 /// team with the smallest dominant share of the fleet comes first, and within a team the task that
-/// was submitted first.
+/// was submitted first. Lanes that were blocked line up by the time of their retry.
 class task_queue {
  public:
   explicit task_queue(queue_options options = {});
@@ -115,14 +119,21 @@
     bool aged = false;           ///< competes one tier higher
     core::mono_time retry_at{};
     core::nanoseconds retry_delay{};
-    core::mono_time head_at{};  ///< submission of the head, the key in the ordered sets
+    core::mono_time head_at{};   ///< submission of the head, the key in `by_age_`
+    core::mono_time order_at{};  ///< the key in `ready_lanes`: `head_at`, or the last retry time
+  };
+  /// Standing of a team in one tier.
+  struct team_turn {
+    std::uint32_t misses = 0;       ///< since the last success or deferral
+    core::mono_time deferred_at{};  ///< zero if the team is not deferred
   };
   struct team_row {
     std::string name;
     core::resources usage;
     double share = 0;
     std::optional<std::int64_t> cpu_quota_millis;
-    /// Ready lanes by tier and submission of their head.
+    std::array<team_turn, kTiers> turns;
+    /// Ready lanes by tier and `order_at`.
     std::array<std::set<std::pair<core::mono_time, lane_index>>, kTiers> ready_lanes;
   };
   struct task_place {
@@ -139,6 +150,10 @@
   void Deactivate(lane_index index);
   void Park(lane_index index, core::mono_time now);
   void WakeDue(core::mono_time now);
+  void EndDeferrals(core::mono_time now);
+  void EnterTeam(std::size_t tier, team_index team);
+  void LeaveTeam(std::size_t tier, team_index team);
+  void CountMiss(lane_index index, core::mono_time now);
   void PromoteAged(core::mono_time now);
   void EraseTask(lane_index index, std::list<task_spec>::iterator position);
   void ReleaseLane(lane_index index);
@@ -156,6 +171,8 @@
   std::unordered_map<std::string, task_place> tasks_;
   /// Teams with ready lanes by tier and dominant share.
   std::array<std::set<std::pair<double, team_index>>, kTiers> ready_teams_;
+  /// Deferred teams with ready lanes by tier and time of the deferral.
+  std::array<std::set<std::pair<core::mono_time, team_index>>, kTiers> deferred_teams_;
   /// All lanes by tier and submission of their head.
   std::array<std::set<std::pair<core::mono_time, lane_index>>, kTiers> by_age_;
   std::set<std::pair<core::mono_time, lane_index>> parked_;
--- a/libs/placement/src/task_queue.cc
+++ b/libs/placement/src/task_queue.cc
@@ -78,6 +78,7 @@
 }
 
 pass_stats task_queue::RunPass(task_placer& placer, core::mono_time now) {
+  EndDeferrals(now);
   WakeDue(now);
   PromoteAged(now);
   pass_stats stats;
@@ -89,16 +90,19 @@
     const auto head = lanes_[*next].tasks.begin();
     if (!HasRoom(teams_[lanes_[*next].team], head->need)) {
       ++stats.over_quota;
+      CountMiss(*next, now);
       Park(*next, now);
       continue;
     }
     const attempt_outcome outcome = placer.TryPlace(*head);
     if (outcome == attempt_outcome::blocked) {
       ++blocked;
+      CountMiss(*next, now);
       Park(*next, now);
       continue;
     }
     if (outcome == attempt_outcome::placed) ++stats.placed;
+    teams_[lanes_[*next].team].turns[Row(ServedTier(lanes_[*next]))].misses = 0;
     lanes_[*next].retry_delay = {};
     EraseTask(*next, head);
   }
@@ -195,6 +199,7 @@
 void task_queue::List(lane_index index) {
   lane& row = lanes_[index];
   row.head_at = row.tasks.front().submitted;
+  row.order_at = row.head_at;
   by_age_[Row(row.tier)].emplace(row.head_at, index);
   if (row.ready) {
     Activate(index);
@@ -218,16 +223,16 @@
   const lane& row = lanes_[index];
   const std::size_t tier = Row(ServedTier(row));
   team_row& team = teams_[row.team];
-  if (team.ready_lanes[tier].empty()) ready_teams_[tier].emplace(team.share, row.team);
-  team.ready_lanes[tier].emplace(row.head_at, index);
+  if (team.ready_lanes[tier].empty()) EnterTeam(tier, row.team);
+  team.ready_lanes[tier].emplace(row.order_at, index);
 }
 
 void task_queue::Deactivate(lane_index index) {
   const lane& row = lanes_[index];
   const std::size_t tier = Row(ServedTier(row));
   team_row& team = teams_[row.team];
-  team.ready_lanes[tier].erase({row.head_at, index});
-  if (team.ready_lanes[tier].empty()) ready_teams_[tier].erase({team.share, row.team});
+  team.ready_lanes[tier].erase({row.order_at, index});
+  if (team.ready_lanes[tier].empty()) LeaveTeam(tier, row.team);
 }
 
 void task_queue::Park(lane_index index, core::mono_time now) {
@@ -245,10 +250,49 @@
     if (retry_at > now) return;
     parked_.erase(parked_.begin());
     lanes_[index].ready = true;
+    lanes_[index].order_at = retry_at;
     Activate(index);
   }
 }
 
+void task_queue::EndDeferrals(core::mono_time now) {
+  for (std::size_t tier = 0; tier < kTiers; ++tier) {
+    auto& deferred = deferred_teams_[tier];
+    while (!deferred.empty() && now - deferred.begin()->first >= options_.deferral) {
+      const team_index team = deferred.begin()->second;
+      LeaveTeam(tier, team);
+      teams_[team].turns[tier] = {};
+      EnterTeam(tier, team);
+    }
+  }
+}
+
+void task_queue::EnterTeam(std::size_t tier, team_index index) {
+  const team_row& team = teams_[index];
+  const core::mono_time deferred_at = team.turns[tier].deferred_at;
+  if (deferred_at == core::mono_time{}) {
+    ready_teams_[tier].emplace(team.share, index);
+  } else {
+    deferred_teams_[tier].emplace(deferred_at, index);
+  }
+}
+
+void task_queue::LeaveTeam(std::size_t tier, team_index index) {
+  const team_row& team = teams_[index];
+  ready_teams_[tier].erase({team.share, index});
+  deferred_teams_[tier].erase({team.turns[tier].deferred_at, index});
+}
+
+void task_queue::CountMiss(lane_index index, core::mono_time now) {
+  const std::size_t tier = Row(ServedTier(lanes_[index]));
+  const team_index team = lanes_[index].team;
+  team_turn& turn = teams_[team].turns[tier];
+  if (++turn.misses < options_.misses_per_turn) return;
+  LeaveTeam(tier, team);
+  turn = {.deferred_at = now};
+  EnterTeam(tier, team);
+}
+
 void task_queue::PromoteAged(core::mono_time now) {
   // Only the oldest lanes age, which bounds the cost while they cannot be placed.
   std::vector<lane_index> aged;
@@ -295,9 +339,7 @@
                                  Share(team.usage.accelerators, fleet_total_.accelerators)});
   if (share == team.share) return;
   for (std::size_t tier = 0; tier < kTiers; ++tier) {
-    if (team.ready_lanes[tier].empty()) continue;
-    ready_teams_[tier].erase({team.share, index});
-    ready_teams_[tier].emplace(share, index);
+    if (ready_teams_[tier].erase({team.share, index}) > 0) ready_teams_[tier].emplace(share, index);
   }
   team.share = share;
 }
@@ -308,6 +350,11 @@
     const team_row& team = teams_[ready_teams_[tier].begin()->second];
     return team.ready_lanes[tier].begin()->second;
   }
+  for (std::size_t tier = 0; tier < kTiers; ++tier) {
+    if (deferred_teams_[tier].empty()) continue;
+    const team_row& team = teams_[deferred_teams_[tier].begin()->second];
+    return team.ready_lanes[tier].begin()->second;
+  }
   return std::nullopt;
 }
 
--- a/libs/placement/tests/task_queue_test.cc
+++ b/libs/placement/tests/task_queue_test.cc
@@ -133,6 +133,29 @@
   CHECK(placer.placed == std::vector<std::string>{"small"});
 }
 
+// Guards against one team whose many blocked or forbidden shapes use up all attempts, so that
+// others, lower tiers, or its own placeable tasks starve.
+TEST_CASE("many shapes without success starve nobody") {
+  task_queue queue;
+  queue.SetQuota("quota", 1'000);
+  for (int i = 0; i < 2'000; ++i) {
+    const std::string name = std::to_string(i);
+    queue.Push(Task("big" + name, 50'000 + i, "big", task_kind::latency_critical));
+    queue.Push(Task("quota" + name, 500 + i % 500, "quota"));
+  }
+  queue.OnRunning("quota", {1'000, 0, 0});
+  const core::mono_time later = kNow + milliseconds{1};
+  queue.Push(Task("small", 1'000, "big", task_kind::latency_critical, later));
+  queue.Push(Task("batch", 1'000, "other", task_kind::batch, later));
+  queue.OnRunning("other", {2'000, 0, 0});
+  pool_placer placer(queue, 2'000);
+  for (int tick = 0; tick < 1'500 && placer.placed.size() < 2; ++tick) {
+    queue.RunPass(placer, later + milliseconds{20 * tick});
+    if (tick == 50) CHECK(std::ranges::count(placer.placed, "batch") == 1);
+  }
+  CHECK(placer.placed.size() == 2);
+}
+
 // Guards against batch that starves under a steady stream of latency-critical work.
 TEST_CASE("batch that has waited long competes with latency-critical work") {
   task_queue queue;
