Test the scheduler through random events

Each task must be queued, running or ended, and a team's usage must be that of its running tasks, for any mix of submissions, cancellations, ends, drains and evictions.

--- a/libs/placement/tests/scheduler_test.cc
+++ b/libs/placement/tests/scheduler_test.cc
@@ -396,6 +396,66 @@
   CHECK(run.subject.counters().kept_capacity > 0);
 }
 
+// Guards against lost or doubled tasks and leaking shares under any mix of events: each task is
+// queued, running or ended, and the usage of a team is that of its running tasks.
+TEST_CASE("each task is in one place through random events") {
+  CHECK(rc::check([] {
+    simulation run(4);
+    run.evict_delay = milliseconds{*rc::gen::inRange(20, 3'000)};
+    std::size_t submitted = 0;
+    std::size_t ended = 0;
+    const auto steps = *rc::gen::container<std::vector<int>>(60, rc::gen::inRange(0, 7));
+    for (const int step : steps) {
+      if (step <= 3) {
+        auto task = MakeTask(
+            std::to_string(submitted++), step < 2 ? task_kind::batch : task_kind::latency_critical,
+            {1'000 + 1'500 * step, 5'000, step / 3}, "t" + std::to_string(step), run.now);
+        task.urgent = step == 3;
+        RC_ASSERT(run.subject.Submit(task) == core::result_code::ok);
+      } else if (step == 4 && submitted > 0) {
+        if (run.subject.CancelQueued(std::to_string(run.random.Below(submitted)))) ++ended;
+      } else if (step == 5 && !run.runs.empty()) {
+        const auto ending = run.runs.begin();
+        run.fleet.free(ending->second.worker) += ending->second.need;
+        RC_ASSERT(run.subject.OnEnded(ending->first, run.now).has_value());
+        run.runs.erase(ending);
+        ++ended;
+      } else {
+        const auto worker = static_cast<std::uint32_t>(run.random.Below(4));
+        run.fleet.table.SetOperatorDrain(worker, run.random.Below(2) == 0);
+      }
+      run.Run(milliseconds{100});
+      RC_ASSERT(run.subject.queue().size() + run.subject.running().size() + ended == submitted);
+      for (int team = 0; team < 4; ++team) {
+        core::resources usage;
+        for (worker_index worker = 0; worker < 4; ++worker) {
+          for (const std::uint32_t row : run.subject.running().OnWorker(worker)) {
+            const task_spec& spec = run.subject.running().at(row).spec;
+            if (spec.team == "t" + std::to_string(team)) usage += spec.need;
+          }
+        }
+        RC_ASSERT(run.subject.queue().Usage("t" + std::to_string(team)) == usage);
+      }
+      for (std::uint32_t worker = 0; worker < 4; ++worker) {
+        RC_ASSERT(run.fleet.free(worker).IsValid());
+      }
+    }
+    for (std::uint32_t worker = 0; worker < 4; ++worker) {
+      run.fleet.table.SetOperatorDrain(worker, false);
+    }
+    for (int round = 0; round < 60 && run.subject.queue().size() > 0; ++round) {
+      run.Run(seconds{10});
+      while (!run.runs.empty()) {
+        const auto ending = run.runs.begin();
+        run.fleet.free(ending->second.worker) += ending->second.need;
+        run.subject.OnEnded(ending->first, run.now);
+        run.runs.erase(ending);
+      }
+    }
+    RC_ASSERT(run.subject.queue().size() == 0U);
+  }));
+}
+
 // Guards against capacity or shares that leak when tasks end in unusual ways.
 TEST_CASE("usage returns to zero") {
   simulation run(2);
