--- a/libs/entry/src/request_router.cc
+++ b/libs/entry/src/request_router.cc
@@ -339,6 +339,7 @@
   for (int count = 0; count < kPumpBatch && service.queue.size() > 0; ++count) {
     active_request probe;
     probe.request.service = name;
+    probe.request.idempotent = false;  // the next request is not known yet; it must not be a probe
     result_code why = result_code::no_target;
     const auto target = Pick(probe, &why);
     if (!target) return;
