--- a/libs/ledger/include/ledger/records.h
+++ b/libs/ledger/include/ledger/records.h
@@ -221,8 +221,10 @@
 /// Limits of what a shard keeps of ended tasks and settled claims. Each batch carries the limits
 /// of its writer, so that replay prunes the same entries under other options.
 struct retention_limits {
-  std::int64_t retention_ms = 3'600'000;   ///< measured in the wall time of batches
-  std::uint64_t max_ended_tasks = 20'000;  ///< the oldest are removed first
+  std::int64_t retention_ms = 3'600'000;  ///< measured in the wall time of batches
+  /// The oldest are removed first. Each kept entry lengthens the encoding of a snapshot on the
+  /// control thread.
+  std::uint64_t max_ended_tasks = 5'000;
   std::uint64_t max_settled_claims = 20'000;
   /// Bytes of results of ended tasks, and as many of answers of settled claims. Beyond it the
   /// oldest are dropped while their entries stay.
--- a/libs/ledger/include/ledger/shard_manager.h
+++ b/libs/ledger/include/ledger/shard_manager.h
@@ -67,6 +67,13 @@
   virtual void OnShardOwned(core::shard_index shard) = 0;
   /// The shard is lost; callbacks of its appends have run. `Table` is already gone.
   virtual void OnShardLost(core::shard_index shard, shard_loss reason) = 0;
+  /// Asked on each tick while a shard is to be released: false delays the release, for example
+  /// while a claimed request runs whose answer must be recorded. `MayAppend` is already false, so
+  /// that no new work starts; `Append` is still accepted.
+  virtual bool MayHandOver(core::shard_index shard) {
+    static_cast<void>(shard);
+    return true;
+  }
   /// The deployment was created with another number of shards. The process must stop; the manager
   /// takes no shard.
   virtual void OnShardCountMismatch(std::uint32_t recorded) = 0;
@@ -124,10 +131,11 @@
   /// Sends what is due: renewals, reads, appends, snapshots, deletions.
   void Tick();
 
-  /// Queues a record for the next append of the shard.
+  /// Queues a record for the next append of the shard. Accepted while the shard is owned, until its
+  /// last record is written.
   /// @param done runs once, never from within this call, and after the table shows the record.
   void Append(core::shard_index shard, record change, append_callback done);
-  /// @return true if `Append` is accepted: owned, not being released, no sign of another writer.
+  /// @return true if new work may start: owned, not being released, no sign of another writer.
   bool MayAppend(core::shard_index shard) const;
   /// @return the number of queued and unconfirmed records of the shard.
   std::size_t PendingAppends(core::shard_index shard) const;
@@ -157,6 +165,7 @@
   /// Starts a graceful shutdown: takes no more shards, flushes and releases all, then revokes the
   /// lease. During an outage it retries until `Grants` has become empty.
   /// @param done runs once, not from within this call, with true if all shards were released.
+  /// Records that are still unresolved after the grace get no callback.
   void Shutdown(std::function<void(bool released)> done);
 
  private:
--- a/libs/ledger/src/log_loader.cc
+++ b/libs/ledger/src/log_loader.cc
@@ -1,6 +1,6 @@
 #include "log_loader.h"
 
-#include <spdlog/spdlog.h>
+#include <fmt/format.h>
 
 #include "wire/codec.h"
 
@@ -77,15 +77,13 @@
   for (const store::kv_entry& entry : page) {
     if (IndexOfLogKey(shard_, entry.key) != loaded_.table.next_index()) {
       // The previous owner may have replaced the missing batches by a snapshot meanwhile.
-      spdlog::warn("event=log_gap shard={} key={} expected={}", shard_, entry.key,
-                   loaded_.table.next_index());
+      problem_ = fmt::format("{} follows index {}", entry.key, loaded_.table.next_index() - 1);
       return false;
     }
     core::last_error error;
     const auto batch = wire::DecodeValue<log_batch>(entry.value, error);
     if (!batch) {
-      spdlog::error("event=log_damaged shard={} key={} reason=\"{}\"", shard_, entry.key,
-                    error.reason().message);
+      problem_ = fmt::format("{}: {}", entry.key, error.reason().message);
       return false;
     }
     loaded_.table.ApplyBatch(*batch);
@@ -96,9 +94,9 @@
 void log_loader::Finish(bool complete) {
   const handler done = std::move(done_);
   if (complete) {
-    done(std::move(loaded_));
+    done({std::move(loaded_), ""});
   } else {
-    done(std::nullopt);
+    done({std::nullopt, std::move(problem_)});
   }
 }
 
--- a/libs/ledger/src/log_loader.h
+++ b/libs/ledger/src/log_loader.h
@@ -19,11 +19,16 @@
   std::vector<std::string> stale_snapshot;  ///< keys of other snapshots
 };
 
+/// Outcome of a load.
+struct load_result {
+  std::optional<loaded_log> loaded;  ///< nothing if a read failed or the log is unusable
+  std::string problem;               ///< why the log is unusable; empty if it is not
+};
+
 /// Reads the newest complete snapshot of a shard and the log behind it.
 class log_loader {
  public:
-  /// Receives the contents, or nothing if a read failed or the log is not contiguous.
-  using handler = std::function<void(std::optional<loaded_log>)>;
+  using handler = std::function<void(load_result)>;
 
   /// Starts to read. `done` may destroy the loader.
   log_loader(const ledger_context& context, core::shard_index shard, handler done);
@@ -42,6 +47,7 @@
   handler done_;
   std::map<log_index, std::vector<store::kv_entry>> snapshots_;
   loaded_log loaded_;
+  std::string problem_;
   call_scope scope_;
 };
 
--- a/libs/ledger/src/shard_manager.cc
+++ b/libs/ledger/src/shard_manager.cc
@@ -89,6 +89,7 @@
   bool LeaseHolds(core::mono_time now) const override { return lease_.Holds(now); }
   void OnOwned(core::shard_index shard) override;
   void OnLost(core::shard_index shard, shard_loss reason) override;
+  bool MayHandOver(core::shard_index shard) override { return listener_.MayHandOver(shard); }
   void OnOwnersChanged() override { owners_range_.Reread(); }
   void OnLeaseConfirmed(store::lease_id lease, core::mono_time sent) override;
   void OnLeaseLapsed(store::lease_id lease) override;
@@ -321,7 +322,7 @@
 
 void shard_manager::impl::Append(core::shard_index shard, record change, append_callback done) {
   auto outcome = append_outcome::not_committed;
-  if (shard < shards_.size() && shards_[shard]->MayAppend()) {
+  if (shard < shards_.size() && shards_[shard]->AcceptsRecords()) {
     const std::size_t bytes = wire::EncodeValue(change).size();
     if (bytes <= kMaxRecordBytes) {
       shards_[shard]->Append(std::move(change), bytes, std::move(done));
@@ -351,6 +352,8 @@
       .Add();
   if (reason != shard_loss::released) all_released_ = false;
   spdlog::info("event=shard_lost shard={} reason={}", shard, ToString(reason));
+  // Until the next read, nobody is known to own it.
+  owners_.erase(shard);
   owners_range_.Reread();
   listener_.OnShardLost(shard, reason);
 }
--- a/libs/ledger/src/shard_ownership.cc
+++ b/libs/ledger/src/shard_ownership.cc
@@ -154,11 +154,16 @@
 void shard_ownership::StartLoad() {
   phase_ = ownership_phase::loading;
   loader_ = std::make_unique<log_loader>(
-      context_, shard_, [this](std::optional<loaded_log> loaded) { OnLoaded(std::move(loaded)); });
+      context_, shard_, [this](load_result result) { OnLoaded(std::move(result)); });
 }
 
-void shard_ownership::OnLoaded(std::optional<loaded_log> loaded) {
+void shard_ownership::OnLoaded(load_result result) {
   const auto finished = std::move(loader_);
+  auto& loaded = result.loaded;
+  if (result.problem != load_problem_ && !result.problem.empty()) {
+    spdlog::error("event=log_unusable shard={} reason=\"{}\"", shard_, result.problem);
+  }
+  load_problem_ = std::move(result.problem);
   if (!loaded) {
     RetryLater();
     return;
@@ -223,9 +228,11 @@
 void shard_ownership::HandOver(core::mono_time now) {
   // A final record of unknown outcome stops the renewal of execution leases, so it is not sent
   // into an outage.
-  const bool ready =
-      log_->pending() == 0 && HoldsKey() && host_.LeaseHolds(now) && context_.health->reachable();
+  const bool ready = host_.MayHandOver(shard_) && HoldsKey() && host_.LeaseHolds(now) &&
+                     context_.health->reachable();
   if (!ready) return;
+  // The record goes behind all that is queued. To wait for an empty queue instead would never end
+  // while task events keep arriving.
   phase_ = ownership_phase::handing_over;
   const core::nanoseconds left = since_.since + since_.orphan_wait - now;
   // Rounded up: the next owner must not wait less than is left.
@@ -336,6 +343,11 @@
   return phase_ == ownership_phase::owned && !log_->suspect();
 }
 
+bool shard_ownership::AcceptsRecords() const noexcept {
+  const bool owned = phase_ == ownership_phase::owned || phase_ == ownership_phase::flushing;
+  return owned && !log_->suspect();
+}
+
 bool shard_ownership::MayGrant(core::mono_time now) const {
   if (!announced_ || !log_ || log_->suspect() || GraceIsOver(now)) return false;
   if (phase_ == ownership_phase::deleting_key) return false;
--- a/libs/ledger/src/shard_ownership.h
+++ b/libs/ledger/src/shard_ownership.h
@@ -21,6 +21,8 @@
   virtual bool LeaseHolds(core::mono_time now) const = 0;
   virtual void OnOwned(core::shard_index shard) = 0;
   virtual void OnLost(core::shard_index shard, shard_loss reason) = 0;
+  /// @return true if a shard that is to be released may be handed over now.
+  virtual bool MayHandOver(core::shard_index shard) = 0;
   /// `owner/` has changed; the copy of it should be read again.
   virtual void OnOwnersChanged() = 0;
 };
@@ -33,8 +35,8 @@
   fencing,    ///< appending `owner_changed`
   verifying,  ///< reading `owner/<shard>` once more
   owned,
-  flushing,      ///< to be released: waits until nothing is queued
-  handing_over,  ///< appending `owner_released`
+  flushing,      ///< to be released: waits for work in progress and for the store
+  handing_over,  ///< appending what is queued, then `owner_released`
   deleting_key,  ///< deleting `owner/<shard>`
 };
 
@@ -64,8 +66,10 @@
   void Append(record change, std::size_t bytes, shard_manager::append_callback done);
 
   ownership_phase phase() const noexcept { return phase_; }
-  /// @return true if appends are accepted.
+  /// @return true if new work may start.
   bool MayAppend() const noexcept;
+  /// @return true if `Append` may be called.
+  bool AcceptsRecords() const noexcept;
   /// @return true from `OnOwned` until `OnLost`.
   bool announced() const noexcept { return announced_; }
   /// @return true if execution leases may be renewed at `now`.
@@ -91,7 +95,7 @@
   void OnKeyFailed();
   void CheckLog(store::lease_id lease, store::key_version version, core::mono_time sent);
   void StartLoad();
-  void OnLoaded(std::optional<loaded_log> loaded);
+  void OnLoaded(load_result result);
   void Verify();
   void OnVerified(const store::get_result& result);
   void HandOver(core::mono_time now);
@@ -114,6 +118,7 @@
   core::mono_time confirmed_{};
   takeover since_;
   std::unique_ptr<log_loader> loader_;
+  std::string load_problem_;  ///< logged once, not at each retry
   std::unique_ptr<shard_log> log_;
   std::unique_ptr<snapshot_writer> snapshots_;
   bool waiting_ = false;  ///< a call of this class is out
--- a/libs/ledger/tests/fleet.h
+++ b/libs/ledger/tests/fleet.h
@@ -24,6 +24,9 @@
   }
   void OnShardCountMismatch(std::uint32_t recorded) override { mismatch = recorded; }
 
+  bool MayHandOver(core::shard_index) override { return !busy; }
+
+  bool busy = false;
   std::vector<core::shard_index> owned;
   std::vector<std::pair<core::shard_index, shard_loss>> lost;
   std::optional<std::uint32_t> mismatch;
--- a/libs/ledger/tests/shard_manager_test.cc
+++ b/libs/ledger/tests/shard_manager_test.cc
@@ -397,7 +397,14 @@
   const auto& last = fleet.Submit(b, "last");
   std::optional<bool> released;
   b.manager.Shutdown([&](bool all) { released = all; });
+  // A request in progress settles its claim first.
+  b.listener.busy = true;
+  fleet.Run(seconds{1});
   CHECK_FALSE(b.manager.MayAppend(0));
+  const auto& settled = fleet.Submit(b, "settled");
+  REQUIRE(fleet.RunUntil([&] { return settled.has_value(); }));
+  CHECK(settled == append_outcome::committed);
+  b.listener.busy = false;
   // Others take a shard only once the entry that it hashes to is off the list.
   REQUIRE(fleet.RunUntil([&] { return fleet.store.CountKeys("owner/") == 0; }));
   CHECK(fleet.store.CountKeys("entries/") == 0);
