--- a/libs/agent/tests/request_test.cc
+++ b/libs/agent/tests/request_test.cc
@@ -66,6 +66,11 @@
   CHECK(reply.request_id == 5);
   CHECK(reply.code == result_code::deadline_unmeetable);
   CHECK(test.target.runs.size() == 2);
+  test.Request(7, 700);
+  test.time.Advance(milliseconds{650});
+  fixture::Take(test.target.runs).second({result_code::ok, "", ""});  // a slot without a tick
+  CHECK(test.target.runs.size() == 1);
+  CHECK(test.LastReply() == result_code::deadline_unmeetable);
   test.Pass(seconds{12});
   test.Request(6, 300);  // the average has decayed, so the service is tried again
   CHECK(test.LastReply() != result_code::deadline_unmeetable);
--- a/libs/agent/tests/task_test.cc
+++ b/libs/agent/tests/task_test.cc
@@ -9,7 +9,7 @@
 using wire::task_event_kind;
 
 // Guards against a task that starts from a message that a pause has delayed past the lease.
-TEST_CASE("a start with a stale token or another incarnation is refused") {
+TEST_CASE("a message with a stale token or another incarnation is refused") {
   fixture test;
   test.Recover();
   const wire::start_task delayed = test.StartMessage();
@@ -24,6 +24,9 @@
   future.token.seq += 1;
   test.Send(future);
   CHECK(test.LastEvent(task_event_kind::refused) == result_code::stale_token);
+  test.time.Advance(seconds{16});  // a pause without heartbeats
+  test.Request(1);
+  CHECK(test.LastReply() == result_code::stale_token);
   CHECK(test.target.starts.empty());
 }
 
@@ -107,6 +110,18 @@
   CHECK(test.LastBeat().free.cpu_millis == 4000);
 }
 
+// Guards against an agent that wakes from a pause and renews what its target has stopped meanwhile.
+TEST_CASE("an ack that is read after the lease has lapsed does not extend it") {
+  fixture test;
+  test.Recover();
+  test.RunTask();
+  test.Pass(seconds{12}, false);
+  test.time.Advance(seconds{5});
+  test.Ack();  // of a heartbeat that is younger than the lease time
+  test.control.Tick();
+  CHECK(test.target.controls.size() == 1);
+}
+
 // Guards against releasing what a silent target may still use, and against an owner that waits
 // for ever for the end of a lapsed task.
 TEST_CASE("a lapsed task is reported although the target does not confirm, but stays committed") {
