Add coltsfoot-measure

Policies could only be compared by hand, with tools/demo and coltsfoot-load. tools/measure runs the built programs under six scenarios; the policies of a scenario run side by side with the same calls, because the machine is shared and runs in turn would meet different neighbours.

Requests take 60 ms instead of the 20 ms of settings/: it fills the slots at 480 requests/s, which four fleets on one machine can carry. COLTSFOOT_PROGRAMS names the programs of an earlier version, for a comparison before and after. coltsfoot-load can send tasks whose real run time and size differ from the declared ones.

--- a/libs/load/include/load/options.h
+++ b/libs/load/include/load/options.h
@@ -31,6 +31,10 @@
   std::vector<std::int64_t> task_cpu_millis = {1000};  ///< drawn evenly
   std::int64_t task_memory_mb = 100;
   std::vector<std::int64_t> task_expected_ms = {1000};  ///< drawn evenly
+  /// Real run time of a task in percent of the declared one, drawn evenly.
+  std::vector<std::int64_t> task_work_percent = {100};
+  /// Processors that a task really uses in percent of its declared size, drawn evenly.
+  std::vector<std::int64_t> task_use_percent = {100};
   core::milliseconds task_wait{60'000};  ///< longest time to wait for tasks after the last call
 
   bool operator==(const load_options&) const = default;
--- a/libs/load/include/load/schedule.h
+++ b/libs/load/include/load/schedule.h
@@ -19,6 +19,8 @@
   bool idempotent = true;
   std::int64_t cpu_millis = 0;
   std::int64_t expected_ms = 0;
+  std::int64_t work_ms = 0;     ///< real run time of a task
+  std::int64_t use_millis = 0;  ///< processors that a task really uses
 
   bool operator==(const planned_call&) const = default;
 };
--- a/libs/load/src/options.cc
+++ b/libs/load/src/options.cc
@@ -48,6 +48,8 @@
           "--task_kind is batch or latency_critical");
   require(AllPositive(options.task_cpu_millis) && AllPositive(options.task_expected_ms),
           "--task_cpu_millis and --task_expected_ms are lists of numbers above 0");
+  require(AllPositive(options.task_work_percent) && AllPositive(options.task_use_percent),
+          "--task_work_percent and --task_use_percent are lists of numbers above 0");
   return mistakes;
 }
 
--- a/libs/load/src/runner.cc
+++ b/libs/load/src/runner.cc
@@ -181,7 +181,10 @@
   }
 
   http::call TaskCall(const planned_call& planned, const std::string& key) const {
-    const json payload = {{"key", key}, {"work_ms", planned.expected_ms}, {"fail", false}};
+    json payload = {{"key", key}, {"work_ms", planned.work_ms}, {"fail", false}};
+    if (planned.use_millis != planned.cpu_millis) {
+      payload["use"] = {{"cpu_millis", planned.use_millis}};
+    }
     const json body = {{"team", options_.teams[planned.team]},
                        {"task_class", options_.task_class},
                        {"kind", options_.task_kind},
--- a/libs/load/src/schedule.cc
+++ b/libs/load/src/schedule.cc
@@ -11,8 +11,15 @@
 
 constexpr double kNanosecondsPerSecond = 1e9;
 constexpr double kPercent = 100;
+constexpr std::int64_t kWholePercent = 100;
 // Keeps the streams of requests and tasks apart for any seed.
 constexpr std::uint64_t kTaskStream = 0x7461736b;
+// Draws how far declarations are off, so that all other draws are the same without such mistakes.
+constexpr std::uint64_t kMistakeStream = 0x6d697374;
+
+std::int64_t DrawFrom(const std::vector<std::int64_t>& values, core::random_source& random) {
+  return values[random.Below(values.size())];
+}
 
 /// Draws the calls of one kind.
 std::vector<planned_call> DrawStream(const load_options& options, call_kind kind) {
@@ -21,6 +28,7 @@
   std::vector<planned_call> calls;
   if (rate <= 0) return calls;
   core::seeded_random random(tasks ? options.seed ^ kTaskStream : options.seed);
+  core::seeded_random mistakes(options.seed ^ kMistakeStream);
   const core::nanoseconds end = options.duration;
   double at = 0;
   while (calls.size() < options.most_calls) {
@@ -31,8 +39,12 @@
     call.kind = kind;
     call.team = static_cast<std::uint32_t>(random.Below(options.teams.size()));
     if (tasks) {
-      call.cpu_millis = options.task_cpu_millis[random.Below(options.task_cpu_millis.size())];
-      call.expected_ms = options.task_expected_ms[random.Below(options.task_expected_ms.size())];
+      call.cpu_millis = DrawFrom(options.task_cpu_millis, random);
+      call.expected_ms = DrawFrom(options.task_expected_ms, random);
+      call.work_ms = std::max<std::int64_t>(
+          1, call.expected_ms * DrawFrom(options.task_work_percent, mistakes) / kWholePercent);
+      call.use_millis = std::max<std::int64_t>(
+          1, call.cpu_millis * DrawFrom(options.task_use_percent, mistakes) / kWholePercent);
     } else {
       call.idempotent = random.Uniform() * kPercent >= options.non_idempotent_percent;
     }
--- a/libs/load/tests/load_test.cc
+++ b/libs/load/tests/load_test.cc
@@ -137,6 +137,27 @@
   CHECK(DrawSchedule(options)[0].at != calls[0].at);
 }
 
+// Guards against mistakes in declared sizes that change which tasks are sent, so that runs with and
+// without them could not be compared, and against tasks that do as they declared.
+TEST_CASE("real run times and sizes differ from the declared ones as asked") {
+  load_options options = Requests(0, milliseconds{20'000});
+  options.task_rate = 50;
+  const auto right = DrawSchedule(options);
+  options.task_work_percent = {25, 300};
+  options.task_use_percent = {50};
+  const auto wrong = DrawSchedule(options);
+  REQUIRE(wrong.size() == right.size());
+  double longer = 0;
+  for (std::size_t index = 0; index < wrong.size(); ++index) {
+    CHECK(wrong[index].at == right[index].at);
+    CHECK(right[index].work_ms == right[index].expected_ms);
+    CHECK(wrong[index].expected_ms == right[index].expected_ms);
+    CHECK(wrong[index].use_millis == right[index].cpu_millis / 2);
+    longer += wrong[index].work_ms == 3 * wrong[index].expected_ms ? 1 : 0;
+  }
+  CHECK(longer / static_cast<double>(wrong.size()) == doctest::Approx(0.5).epsilon(0.15));
+}
+
 // Guards against coordinated omission: a generator that waits for a stalled system measures one
 // slow request in place of all that would have met the stall.
 TEST_CASE("a stall shows in the latency of all requests that meet it") {
--- a/test/harness/src/process.cc
+++ b/test/harness/src/process.cc
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <atomic>
+#include <cstdlib>
 #include <fstream>
 #include <system_error>
 #include <utility>
@@ -54,6 +55,13 @@
   }
 }
 
+/// @return the directory of the programs; the environment may name that of an earlier version, to
+/// compare with it.
+std::string ProgramDirectory() {
+  const char* other = std::getenv("COLTSFOOT_PROGRAMS");
+  return other != nullptr ? other : COLTSFOOT_BIN_DIR;
+}
+
 void Check(int failure, const char* what) {
   if (failure != 0) throw std::system_error(failure, std::generic_category(), what);
 }
@@ -95,8 +103,7 @@
   }
   std::array<int, 2> ends{};
   if (pipe2(ends.data(), O_CLOEXEC) != 0) Check(errno, "pipe2");
-  pid_ = Spawn(std::string(COLTSFOOT_BIN_DIR "/") + spec_.program, "--settings=" + file.string(),
-               ends[1]);
+  pid_ = Spawn(ProgramDirectory() + "/" + spec_.program, "--settings=" + file.string(), ends[1]);
   Register(pid_);
   close(ends[1]);
   reader_ = std::thread([this, descriptor = ends[0]] { ReadLog(descriptor); });
--- /dev/null
+++ b/test/measure/main/measure.cc
@@ -0,0 +1,145 @@
+#include <absl/flags/flag.h>
+#include <absl/time/clock.h>
+#include <absl/time/time.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <iostream>
+
+#include "measure/report.h"
+#include "program/command_line.h"
+
+ABSL_FLAG(std::vector<std::string>, deployment, {}, "deployments to measure; empty: all");
+ABSL_FLAG(std::vector<std::string>, scenario, {}, "scenarios to run; empty: all");
+ABSL_FLAG(std::vector<std::string>, policy, {}, "policies to compare; empty: all");
+ABSL_FLAG(std::int64_t, seconds, 22, "length of each run");
+ABSL_FLAG(std::uint64_t, seed, 1, "the same seed draws the same calls");
+ABSL_FLAG(std::string, output, "docs/measurements", "directory for tables and plots");
+ABSL_FLAG(std::string, label, "", "added to the names of the written files");
+ABSL_FLAG(std::string, revision, "unknown", "revision that is measured, for the table");
+
+namespace {
+
+namespace measure = coltsfoot::measure;
+
+constexpr int kVoidOrWrong = 1;
+constexpr int kUsage = 2;
+constexpr std::chrono::seconds kTimeLimit{1800};
+constexpr std::string_view kHelp =
+    R"(coltsfoot-measure runs fleets of the built programs under load and faults and compares policies.
+
+The policies of a scenario run side by side, each on its own fleet with the same calls, so that
+other work on the machine meets all of them alike. Run it through tools/measure.
+
+Exit codes
+  0  done
+  1  a run was void, an answer was wrong, or the history checker found a violation
+  2  mistake in the command line
+
+Flags
+)";
+
+bool IsWanted(const std::vector<std::string>& names, const std::string& name) {
+  return names.empty() || std::find(names.begin(), names.end(), name) != names.end();
+}
+
+double LoadAverage() {
+  double value = 0;
+  return getloadavg(&value, 1) == 1 ? value : 0;
+}
+
+std::vector<measure::run_result> RunSideBySide(const measure::deployment& where,
+                                               const measure::scenario& what,
+                                               const std::vector<std::string>& policies) {
+  const std::chrono::seconds duration{absl::GetFlag(FLAGS_seconds)};
+  std::vector<std::future<measure::run_result>> runs;
+  runs.reserve(policies.size());
+  for (const std::string& policy : policies) {
+    runs.push_back(std::async(std::launch::async, [&where, &what, policy, duration] {
+      return measure::Run(where, what, policy, duration);
+    }));
+  }
+  std::vector<measure::run_result> results;
+  results.reserve(runs.size());
+  for (auto& run : runs) results.push_back(run.get());
+  return results;
+}
+
+void Print(const measure::run_result& run) {
+  const auto& all = run.service.all;
+  std::cout << fmt::format(
+                   "{:<14} {:<13} p50 {:6.1f}  p99 {:7.1f}  p99.9 {:7.1f} ms  tasks/s {:6.2f}  "
+                   "evictions {:4}  requests ok {} of {}  wrong {}  violations {}  {}\n",
+                   run.scenario, run.policy, all.p50_ms, all.p99_ms, all.p999_ms,
+                   run.TasksPerSecond(), run.Evictions(), run.service.answered.count, all.count,
+                   run.wrong_answers, run.violations.size(), run.error)
+            << std::flush;
+}
+
+std::string CommandText(int argc, char** argv) {
+  std::string text = "tools/measure";
+  for (int index = 1; index < argc; ++index) {
+    const std::string argument = argv[index];
+    if (!argument.starts_with("--revision")) text += " " + argument;
+  }
+  return text;
+}
+
+bool Measure(const measure::deployment& where, const std::string& command) {
+  std::vector<std::string> policies = absl::GetFlag(FLAGS_policy);
+  if (policies.empty()) policies = {"weighted", "random", "round_robin", "least_loaded"};
+  measure::report_context context{.where = where,
+                                  .command = command,
+                                  .revision = absl::GetFlag(FLAGS_revision),
+                                  .date = absl::FormatTime(absl::Now(), absl::UTCTimeZone()),
+                                  .load_before = LoadAverage()};
+  std::vector<measure::scenario> scenarios = measure::Scenarios(
+      where.service, std::chrono::seconds{absl::GetFlag(FLAGS_seconds)}, absl::GetFlag(FLAGS_seed));
+  std::erase_if(scenarios, [](const measure::scenario& what) {
+    return !IsWanted(absl::GetFlag(FLAGS_scenario), what.name);
+  });
+  std::cout << where.name << "\n";
+  std::vector<measure::run_result> results;
+  bool good = !scenarios.empty();
+  for (const measure::scenario& what : scenarios) {
+    for (measure::run_result& run : RunSideBySide(where, what, policies)) {
+      Print(run);
+      good = good && run.error.empty() && run.wrong_answers == 0 && run.violations.empty();
+      results.push_back(std::move(run));
+    }
+  }
+  context.load_after = LoadAverage();
+  const std::filesystem::path directory = absl::GetFlag(FLAGS_output);
+  std::filesystem::create_directories(directory);
+  const std::string label = absl::GetFlag(FLAGS_label);
+  const std::string name = label.empty() ? where.name : where.name + "-" + label;
+  std::ofstream(directory / (name + ".md")) << measure::ToMarkdown(context, scenarios, results);
+  std::ofstream(directory / (name + ".svg")) << measure::ToSvg(context, results);
+  return good;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::string mistake;
+  const auto line = coltsfoot::program::ParseCommandLine(argc, argv, mistake);
+  if (!line || !line->words.empty()) {
+    std::cerr << (line ? "coltsfoot-measure takes only flags." : mistake) << "\n";
+    return kUsage;
+  }
+  if (line->help) {
+    std::cout << kHelp << coltsfoot::program::DescribeFlags(__FILE__);
+    return 0;
+  }
+  coltsfoot::harness::SetTimeLimit(kTimeLimit);
+  bool good = true;
+  for (const measure::deployment& where : measure::Deployments()) {
+    if (!IsWanted(absl::GetFlag(FLAGS_deployment), where.name)) continue;
+    good = Measure(where, CommandText(argc, argv)) && good;
+  }
+  return good ? 0 : kVoidOrWrong;
+}
--- /dev/null
+++ b/test/measure/src/scenario.cc
@@ -0,0 +1,125 @@
+#include "measure/scenario.h"
+
+#include <utility>
+
+namespace coltsfoot::measure {
+namespace {
+
+using core::milliseconds;
+
+// About a third of the slots of 11 workers at 60 ms a request without interference.
+constexpr double kRequestRate = 480;
+// Requests that must run at most once, during the outage of the key-value service: with the other
+// scenarios they would add the same log appends to each policy's latencies.
+constexpr double kClaimedPercent = 10;
+// About three quarters of the fleet's processors.
+constexpr double kPlanRate = 14;
+constexpr double kWatchRate = 2;
+constexpr double kNoisyRate = 12;
+constexpr std::uint64_t kWatchSeed = 1000;
+constexpr std::uint64_t kNoisySeed = 2000;
+constexpr int kWaves = 3;
+constexpr std::size_t kBrokenWorker = 3;
+constexpr std::size_t kLostZone = 1;
+constexpr std::size_t kZones = 3;
+
+/// @return the given hundredths of a duration.
+milliseconds Part(milliseconds duration, int percent) { return duration * percent / 100; }
+
+load_phase Tasks(milliseconds at, milliseconds duration, std::uint64_t seed) {
+  load_phase phase{.at = at};
+  phase.load.duration = duration;
+  phase.load.seed = seed;
+  phase.load.task_wait = milliseconds{0};
+  return phase;
+}
+
+/// Requests, batch tasks of class plan and latency-critical tasks of class watch.
+std::vector<load_phase> CommonPhases(const std::string& service, milliseconds duration,
+                                     std::uint64_t seed) {
+  load_phase main = Tasks(milliseconds{0}, duration, seed);
+  main.load.service = service;
+  main.load.request_rate = kRequestRate;
+  main.load.task_rate = kPlanRate;
+  main.load.task_class = "plan";
+  main.load.task_cpu_millis = {1000, 2000, 4000};
+  main.load.task_expected_ms = {1500, 3000, 4500};
+  main.load.teams = {"mills", "kilns"};
+  load_phase watch = Tasks(milliseconds{0}, duration, seed + kWatchSeed);
+  watch.load.task_rate = kWatchRate;
+  watch.load.task_class = "watch";
+  watch.load.task_kind = "latency_critical";
+  watch.load.task_cpu_millis = {2000};
+  watch.load.task_expected_ms = {4000};
+  return {std::move(main), std::move(watch)};
+}
+
+void AddNoisyWaves(scenario& out, milliseconds duration, std::uint64_t seed) {
+  for (int wave = 0; wave < kWaves; ++wave) {
+    const milliseconds at = Part(duration, 10 + 30 * wave);
+    load_phase noisy = Tasks(at, Part(duration, 15), seed + kNoisySeed + wave);
+    noisy.load.task_rate = kNoisyRate;
+    noisy.load.task_class = "noisy";
+    noisy.load.task_cpu_millis = {3000};
+    noisy.load.task_expected_ms = {3000};
+    out.phases.push_back(std::move(noisy));
+  }
+}
+
+void LoseZone(harness::fleet& fleet, std::size_t workers) {
+  for (std::size_t index = kLostZone; index < workers; index += kZones) fleet.KillWorker(index);
+}
+
+}  // namespace
+
+std::vector<deployment> Deployments() {
+  return {
+      {.name = "malolos",
+       .service = "strawline",
+       .tail_latency = 1,
+       .throughput = 4,
+       .evictions = 3},
+      {.name = "armor", .service = "planner", .tail_latency = 6, .throughput = 1, .evictions = 1}};
+}
+
+std::vector<scenario> Scenarios(const std::string& service, milliseconds duration,
+                                std::uint64_t seed) {
+  const auto phases = CommonPhases(service, duration, seed);
+  std::vector<scenario> out;
+  out.push_back({"steady", "requests, batch and latency-critical tasks at a steady rate", phases});
+
+  scenario wave{"noisy_wave", "a batch class that slows the service arrives in three waves",
+                phases};
+  AddNoisyWaves(wave, duration, seed);
+  out.push_back(std::move(wave));
+
+  scenario sizes{"wrong_sizes", "run times and sizes are declared up to four times wrong", phases};
+  sizes.phases.front().load.task_work_percent = {25, 100, 300};
+  sizes.phases.front().load.task_use_percent = {25, 50, 200};
+  out.push_back(std::move(sizes));
+
+  scenario broken{"broken_worker", "one worker fails all tasks and requests after a fifth", phases};
+  broken.faults.push_back({Part(duration, 20), [](harness::fleet& fleet) {
+                             fleet.TargetFaults(kBrokenWorker,
+                                                R"({"fail_every_task":true,"fail_requests":true})");
+                           }});
+  out.push_back(std::move(broken));
+
+  scenario zone{"zone_loss", "agents and targets of one zone are killed after a fifth", phases};
+  zone.faults.push_back({Part(duration, 20), [](harness::fleet& fleet) { LoseZone(fleet, 11); }});
+  out.push_back(std::move(zone));
+
+  scenario outage{"kv_outage", "the key-value service is down from a quarter to two thirds",
+                  phases};
+  outage.phases.front().load.non_idempotent_percent = kClaimedPercent;
+  outage.faults.push_back({Part(duration, 25), [](harness::fleet& fleet) {
+                             fleet.PlatformFaults(R"({"down":true})");
+                           }});
+  outage.faults.push_back({Part(duration, 66), [](harness::fleet& fleet) {
+                             fleet.PlatformFaults(R"({"down":false})");
+                           }});
+  out.push_back(std::move(outage));
+  return out;
+}
+
+}  // namespace coltsfoot::measure
--- a/tools/coltsfoot-load/main.cc
+++ b/tools/coltsfoot-load/main.cc
@@ -38,6 +38,10 @@
 ABSL_FLAG(std::vector<std::string>, task_cpu_millis, {"1000"}, "sizes of tasks, drawn evenly");
 ABSL_FLAG(std::int64_t, task_memory_mb, 100, "memory of a task");
 ABSL_FLAG(std::vector<std::string>, task_expected_ms, {"1000"}, "run times of tasks, drawn evenly");
+ABSL_FLAG(std::vector<std::string>, task_work_percent, {"100"},
+          "real run times in percent of the declared ones, drawn evenly");
+ABSL_FLAG(std::vector<std::string>, task_use_percent, {"100"},
+          "processors really used in percent of the declared size, drawn evenly");
 ABSL_FLAG(std::int64_t, task_wait_ms, 60'000, "longest time to wait for tasks after the calls");
 ABSL_FLAG(bool, json, false, "print the report as JSON");
 ABSL_FLAG(std::string, history, "", "file to append the history to, as JSON lines");
@@ -112,6 +116,8 @@
                              .task_cpu_millis = Numbers(absl::GetFlag(FLAGS_task_cpu_millis)),
                              .task_memory_mb = absl::GetFlag(FLAGS_task_memory_mb),
                              .task_expected_ms = Numbers(absl::GetFlag(FLAGS_task_expected_ms)),
+                             .task_work_percent = Numbers(absl::GetFlag(FLAGS_task_work_percent)),
+                             .task_use_percent = Numbers(absl::GetFlag(FLAGS_task_use_percent)),
                              .task_wait = milliseconds{absl::GetFlag(FLAGS_task_wait_ms)}};
   for (std::string& entry : options.entries) {
     while (entry.ends_with('/')) entry.pop_back();
