Report free capacity every second and after refusals

Latency-critical tasks that found no place then evicted batch.

Change: usage reports, which agents send over the task connection about each second, carry the free capacity (the answer with an amount of Jafarpour, Mehrotra and Venkatasubramanian); a refused assignment counts until the next report. More heartbeats were ruled out: their interval bounds leases and how long an unconfirmed assignment counts.

--- a/libs/agent/src/controller.cc
+++ b/libs/agent/src/controller.cc
@@ -220,8 +220,8 @@
   }
 
   void SendUsage(const target_event& event) {
-    const std::string frame =
-        wire::ToFrame(wire::usage_report{options_.worker, event.age_ms, event.samples});
+    const std::string frame = wire::ToFrame(
+        wire::usage_report{options_.worker, event.age_ms, event.samples, ledger_.free()});
     for (const connection_id connection : entries_.Connections()) {
       link_.SendFrame(connection, frame);
     }
--- a/libs/entry/src/task_controller.cc
+++ b/libs/entry/src/task_controller.cc
@@ -791,7 +791,9 @@
 void task_controller::OnUsage(const wire::usage_report& report) {
   const core::mono_time now = time_.Now();
   const auto worker = workers_.Find(report.worker);
-  if (!worker || !config_.is_known()) return;
+  if (!worker) return;
+  workers_.OnFreeReported(*worker, report.free);
+  if (!config_.is_known()) return;
   for (const wire::usage_sample& sample : report.samples) {
     if (!sample.task.empty()) sizes_.Observe(sample.task_class, sample.used, 0, now);
   }
--- a/libs/membership/include/membership/worker_table.h
+++ b/libs/membership/include/membership/worker_table.h
@@ -116,6 +116,10 @@
   void OnRequestSent(worker_index worker, name_id service);
   /// Counts a request as answered when no reply will come (connection lost, abandoned).
   void OnRequestAbandoned(worker_index worker, name_id service);
+  /// Replaces the free capacity of the last heartbeat. The report must have come over the
+  /// connection that carries the worker's task events, so that it contains all confirmed
+  /// assignments.
+  void OnFreeReported(worker_index worker, const core::resources& free);
   /// Sets or clears a drain ordered by the fleet configuration (`worker.drain`, `worker.lost`).
   void SetOperatorDrain(worker_index worker, bool drain);
 
--- a/libs/membership/src/worker_table.cc
+++ b/libs/membership/src/worker_table.cc
@@ -104,6 +104,16 @@
   }
 }
 
+void worker_table::OnFreeReported(worker_index worker, const core::resources& free) {
+  reported_free_[worker] = free;
+  // Heartbeats alone drop unconfirmed assignments, because reports have no interval that bounds how
+  // long a start may be under way.
+  std::erase_if(pending_[worker],
+                [](const pending_assignment& row) { return !row.hold && row.confirmed; });
+  released_[worker] = {};
+  Recompute(worker);
+}
+
 void worker_table::SetOperatorDrain(worker_index worker, bool drain) {
   SetFlag(worker, kOperatorDrain, drain);
 }
--- a/libs/membership/tests/worker_table_test.cc
+++ b/libs/membership/tests/worker_table_test.cc
@@ -73,6 +73,26 @@
   CHECK(table.available()[worker].cpu_millis == 14'000);
 }
 
+// Guards against capacity that other entries' tasks have given back but that stays idle until the
+// next heartbeat, and against a report that makes an assignment on its way look free.
+TEST_CASE("a report of free capacity replaces that of the last heartbeat") {
+  worker_table table;
+  const worker_index worker = table.OnHeartbeat(Heartbeat(1, 2'000), kStart).worker;
+  table.OnFreeReported(worker, {14'000, 60'000, 2});
+  CHECK(table.available()[worker].cpu_millis == 14'000);
+  const auto started = table.Assign(worker, {4'000, 1'000, 0});
+  table.Assign(worker, {1'000, 1'000, 0});
+  const auto hold = table.Hold(worker, {2'000, 0, 0});
+  table.ConfirmAssignment(worker, started);
+  table.OnFreeReported(worker, {10'000, 59'000, 2});
+  CHECK(table.available()[worker] == core::resources{7'000, 58'000, 2});
+  table.ReleaseHold(worker, hold);
+  table.ReleaseAssignment(worker, started, {4'000, 1'000, 0});
+  CHECK(table.available()[worker].cpu_millis == 13'000);
+  table.OnFreeReported(worker, {13'000, 59'000, 2});
+  CHECK(table.available()[worker].cpu_millis == 12'000);
+}
+
 // Guards against giving capacity that is being freed for one task to another.
 TEST_CASE("a hold outlasts heartbeats until it is converted") {
   worker_table table;
@@ -140,7 +160,7 @@
 }
 
 // Guards against an estimate that is above what a correct agent will report next: any order of
-// assignments, confirmations and heartbeats.
+// assignments, confirmations, heartbeats and reports.
 TEST_CASE("the estimate never exceeds the true free capacity") {
   CHECK(rc::check([] {
     worker_table table;
@@ -148,7 +168,7 @@
     std::uint64_t seq = 1;
     const worker_index worker = table.OnHeartbeat(Heartbeat(seq), kStart).worker;
     std::vector<assignment_id> unconfirmed;
-    const auto steps = *rc::gen::container<std::vector<int>>(40, rc::gen::inRange(0, 3));
+    const auto steps = *rc::gen::container<std::vector<int>>(40, rc::gen::inRange(0, 4));
     for (const int step : steps) {
       if (step == 0 && used < 16'000) {
         unconfirmed.push_back(table.Assign(worker, {1'000, 0, 0}));
@@ -158,6 +178,8 @@
         unconfirmed.pop_back();
       } else if (step == 2) {
         table.OnHeartbeat(Heartbeat(++seq, 16'000 - used), kStart);
+      } else if (step == 3) {
+        table.OnFreeReported(worker, {16'000 - used, 60'000, 2});
       }
       RC_ASSERT(table.available()[worker].cpu_millis <= 16'000 - used);
     }
--- a/libs/placement/src/scheduler.cc
+++ b/libs/placement/src/scheduler.cc
@@ -98,6 +98,11 @@
 }
 
 void scheduler::OnRefused(std::string_view task, core::result_code code, core::mono_time now) {
+  if (const running_task* row = running_.Find(task); row != nullptr) {
+    // Without capacity the assignment keeps counting, so that the worker is not asked again at
+    // once. The next report of the worker's capacity is newer than the refusal and ends that.
+    workers_.ConfirmAssignment(row->worker, row->assignment);
+  }
   auto refused = Release(task, code != core::result_code::no_capacity, now);
   if (!refused) return;
   if (quarantine_ != nullptr) quarantine_->OnProbeNotRun(refused->worker);
--- a/libs/placement/tests/scheduler_test.cc
+++ b/libs/placement/tests/scheduler_test.cc
@@ -322,6 +322,20 @@
   CHECK(run.refused == 0);
 }
 
+// Guards against capacity that stays reserved for a refused task for two heartbeats: entries that
+// race for the same workers left half of the fleet idle.
+TEST_CASE("a refused assignment counts until the next report of the worker") {
+  simulation run(1);
+  run.Run(kTick);
+  run.fleet.free(0) = {2'000, 60'000, 4};  // another entry was faster
+  run.subject.Submit(MakeTask("big", task_kind::batch, {9'000, 1, 0}));
+  run.Run(seconds{1});
+  CHECK(run.refused == 1);
+  run.fleet.free(0) = {16'000, 60'000, 4};
+  run.Run(seconds{4} + milliseconds{500});
+  CHECK(run.IsRunning("big"));
+}
+
 // Guards against a queue that holds what can never run, and against giving up before the fleet is
 // known or while a worker that is big enough is left.
 TEST_CASE("tasks that fit no worker are given up") {
--- a/libs/wire/include/wire/messages.h
+++ b/libs/wire/include/wire/messages.h
@@ -380,10 +380,11 @@
   std::string worker;
   std::uint32_t age_ms = 0;  ///< how long ago the measurement was taken
   std::vector<usage_sample> samples;
+  core::resources free;  ///< of the worker when the report is sent, unlike the samples
   bool operator==(const usage_report&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(worker, age_ms, samples);
+    archive(worker, age_ms, samples, free);
   }
 };
 
