Count messages and bytes on UDP and TCP on /metrics

Cause: entries had no traffic counters and agents counted sent bytes only, so the control traffic of a node could not be measured. Change: wire counts messages and bytes per protocol and direction for the whole process; entries and agents print them on /metrics as coltsfoot_wire_messages_total and coltsfoot_wire_bytes_total.

--- a/libs/agent/src/target_api.cc
+++ b/libs/agent/src/target_api.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "target_json.h"
+#include "wire/transport.h"
 
 namespace coltsfoot::agent {
 namespace {
@@ -52,7 +53,9 @@
   if (received.path == "/v1/announce") return Announce(handlers, received.body);
   if (received.path == "/v1/goodbye") return Goodbye(handlers, received.body);
   if (received.path == "/healthz") return http::JsonResponse(200, R"({"status":"ok"})");
-  return {200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.Render()};
+  return {200,
+          {{"Content-Type", "text/plain; version=0.0.4"}},
+          metrics.Render() + wire::RenderTraffic()};
 }
 
 }  // namespace
--- a/libs/entry/src/api.cc
+++ b/libs/entry/src/api.cc
@@ -9,6 +9,7 @@
 #include "config/json_form.h"
 #include "core/ids.h"
 #include "task_json.h"
+#include "wire/transport.h"
 
 namespace coltsfoot::entry {
 namespace {
@@ -117,7 +118,9 @@
   } else if (call.path == "/readyz") {
     context.respond(Readiness());
   } else if (call.path == "/metrics") {
-    context.respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, use_.metrics.Render()});
+    context.respond({200,
+                     {{"Content-Type", "text/plain; version=0.0.4"}},
+                     use_.metrics.Render() + wire::RenderTraffic()});
   } else if (context.path.size() >= 2 && context.path[0] == "v1") {
     context.path.erase(context.path.begin());
     Route(context);
--- a/libs/wire/include/wire/transport.h
+++ b/libs/wire/include/wire/transport.h
@@ -13,6 +13,28 @@
 
 namespace coltsfoot::wire {
 
+/// Number and size of messages, headers included.
+struct traffic_count {
+  std::uint64_t messages = 0;
+  std::uint64_t bytes = 0;
+  bool operator==(const traffic_count&) const = default;
+};
+
+/// Traffic of all sockets of this process since its start. A received TCP message counts when it is
+/// whole, a sent one when it has been handed to the kernel.
+struct traffic_totals {
+  traffic_count udp_received;
+  traffic_count udp_sent;
+  traffic_count tcp_received;
+  traffic_count tcp_sent;
+  bool operator==(const traffic_totals&) const = default;
+};
+
+/// @return the traffic of this process. Safe to call from any thread.
+traffic_totals ProcessTraffic();
+/// @return `ProcessTraffic()` in the Prometheus text form.
+std::string RenderTraffic();
+
 /// Called for each datagram with the sender's endpoint.
 using datagram_handler = std::function<void(const endpoint& from, raw_message message)>;
 /// Called when a message was dropped; `code` says why.
--- a/libs/wire/src/transport.cc
+++ b/libs/wire/src/transport.cc
@@ -6,6 +6,7 @@
 #include <asio/post.hpp>
 #include <asio/read.hpp>
 #include <asio/write.hpp>
+#include <atomic>
 #include <deque>
 #include <utility>
 
@@ -20,6 +21,25 @@
 constexpr std::size_t kReceiveBufferBytes = 2048;
 constexpr int kUdpSocketBufferBytes = 1 << 20;
 
+/// Traffic of the whole process, in `traffic_totals`; sockets of several threads count here.
+struct traffic_counters {
+  std::atomic<std::uint64_t> messages{0};
+  std::atomic<std::uint64_t> bytes{0};
+
+  void Add(std::size_t size) noexcept {
+    messages.fetch_add(1, std::memory_order_relaxed);
+    bytes.fetch_add(size, std::memory_order_relaxed);
+  }
+  traffic_count Read() const noexcept {
+    return {messages.load(std::memory_order_relaxed), bytes.load(std::memory_order_relaxed)};
+  }
+};
+
+traffic_counters udp_received;
+traffic_counters udp_sent;
+traffic_counters tcp_received;
+traffic_counters tcp_sent;
+
 template <class Protocol>
 typename Protocol::endpoint ToAsio(const endpoint& value) {
   return {asio::ip::make_address(value.ip), value.port};
@@ -32,6 +52,28 @@
 
 }  // namespace
 
+traffic_totals ProcessTraffic() {
+  return {udp_received.Read(), udp_sent.Read(), tcp_received.Read(), tcp_sent.Read()};
+}
+
+std::string RenderTraffic() {
+  const traffic_totals now = ProcessTraffic();
+  std::string messages = "# TYPE coltsfoot_wire_messages_total counter\n";
+  std::string bytes = "# TYPE coltsfoot_wire_bytes_total counter\n";
+  const auto add = [&](std::string_view protocol, std::string_view direction,
+                       const traffic_count& count) {
+    const std::string labels = "{protocol=\"" + std::string(protocol) + "\",direction=\"" +
+                               std::string(direction) + "\"} ";
+    messages += "coltsfoot_wire_messages_total" + labels + std::to_string(count.messages) + "\n";
+    bytes += "coltsfoot_wire_bytes_total" + labels + std::to_string(count.bytes) + "\n";
+  };
+  add("udp", "received", now.udp_received);
+  add("udp", "sent", now.udp_sent);
+  add("tcp", "received", now.tcp_received);
+  add("tcp", "sent", now.tcp_sent);
+  return messages + bytes;
+}
+
 struct udp_socket::state : std::enable_shared_from_this<state> {
   state(asio::io_context& context, const endpoint& local, datagram_handler on_message,
         drop_handler on_drop)
@@ -54,6 +96,7 @@
   }
 
   void Handle(std::size_t size) {
+    udp_received.Add(size);
     core::last_error error;
     auto message = ParseDatagram({buffer.data(), size}, error);
     if (!message) {
@@ -91,6 +134,7 @@
   const auto address = asio::ip::make_address(to.ip, failure);
   if (failure) return;
   state_->socket.send_to(asio::buffer(datagram), {address, to.port}, 0, failure);
+  if (!failure) udp_sent.Add(datagram.size());
 }
 
 namespace {
@@ -199,6 +243,7 @@
       Fail(core::result_code::connection_lost, failure.message());
       return;
     }
+    tcp_received.Add(kFrameHeaderBytes + message_.payload.size());
     if (handlers_.on_message) handlers_.on_message(std::move(message_));
     if (!closed_) ReadHeader();
   }
@@ -218,6 +263,7 @@
       Fail(core::result_code::connection_lost, failure.message());
       return;
     }
+    tcp_sent.Add(queue_.front().size());
     queued_bytes_ -= queue_.front().size();
     queue_.pop_front();
     if (!queue_.empty()) WriteNext();
--- a/libs/wire/tests/wire_test.cc
+++ b/libs/wire/tests/wire_test.cc
@@ -121,4 +121,28 @@
   CHECK(closed);
 }
 
+// Guards against a traffic figure on /metrics that leaves out a protocol or a direction.
+TEST_CASE("datagrams are counted where they are sent and received") {
+  asio::io_context context;
+  const traffic_totals before = ProcessTraffic();
+  bool received = false;
+  const endpoint any{"127.0.0.1", 0};
+  udp_socket to(
+      context, any, [&](const endpoint&, const raw_message&) { received = true; },
+      [](core::result_code) {});
+  udp_socket from(
+      context, any, [](const endpoint&, const raw_message&) {}, [](core::result_code) {});
+  const std::string datagram = ToDatagram(SampleHeartbeat());
+  from.Send(to.local(), datagram);
+  while (!received) context.run_one();
+  const traffic_totals after = ProcessTraffic();
+  CHECK(after.udp_sent.messages == before.udp_sent.messages + 1);
+  CHECK(after.udp_sent.bytes == before.udp_sent.bytes + datagram.size());
+  CHECK(after.udp_received.messages == before.udp_received.messages + 1);
+  CHECK(after.udp_received.bytes == before.udp_received.bytes + datagram.size());
+  CHECK(after.tcp_sent == before.tcp_sent);
+  CHECK(RenderTraffic().find(R"(coltsfoot_wire_bytes_total{protocol="udp",direction="sent"} )" +
+                             std::to_string(after.udp_sent.bytes)) != std::string::npos);
+}
+
 }  // namespace coltsfoot::wire
