--- a/test/harness/include/harness/fleet.h
+++ b/test/harness/include/harness/fleet.h
@@ -64,6 +64,12 @@
   std::string Entry(std::size_t index) const { return "http://" + entry_http_[index]; }
   /// @return base URLs of all entries.
   std::vector<std::string> Entries() const;
+  /// @return base URL of an agent, which stays the same when the agent is restarted.
+  std::string Agent(std::size_t index) const { return "http://" + agent_http_[index]; }
+  /// @return base URL of the key-value service's stand-in.
+  const std::string& Store() const { return store_; }
+  /// @return "IP:PORT" to which an entry's heartbeats are sent.
+  const std::string& EntryUdpEndpoint(std::size_t index) const { return entry_udp_[index]; }
   process& entry_process(std::size_t index) { return *entries_[index]; }
   process& agent_process(std::size_t index) { return *agents_[index]; }
   process& target_process(std::size_t index) { return *targets_[index]; }
--- a/test/harness/include/harness/process.h
+++ b/test/harness/include/harness/process.h
@@ -55,6 +55,8 @@
   std::optional<int> WaitForExit(core::milliseconds bound);
   /// Sends SIGKILL and waits until the program has ended.
   void Kill();
+  /// @return the process id; it may belong to another process once `running` is false.
+  pid_t pid() const noexcept { return pid_; }
   /// @return true until the end of the program has been seen.
   bool running();
 
