Limit the rate of usage reports to what an entry can carry

Cause: each agent sent a report of all its tasks to every entry once a second. Measured with 3 entries and 11 workers: 68 to 70 bytes/s at each entry for each running task of the fleet (213,900 B/s at 3,000 tasks), which is 680 KB/s at 9,700 tasks, where a node may use 30 KB/s. Ruled out: heartbeats (76 B/s for each worker, independent of tasks) and task events (none while tasks run). Change: each ack names the least time between two usage reports, which the entry works out from the mean size of reports and its number of workers for 15 KB/s together. Small fleets report as before. A report shows all that runs at one time, so leaving some out falsifies no estimate.

--- a/libs/agent/src/controller.cc
+++ b/libs/agent/src/controller.cc
@@ -108,6 +108,7 @@
       return;
     }
     Adopt(ack->policy);
+    usage_interval_ = core::milliseconds{ack->usage_interval_ms};
     entries_.SetList(ack->entry, ack->entries, time_.Now());
     const auto lease_until = heartbeats_.LeaseEnd(ack->seq, time_.Now());
     if (lease_until) {
@@ -219,7 +220,14 @@
     }
   }
 
+  // A report shows all that runs at one time, so one that is left out falsifies no other.
   void SendUsage(const target_event& event) {
+    const core::mono_time now = time_.Now();
+    if (now < last_usage_ + usage_interval_) {
+      metrics_.GetCounter("coltsfoot_agent_usage_reports_skipped_total").Add();
+      return;
+    }
+    last_usage_ = now;
     const std::string frame =
         wire::ToFrame(wire::usage_report{options_.worker, event.age_ms, event.samples});
     for (const connection_id connection : entries_.Connections()) {
@@ -302,6 +310,8 @@
   target_monitor monitor_;
   visible_state visible_;
   core::mono_time next_heartbeat_;
+  core::mono_time last_usage_;
+  core::milliseconds usage_interval_{0};
   core::mono_time shutdown_limit_;
 };
 
--- a/libs/agent/tests/task_test.cc
+++ b/libs/agent/tests/task_test.cc
@@ -336,4 +336,25 @@
   CHECK_FALSE(test.control.finished());
 }
 
+// Guards against 990 agents that each report every second to every entry.
+TEST_CASE("usage reports are no more frequent than the entry asks") {
+  fixture test;
+  test.Recover();
+  const target_event usage{.type = target_event_type::usage, .samples = {{"plan", fixture::kTask}}};
+  test.TargetEvent(usage);
+  test.TargetEvent(usage);
+  CHECK(test.Sent<wire::usage_report>().size() == 2);
+  wire::heartbeat_ack ack;
+  ack.entry = "entry-1";
+  ack.incarnation = fixture::kIncarnation;
+  ack.seq = test.LastSeq();
+  ack.usage_interval_ms = 3000;
+  test.control.OnDatagram(fixture::Raw(ack));
+  test.TargetEvent(usage);
+  CHECK(test.Sent<wire::usage_report>().size() == 2);
+  test.Pass(core::milliseconds{3000}, false);
+  test.TargetEvent(usage);
+  CHECK(test.Sent<wire::usage_report>().size() == 3);
+}
+
 }  // namespace coltsfoot::agent
--- a/libs/entry/src/agent_directory.cc
+++ b/libs/entry/src/agent_directory.cc
@@ -55,7 +55,10 @@
     return [this, report = std::move(*report)] { listeners_.on_report(report); };
   }
   if (auto usage = wire::FromRaw<wire::usage_report>(raw, error)) {
-    return [this, usage = std::move(*usage)] { listeners_.on_usage(usage); };
+    return [this, usage = std::move(*usage)] {
+      usage_pace_.Observe(usage);
+      listeners_.on_usage(usage);
+    };
   }
   return {};
 }
@@ -110,6 +113,8 @@
       ack.entries.push_back(address->udp);
     }
   }
+  const core::milliseconds usage_interval = usage_pace_.Interval(workers_.size());
+  ack.usage_interval_ms = static_cast<std::uint32_t>(usage_interval.count());
   send_(to, wire::ToDatagram(ack));
 }
 
--- a/libs/entry/src/agent_directory.h
+++ b/libs/entry/src/agent_directory.h
@@ -16,6 +16,7 @@
 #include "metrics/registry.h"
 #include "request_router.h"
 #include "wire/transport.h"
+#include "wire/usage_pace.h"
 
 namespace coltsfoot::entry {
 
@@ -71,6 +72,7 @@
   send_function send_;
   std::map<std::string, std::uint64_t> reached_;  ///< incarnation that was asked what it runs
   std::vector<std::string> names_;                ///< by worker index
+  wire::usage_pace usage_pace_;
   core::config_version drains_applied_ = 0;
   core::mono_time next_forget_{};
 };
--- a/libs/wire/include/wire/messages.h
+++ b/libs/wire/include/wire/messages.h
@@ -131,12 +131,13 @@
   std::uint64_t seq = 0;
   std::vector<shard_grant> shards;
   core::config_version config = 0;
-  std::optional<agent_policy> policy;  ///< present if the agent's version is lower
-  std::vector<endpoint> entries;       ///< UDP endpoints of all known entries
+  std::optional<agent_policy> policy;   ///< present if the agent's version is lower
+  std::vector<endpoint> entries;        ///< UDP endpoints of all known entries
+  std::uint32_t usage_interval_ms = 0;  ///< least time between two usage reports of the agent
   bool operator==(const heartbeat_ack&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(entry, incarnation, seq, shards, config, policy, entries);
+    archive(entry, incarnation, seq, shards, config, policy, entries, usage_interval_ms);
   }
 };
 
--- /dev/null
+++ b/libs/wire/include/wire/usage_pace.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstddef>
+
+#include "core/clock.h"
+#include "wire/messages.h"
+
+namespace coltsfoot::wire {
+
+/// Bytes per second of usage reports that one entry asks its agents for together: half of what the
+/// design allows a node for control traffic.
+inline constexpr double kUsageBytesPerSecond = 15'000;
+
+/// Finds how often agents should report usage, so that the traffic at an entry stays within
+/// `kUsageBytesPerSecond` however many workers and tasks there are.
+class usage_pace {
+ public:
+  /// Learns the size of a report.
+  void Observe(const usage_report& report);
+  /// @return the least time between two reports of each of `workers` workers; zero while their
+  /// reports are few, at most `kLongestInterval`.
+  core::milliseconds Interval(std::size_t workers) const;
+
+  /// Estimates of interference need some reports an hour even from the largest fleet.
+  static constexpr core::milliseconds kLongestInterval{120'000};
+
+ private:
+  double mean_bytes_ = 0;
+};
+
+}  // namespace coltsfoot::wire
--- a/libs/wire/tests/wire_test.cc
+++ b/libs/wire/tests/wire_test.cc
@@ -6,6 +6,7 @@
 #include "core/random_source.h"
 #include "wire/frame.h"
 #include "wire/transport.h"
+#include "wire/usage_pace.h"
 
 namespace coltsfoot::wire {
 namespace {
@@ -145,4 +146,20 @@
                              std::to_string(after.udp_sent.bytes)) != std::string::npos);
 }
 
+// Guards against usage reports that fill an entry's link in a large fleet, and against a small
+// fleet that learns slowly because its reports are thinned needlessly.
+TEST_CASE("usage reports of any fleet stay within the budget of an entry") {
+  usage_report report{.worker = "worker-990"};
+  report.samples.resize(10, {.task_class = "plan", .task = "t03-0000000000000001"});
+  const double bytes = static_cast<double>(ToFrame(report).size());
+  usage_pace pace;
+  CHECK(pace.Interval(990).count() == 0);
+  for (int i = 0; i < 1000; ++i) pace.Observe(report);
+  CHECK(pace.Interval(11).count() == 0);
+  const auto interval = pace.Interval(990);
+  CHECK(990 * bytes / (static_cast<double>(interval.count()) / 1000) <=
+        kUsageBytesPerSecond * 1.01);
+  CHECK(pace.Interval(1'000'000) == usage_pace::kLongestInterval);
+}
+
 }  // namespace coltsfoot::wire
