--- a/libs/wire/tests/wire_test.cc
+++ b/libs/wire/tests/wire_test.cc
@@ -6,6 +6,7 @@
 #include "core/random_source.h"
 #include "wire/frame.h"
 #include "wire/transport.h"
+#include "wire/usage_pace.h"
 
 namespace coltsfoot::wire {
 namespace {
@@ -121,4 +122,44 @@
   CHECK(closed);
 }
 
+// Guards against a traffic figure on /metrics that leaves out a protocol or a direction.
+TEST_CASE("datagrams are counted where they are sent and received") {
+  asio::io_context context;
+  const traffic_totals before = ProcessTraffic();
+  bool received = false;
+  const endpoint any{"127.0.0.1", 0};
+  udp_socket to(
+      context, any, [&](const endpoint&, const raw_message&) { received = true; },
+      [](core::result_code) {});
+  udp_socket from(
+      context, any, [](const endpoint&, const raw_message&) {}, [](core::result_code) {});
+  const std::string datagram = ToDatagram(SampleHeartbeat());
+  from.Send(to.local(), datagram);
+  while (!received) context.run_one();
+  const traffic_totals after = ProcessTraffic();
+  CHECK(after.udp_sent.messages == before.udp_sent.messages + 1);
+  CHECK(after.udp_sent.bytes == before.udp_sent.bytes + datagram.size());
+  CHECK(after.udp_received.messages == before.udp_received.messages + 1);
+  CHECK(after.udp_received.bytes == before.udp_received.bytes + datagram.size());
+  CHECK(after.tcp_sent == before.tcp_sent);
+  CHECK(RenderTraffic().find(R"(coltsfoot_wire_bytes_total{protocol="udp",direction="sent"} )" +
+                             std::to_string(after.udp_sent.bytes)) != std::string::npos);
+}
+
+// Guards against usage reports that fill an entry's link in a large fleet, and against a small
+// fleet that learns slowly because its reports are thinned needlessly.
+TEST_CASE("usage reports of any fleet stay within the budget of an entry") {
+  usage_report report{.worker = "worker-990"};
+  report.samples.resize(10, {.task_class = "plan", .task = "t03-0000000000000001"});
+  const double bytes = static_cast<double>(ToFrame(report).size());
+  usage_pace pace;
+  CHECK(pace.Interval(990).count() == 0);
+  for (int i = 0; i < 1000; ++i) pace.Observe(report);
+  CHECK(pace.Interval(11).count() == 0);
+  const auto interval = pace.Interval(990);
+  CHECK(990 * bytes / (static_cast<double>(interval.count()) / 1000) <=
+        kUsageBytesPerSecond * 1.01);
+  CHECK(pace.Interval(1'000'000) == usage_pace::kLongestInterval);
+}
+
 }  // namespace coltsfoot::wire
