Settle claims of lost owners and hand shards over after claimed requests

Cause: a claim whose owner was lost stayed unsettled for ever, since only the owner settles and the log prunes settled claims only; and a graceful shutdown released a shard while a claimed request ran, so its answer could not be recorded and a retry was told that the outcome is unknown. After: the new owner settles such claims as outcome_unknown, and a release waits for the claimed requests of the shard. Both tests fail without the change.

--- a/libs/entry/src/claim_controller.cc
+++ b/libs/entry/src/claim_controller.cc
@@ -1,5 +1,6 @@
 #include "claim_controller.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "core/ids.h"
@@ -140,6 +141,23 @@
   for (waiter& waiting : std::exchange(claim.waiters, {})) waiting.done(outcome);
 }
 
+// Unsettled claims are never pruned, and nobody but their owner could settle them.
+void claim_controller::OnShardOwned(core::shard_index shard) {
+  for (const auto& [key, claim] : ledger_.Table(shard)->claims()) {
+    if (claim.state != ledger::claim_state::made) continue;
+    metrics_.GetCounter("coltsfoot_claims_orphaned_total").Add();
+    ledger_.Append(shard,
+                   ledger::claim_settled{key, result_code::outcome_unknown,
+                                         "the entry that ran the request was lost", true},
+                   [](ledger::append_outcome) {});
+  }
+}
+
+bool claim_controller::IsBusy(core::shard_index shard) const {
+  return std::any_of(running_.begin(), running_.end(),
+                     [shard](const auto& item) { return item.second.shard == shard; });
+}
+
 void claim_controller::OnShardLost(core::shard_index shard) {
   std::vector<std::string> waiting_for_commit;
   for (auto& [key, claim] : running_) {
--- a/libs/entry/src/claim_controller.h
+++ b/libs/entry/src/claim_controller.h
@@ -29,6 +29,10 @@
   /// @param shard shard of `key`, owned by this entry.
   /// @param key unique key of the request, with its team.
   void Submit(core::shard_index shard, const std::string& key, service_request request);
+  /// Settles the claims that a former owner left behind: their outcome stays unknown.
+  void OnShardOwned(core::shard_index shard);
+  /// @return true while a request of the shard runs whose answer must still be recorded.
+  bool IsBusy(core::shard_index shard) const;
   /// Answers everybody who waits for a claim of a lost shard: the outcome is unknown here.
   void OnShardLost(core::shard_index shard);
   /// Answers waiting callers whose deadline has passed.
--- a/libs/entry/tests/fixture.h
+++ b/libs/entry/tests/fixture.h
@@ -79,7 +79,11 @@
     return out;
   }
 
-  void OnShardOwned(core::shard_index shard) override { tasks.OnShardOwned(shard); }
+  void OnShardOwned(core::shard_index shard) override {
+    tasks.OnShardOwned(shard);
+    claims.OnShardOwned(shard);
+  }
+  bool MayHandOver(core::shard_index shard) override { return !claims.IsBusy(shard); }
   void OnShardLost(core::shard_index shard, ledger::shard_loss) override {
     tasks.OnShardLost(shard);
     claims.OnShardLost(shard);
--- a/libs/entry/tests/request_test.cc
+++ b/libs/entry/tests/request_test.cc
@@ -168,6 +168,27 @@
   REQUIRE(retried.has_value());
   CHECK(retried->code == result_code::outcome_unknown);
   CHECK(successor.Dispatches() == 0);
+  const auto* claim = successor.ledger.Table(fixture::kShard)->FindClaim("mills:k3");
+  REQUIRE(claim != nullptr);
+  CHECK(claim->state == ledger::claim_state::settled);
+}
+
+// Guards against a graceful shutdown that hands a shard over before the answer is recorded; a retry
+// would be told that the outcome is unknown.
+TEST_CASE("a shard is handed over after the claimed requests have ended") {
+  fixture test;
+  test.Start();
+  std::optional<request_outcome> outcome;
+  test.claims.Submit(fixture::kShard, "mills:k5", test.Request(outcome, false));
+  test.Pass(milliseconds{100});
+  bool released = false;
+  test.ledger.Shutdown([&released](bool complete) { released = complete; });
+  test.Pass(milliseconds{500});
+  CHECK_FALSE(released);
+  test.Reply(0, result_code::ok);
+  test.Pass(milliseconds{500});
+  CHECK(released);
+  CHECK(outcome->code == result_code::ok);
 }
 
 // Guards against a claim that is dispatched without a record while the service is down.
--- a/libs/wire/src/usage_pace.cc
+++ b/libs/wire/src/usage_pace.cc
@@ -11,9 +11,10 @@
 constexpr double kMsPerSecond = 1000;
 // Lengths of strings and lists on the wire.
 constexpr std::size_t kLengthBytes = 8;
-constexpr std::size_t kSampleBytes =
-    2 * kLengthBytes + 3 * sizeof(std::int64_t) + sizeof(std::uint32_t);
-constexpr std::size_t kReportBytes = kFrameHeaderBytes + 2 * kLengthBytes + sizeof(std::uint32_t);
+constexpr std::size_t kResourcesBytes = 3 * sizeof(std::int64_t);
+constexpr std::size_t kSampleBytes = 2 * kLengthBytes + kResourcesBytes + sizeof(std::uint32_t);
+constexpr std::size_t kReportBytes =
+    kFrameHeaderBytes + 2 * kLengthBytes + kResourcesBytes + sizeof(std::uint32_t);
 // Shorter intervals than this save nothing, since targets measure about once a second.
 constexpr core::milliseconds kShortestInterval{1000};
 
