Add end-to-end failure tests

Each ends with the history checker on all that ran and all that callers learned.

Tasks that must not be disturbed are checked by their epoch: the count of evictions omits tasks that were requeued after a loss.

--- /dev/null
+++ b/test/failure/config_test.cc
@@ -0,0 +1,112 @@
+#include <nlohmann/json.hpp>
+
+#include "scenario.h"
+
+namespace coltsfoot::failure {
+namespace {
+
+using nlohmann::json;
+
+/// From the design page: a change is in force everywhere within this time.
+constexpr milliseconds kConfigBound{14000};
+
+json Get(fleet& running, std::size_t entry, const std::string& path) {
+  const auto result = running.calls().Call("GET", running.Entry(entry) + path);
+  if (!result.answer || result.answer->status != 200) return json::object();
+  return json::parse(result.answer->body, nullptr, false);
+}
+
+std::uint64_t Version(fleet& running, std::size_t entry) {
+  return Get(running, entry, "/v1/config").value("version", std::uint64_t{0});
+}
+
+outcome Change(fleet& running, std::size_t entry, std::uint64_t base, const std::string& author,
+               int deadline_ms) {
+  const json body = {{"if_version", base},
+                     {"author", author},
+                     {"set", {{"requests.default_deadline_ms", deadline_ms}}}};
+  outcome learned = harness::OutcomeOf(
+      running.calls().Call("PATCH", running.Entry(entry) + "/v1/config/defaults", body.dump()));
+  if (learned.ok()) {
+    running.history().Add("config_accepted", fmt::format(R"("version":{})", base + 1));
+  }
+  return learned;
+}
+
+/// Records the version in force at each process that entry 0 has heard of; a process that has just
+/// started has none.
+/// @return true if all have at least `version`.
+bool AllHave(fleet& running, std::uint64_t version, std::size_t processes) {
+  const json status = Get(running, 0, "/v1/config/status");
+  std::size_t current = 0;
+  for (const json& process : status.value("processes", json::array())) {
+    const auto in_force = process.value("version", std::uint64_t{0});
+    if (in_force == 0) continue;
+    running.history().Add("config_seen", fmt::format(R"("process":"{}","version":{})",
+                                                     process.value("process", ""), in_force));
+    if (in_force >= version) ++current;
+  }
+  return current >= processes;
+}
+
+}  // namespace
+
+// Guards against a change that is lost because another operator made one at the same time, and
+// against a version in force that goes back.
+TEST_CASE("of two operators that race one wins, and the change is in force everywhere") {
+  fleet running({});
+  REQUIRE(running.WaitReady());
+  constexpr std::size_t kProcesses = 5;
+  for (int round = 0; round < 5; ++round) {
+    const std::uint64_t base = Version(running, 0);
+    REQUIRE(harness::WaitUntil(kConfigBound, [&] { return Version(running, 1) == base; }));
+    auto other = std::async(std::launch::async,
+                            [&] { return Change(running, 1, base, "ana", 3000 + round); });
+    const outcome mine = Change(running, 0, base, "ben", 4000 + round);
+    const outcome theirs = other.get();
+    CAPTURE(mine.body);
+    CAPTURE(theirs.body);
+    CHECK(mine.ok() != theirs.ok());
+    CHECK((mine.ok() ? theirs : mine).code == result_code::conflict);
+    CHECK(harness::WaitUntil(kConfigBound, [&] { return AllHave(running, base + 1, kProcesses); }));
+  }
+  CheckInvariants(running);
+}
+
+// Guards against a change that is made twice, or reported as lost, when its answer is lost.
+TEST_CASE("a change whose answer is lost is accepted once, and survives a restart of all entries") {
+  fleet running({});
+  REQUIRE(running.WaitReady());
+  const std::uint64_t base = Version(running, 0);
+  running.PlatformFaults(R"({"drop_answers":1})");
+  // Another write may take the fault, so that the answer of the change arrives.
+  CHECK(Change(running, 0, base, "ana", 3500).ok());
+  CHECK(harness::WaitUntil(kConfigBound, [&] { return AllHave(running, base + 1, 5); }));
+  for (std::size_t entry = 0; entry < 2; ++entry) {
+    running.entry_process(entry).Kill();
+    running.StartEntry(entry);
+  }
+  REQUIRE(running.WaitReady());
+  CHECK(harness::WaitUntil(kConfigBound, [&] { return AllHave(running, base + 1, 5); }));
+  CHECK(Version(running, 0) == base + 1);
+  CheckInvariants(running);
+}
+
+// Guards against an entry that starts with an old or no configuration while the store is down.
+TEST_CASE("an entry that starts without the store takes the configuration of its peers") {
+  fleet running(WithServiceTime(20));
+  REQUIRE(running.WaitReady());
+  const std::uint64_t base = Version(running, 1);
+  REQUIRE(Change(running, 1, base, "ana", 3700).ok());
+  running.PlatformFaults(R"({"down":true})");
+  running.entry_process(0).Kill();
+  running.StartEntry(0);
+  CHECK(harness::WaitUntil(kConfigBound, [&] { return Version(running, 0) == base + 1; }));
+  CHECK(harness::WaitUntil(running.timings().heartbeat * 3 + kSlack, [&] {
+    auto answers = StartRequests(running, 0, 1, "peer");
+    return answers[0].get().ok();
+  }));
+  CheckInvariants(running);
+}
+
+}  // namespace coltsfoot::failure
--- /dev/null
+++ b/test/failure/entry_loss_test.cc
@@ -0,0 +1,72 @@
+#include <signal.h>
+
+#include "scenario.h"
+
+namespace coltsfoot::failure {
+namespace {
+
+bool OwnsAllShards(fleet& running, std::size_t entry) {
+  constexpr std::uint32_t kShards = 8;
+  for (std::uint32_t shard = 0; shard < kShards; ++shard) {
+    if (running.OwnerOf(shard) != entry) return false;
+  }
+  return true;
+}
+
+}  // namespace
+
+// Guards against a takeover that evicts, repeats or forgets the running tasks of a dead entry.
+TEST_CASE("the tasks of a killed entry are adopted and end once") {
+  fleet running(WithLongLeases());
+  REQUIRE(running.WaitReady());
+  constexpr std::int64_t kWorkMs = 8000;
+  const auto ids = SubmitTasks(running, 0, 8, kWorkMs);
+  RequireRunning(running, running.Entries(), ids, kSlack);
+  running.entry_process(0).Kill();
+  const std::vector<std::string> rest{running.Entry(1)};
+  const milliseconds bound = running.timings().TakeoverBound() + milliseconds{kWorkMs} + kSlack;
+  for (const task_view& view : CheckFinished(running, rest, ids, bound)) {
+    CHECK(view.epoch == 1);
+  }
+  const auto more = SubmitTasks(running, 1, 4, 100, "after");
+  CheckFinished(running, rest, more, kSlack);
+  CheckInvariants(running, true);
+}
+
+// Guards against an entry that acts on its shards after it was paused past its lease.
+TEST_CASE("an entry that was frozen past its lease loses its shards and does no harm") {
+  fleet running(WithLongLeases());
+  REQUIRE(running.WaitReady());
+  constexpr std::int64_t kWorkMs = 6000;
+  const auto ids = SubmitTasks(running, 0, 8, kWorkMs);
+  RequireRunning(running, running.Entries(), ids, kSlack);
+  running.entry_process(0).Signal(SIGSTOP);
+  CHECK(harness::WaitUntil(running.timings().TakeoverBound(),
+                           [&] { return OwnsAllShards(running, 1); }));
+  running.entry_process(0).Signal(SIGCONT);
+  for (const task_view& view :
+       CheckFinished(running, running.Entries(), ids, milliseconds{kWorkMs} + kSlack)) {
+    CHECK(view.epoch == 1);
+  }
+  const auto more = SubmitTasks(running, 0, 4, 100, "after");
+  CheckFinished(running, running.Entries(), more, kSlack);
+  CheckInvariants(running, true);
+}
+
+// Guards against tasks that are lost or doubled when execution leases lapse during the takeover.
+TEST_CASE("tasks whose leases lapse before the takeover resume once") {
+  fleet running({.workers = 2});
+  REQUIRE(running.WaitReady());
+  constexpr std::int64_t kWorkMs = 4000;
+  const auto ids = SubmitTasks(running, 0, 6, kWorkMs);
+  RequireRunning(running, running.Entries(), ids, kSlack);
+  running.entry_process(0).Signal(SIGSTOP);
+  const milliseconds bound = running.timings().OrphanBound() + milliseconds{kWorkMs} + kSlack;
+  CheckFinished(running, {running.Entry(1)}, ids, bound);
+  running.entry_process(0).Signal(SIGCONT);
+  const auto more = SubmitTasks(running, 0, 4, 100, "after");
+  CheckFinished(running, running.Entries(), more, kSlack);
+  CheckInvariants(running);
+}
+
+}  // namespace coltsfoot::failure
--- /dev/null
+++ b/test/failure/scenario.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <future>
+#include <string>
+#include <vector>
+
+#include "harness/fleet.h"
+
+namespace coltsfoot::failure {
+
+using core::milliseconds;
+using core::result_code;
+using harness::fleet;
+using harness::fleet_options;
+using harness::outcome;
+using harness::request_options;
+using harness::task_spec;
+using harness::task_view;
+
+inline constexpr milliseconds kSlack = harness::fleet_timings::kSlack;
+inline constexpr const char* kService = "strawline";
+
+/// @return options whose execution leases outlast a takeover, so that no task may be evicted by
+/// the loss of an entry or a restart of an agent.
+inline fleet_options WithLongLeases() {
+  fleet_options options;
+  options.timings.lease_ttl = milliseconds{8000};
+  return options;
+}
+
+/// @return options with a constant service time.
+inline fleet_options WithServiceTime(int service_ms) {
+  fleet_options options;
+  options.target["service_ms"] = std::to_string(service_ms);
+  return options;
+}
+
+/// Submits `count` tasks through an entry and requires that each is accepted. Repeats a submission
+/// that was refused as not run, as callers do, because shards may be changing their owner.
+inline std::vector<std::string> SubmitTasks(fleet& running, std::size_t entry, int count,
+                                            std::int64_t work_ms,
+                                            const std::string& prefix = "task") {
+  std::vector<std::string> ids;
+  for (int index = 0; index < count; ++index) {
+    task_spec spec;
+    spec.key = fmt::format("{}-{}", prefix, index);
+    spec.expected_ms = work_ms;
+    spec.work_ms = work_ms;
+    outcome learned;
+    std::optional<std::string> id;
+    harness::WaitUntil(kSlack, [&] {
+      id = running.calls().Submit(running.Entry(entry), spec, &learned);
+      return !core::IsNotRun(learned.code);
+    });
+    CAPTURE(learned.body);
+    REQUIRE(id.has_value());
+    ids.push_back(*id);
+  }
+  return ids;
+}
+
+/// Requires that each task runs within `bound`.
+/// @return what the entries say of the tasks.
+inline std::vector<task_view> RequireRunning(fleet& running,
+                                             const std::vector<std::string>& entries,
+                                             const std::vector<std::string>& ids,
+                                             milliseconds bound, std::uint64_t after_epoch = 0) {
+  std::vector<task_view> views;
+  for (const std::string& id : ids) {
+    views.push_back(running.calls().WaitForRun(entries, id, after_epoch, bound));
+    CAPTURE(id);
+    const std::string& state = views.back().state;
+    REQUIRE_MESSAGE((state == "running" || state == "ended"), "state '" << state << "'");
+  }
+  return views;
+}
+
+/// Checks that each task ends well within `bound`.
+inline std::vector<task_view> CheckFinished(fleet& running, const std::vector<std::string>& entries,
+                                            const std::vector<std::string>& ids,
+                                            milliseconds bound) {
+  std::vector<task_view> views;
+  const auto end = std::chrono::steady_clock::now() + bound;
+  for (const std::string& id : ids) {
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(end - std::chrono::steady_clock::now());
+    views.push_back(running.calls().WaitForEnd(entries, id, std::max(left, milliseconds{1})));
+    CAPTURE(id);
+    CHECK(views.back().state == "ended");
+    CHECK(views.back().code == result_code::ok);
+  }
+  return views;
+}
+
+/// Checks the invariants on all that ran and on all that callers learned.
+inline void CheckInvariants(fleet& running, bool strict_resume = false) {
+  for (const std::string& violation : running.Violations(strict_resume)) FAIL_CHECK(violation);
+}
+
+/// Starts requests with the keys `prefix`-0 and following, through the given entry.
+inline std::vector<std::future<outcome>> StartRequests(fleet& running, std::size_t entry, int count,
+                                                       const std::string& prefix,
+                                                       const request_options& options = {}) {
+  std::vector<std::future<outcome>> answers;
+  answers.reserve(static_cast<std::size_t>(count));
+  for (int index = 0; index < count; ++index) {
+    answers.push_back(running.calls().Request(running.Entry(entry), kService,
+                                              fmt::format("{}-{}", prefix, index), options));
+  }
+  return answers;
+}
+
+/// Checks that each request is answered.
+inline void CheckAnswered(std::vector<std::future<outcome>>& answers) {
+  for (auto& answer : answers) {
+    const outcome learned = answer.get();
+    CAPTURE(learned.body);
+    CHECK(learned.code == result_code::ok);
+  }
+}
+
+/// Waits until the ground truth has at least `count` lines with all of `texts`.
+inline bool WaitForTruth(const fleet& running, const std::vector<std::string>& texts,
+                         std::size_t count, milliseconds bound) {
+  return harness::WaitUntil(bound, [&] { return running.Truth(texts).size() >= count; });
+}
+
+}  // namespace coltsfoot::failure
