--- /dev/null
+++ b/test/golden/session_test.cc
@@ -0,0 +1,163 @@
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <regex>
+#include <sstream>
+
+#include "harness/fleet.h"
+
+namespace coltsfoot::golden {
+namespace {
+
+using harness::fleet;
+using nlohmann::json;
+
+constexpr const char* kGoldenFile = COLTSFOOT_SOURCE_DIR "/test/golden/session.txt";
+constexpr core::milliseconds kWaitBound{40000};
+/// Set this variable to write the golden file from the present behaviour.
+constexpr const char* kUpdateVariable = "COLTSFOOT_UPDATE_GOLDEN";
+
+/// Session of calls whose answers are written down in a form that is the same in every run.
+class session {
+ public:
+  explicit session(fleet& running) : running_(running) {}
+
+  /// Makes a call and writes it down.
+  /// @return the answer's body.
+  json Call(const std::string& method, const std::string& path, const json& body = nullptr,
+            const http::header_map& headers = {}) {
+    std::string text;
+    if (!body.is_null()) text = body.is_string() ? body.get<std::string>() : body.dump();
+    const auto result = running_.calls().Call(method, running_.Entry(0) + path, text, headers);
+    log_ << "> " << method << " " << path << (text.empty() ? "" : " ") << text << "\n";
+    if (!result.answer) {
+      log_ << "no answer\n\n";
+      return {};
+    }
+    log_ << result.answer->status;
+    for (const char* name : {"X-Result-Code", "X-Not-Run"}) {
+      if (const auto value = result.answer->FindHeader(name)) log_ << " " << name << "=" << *value;
+    }
+    json answer = json::parse(result.answer->body, nullptr, false);
+    log_ << "\n" << (answer.is_discarded() ? result.answer->body : answer.dump(1)) << "\n\n";
+    return answer;
+  }
+
+  /// Waits, without writing it down, until a task runs or has ended.
+  void WaitForRun(const std::string& task) {
+    running_.calls().WaitForRun(running_.Entries(), task, 0, kWaitBound);
+  }
+  void WaitForEnd(const std::string& task) {
+    running_.calls().WaitForEnd(running_.Entries(), task, kWaitBound);
+  }
+
+  /// @return the session with ids, times, ports and amounts of load replaced.
+  std::string Text() const {
+    std::string text = log_.str();
+    const auto replace = [&text](const char* pattern, const char* with) {
+      text = std::regex_replace(text, std::regex(pattern), with);
+    };
+    replace("t[0-9a-f]{2}-[0-9a-f]{16}", "TASK");
+    replace("[0-9a-f]{16}", "HEX");
+    replace("127\\.0\\.0\\.1:[0-9]+", "ADDRESS");
+    replace("(\"[a-z_]*_(ms|ms_ago|at)\"): [0-9]+", "$1: TIME");
+    replace("[0-9]{4}-[0-9]{2}-[0-9]{2}T[0-9:.]+Z?", "TIME");
+    replace("[0-9]+ ms", "TIME ms");
+    return text;
+  }
+
+ private:
+  fleet& running_;
+  std::ostringstream log_;
+};
+
+/// @return a task that fits on no worker, which takes some time to find out.
+std::string RunTasks(session& calls) {
+  const json task = {{"team", "cutting"},  {"task_class", "plan"},
+                     {"kind", "batch"},    {"resources", {{"cpu_millis", 1000}, {"memory_mb", 64}}},
+                     {"expected_ms", 200}, {"payload", R"({"work_ms":200})"}};
+  const json accepted = calls.Call("POST", "/v1/tasks", task, {{"Idempotency-Key", "plan-1"}});
+  const std::string id = accepted.value("task", "none");
+  calls.Call("GET", "/v1/tasks/" + id + "?wait_ms=4000");
+  calls.Call("POST", "/v1/tasks", task, {{"Idempotency-Key", "plan-1"}});
+  json changed = task;
+  changed["expected_ms"] = 300;
+  calls.Call("POST", "/v1/tasks", changed, {{"Idempotency-Key", "plan-1"}});
+  calls.Call("POST", "/v1/tasks/" + id + "/cancel");
+  calls.Call("GET", "/v1/tasks/" + id + "/explain");
+  changed["payload"] = R"({"work_ms":60000})";
+  const json second = calls.Call("POST", "/v1/tasks", changed, {{"Idempotency-Key", "plan-2"}});
+  const std::string cancelled = second.value("task", "none");
+  // A task that is cancelled before it starts has no epoch, which would depend on the timing.
+  calls.WaitForRun(cancelled);
+  calls.Call("POST", "/v1/tasks/" + cancelled + "/cancel");
+  calls.Call("GET", "/v1/tasks/" + cancelled + "?wait_ms=4000");
+  changed["resources"]["accelerators"] = 64;
+  const json third = calls.Call("POST", "/v1/tasks", changed, {{"Idempotency-Key", "plan-3"}});
+  calls.Call("GET", "/v1/tasks/t00-0000000000000000");
+  changed["kind"] = "weekly";
+  calls.Call("POST", "/v1/tasks", changed, {{"Idempotency-Key", "plan-4"}});
+  calls.Call("POST", "/v1/tasks", "not JSON", {{"Idempotency-Key", "plan-5"}});
+  return third.value("task", "none");
+}
+
+void SendRequests(session& calls) {
+  const std::string path = "/v1/services/strawline/requests";
+  calls.Call("POST", path, "key=a;", {{"X-Team", "cutting"}});
+  const http::header_map once{{"X-Idempotent", "false"}, {"Idempotency-Key", "b"}};
+  calls.Call("POST", path, "key=b;", once);
+  calls.Call("POST", path, "key=b;", once);
+  calls.Call("POST", path, "key=other;", once);
+  calls.Call("POST", path, "key=c;", {{"X-Idempotent", "false"}});
+  calls.Call("POST", "/v1/services/unknown/requests", "key=d;", {{"X-Deadline-Ms", "200"}});
+}
+
+void ChangeConfiguration(session& calls) {
+  const std::uint64_t version = calls.Call("GET", "/v1/config").value("version", std::uint64_t{0});
+  const json change = {
+      {"if_version", version}, {"author", "ana"}, {"set", {{"requests.queue_limit", 32}}}};
+  calls.Call("PATCH", "/v1/config/defaults", change);
+  calls.Call("PATCH", "/v1/config/defaults", change);
+  json exception = {{"id", "drain-worker-0"},
+                    {"scope", "worker:worker-0"},
+                    {"setting", "worker.drain"},
+                    {"value", false},
+                    {"author", "ana"}};
+  calls.Call("POST", "/v1/config/exceptions", exception);
+  exception["reason"] = "kept in service during the audit";
+  calls.Call("POST", "/v1/config/exceptions", exception);
+  calls.Call("POST", "/v1/config/exceptions/drain-worker-0/challenges",
+             {{"author", "ben"}, {"text", "the audit is over"}});
+  calls.Call("GET", "/v1/config");
+  calls.Call("DELETE", "/v1/config/exceptions/drain-worker-0", nullptr, {{"X-Author", "ana"}});
+  calls.Call("DELETE", "/v1/config/exceptions/drain-worker-0", nullptr, {{"X-Author", "ana"}});
+}
+
+}  // namespace
+
+// Guards against unintended changes of what callers and operators see: paths, fields, codes and
+// the sentences of errors.
+TEST_CASE("a whole session gives the answers of the golden file") {
+  fleet running({.entries = 1, .workers = 1});
+  REQUIRE(running.WaitReady());
+  session calls(running);
+  calls.Call("GET", "/healthz");
+  calls.Call("GET", "/readyz");
+  const std::string too_large = RunTasks(calls);
+  SendRequests(calls);
+  ChangeConfiguration(calls);
+  calls.Call("GET", "/v1/teams");
+  calls.WaitForEnd(too_large);
+  calls.Call("GET", "/v1/tasks/" + too_large);
+  calls.Call("GET", "/v1/nothing");
+  const std::string text = calls.Text();
+  if (std::getenv(kUpdateVariable) != nullptr) std::ofstream(kGoldenFile) << text;
+  std::ifstream file(kGoldenFile);
+  std::stringstream expected;
+  expected << file.rdbuf();
+  CHECK(text == expected.str());
+}
+
+}  // namespace coltsfoot::golden
