Name the real use of each task in coltsfoot-load

The stand-in target reports the size that it was given as used when the payload names no use. The size correction then raised what it had itself raised: starts of class plan grew from 4000 to 4800, 5760 and 6376 millis within 16 s of a steady load with right declarations.

--- a/libs/load/src/runner.cc
+++ b/libs/load/src/runner.cc
@@ -181,10 +181,13 @@
   }
 
   http::call TaskCall(const planned_call& planned, const std::string& key) const {
-    json payload = {{"key", key}, {"work_ms", planned.work_ms}, {"fail", false}};
-    if (planned.use_millis != planned.cpu_millis) {
-      payload["use"] = {{"cpu_millis", planned.use_millis}};
-    }
+    // The use is always named: without it the stand-in reports the size that it was given, and the
+    // size correction would raise what it has itself raised.
+    const json payload = {
+        {"key", key},
+        {"work_ms", planned.work_ms},
+        {"fail", false},
+        {"use", {{"cpu_millis", planned.use_millis}, {"memory_mb", options_.task_memory_mb}}}};
     const json body = {{"team", options_.teams[planned.team]},
                        {"task_class", options_.task_class},
                        {"kind", options_.task_kind},
--- a/libs/load/tests/load_test.cc
+++ b/libs/load/tests/load_test.cc
@@ -291,7 +291,9 @@
     http::response answer{200, {}, ""};
     if (call.method == "POST") {
       const std::string key = call.headers.at("Idempotency-Key");
-      CHECK(json::parse(json::parse(call.body).at("payload").get<std::string>()).at("key") == key);
+      const json payload = json::parse(json::parse(call.body).at("payload").get<std::string>());
+      CHECK(payload.at("key") == key);
+      CHECK(payload.at("use").at("cpu_millis") == 1000);
       answer.body = json{{"task", "t-" + key}}.dump();
     } else {
       const bool ended = ++polls[call.url.substr(call.url.rfind('/'))] == 3;
