Correct sizes of mixed classes by how far declarations are off

Cause: the correction knew one distribution of sizes per class. In a class with right declarations of 1, 2 and 4 processors the rule raises the small tasks fourfold and the others to 4.8, about twice what they use.

Change: where the declaration of an observed task is known, the ratio between the two is remembered as well, and the smaller estimate counts once eight such tasks have finished. A ratio that never exceeded 1 needs no safety margin. Using the ratio alone was ruled out: with declarations that say nothing it would raise the large ones beyond anything observed.

--- a/libs/blame/include/blame/size_correction.h
+++ b/libs/blame/include/blame/size_correction.h
@@ -61,9 +61,15 @@
   /// @param run_ms 0 if the task has not finished.
   void Observe(std::string_view task_class, const core::resources& observed, std::uint32_t run_ms,
                core::mono_time now);
+  /// The same for a task whose declared size is known. The class may hold tasks of different sizes;
+  /// what counts then is how far the declarations are off.
+  void ObserveTask(std::string_view task_class, const task_size& declared,
+                   const core::resources& observed, std::uint32_t run_ms, core::mono_time now);
   /// @param largest_worker a size is not raised beyond it, so that no task stops fitting.
   /// @return the size to place a task of the class with. Accelerators are never changed. Otherwise
-  /// a size is never below the largest remembered observation of the class.
+  /// a size is never below the largest remembered observation of the class, or, once enough tasks
+  /// of known declarations have finished, below the declared size times the largest remembered
+  /// ratio between the two, if that is less.
   task_size Correct(std::string_view task_class, const task_size& declared,
                     const core::resources& largest_worker) const;
   std::size_t classes() const noexcept { return classes_.size(); }
@@ -74,10 +80,16 @@
     decaying_quantile cpu_millis;
     decaying_quantile memory_mb;
     decaying_quantile run_ms;
+    std::uint32_t finished_with_declaration = 0;
+    decaying_quantile cpu_ratio;  ///< observed to declared, in thousandths
+    decaying_quantile memory_ratio;
+    decaying_quantile run_ratio;
     core::mono_time observed_at{};
   };
   std::int64_t CorrectOne(const decaying_quantile& observed, std::int64_t declared,
                           bool may_lower) const;
+  std::int64_t ScaleOne(const decaying_quantile& ratio, std::int64_t declared,
+                        std::int64_t corrected) const;
   void ForgetOldest();
 
   size_correction_options options_;
--- a/libs/blame/src/size_correction.cc
+++ b/libs/blame/src/size_correction.cc
@@ -11,6 +11,14 @@
 /// A bucket below this weight is forgotten: a single value after five halvings.
 constexpr float kForgottenWeight = 0.05F;
 
+/// Ratios are kept in thousandths, because the quantiles hold values from 1.
+constexpr double kRatioUnit = 1000;
+
+void AddRatio(decaying_quantile& ratios, std::int64_t observed, std::int64_t declared) {
+  if (declared <= 0) return;
+  ratios.Add(kRatioUnit * static_cast<double>(observed) / static_cast<double>(declared));
+}
+
 double UpperBound(std::size_t bucket) {
   return std::pow(kBucketRatio, static_cast<double>(bucket + 1));
 }
@@ -61,6 +69,17 @@
   if (classes_.size() > options_.max_classes) ForgetOldest();
 }
 
+void size_correction::ObserveTask(std::string_view task_class, const task_size& declared,
+                                  const core::resources& observed, std::uint32_t run_ms,
+                                  core::mono_time now) {
+  class_row& row = classes_[std::string(task_class)];
+  AddRatio(row.cpu_ratio, observed.cpu_millis, declared.need.cpu_millis);
+  AddRatio(row.memory_ratio, observed.memory_mb, declared.need.memory_mb);
+  AddRatio(row.run_ratio, run_ms, declared.run_ms);
+  if (run_ms > 0) ++row.finished_with_declaration;
+  Observe(task_class, observed, run_ms, now);
+}
+
 task_size size_correction::Correct(std::string_view task_class, const task_size& declared,
                                    const core::resources& largest_worker) const {
   const auto entry = classes_.find(std::string(task_class));
@@ -74,6 +93,11 @@
   corrected.need.memory_mb = std::min(CorrectOne(row.memory_mb, need.memory_mb, may_lower),
                                       std::max(need.memory_mb, largest_worker.memory_mb));
   corrected.run_ms = static_cast<std::uint32_t>(CorrectOne(row.run_ms, declared.run_ms, may_lower));
+  if (row.finished_with_declaration < options_.min_finished) return corrected;
+  corrected.need.cpu_millis = ScaleOne(row.cpu_ratio, need.cpu_millis, corrected.need.cpu_millis);
+  corrected.need.memory_mb = ScaleOne(row.memory_ratio, need.memory_mb, corrected.need.memory_mb);
+  corrected.run_ms =
+      static_cast<std::uint32_t>(ScaleOne(row.run_ratio, declared.run_ms, corrected.run_ms));
   return corrected;
 }
 
@@ -90,6 +114,19 @@
   return static_cast<std::int64_t>(std::ceil(std::max(estimate, observed.max())));
 }
 
+std::int64_t size_correction::ScaleOne(const decaying_quantile& ratio, std::int64_t declared,
+                                       std::int64_t corrected) const {
+  if (declared <= 0 || ratio.weight() <= 0) return corrected;
+  const double largest = ratio.max() / kRatioUnit;
+  double scale =
+      std::max(ratio.Quantile(options_.quantile) / kRatioUnit * options_.safety_factor, largest);
+  // What has never been exceeded needs no margin.
+  if (largest <= 1) scale = std::min(scale, 1.0);
+  scale = std::max(std::clamp(scale, options_.min_ratio, options_.max_ratio), largest);
+  return std::min(corrected,
+                  static_cast<std::int64_t>(std::ceil(static_cast<double>(declared) * scale)));
+}
+
 void size_correction::ForgetOldest() {
   const auto oldest =
       std::min_element(classes_.begin(), classes_.end(), [](const auto& left, const auto& right) {
--- a/libs/blame/tests/blame_test.cc
+++ b/libs/blame/tests/blame_test.cc
@@ -158,6 +158,25 @@
   CHECK(sizes.Correct("unknown", declared, kLargest) == declared);
 }
 
+// Guards against a class of small and large tasks whose small ones are raised to the size of the
+// large ones, although all declarations are right.
+TEST_CASE("sizes of a mixed class are corrected by how far the declarations are off") {
+  size_correction sizes;
+  const task_size small{{1'000, 100, 0}, 1'000};
+  const task_size large{{4'000, 400, 0}, 4'000};
+  for (int i = 0; i < 8; ++i) {
+    sizes.ObserveTask("right", small, small.need, small.run_ms, kStart);
+    sizes.ObserveTask("right", large, large.need, large.run_ms, kStart);
+    sizes.ObserveTask("low", small, {2'000, 100, 0}, small.run_ms, kStart);
+    sizes.ObserveTask("low", large, {8'000, 400, 0}, large.run_ms, kStart);
+  }
+  CHECK(sizes.Correct("right", small, kLargest) == small);
+  CHECK(sizes.Correct("right", large, kLargest) == large);
+  CHECK(sizes.Correct("low", small, kLargest).need.cpu_millis >= 2'000);
+  CHECK(sizes.Correct("low", small, kLargest).need.cpu_millis <= 2'700);
+  CHECK(sizes.Correct("low", large, kLargest).need.cpu_millis >= 8'000);
+}
+
 // Guards against lowering a class by many samples of one task that has not reached its peak.
 TEST_CASE("samples of a running task do not lower a size") {
   size_correction sizes;
--- a/libs/entry/src/task_controller.cc
+++ b/libs/entry/src/task_controller.cc
@@ -546,7 +546,8 @@
 
 void task_controller::OnSucceeded(const ledger::task_entry& entry, const wire::task_event& event) {
   const core::mono_time now = time_.Now();
-  sizes_.Observe(entry.spec.task_class, event.observed, event.run_ms, now);
+  sizes_.ObserveTask(entry.spec.task_class, {entry.spec.need, entry.spec.expected_ms},
+                     event.observed, event.run_ms, now);
   if (const auto worker = workers_.Find(event.worker)) {
     quarantine_.OnSuccess(*worker, entry.spec.task_class, now);
   }
@@ -795,7 +796,15 @@
   workers_.OnFreeReported(*worker, report.free);
   if (!config_.is_known()) return;
   for (const wire::usage_sample& sample : report.samples) {
-    if (!sample.task.empty()) sizes_.Observe(sample.task_class, sample.used, 0, now);
+    if (sample.task.empty()) continue;
+    const auto own = tasks_.find(sample.task);
+    const ledger::task_entry* entry =
+        own == tasks_.end() ? nullptr : Entry(own->second.shard, sample.task);
+    if (entry != nullptr) {
+      sizes_.ObserveTask(sample.task_class, {entry->spec.need, 0}, sample.used, 0, now);
+    } else {
+      sizes_.Observe(sample.task_class, sample.used, 0, now);
+    }
   }
   if (config_.view().fleet_wide().interference_enabled) {
     interference_.OnUsage(*worker, report, now);
