Raise the limit of open files at the start of a program

Cause: an entry holds one TCP connection to each agent, and no program raised the usual soft limit of 1,024 files, so an entry with 990 agents had room for about 30 callers and with 1,024 agents for none. Change: programs raise the soft limit to the hard one.

--- a/libs/program/include/program/program.h
+++ b/libs/program/include/program/program.h
@@ -14,7 +14,13 @@
 /// line, signals and the tick.
 namespace coltsfoot::program {
 
+/// Raises the number of files that the process may have open to the most that the system grants.
+/// An entry has one connection to each agent; 990 agents leave nearly nothing of the usual limit of
+/// 1,024 to callers, and more agents than that could not be reached at all.
+void RaiseOpenFileLimit();
+
 /// Parses the command line, which has the flag `--settings=FILE` (and `--help`).
+/// Raises the limit of open files as well.
 /// @param usage one paragraph for `--help`.
 /// @return a reader of the settings file; the program ends with exit code 2 if the flag is
 /// missing.
--- a/libs/program/src/program.cc
+++ b/libs/program/src/program.cc
@@ -5,6 +5,7 @@
 #include <absl/flags/usage.h>
 #include <fmt/format.h>
 #include <spdlog/spdlog.h>
+#include <sys/resource.h>
 
 #include <asio/ip/address.hpp>
 #include <asio/signal_set.hpp>
@@ -31,7 +32,15 @@
 
 }  // namespace
 
+void RaiseOpenFileLimit() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur >= limit.rlim_max) return;
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 settings::reader OpenSettings(int argc, char** argv, std::string_view usage) {
+  RaiseOpenFileLimit();
   absl::SetProgramUsageMessage(absl::string_view(usage.data(), usage.size()));
   const auto rest = absl::ParseCommandLine(argc, argv);
   const std::string path = absl::GetFlag(FLAGS_settings);
