Follow the size of usage reports within tens of reports

Cause: with many tasks reports are rare, and the mean that the interval is worked out from moved by 2 % per report, so it lagged behind a growing number of tasks: 36,700 B/s at each entry at 3,000 tasks, where the pace aims at 15,000. Without any pace it was 213,900 B/s.

--- a/libs/wire/src/usage_pace.cc
+++ b/libs/wire/src/usage_pace.cc
@@ -7,7 +7,8 @@
 namespace coltsfoot::wire {
 namespace {
 
-constexpr double kNewWeight = 0.02;
+// Reports become rare as tasks become many, so few of them must be enough to follow a change.
+constexpr double kNewWeight = 0.1;
 constexpr double kMsPerSecond = 1000;
 // Lengths of strings and lists on the wire.
 constexpr std::size_t kLengthBytes = 8;
