--- a/test/failure/entry_loss_test.cc
+++ b/test/failure/entry_loss_test.cc
@@ -53,6 +53,26 @@
   CheckInvariants(running, true);
 }
 
+// Guards against shards that change hands without reason and evict, repeat or forget tasks.
+TEST_CASE("an entry that joins takes over shards without harm") {
+  fleet_options options = WithLongLeases();
+  options.entries = 1;
+  fleet running(options);
+  REQUIRE(running.WaitReady());
+  constexpr std::int64_t kWorkMs = 12000;
+  const auto ids = SubmitTasks(running, 0, 16, kWorkMs);
+  RequireRunning(running, running.Entries(), ids, kSlack);
+  running.AddEntry();
+  const auto during = SubmitTasks(running, 0, 8, 100, "during");
+  CheckFinished(running, running.Entries(), during, running.timings().TakeoverBound() + kSlack);
+  RequireRunning(running, running.Entries(), ids, kSlack);
+  for (const task_view& view :
+       CheckFinished(running, running.Entries(), ids, milliseconds{kWorkMs} + kSlack)) {
+    CHECK(view.epoch == 1);
+  }
+  CheckInvariants(running, true);
+}
+
 // Guards against tasks that are lost or doubled when execution leases lapse during the takeover.
 TEST_CASE("tasks whose leases lapse before the takeover resume once") {
   fleet running({.workers = 2});
