--- a/libs/wire/src/usage_pace.cc
+++ b/libs/wire/src/usage_pace.cc
@@ -7,13 +7,15 @@
 namespace coltsfoot::wire {
 namespace {
 
-constexpr double kNewWeight = 0.02;
+// Reports become rare as tasks become many, so few of them must be enough to follow a change.
+constexpr double kNewWeight = 0.1;
 constexpr double kMsPerSecond = 1000;
 // Lengths of strings and lists on the wire.
 constexpr std::size_t kLengthBytes = 8;
-constexpr std::size_t kSampleBytes =
-    2 * kLengthBytes + 3 * sizeof(std::int64_t) + sizeof(std::uint32_t);
-constexpr std::size_t kReportBytes = kFrameHeaderBytes + 2 * kLengthBytes + sizeof(std::uint32_t);
+constexpr std::size_t kResourcesBytes = 3 * sizeof(std::int64_t);
+constexpr std::size_t kSampleBytes = 2 * kLengthBytes + kResourcesBytes + sizeof(std::uint32_t);
+constexpr std::size_t kReportBytes =
+    kFrameHeaderBytes + 2 * kLengthBytes + kResourcesBytes + sizeof(std::uint32_t);
 // Shorter intervals than this save nothing, since targets measure about once a second.
 constexpr core::milliseconds kShortestInterval{1000};
 
