--- a/libs/membership/include/membership/worker_table.h
+++ b/libs/membership/include/membership/worker_table.h
@@ -91,7 +91,7 @@
 
 /// Table of all known workers. Columns that placement scans are kept as one array each.
 ///
-/// The free capacity of a worker is an estimate: what the last heartbeat reported, minus what this
+/// The free capacity of a worker is an estimate: what its last message reported, minus what this
 /// entry has assigned that the report cannot contain yet, plus what ended since. The estimate errs
 /// on the low side; the agent alone decides.
 class worker_table {
--- a/test/measure/src/report.cc
+++ b/test/measure/src/report.cc
@@ -43,8 +43,9 @@
 }
 
 std::string Row(const run_result& run) {
-  if (!run.error.empty())
+  if (!run.error.empty()) {
     return fmt::format("| {} | void: {} | | | | | | | |\n", run.policy, run.error);
+  }
   const load::latency_summary& all = run.service.all;
   return fmt::format("| {} | {:.0f} | {:.0f} | {:.0f} | {:.2f} | {} | {} | {} | {:.0f} |\n",
                      run.policy, all.p50_ms, all.p99_ms, all.p999_ms, run.TasksPerSecond(),
