--- a/libs/entry/src/entry.cc
+++ b/libs/entry/src/entry.cc
@@ -140,7 +140,7 @@
 
   bool MayHandOver(core::shard_index shard) override { return !claims_.IsBusy(shard); }
 
-  void OnShardLost(core::shard_index shard, ledger::shard_loss reason) override {
+  void OnShardLost(core::shard_index shard, ledger::shard_loss /*reason*/) override {
     tasks_.OnShardLost(shard);
     claims_.OnShardLost(shard);
   }
