Do not offer batch tasks the headroom that agents refuse them

Trace: 33 workers full of batch tasks, 66 more queued, urgent tasks that need the room of one batch task. coltsfoot_retries_total{reason="no_capacity"} reached 520 on three entries, and of 33 urgent tasks that came at once 3 had not started after 40 s (limit 6.4 s). Cause: entries let batch borrow the headroom (borrow_headroom), agents refuse it (capacity_ledger). A refused assignment stays charged to the worker until its next heartbeat, so entries saw 1 free processor instead of 4 and needed more victims than they own on one worker. Ruled out: the eviction budget, which urgent tasks overdraw after 1.5 s; corrected sizes, which were switched off. No unit test: the entry has none yet; the measurement is the evidence. Remaining: urgent tasks that need two victims, see docs/CAPACITY.md.

--- a/libs/entry/src/task_controller.cc
+++ b/libs/entry/src/task_controller.cc
@@ -22,7 +22,14 @@
 constexpr std::uint32_t kMaxPauseDoublings = 7;
 constexpr std::string_view kWhere = "task";
 
-placement::scheduler_options DefaultOptions() { return {}; }
+placement::scheduler_options DefaultOptions() {
+  placement::scheduler_options out;
+  // Agents refuse batch tasks that would use the headroom. An entry that offers them there anyway
+  // counts the room as taken until the next heartbeat, so that urgent tasks see neither the
+  // headroom nor a worker on which few evictions would be enough.
+  out.borrow_headroom = false;
+  return out;
+}
 
 wire::task_action ActionOf(placement::control_kind kind) {
   switch (kind) {
