--- a/libs/entry/src/api_error.cc
+++ b/libs/entry/src/api_error.cc
@@ -1,6 +1,6 @@
 #include "api_error.h"
 
-#include <nlohmann/json.hpp>
+#include "json_text.h"
 
 namespace coltsfoot::entry {
 
@@ -11,8 +11,7 @@
                                {"name", std::string(core::ToString(code))},
                                {"reason", reason},
                                {"not_run", not_run}};
-  http::response answer = http::JsonResponse(
-      core::HttpStatus(code), body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  http::response answer = http::JsonResponse(core::HttpStatus(code), Dump(body));
   answer.headers["X-Result-Code"] = std::to_string(number);
   answer.headers["X-Not-Run"] = not_run ? "true" : "false";
   return answer;
--- /dev/null
+++ b/libs/entry/src/json_text.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace coltsfoot::entry {
+
+/// @return `body` as text; bytes that are not UTF-8 are replaced.
+inline std::string Dump(const nlohmann::json& body) {
+  return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+}  // namespace coltsfoot::entry
--- a/libs/entry/src/task_json.cc
+++ b/libs/entry/src/task_json.cc
@@ -1,9 +1,10 @@
 #include "task_json.h"
 
+#include <algorithm>
 #include <array>
-#include <nlohmann/json.hpp>
 
 #include "core/ids.h"
+#include "json_text.h"
 
 namespace coltsfoot::entry {
 namespace {
@@ -174,7 +175,7 @@
       {"ended_ms", entry.ended_wall_ms},
       {"reason", ended ? "" : std::string(core::ToString(entry.code))},
   };
-  return body.dump(-1, ' ', false, json::error_handler_t::replace);
+  return Dump(body);
 }
 
 }  // namespace coltsfoot::entry
--- /dev/null
+++ b/libs/entry/src/task_ownership.cc
@@ -0,0 +1,210 @@
+// Shards that are taken over or lost, what workers report of them, and execution leases.
+#include <algorithm>
+#include <utility>
+
+#include "task_controller.h"
+#include "wire/frame.h"
+
+namespace coltsfoot::entry {
+namespace {
+
+using core::result_code;
+
+constexpr core::milliseconds kAdoptInterval{1000};
+constexpr std::string_view kWhere = "task";
+
+}  // namespace
+
+void task_controller::OnShardOwned(core::shard_index shard) {
+  std::set<std::string> workers;
+  for (const auto& [task, entry] : ledger_.Table(shard)->tasks()) {
+    if (entry.state == ledger::task_state::ended) continue;
+    if (entry.state == ledger::task_state::assigned) workers.insert(entry.worker);
+    TakeOver(task, entry, shard);
+  }
+  for (const std::string& worker : workers) SendAdopt(worker, shard);
+}
+
+void task_controller::TakeOver(const std::string& task, const ledger::task_entry& entry,
+                               core::shard_index shard) {
+  soft_task& row = tasks_[task];
+  row.shard = shard;
+  row.epoch = entry.epoch;
+  row.worker = entry.worker;
+  if (entry.state == ledger::task_state::assigned) {
+    row.phase = task_phase::unresolved;
+    AdoptIfKnown(row, entry);
+  } else if (entry.cancel_requested) {
+    RecordCancelled(task, row, entry.epoch);
+  } else {
+    Enqueue(row, entry);
+  }
+}
+
+void task_controller::AdoptIfKnown(soft_task& row, const ledger::task_entry& entry) {
+  const auto worker = workers_.Find(row.worker);
+  if (!worker || row.adopted) return;
+  const core::mono_time now = time_.Now();
+  scheduler_.Adopt(PlacementSpec(entry), *worker, now, now);
+  row.adopted = true;
+}
+
+void task_controller::OnShardLost(core::shard_index shard) {
+  const core::mono_time now = time_.Now();
+  std::vector<std::string> lost;
+  for (const auto& [task, row] : tasks_) {
+    if (row.shard == shard) lost.push_back(task);
+  }
+  for (const std::string& task : lost) {
+    scheduler_.CancelQueued(task);
+    if (tasks_[task].adopted) scheduler_.Drop(task, now);
+    Finish(task);
+  }
+  for (auto& [worker, state] : worker_states_) {
+    state.adopt_number.erase(shard);
+    state.reported.erase(shard);
+  }
+}
+
+bool task_controller::IsSent(task_phase phase) noexcept {
+  return phase == task_phase::starting || phase == task_phase::running ||
+         phase == task_phase::unresolved;
+}
+
+void task_controller::SendAdopt(const std::string& worker, core::shard_index shard) {
+  const auto fence = ledger_.Fence(shard);
+  if (!fence) return;
+  if (!SendTo(worker, wire::ToFrame(wire::adopt_shard{shard, *fence}))) return;
+  worker_state& state = worker_states_[worker];
+  state.adopt_number[shard] = state.messages;
+}
+
+void task_controller::OnWorkerReachable(const std::string& worker) {
+  std::set<core::shard_index> shards;
+  for (auto& [task, row] : tasks_) {
+    if (row.worker != worker || !IsSent(row.phase)) continue;
+    shards.insert(row.shard);
+    if (const ledger::task_entry* entry = Entry(row.shard, task)) AdoptIfKnown(row, *entry);
+  }
+  for (const core::shard_index shard : shards) SendAdopt(worker, shard);
+}
+
+void task_controller::OnShardReport(const wire::shard_report& report) {
+  const auto fence = ledger_.Fence(report.shard);
+  if (!fence || *fence != report.fence || report.code != result_code::ok) {
+    metrics_.CountRefusal("adopt", report.code);
+    return;
+  }
+  worker_state& state = worker_states_[report.worker];
+  const auto adopted = state.adopt_number.find(report.shard);
+  if (adopted == state.adopt_number.end()) return;
+  state.reported[report.shard] = report.fence;
+  const std::set<wire::task_ref> running(report.running.begin(), report.running.end());
+  const std::set<wire::task_ref> ended(report.ended.begin(), report.ended.end());
+
+  std::vector<std::string> stopped;
+  for (auto& [task, row] : tasks_) {
+    if (row.shard != report.shard || row.worker != report.worker || !IsSent(row.phase)) continue;
+    if (row.sent_number > adopted->second) continue;
+    const wire::task_ref ref{task, row.epoch};
+    if (running.contains(ref)) {
+      const ledger::task_entry* entry = Entry(row.shard, task);
+      if (entry != nullptr) MarkRunning(task, row, *entry);
+    } else if (!ended.contains(ref)) {
+      stopped.push_back(task);
+    }
+  }
+  for (const std::string& task : stopped) EndLost(task, tasks_.at(task));
+
+  for (const wire::task_ref& ref : report.running) {
+    const auto found = tasks_.find(ref.task);
+    const bool expected = found != tasks_.end() && found->second.epoch == ref.epoch &&
+                          found->second.worker == report.worker;
+    if (expected) continue;
+    metrics_.GetCounter("coltsfoot_stray_assignments_total").Add();
+    SendTo(report.worker, wire::ToFrame(wire::control_task{report.shard, report.fence, ref.task,
+                                                           ref.epoch, wire::task_action::cancel}));
+  }
+}
+
+// The worker has proved that it does not run the assignment and never will.
+void task_controller::EndLost(const std::string& task, soft_task& row) {
+  metrics_.GetCounter("coltsfoot_tasks_lost_total").Add();
+  Requeue(task, row, result_code::connection_lost);
+}
+
+void task_controller::Requeue(const std::string& task, soft_task& row, result_code code) {
+  metrics_.CountRetry(kWhere, code);
+  RecordEnd(task, row, ledger::task_requeued{task, row.epoch, code, false}, nullptr);
+}
+
+void task_controller::ExpireLeases() {
+  const core::mono_time now = time_.Now();
+  std::vector<std::string> lapsed;
+  std::vector<std::string> rested;
+  std::vector<std::string> checkpoint_due;
+  std::set<std::pair<std::string, core::shard_index>> unresolved;
+  for (const auto& [task, row] : tasks_) {
+    switch (row.phase) {
+      case task_phase::starting:
+      case task_phase::running:
+      case task_phase::unresolved:
+        if (now > SilentUntil(row)) {
+          lapsed.push_back(task);
+        } else if (row.phase == task_phase::running && now >= row.next_checkpoint) {
+          checkpoint_due.push_back(task);
+        }
+        if (row.phase == task_phase::unresolved && row.resume_at <= now) {
+          unresolved.emplace(row.worker, row.shard);
+        }
+        break;
+      case task_phase::resting:
+        if (now >= row.resume_at) rested.push_back(task);
+        break;
+      default:
+        break;
+    }
+  }
+  for (const std::string& task : lapsed) {
+    metrics_.GetCounter("coltsfoot_leases_lapsed_total").Add();
+    Requeue(task, tasks_.at(task), result_code::lease_lapsed);
+  }
+  for (const std::string& task : checkpoint_due) TakeCheckpoint(task, tasks_.at(task));
+  for (const std::string& task : rested) Resume(task, tasks_.at(task));
+  for (const auto& [worker, shard] : unresolved) SendAdopt(worker, shard);
+  for (auto& [task, row] : tasks_) {
+    if (unresolved.contains({row.worker, row.shard}) && row.phase == task_phase::unresolved) {
+      row.resume_at = now + kAdoptInterval;
+    }
+  }
+}
+
+// A lease that this entry granted ends `lease_ttl` after the worker sent the heartbeat that was
+// answered, hence before the same time after the heartbeat was received here. Until the worker has
+// reported under the present fence, an earlier owner may have granted leases as well.
+core::mono_time task_controller::SilentUntil(const soft_task& row) {
+  const auto since = ledger_.OwnedSince(row.shard);
+  if (!since) return core::mono_time::max();
+  core::mono_time base = since->since;
+  const auto worker = workers_.Find(row.worker);
+  config::subject about{.worker = row.worker};
+  if (worker) {
+    base = std::max(base, workers_.heard(*worker));
+    about.rack = workers_.place_names().Name(workers_.rack()[*worker]);
+    about.zone = workers_.place_names().Name(workers_.zone()[*worker]);
+    about.region = workers_.place_names().Name(workers_.region()[*worker]);
+  }
+  const auto state = worker_states_.find(row.worker);
+  const auto fence = ledger_.Fence(row.shard);
+  const bool reported = state != worker_states_.end() &&
+                        state->second.reported.contains(row.shard) &&
+                        state->second.reported.at(row.shard) == fence;
+  // An assignment that was made under the present ownership never had another owner.
+  const bool inherited = row.sent_number == 0;
+  if (inherited && !reported && !config_.view().For(about).worker_lost) {
+    base = std::max(base, since->since + since->orphan_wait);
+  }
+  return base + options_.lease_ttl + options_.lease_margin;
+}
+
+}  // namespace coltsfoot::entry
--- a/libs/wire/include/wire/messages.h
+++ b/libs/wire/include/wire/messages.h
@@ -70,8 +70,9 @@
 struct agent_policy {
   core::config_version version = 0;
   bool drain = false;
-  std::uint32_t queue_limit = 0;                ///< requests that may wait for a slot
-  std::uint32_t latency_critical_headroom = 0;  ///< percent of the processors that batch may not use
+  std::uint32_t queue_limit = 0;  ///< requests that may wait for a slot
+  std::uint32_t latency_critical_headroom =
+      0;  ///< percent of the processors that batch may not use
   bool operator==(const agent_policy&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
