--- a/libs/entry/src/config_controller.cc
+++ b/libs/entry/src/config_controller.cc
@@ -12,7 +12,8 @@
 
 constexpr std::string_view kKey = "config/fleet";
 // The watch reports changes within milliseconds; the periodic read bounds the delay when it fails.
-constexpr core::milliseconds kReadInterval{5000};
+// With two heartbeats of 5 s, which an agent may need, it stays below the promised 14 s.
+constexpr core::milliseconds kReadInterval{3000};
 constexpr core::milliseconds kRetryInterval{500};
 constexpr core::milliseconds kWatchTimeout{20000};
 constexpr int kResolveAttempts = 5;
