Bound shard reports by the oldest open question

Cause: an entry repeats adopt_shard to a worker that has not answered, and took the next report to cover all starts that were sent before the repetition. A slow report that answers the first question does not list a start that was sent in between; the task was recorded as not running and started on another worker while it ran on the first. Ruled out: a number in the report, because it changes the wire format for what the order of messages on one link already tells. Before: the new test sends a third start. After: the oldest open question bounds the report, a report closes it, and the loss of the link voids it. The older test gave two answers to one question; it now checks that the second answer is ignored and asks again before the next.

--- a/libs/entry/src/entry.cc
+++ b/libs/entry/src/entry.cc
@@ -176,7 +176,11 @@
          .on_report = [this](const wire::shard_report& report) { tasks_.OnShardReport(report); },
          .on_usage = [this](const wire::usage_report& report) { tasks_.OnUsage(report); },
          .on_reachable = [this](const std::string& worker) { tasks_.OnWorkerReachable(worker); },
-         .on_link_lost = [this](const std::string& worker) { router_.OnLinkLost(worker); },
+         .on_link_lost =
+             [this](const std::string& worker) {
+               router_.OnLinkLost(worker);
+               tasks_.OnLinkLost(worker);
+             },
          .on_forgotten =
              [this](membership::worker_index worker) {
                tasks_.OnWorkerForgotten(worker);
--- a/libs/entry/src/task_controller.h
+++ b/libs/entry/src/task_controller.h
@@ -63,6 +63,8 @@
   void OnShardLost(core::shard_index shard);
   /// The link to a worker is up and its agent is not recovering: ask what it runs.
   void OnWorkerReachable(const std::string& worker);
+  /// The link to a worker was lost; questions that it has not answered are void.
+  void OnLinkLost(const std::string& worker);
   void OnShardReport(const wire::shard_report& report);
   void OnTaskEvent(const wire::task_event& event);
   void OnUsage(const wire::usage_report& report);
@@ -102,8 +104,8 @@
   };
   struct worker_state {
     std::uint64_t messages = 0;
-    /// Message number of the newest `adopt_shard` per shard; reports tell nothing about starts
-    /// that were sent after it.
+    /// Message number of the oldest `adopt_shard` per shard without a report; the report tells
+    /// nothing about starts that were sent after it.
     std::map<core::shard_index, std::uint64_t> adopt_number;
     /// Fence under which the worker has reported each shard.
     std::map<core::shard_index, core::fence_number> reported;
--- a/libs/entry/src/task_ownership.cc
+++ b/libs/entry/src/task_ownership.cc
@@ -76,7 +76,13 @@
   if (!fence) return;
   if (!SendTo(worker, wire::ToFrame(wire::adopt_shard{shard, *fence}))) return;
   worker_state& state = worker_states_[worker];
-  state.adopt_number[shard] = state.messages;
+  // Reports carry no number. With the oldest question as the bound, a report that answers an
+  // earlier question than the last is never taken to cover a start that was sent in between.
+  state.adopt_number.emplace(shard, state.messages);
+}
+
+void task_controller::OnLinkLost(const std::string& worker) {
+  worker_states_[worker].adopt_number.clear();
 }
 
 void task_controller::OnWorkerReachable(const std::string& worker) {
@@ -98,6 +104,8 @@
   worker_state& state = worker_states_[report.worker];
   const auto adopted = state.adopt_number.find(report.shard);
   if (adopted == state.adopt_number.end()) return;
+  const std::uint64_t asked_at = adopted->second;
+  state.adopt_number.erase(adopted);
   state.reported[report.shard] = report.fence;
   const std::set<wire::task_ref> running(report.running.begin(), report.running.end());
   const std::set<wire::task_ref> ended(report.ended.begin(), report.ended.end());
@@ -105,7 +113,7 @@
   std::vector<std::string> stopped;
   for (auto& [task, row] : tasks_) {
     if (row.shard != report.shard || row.worker != report.worker || !IsSent(row.phase)) continue;
-    if (row.sent_number > adopted->second) continue;
+    if (row.sent_number > asked_at) continue;
     const wire::task_ref ref{task, row.epoch};
     if (running.contains(ref)) {
       const ledger::task_entry* entry = Entry(row.shard, task);
--- a/libs/entry/tests/task_test.cc
+++ b/libs/entry/tests/task_test.cc
@@ -131,6 +131,10 @@
   CHECK(controls[0].second.action == wire::task_action::cancel);
 
   report.running.clear();
+  test.tasks.OnShardReport(report);  // an answer that was given before
+  test.Pass(milliseconds{400});
+  CHECK(test.agents.Sent<wire::start_task>().size() == 1);
+  test.tasks.OnWorkerReachable(report.worker);
   test.tasks.OnShardReport(report);
   test.Pass(milliseconds{400});
   CHECK(test.agents.Sent<wire::start_task>().size() == 2);
@@ -141,6 +145,35 @@
   CHECK(test.agents.Sent<wire::start_task>().size() == 2);
 }
 
+// Guards against a report that answers an earlier question and is taken for the answer to a later
+// one; a task that was started in between would be started a second time elsewhere.
+TEST_CASE("a repeated question does not make an earlier report cover later starts") {
+  fixture test;
+  test.Start();
+  for (const char* other : {"w-2", "w-3"}) {
+    test.workers.SetOperatorDrain(*test.workers.Find(other), true);
+  }
+  test.SubmitTask();
+  test.tasks.OnTaskEvent(test.Event(task_event_kind::started));
+  test.tasks.OnWorkerReachable("w-1");
+  test.SubmitTask("t00-0000000000000002");
+  test.tasks.OnWorkerReachable("w-1");
+  wire::shard_report report;
+  report.worker = "w-1";
+  report.shard = fixture::kShard;
+  report.fence = *test.ledger.Fence(fixture::kShard);
+  report.running = {{fixture::kTask, 1}};
+  test.tasks.OnShardReport(report);
+  test.Pass(milliseconds{2000});
+  CHECK(test.agents.Sent<wire::start_task>().size() == 2);
+  // After the loss of the link the next report covers the start.
+  test.tasks.OnLinkLost("w-1");
+  test.tasks.OnWorkerReachable("w-1");
+  test.tasks.OnShardReport(report);
+  test.Pass(milliseconds{2000});
+  CHECK(test.agents.Sent<wire::start_task>().size() == 3);
+}
+
 // Guards against a cancelled task that runs, and against one that ends twice.
 TEST_CASE("a cancellation wins before the start and loses against a recorded result") {
   fixture test;
