--- a/libs/store/src/http_kv_client.cc
+++ b/libs/store/src/http_kv_client.cc
@@ -76,12 +76,17 @@
 
 write_result ToWrite(const http::call_result& result) {
   const kv_status status = StatusOf(result);
-  return {status, NumberOf(BodyOf(result), "version")};
+  const key_version version = NumberOf(BodyOf(result), "version");
+  // A damaged answer to a write proves nothing about its effect.
+  if (status == kv_status::ok && version == 0) return {kv_status::unknown, 0};
+  return {status, version};
 }
 
 lease_result ToLease(const http::call_result& result) {
   const kv_status status = StatusOf(result);
-  return {status, NumberOf(BodyOf(result), "lease")};
+  const lease_id lease = NumberOf(BodyOf(result), "lease");
+  if (status == kv_status::ok && lease == 0) return {kv_status::unknown, 0};
+  return {status, lease};
 }
 
 watch_result ToWatch(const http::call_result& result) {
