--- a/libs/entry/src/entry.cc
+++ b/libs/entry/src/entry.cc
@@ -120,6 +120,7 @@
     next_systems_ = now + kSystemsPeriod;
     config_.Tick();
     ledger_.Tick();
+    store_reachable_.Set(ledger_.store_reachable() ? 1 : 0);
     peers_.Tick(ledger_.Entries());
     agents_.Tick();
     tasks_.Tick();
@@ -233,6 +234,7 @@
   core::system_clock time_;
   core::seeded_random random_;
   metrics::registry metrics_;
+  metrics::gauge& store_reachable_ = metrics_.GetGauge("coltsfoot_store_reachable");
   std::unique_ptr<http::client> http_client_;
   std::unique_ptr<store::kv_client> kv_;
   config_controller config_;
--- a/libs/metrics/tests/registry_test.cc
+++ b/libs/metrics/tests/registry_test.cc
@@ -2,6 +2,12 @@
 
 #include <doctest/doctest.h>
 
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <regex>
+#include <string>
+
 namespace coltsfoot::metrics {
 
 // Guards against a metrics page that a Prometheus scraper rejects.
@@ -29,4 +35,29 @@
   CHECK(histogram.QuantileMs(0.99) <= 1260);
 }
 
+// Guards against a counter that an operator sees rise and cannot look up.
+TEST_CASE("docs/operators.md names each metric of the programs") {
+  const std::filesystem::path root = COLTSFOOT_SOURCE_DIR;
+  const auto read = [](const std::filesystem::path& path) {
+    std::ifstream file(path);
+    return std::string(std::istreambuf_iterator<char>(file), {});
+  };
+  const std::string page = read(root / "docs/operators.md");
+  const std::regex name(R"re("(coltsfoot_[a-z_]+)")re");
+  std::size_t found = 0;
+  for (const auto& file : std::filesystem::recursive_directory_iterator(root / "libs")) {
+    if (file.path().extension() != ".cc" || file.path().parent_path().filename() == "tests") {
+      continue;
+    }
+    const std::string code = read(file.path());
+    for (std::sregex_iterator match(code.begin(), code.end(), name), end; match != end; ++match) {
+      const std::string metric = (*match)[1];
+      CAPTURE(metric);
+      CHECK(page.find(metric) != std::string::npos);
+      found += 1;
+    }
+  }
+  CHECK(found > 40);
+}
+
 }  // namespace coltsfoot::metrics
