--- a/libs/settings/src/reader.cc
+++ b/libs/settings/src/reader.cc
@@ -26,6 +26,7 @@
   YAML::Node root;
   std::set<std::string, std::less<>> known;
   std::vector<located_error> errors;
+  bool broken = false;
 
   void Add(int line, std::string message) { errors.push_back({line, std::move(message)}); }
 
@@ -33,12 +34,14 @@
     try {
       root = YAML::Load(text);
     } catch (const YAML::Exception& failure) {
+      broken = true;
       Add(failure.mark.line + 1, failure.msg);
       root = YAML::Node(YAML::NodeType::Map);
       return;
     }
     if (root.IsNull()) root = YAML::Node(YAML::NodeType::Map);
     if (!root.IsMap()) {
+      broken = true;
       Add(1, "expected a mapping of keys to values");
       root = YAML::Node(YAML::NodeType::Map);
     }
@@ -62,7 +65,10 @@
     return constant[std::string(key)];
   }
 
-  void Missing(std::string_view key) { Add(1, fmt::format("key '{}' is missing", key)); }
+  // Nothing is known about the keys of a file that cannot be read or parsed.
+  void Missing(std::string_view key) {
+    if (!broken) Add(1, fmt::format("key '{}' is missing", key));
+  }
 
   static int LineOf(const YAML::Node& node) { return node.Mark().line + 1; }
 
@@ -101,6 +107,7 @@
   text << file.rdbuf();
   if (file.is_open()) return FromText(text.str(), path);
   reader out = FromText("", path);
+  out.state_->broken = true;
   out.state_->Add(1, "file cannot be read");
   return out;
 }
--- a/libs/settings/tests/reader_test.cc
+++ b/libs/settings/tests/reader_test.cc
@@ -32,7 +32,9 @@
 TEST_CASE("files that cannot be read or parsed are errors") {
   CHECK(reader::FromText("a: [1\n", "b.yaml").Finish().size() == 1);
   CHECK(reader::FromText("- 1\n", "b.yaml").Finish().size() == 1);
-  CHECK(reader::FromFile("/nonexistent/x.yaml").Finish().size() == 1);
+  reader missing = reader::FromFile("/nonexistent/x.yaml");
+  missing.Text("id");
+  CHECK(missing.Finish().size() == 1);
   reader repeated = reader::FromText("a: 1\na: 2\n", "b.yaml");
   repeated.Number("a", {0, 9});
   CHECK(repeated.Finish().size() == 1);
