Count every refusal of the API

Wrong methods, unknown paths and oversized bodies were answered with a numbered error but not counted. Before: none of the three appeared in coltsfoot_refusals_total after a session of bad calls.

--- a/libs/entry/src/api.cc
+++ b/libs/entry/src/api.cc
@@ -84,7 +84,7 @@
     context.path.erase(context.path.begin());
     Route(context);
   } else {
-    context.respond(ErrorResponse(result_code::not_found, "no such path"));
+    Refuse(context, result_code::not_found, "no such path");
   }
 }
 
@@ -100,18 +100,22 @@
   return http::JsonResponse(ready ? 200 : 503, Dump(body));
 }
 
+void api::Refuse(const call_context& context, result_code code, const std::string& reason) {
+  use_.metrics.CountRefusal("api", code);
+  context.respond(ErrorResponse(code, reason));
+}
+
 void api::Route(call_context& context) {
   const std::string_view root = context.path[0];
   const std::string& method = context.call.method;
   const bool reads = method == "GET";
   // A forwarded call was accepted by another entry, so it is finished even during a shutdown.
   if (shutting_down_ && !context.forwarded && !reads) {
-    use_.metrics.CountRefusal("api", result_code::shutting_down);
-    context.respond(ErrorResponse(result_code::shutting_down, "the entry is shutting down"));
+    Refuse(context, result_code::shutting_down, "the entry is shutting down");
     return;
   }
   const auto wrong_method = [&] {
-    context.respond(ErrorResponse(result_code::method_not_allowed, "method not allowed here"));
+    Refuse(context, result_code::method_not_allowed, "method not allowed here");
   };
   if (root == "services" && context.path.size() == 3 && context.path[2] == "requests") {
     method == "POST" ? ServiceRequest(context) : wrong_method();
@@ -124,7 +128,7 @@
   } else if (root == "teams" && context.path.size() == 1) {
     reads ? ListTeams(context) : wrong_method();
   } else {
-    context.respond(ErrorResponse(result_code::not_found, "no such path"));
+    Refuse(context, result_code::not_found, "no such path");
   }
 }
 
@@ -140,9 +144,9 @@
              (depth == 3 && context.path[2] == "explain" && method == "GET")) {
     OneTask(context);
   } else if (depth <= 2 || context.path[2] == "cancel" || context.path[2] == "explain") {
-    context.respond(ErrorResponse(result_code::method_not_allowed, "method not allowed here"));
+    Refuse(context, result_code::method_not_allowed, "method not allowed here");
   } else {
-    context.respond(ErrorResponse(result_code::not_found, "no such path"));
+    Refuse(context, result_code::not_found, "no such path");
   }
 }
 
@@ -162,8 +166,7 @@
 
 void api::ServiceRequest(call_context& context) {
   if (!use_.config.is_known()) {
-    use_.metrics.CountRefusal("api", result_code::no_configuration);
-    context.respond(ErrorResponse(result_code::no_configuration, "no configuration is known yet"));
+    Refuse(context, result_code::no_configuration, "no configuration is known yet");
     return;
   }
   core::last_error error;
@@ -178,8 +181,7 @@
               "a non-idempotent request needs an Idempotency-Key of at most 256 bytes");
   }
   if (error.reason().code != result_code::ok) {
-    use_.metrics.CountRefusal("api", error.reason().code);
-    context.respond(ErrorResponse(error.reason().code, error.reason().message));
+    Refuse(context, error.reason().code, error.reason().message);
     return;
   }
   service_request request;
@@ -210,8 +212,7 @@
 
 void api::ForwardToOwner(call_context& context, core::shard_index shard, core::mono_time deadline) {
   if (context.forwarded) {
-    use_.metrics.CountRefusal("forward", result_code::not_owner);
-    context.respond(ErrorResponse(result_code::not_owner, "the shard moved to another entry"));
+    Refuse(context, result_code::not_owner, "the shard moved to another entry");
     return;
   }
   const core::mono_time now = use_.time.Now();
@@ -266,8 +267,7 @@
     spec = error.Set(result_code::invalid_argument, "Idempotency-Key is longer than 256 bytes");
   }
   if (!spec) {
-    use_.metrics.CountRefusal("api", error.reason().code);
-    context.respond(ErrorResponse(error.reason().code, error.reason().message));
+    Refuse(context, error.reason().code, error.reason().message);
     return;
   }
   const std::uint32_t shards = use_.options.shard_count;
@@ -301,13 +301,12 @@
   const std::string task(context.path[1]);
   const auto shard = core::ShardOfTask(task);
   if (!shard || *shard >= use_.options.shard_count) {
-    context.respond(ErrorResponse(result_code::not_found, "no such task"));
+    Refuse(context, result_code::not_found, "no such task");
     return;
   }
   const auto wait = ParseNumber(context.call.FindParameter("wait_ms").value_or("0"));
   if (!wait || *wait < 0 || *wait > kMaxWait.count()) {
-    context.respond(
-        ErrorResponse(result_code::invalid_argument, "wait_ms must be from 0 to 60000"));
+    Refuse(context, result_code::invalid_argument, "wait_ms must be from 0 to 60000");
     return;
   }
   if (!use_.ledger.Fence(*shard)) {
@@ -315,7 +314,7 @@
     return;
   }
   if (use_.tasks.Find(*shard, task).entry == nullptr) {
-    context.respond(ErrorResponse(result_code::not_found, "no such task"));
+    Refuse(context, result_code::not_found, "no such task");
   } else if (context.path.size() == 2) {
     ShowTask(task, *shard, core::milliseconds{*wait}, context.respond);
   } else if (context.path[2] == "cancel") {
@@ -360,7 +359,7 @@
   const std::string state = context.call.FindParameter("state").value_or("");
   const auto limit = ParseNumber(context.call.FindParameter("limit").value_or("100"));
   if (!limit || *limit < 1 || *limit > static_cast<std::int64_t>(kListLimit)) {
-    context.respond(ErrorResponse(result_code::invalid_argument, "limit must be from 1 to 1000"));
+    Refuse(context, result_code::invalid_argument, "limit must be from 1 to 1000");
     return;
   }
   json tasks = json::array();
--- a/libs/entry/src/api.h
+++ b/libs/entry/src/api.h
@@ -80,6 +80,8 @@
   void RouteTasks(call_context& context);
   void RouteConfig(call_context& context);
   http::response Readiness() const;
+  /// Counts a refusal and answers it.
+  void Refuse(const call_context& context, core::result_code code, const std::string& reason);
 
   void ServiceRequest(call_context& context);
   void RunClaimed(call_context& context, service_request request, const std::string& key);
--- a/libs/entry/src/api_admin.cc
+++ b/libs/entry/src/api_admin.cc
@@ -132,11 +132,11 @@
   const auto& path = context.path;
   const http::responder& respond = context.respond;
   if (!use_.config.is_known()) {
-    respond(ErrorResponse(result_code::no_configuration, "no configuration is known yet"));
+    Refuse(context, result_code::no_configuration, "no configuration is known yet");
     return;
   }
   core::last_error error;
-  const auto fail = [&] { respond(ErrorResponse(error.reason().code, error.reason().message)); };
+  const auto fail = [&] { Refuse(context, error.reason().code, error.reason().message); };
   if (path.size() == 1 && method == "GET") {
     respond(http::JsonResponse(200, config::RenderConfig(*use_.config.current())));
   } else if (path.size() == 2 && path[1] == "status" && method == "GET") {
@@ -178,7 +178,7 @@
             core::last_error& why) { return config::AddChallenge(base, id, *wanted, stamp, why); },
         respond);
   } else {
-    respond(ErrorResponse(result_code::method_not_allowed, "no such configuration call"));
+    Refuse(context, result_code::method_not_allowed, "no such configuration call");
   }
 }
 
--- a/libs/entry/src/entry.cc
+++ b/libs/entry/src/entry.cc
@@ -72,15 +72,17 @@
               OnDatagram(from, raw);
             },
             [this](core::result_code code) { CountDrop(code); }),
-        http_({.address = options_.http.ip,
-               .port = options_.http.port,
-               .threads = options_.http_threads,
-               .body_limit = kBodyLimitBytes},
-              [this](http::request call, http::responder respond) {
-                run_on_control_([this, call = std::move(call), respond = std::move(respond)] {
-                  api_.Handle(call, false, respond);
-                });
-              }),
+        http_(
+            {.address = options_.http.ip,
+             .port = options_.http.port,
+             .threads = options_.http_threads,
+             .body_limit = kBodyLimitBytes,
+             .on_refused = [this](core::result_code code) { metrics_.CountRefusal("api", code); }},
+            [this](http::request call, http::responder respond) {
+              run_on_control_([this, call = std::move(call), respond = std::move(respond)] {
+                api_.Handle(call, false, respond);
+              });
+            }),
         ledger_(LedgerOptions(), *kv_, time_, random_, metrics_, *this),
         agents_(options_, traffic_, run_on_control_, workers_, ledger_, config_, interference_,
                 time_, metrics_),
--- a/libs/http/include/http/server.h
+++ b/libs/http/include/http/server.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "core/result_code.h"
 #include "http/message.h"
 
 namespace coltsfoot::http {
@@ -24,6 +25,8 @@
   std::uint16_t port = 0;  ///< 0 lets the kernel choose
   std::size_t threads = 1;
   std::size_t body_limit = 1U << 20U;  ///< bytes; a larger body gets a numbered error
+  /// Called on a traffic thread for each request that the server refuses itself; may be empty.
+  std::function<void(core::result_code)> on_refused;
 };
 
 /// HTTP/1.1 server on its own traffic threads.
--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -139,6 +139,7 @@
 
   void Accept(restinio::request_handle_t handle) {
     if (handle->body().size() > options_.body_limit) {
+      if (options_.on_refused) options_.on_refused(core::result_code::body_too_large);
       http::Send(handle, TooLarge(), false);
       return;
     }
--- a/libs/http/tests/http_test.cc
+++ b/libs/http/tests/http_test.cc
@@ -121,13 +121,17 @@
 
 // Guards against a caller that cannot tell an oversized body from a fault.
 TEST_CASE("an oversized body gets a numbered error") {
-  server target({.body_limit = 10}, [](request, responder respond) { respond({}); });
+  std::promise<core::result_code> refused;
+  server target(
+      {.body_limit = 10, .on_refused = [&](core::result_code code) { refused.set_value(code); }},
+      [](request, responder respond) { respond({}); });
   const auto client = MakeCurlClient();
   const auto result = CallAndWait(
       *client, {.method = "POST", .url = UrlOf(target, "/"), .body = std::string(100, 'x')});
   REQUIRE(result.answer.has_value());
   CHECK(result.answer->status == 413);
   CHECK(result.answer->FindHeader("X-Result-Code") == "102");
+  CHECK(refused.get_future().get() == core::result_code::body_too_large);
 }
 
 // Guards against a planned stop that cuts off a request in progress.
