Say in lists how many entries did not answer

A list of tasks or teams that lacks the shards of an entry looked complete. With one of three entries stopped (SIGSTOP), GET /v1/teams now has missing_entries: 1 (one run by hand); before, nothing told the difference.

--- a/libs/entry/src/api.cc
+++ b/libs/entry/src/api.cc
@@ -385,6 +385,7 @@
   struct collection {
     std::vector<std::string> bodies;
     std::size_t missing = 0;
+    std::size_t failed = 0;
   };
   auto collected = std::make_shared<collection>();
   collected->bodies.push_back(std::move(own));
@@ -400,8 +401,20 @@
   for (const std::string& peer : others) {
     use_.peers.Forward(peer, context.call, use_.time.Now() + kAdminDeadline,
                        [collected, merge, respond = context.respond](http::response answer) {
-                         if (answer.status == 200) collected->bodies.push_back(answer.body);
-                         if (--collected->missing == 0) respond(merge(collected->bodies));
+                         if (answer.status == 200) {
+                           collected->bodies.push_back(std::move(answer.body));
+                         } else {
+                           collected->failed += 1;
+                         }
+                         if (--collected->missing > 0) return;
+                         http::response merged = merge(collected->bodies);
+                         if (collected->failed > 0) {
+                           // A list that lacks some shards must not look complete.
+                           json body = json::parse(merged.body);
+                           body["missing_entries"] = collected->failed;
+                           merged.body = Dump(body);
+                         }
+                         respond(std::move(merged));
                        });
   }
 }
