Find the flags of a file by its absolute name too

Abseil reports the file of a flag without the leading slash of __FILE__, and DescribeFlags compared it with __FILE__ itself.

Ruled out: a flag that is not registered; the other checks of the same case read it.

--- a/libs/program/src/command_line.cc
+++ b/libs/program/src/command_line.cc
@@ -3,6 +3,7 @@
 #include <absl/flags/reflection.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string_view>
@@ -80,6 +81,11 @@
   command_line out_;
 };
 
+/// The name of a source file as Abseil reports it: it removes the leading slashes of `__FILE__`.
+std::string_view WithoutLeadingSlashes(std::string_view file) {
+  return file.substr(std::min(file.find_first_not_of('/'), file.size()));
+}
+
 }  // namespace
 
 std::optional<command_line> ParseCommandLine(int argc, const char* const* argv,
@@ -90,7 +96,7 @@
 std::string DescribeFlags(const std::string& file) {
   std::map<std::string, std::string> lines;
   for (const auto& [name, flag] : absl::GetAllFlags()) {
-    if (flag->Filename() != file) continue;
+    if (WithoutLeadingSlashes(flag->Filename()) != WithoutLeadingSlashes(file)) continue;
     const std::string initial = flag->DefaultValue();
     const std::string shown = initial.empty() ? "" : fmt::format(" (default {})", initial);
     const std::string key{flag->Name()};
--- a/libs/program/tests/command_line_test.cc
+++ b/libs/program/tests/command_line_test.cc
@@ -34,7 +34,17 @@
   CHECK(absl::GetFlag(FLAGS_test_number) == 9);
   CHECK_FALSE(absl::GetFlag(FLAGS_test_switch));
   CHECK(Parse({"-h"}, mistake)->help);
-  CHECK(DescribeFlags(__FILE__).find("--test_number") != std::string::npos);
+}
+
+// Guards against a help text without flags when the compiler gets absolute file names: Abseil
+// reports such a name without its leading slash.
+TEST_CASE("the flags of a file are found by its absolute and its relative name") {
+  const std::string file = __FILE__;
+  const std::string relative = file.substr(file.find_first_not_of('/'));
+  for (const std::string& name : {file, relative, "/" + relative}) {
+    CHECK(DescribeFlags(name).find("--test_number") != std::string::npos);
+  }
+  CHECK(DescribeFlags("other.cc").empty());
 }
 
 // Guards against a tool that goes on with a misspelt flag.
