--- a/bench/capacity/src/main.cc
+++ b/bench/capacity/src/main.cc
@@ -21,6 +21,8 @@
                                     "requests", "changes", "urgent", "change_time"}),
           "what to measure, in this order");
 ABSL_FLAG(int, window_s, 15, "length of each measured window; three heartbeats by default");
+ABSL_FLAG(std::vector<std::string>, sizes, {},
+          "sizes to measure instead of the usual ones: workers, entries, tasks or starts a second");
 ABSL_FLAG(std::vector<std::string>, urgent, (std::vector<std::string>{"1", "11", "33"}),
           "numbers of urgent tasks that are submitted at once");
 ABSL_FLAG(std::int64_t, urgent_cpu_millis, 6000,
@@ -68,6 +70,16 @@
 }
 
 void Sleep(core::milliseconds time) { std::this_thread::sleep_for(time); }
+
+/// @return the sizes that the caller asked for, or the usual ones.
+std::vector<std::size_t> Sizes(std::vector<std::size_t> usual) {
+  const std::vector<std::string> wanted = absl::GetFlag(FLAGS_sizes);
+  if (wanted.empty()) return usual;
+  std::vector<std::size_t> out;
+  for (const std::string& size : wanted) out.push_back(std::strtoull(size.c_str(), nullptr, 10));
+  return out;
+}
+
 seconds Window() { return seconds{absl::GetFlag(FLAGS_window_s)}; }
 
 /// Fleet that is ready, with the calls that the measurements make.
@@ -213,7 +225,7 @@
 
 void MeasureWorkers() {
   series out{"Idle fleet, 3 entries, by workers", "workers", {}};
-  for (const std::size_t workers : {11, 33, 99}) {
+  for (const std::size_t workers : Sizes({11, 33, 99})) {
     bench idle(Options(kEntries, workers));
     out.points.emplace_back(workers, idle.MeasureIdle());
   }
@@ -222,7 +234,7 @@
 
 void MeasureEntries() {
   series out{"Idle fleet, 11 workers, by entries", "entries", {}};
-  for (const std::size_t entries : {1, 2, 3, 5}) {
+  for (const std::size_t entries : Sizes({1, 2, 3, 5})) {
     bench idle(Options(entries, kWorkers));
     out.points.emplace_back(entries, idle.MeasureIdle());
   }
@@ -233,7 +245,7 @@
   series out{
       "3 entries without agents, heartbeats of many workers every 5 s, by workers", "workers", {}};
   std::string acks;
-  for (const std::size_t workers : {0, 330, 990, 4000}) {
+  for (const std::size_t workers : Sizes({0, 330, 990, 4000})) {
     bench idle(Options(kEntries, 0));
     std::vector<wire::endpoint> entries;
     for (std::size_t i = 0; i < kEntries; ++i) {
@@ -263,7 +275,7 @@
   bench busy(Options(kEntries, kWorkers, true));
   std::uint64_t submitted = 0;
   std::string notes;
-  for (const std::uint64_t tasks : {0, 300, 1000, 3000}) {
+  for (const std::size_t tasks : Sizes({0, 300, 1000, 3000})) {
     for (; submitted < tasks; ++submitted) {
       busy.SubmitTask(submitted, 3'600'000, 100);
       Sleep(core::milliseconds{2});
@@ -280,11 +292,11 @@
 void MeasureStarts() {
   series out{"3 entries, 11 workers, by starts a second of tasks of 1 s", "starts/s", {}};
   std::string notes;
-  for (const int rate : {0, 10, 50, 150, 310}) {
+  for (const std::size_t rate : Sizes({0, 10, 50, 150, 310})) {
     bench busy(Options(kEntries, kWorkers, true));
     out.points.emplace_back(rate, busy.Measure([&] {
       if (rate == 0) Sleep(Window());
-      bench::Pace(rate, [&](std::uint64_t number) { busy.SubmitTask(number, 1000, 100); });
+      bench::Pace(static_cast<double>(rate), [&](std::uint64_t number) { busy.SubmitTask(number, 1000, 100); });
     }));
     notes += fmt::format("\n{}/s: {}; {} run at the end of the window", rate, busy.Counts(),
                          busy.RunningTasks());
--- a/libs/entry/src/link_pool.cc
+++ b/libs/entry/src/link_pool.cc
@@ -27,6 +27,7 @@
   CloseOnTraffic(state.connection);
   const bool was_up = std::exchange(state.up, false);
   state.to = to;
+  lost_.erase(link);
   Open(link, state);
   if (was_up) handlers_.on_down(link);
 }
@@ -34,6 +35,7 @@
 void link_pool::Forget(const std::string& link) {
   auto node = links_.extract(link);
   if (node.empty()) return;
+  lost_.erase(link);
   CloseOnTraffic(node.mapped().connection);
   if (node.mapped().up) handlers_.on_down(link);
 }
@@ -65,9 +67,14 @@
 }
 
 void link_pool::Tick() {
-  for (auto& [link, state] : links_) {
-    if (state.connection == nullptr && time_.Now() >= state.retry_at) Open(link, state);
-  }
+  if (lost_.empty()) return;
+  const core::mono_time now = time_.Now();
+  std::erase_if(lost_, [&](const std::string& link) {
+    link_state& state = links_.at(link);
+    if (now < state.retry_at) return false;
+    Open(link, state);
+    return true;
+  });
 }
 
 void link_pool::Open(const std::string& link, link_state& state) {
@@ -134,6 +141,7 @@
     found->second.up = false;
     found->second.connection = nullptr;
     found->second.retry_at = time_.Now() + kReconnectPause;
+    lost_.insert(link);
   }
   if (was_up) handlers_.on_down(link);
 }
--- a/libs/entry/src/link_pool.h
+++ b/libs/entry/src/link_pool.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "core/clock.h"
@@ -78,6 +79,9 @@
   metrics::registry& metrics_;
   callbacks handlers_;
   std::map<std::string, link_state> links_;
+  /// Outgoing links without a connection. `Tick` visits only these: a walk over the links to 990
+  /// agents 50 times a second took 45 % of the user time of an entry without tasks.
+  std::set<std::string> lost_;
   std::uint64_t next_generation_ = 0;
   std::unique_ptr<wire::tcp_listener> listener_;
 };
