--- a/libs/entry/include/entry/entry.h
+++ b/libs/entry/include/entry/entry.h
@@ -30,8 +30,8 @@
   /// @param done runs once on the control thread.
   void StartShutdown(std::function<void()> done);
 
-  /// Requests are timed in steps of this period.
-  static constexpr core::milliseconds kTickPeriod{5};
+  /// While requests are in progress, the entry times them itself in shorter steps.
+  static constexpr core::milliseconds kTickPeriod{20};
 
  private:
   class impl;
--- a/libs/entry/src/entry.cc
+++ b/libs/entry/src/entry.cc
@@ -5,6 +5,7 @@
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
 #include <cstdlib>
 #include <thread>
 #include <utility>
@@ -31,7 +32,9 @@
 namespace coltsfoot::entry {
 namespace {
 
-constexpr core::milliseconds kSystemsPeriod{20};
+/// Requests in progress are timed in steps of this period. An entry without any does not wake up
+/// for it, because each wakeup costs about 10 us.
+constexpr core::milliseconds kRequestPeriod{5};
 constexpr core::milliseconds kStoreTimeout{2000};
 // Requests end at their deadlines, so the wait for them is bounded by the longest sensible one.
 constexpr core::milliseconds kDrainLimit{30'000};
@@ -81,6 +84,7 @@
             [this](http::request call, http::responder respond) {
               run_on_control_([this, call = std::move(call), respond = std::move(respond)] {
                 api_.Handle(call, false, respond);
+                TimeRequests();
               });
             }),
         ledger_(LedgerOptions(), *kv_, time_, random_, metrics_, *this),
@@ -114,19 +118,17 @@
   }
 
   void Tick() {
-    const core::mono_time now = time_.Now();
     router_.Tick();
     claims_.Tick();
     api_.Tick();
-    if (now < next_systems_) return;
-    next_systems_ = now + kSystemsPeriod;
+    TimeRequests();
     config_.Tick();
     ledger_.Tick();
     store_reachable_.Set(ledger_.store_reachable() ? 1 : 0);
     peers_.Tick(ledger_.Entries());
     agents_.Tick();
     tasks_.Tick();
-    AdvanceShutdown(now);
+    AdvanceShutdown(time_.Now());
   }
 
   void StartShutdown(std::function<void()> done) {
@@ -192,6 +194,7 @@
     peers_.SetHandlers(
         [this](const http::request& call, http::responder respond) {
           api_.Handle(call, true, std::move(respond));
+          TimeRequests();
         },
         [this](const wire::peer_status& status) {
           tasks_.SetPeerUsage(status.entry, status.teams);
@@ -217,6 +220,18 @@
         .Add();
   }
 
+  /// Runs the router each `kRequestPeriod` until no request is in progress.
+  void TimeRequests() {
+    if (router_.active() == 0 || std::exchange(timing_requests_, true)) return;
+    request_timer_.expires_after(kRequestPeriod);
+    request_timer_.async_wait([this](asio::error_code failure) {
+      timing_requests_ = false;
+      if (failure) return;
+      router_.Tick();
+      TimeRequests();
+    });
+  }
+
   void AdvanceShutdown(core::mono_time now) {
     if (!shutdown_done_ || releasing_) return;
     const bool idle = router_.active() == 0 && api_.waiting() == 0;
@@ -254,7 +269,8 @@
   claim_controller claims_;
   api api_;
   std::thread traffic_thread_;
-  core::mono_time next_systems_{};
+  asio::steady_timer request_timer_{control_};
+  bool timing_requests_ = false;
   std::function<void()> shutdown_done_;
   core::mono_time shutdown_started_{};
   bool releasing_ = false;
