Read the datagrams of an entry in its tick

One datagram cost two wakeups: the traffic thread that received and decoded it and the control thread that handled it, and a third one for the ack. Heartbeats, acks and goodbyes may wait for 20 ms, so the control thread reads them itself in its tick and answers at once.

--- a/libs/entry/src/agent_directory.h
+++ b/libs/entry/src/agent_directory.h
@@ -34,7 +34,7 @@
     std::function<void(membership::worker_index)> on_forgotten;
   };
   /// Sends a datagram; called on the control thread.
-  using send_function = std::function<void(const wire::endpoint& to, std::string datagram)>;
+  using send_function = std::function<void(const wire::endpoint& to, const std::string& datagram)>;
 
   agent_directory(const entry_options& options, asio::io_context& traffic,
                   store::executor run_on_control, membership::worker_table& workers,
--- a/libs/entry/src/entry.cc
+++ b/libs/entry/src/entry.cc
@@ -35,6 +35,9 @@
 /// Requests in progress are timed in steps of this period. An entry without any does not wake up
 /// for it, because each wakeup costs about 10 us.
 constexpr core::milliseconds kRequestPeriod{5};
+/// Heartbeats of 4,000 workers are 16 in each tick. The limit keeps a flood of datagrams from
+/// delaying everything else on the control thread; what exceeds it waits in the socket.
+constexpr std::size_t kDatagramsPerTick = 256;
 constexpr core::milliseconds kStoreTimeout{2000};
 // Requests end at their deadlines, so the wait for them is bounded by the longest sensible one.
 constexpr core::milliseconds kDrainLimit{30'000};
@@ -70,7 +73,7 @@
         peers_(options_, traffic_, run_on_control_, config_, time_, metrics_),
         tcp_(peers_.Listen()),
         udp_(
-            traffic_, options_.udp,
+            options_.udp,
             [this](const wire::endpoint& from, const wire::raw_message& raw) {
               OnDatagram(from, raw);
             },
@@ -122,6 +125,7 @@
     claims_.Tick();
     api_.Tick();
     TimeRequests();
+    udp_.Poll(kDatagramsPerTick);
     config_.Tick();
     ledger_.Tick();
     store_reachable_.Set(ledger_.store_reachable() ? 1 : 0);
@@ -171,8 +175,8 @@
   }
 
   void Connect() {
-    agents_.SetSender([this](const wire::endpoint& to, std::string datagram) {
-      asio::post(traffic_, [this, to, datagram = std::move(datagram)] { udp_.Send(to, datagram); });
+    agents_.SetSender([this](const wire::endpoint& to, const std::string& datagram) {
+      udp_.Send(to, datagram);
     });
     agents_.SetListeners(
         {.on_reply = [this](const std::string& worker,
@@ -205,11 +209,9 @@
   void OnDatagram(const wire::endpoint& from, const wire::raw_message& raw) {
     core::last_error error;
     if (auto heartbeat = wire::FromRaw<wire::agent_heartbeat>(raw, error)) {
-      run_on_control_([this, from, heartbeat = std::move(*heartbeat)] {
-        agents_.OnHeartbeat(from, heartbeat);
-      });
+      agents_.OnHeartbeat(from, *heartbeat);
     } else if (auto goodbye = wire::FromRaw<wire::agent_goodbye>(raw, error)) {
-      run_on_control_([this, goodbye = std::move(*goodbye)] { agents_.OnGoodbye(goodbye); });
+      agents_.OnGoodbye(*goodbye);
     } else {
       CountDrop(error.reason().code);
     }
@@ -260,7 +262,7 @@
   blame::quarantine quarantine_;
   peer_directory peers_;
   wire::endpoint tcp_;
-  wire::udp_socket udp_;
+  wire::polled_udp_socket udp_;
   http::server http_;
   ledger::shard_manager ledger_;
   agent_directory agents_;
--- a/libs/wire/include/wire/transport.h
+++ b/libs/wire/include/wire/transport.h
@@ -61,6 +61,28 @@
   std::shared_ptr<state> state_;
 };
 
+/// Bound UDP socket that is read when its owner asks, so that a datagram wakes no thread.
+class polled_udp_socket {
+ public:
+  /// @throws std::system_error if the address cannot be bound.
+  polled_udp_socket(const endpoint& local, datagram_handler on_message, drop_handler on_drop);
+  ~polled_udp_socket();
+  polled_udp_socket(const polled_udp_socket&) = delete;
+  polled_udp_socket& operator=(const polled_udp_socket&) = delete;
+
+  /// @return the endpoint that the socket is bound to.
+  endpoint local() const;
+  /// Calls the callbacks for the datagrams that have arrived.
+  /// @param limit most datagrams of this call; the others wait for the next one.
+  void Poll(std::size_t limit);
+  /// As `udp_socket::Send`; call on the thread that calls `Poll`.
+  void Send(const endpoint& to, const std::string& datagram);
+
+ private:
+  struct state;
+  std::unique_ptr<state> state_;
+};
+
 /// Framed TCP connection. All callbacks run on the context's thread; all calls belong there.
 class tcp_connection {
  public:
--- a/libs/wire/src/transport.cc
+++ b/libs/wire/src/transport.cc
@@ -50,6 +50,32 @@
   return {value.address().to_string(), value.port()};
 }
 
+void SetReceiveBuffer(udp::socket& socket) {
+  asio::error_code ignored;
+  socket.set_option(udp::socket::receive_buffer_size(kUdpSocketBufferBytes), ignored);
+}
+
+void SendDatagram(udp::socket& socket, const endpoint& to, const std::string& datagram) {
+  if (datagram.empty()) return;
+  asio::error_code failure;
+  const auto address = asio::ip::make_address(to.ip, failure);
+  if (failure) return;
+  socket.send_to(asio::buffer(datagram), {address, to.port}, 0, failure);
+  if (!failure) udp_sent.Add(datagram.size());
+}
+
+void HandleDatagram(std::string_view bytes, const udp::endpoint& sender,
+                    const datagram_handler& on_message, const drop_handler& on_drop) {
+  udp_received.Add(bytes.size());
+  core::last_error error;
+  auto message = ParseDatagram(bytes, error);
+  if (!message) {
+    on_drop(error.reason().code);
+    return;
+  }
+  on_message(FromAsio(sender), std::move(*message));
+}
+
 }  // namespace
 
 traffic_totals ProcessTraffic() {
@@ -80,8 +106,7 @@
       : socket(context, ToAsio<udp>(local)),
         message_handler(std::move(on_message)),
         dropped_handler(std::move(on_drop)) {
-    asio::error_code ignored;
-    socket.set_option(udp::socket::receive_buffer_size(kUdpSocketBufferBytes), ignored);
+    SetReceiveBuffer(socket);
   }
 
   void Receive() {
@@ -90,22 +115,14 @@
         [self = shared_from_this()](asio::error_code failure, std::size_t size) {
           if (failure == asio::error::operation_aborted) return;
           if (self->closed) return;
-          if (!failure) self->Handle(size);
+          if (!failure) {
+            HandleDatagram({self->buffer.data(), size}, self->sender, self->message_handler,
+                           self->dropped_handler);
+          }
           self->Receive();
         });
   }
 
-  void Handle(std::size_t size) {
-    udp_received.Add(size);
-    core::last_error error;
-    auto message = ParseDatagram({buffer.data(), size}, error);
-    if (!message) {
-      dropped_handler(error.reason().code);
-      return;
-    }
-    message_handler(FromAsio(sender), std::move(*message));
-  }
-
   udp::socket socket;
   udp::endpoint sender;
   std::array<char, kReceiveBufferBytes> buffer{};
@@ -129,12 +146,49 @@
 endpoint udp_socket::local() const { return FromAsio(state_->socket.local_endpoint()); }
 
 void udp_socket::Send(const endpoint& to, const std::string& datagram) {
-  if (datagram.empty()) return;
-  asio::error_code failure;
-  const auto address = asio::ip::make_address(to.ip, failure);
-  if (failure) return;
-  state_->socket.send_to(asio::buffer(datagram), {address, to.port}, 0, failure);
-  if (!failure) udp_sent.Add(datagram.size());
+  SendDatagram(state_->socket, to, datagram);
+}
+
+struct polled_udp_socket::state {
+  state(const endpoint& local, datagram_handler on_message, drop_handler on_drop)
+      : socket(context, ToAsio<udp>(local)),
+        message_handler(std::move(on_message)),
+        dropped_handler(std::move(on_drop)) {
+    SetReceiveBuffer(socket);
+    socket.non_blocking(true);
+  }
+
+  asio::io_context context;  ///< never run: a running one would wake up for each datagram
+  udp::socket socket;
+  std::array<char, kReceiveBufferBytes> buffer{};
+  datagram_handler message_handler;
+  drop_handler dropped_handler;
+};
+
+polled_udp_socket::polled_udp_socket(const endpoint& local, datagram_handler on_message,
+                                     drop_handler on_drop)
+    : state_(std::make_unique<state>(local, std::move(on_message), std::move(on_drop))) {}
+
+polled_udp_socket::~polled_udp_socket() = default;
+
+endpoint polled_udp_socket::local() const { return FromAsio(state_->socket.local_endpoint()); }
+
+void polled_udp_socket::Poll(std::size_t limit) {
+  udp::endpoint sender;
+  for (std::size_t count = 0; count < limit; ++count) {
+    asio::error_code failure;
+    const std::size_t size =
+        state_->socket.receive_from(asio::buffer(state_->buffer), sender, 0, failure);
+    if (failure == asio::error::would_block) return;
+    // Other errors are those of datagrams sent before, such as a closed port.
+    if (failure) continue;
+    HandleDatagram({state_->buffer.data(), size}, sender, state_->message_handler,
+                   state_->dropped_handler);
+  }
+}
+
+void polled_udp_socket::Send(const endpoint& to, const std::string& datagram) {
+  SendDatagram(state_->socket, to, datagram);
 }
 
 namespace {
