Hand several messages to the control thread in one wakeup

Each frame and each datagram woke the control thread, and each frame that it sent woke the traffic thread. Reports and events of tasks and task submissions now wait for the next tick, at most 20 ms; nothing is lost by it, because the records that follow from them are appended by the tick. Requests, their answers and answers of the key-value service still wake the control thread at once. Frames that one batch sends reach the traffic thread together.

--- a/bench/capacity/src/main.cc
+++ b/bench/capacity/src/main.cc
@@ -296,7 +296,8 @@
     bench busy(Options(kEntries, kWorkers, true));
     out.points.emplace_back(rate, busy.Measure([&] {
       if (rate == 0) Sleep(Window());
-      bench::Pace(static_cast<double>(rate), [&](std::uint64_t number) { busy.SubmitTask(number, 1000, 100); });
+      bench::Pace(static_cast<double>(rate),
+                  [&](std::uint64_t number) { busy.SubmitTask(number, 1000, 100); });
     }));
     notes += fmt::format("\n{}/s: {}; {} run at the end of the window", rate, busy.Counts(),
                          busy.RunningTasks());
--- a/libs/entry/src/agent_directory.cc
+++ b/libs/entry/src/agent_directory.cc
@@ -14,7 +14,7 @@
 }  // namespace
 
 agent_directory::agent_directory(const entry_options& options, asio::io_context& traffic,
-                                 store::executor run_on_control, membership::worker_table& workers,
+                                 control_queue& control, membership::worker_table& workers,
                                  ledger::shard_manager& ledger, config_controller& config,
                                  interference::model& interference, const core::clock& time,
                                  metrics::registry& metrics)
@@ -25,7 +25,7 @@
       time_(time),
       metrics_(metrics),
       self_(options.id),
-      links_(traffic, std::move(run_on_control), options.id, time, metrics,
+      links_(traffic, control, options.id, time, metrics,
              {.decode = [this](const std::string& link,
                                const wire::raw_message& raw) { return Decode(link, raw); },
               .on_up =
@@ -42,23 +42,25 @@
   return links_.Send(worker, std::move(frame));
 }
 
-std::function<void()> agent_directory::Decode(const std::string& link,
-                                              const wire::raw_message& raw) {
+// Reports and events of tasks lead to records of the log, which the tick appends.
+link_pool::control_task agent_directory::Decode(const std::string& link,
+                                                const wire::raw_message& raw) {
   core::last_error error;
   if (auto reply = wire::FromRaw<wire::request_reply>(raw, error)) {
-    return [this, link, reply = std::move(*reply)] { listeners_.on_reply(link, reply); };
+    return {[this, link, reply = std::move(*reply)] { listeners_.on_reply(link, reply); }};
   }
   if (auto event = wire::FromRaw<wire::task_event>(raw, error)) {
-    return [this, event = std::move(*event)] { listeners_.on_event(event); };
+    return {[this, event = std::move(*event)] { listeners_.on_event(event); }, true};
   }
   if (auto report = wire::FromRaw<wire::shard_report>(raw, error)) {
-    return [this, report = std::move(*report)] { listeners_.on_report(report); };
+    return {[this, report = std::move(*report)] { listeners_.on_report(report); }, true};
   }
   if (auto usage = wire::FromRaw<wire::usage_report>(raw, error)) {
-    return [this, usage = std::move(*usage)] {
-      usage_pace_.Observe(usage);
-      listeners_.on_usage(usage);
-    };
+    return {[this, usage = std::move(*usage)] {
+              usage_pace_.Observe(usage);
+              listeners_.on_usage(usage);
+            },
+            true};
   }
   return {};
 }
--- a/libs/entry/src/agent_directory.h
+++ b/libs/entry/src/agent_directory.h
@@ -36,24 +36,26 @@
   /// Sends a datagram; called on the control thread.
   using send_function = std::function<void(const wire::endpoint& to, const std::string& datagram)>;
 
-  agent_directory(const entry_options& options, asio::io_context& traffic,
-                  store::executor run_on_control, membership::worker_table& workers,
-                  ledger::shard_manager& ledger, config_controller& config,
-                  interference::model& interference, const core::clock& time,
-                  metrics::registry& metrics);
+  agent_directory(const entry_options& options, asio::io_context& traffic, control_queue& control,
+                  membership::worker_table& workers, ledger::shard_manager& ledger,
+                  config_controller& config, interference::model& interference,
+                  const core::clock& time, metrics::registry& metrics);
 
   void SetListeners(listeners use) { listeners_ = std::move(use); }
   void SetSender(send_function send) { send_ = std::move(send); }
 
   bool Send(const std::string& worker, std::string frame) override;
 
+  /// Sends what was queued.
+  void Flush() { links_.Flush(); }
+
   void OnHeartbeat(const wire::endpoint& from, const wire::agent_heartbeat& heartbeat);
   void OnGoodbye(const wire::agent_goodbye& goodbye);
   /// Opens lost links again, applies drains of the configuration, forgets workers that are gone.
   void Tick();
 
  private:
-  std::function<void()> Decode(const std::string& link, const wire::raw_message& raw);
+  link_pool::control_task Decode(const std::string& link, const wire::raw_message& raw);
   void Acknowledge(const wire::endpoint& to, const wire::agent_heartbeat& heartbeat);
   void ReportIfReachable(const std::string& worker, membership::worker_index index);
   void OnNewAgent(membership::worker_index worker, const wire::agent_heartbeat& heartbeat);
--- a/libs/entry/src/entry.cc
+++ b/libs/entry/src/entry.cc
@@ -15,6 +15,7 @@
 #include "blame/quarantine.h"
 #include "claim_controller.h"
 #include "config_controller.h"
+#include "control_queue.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "interference/model.h"
@@ -61,8 +62,8 @@
   impl(entry_options options, asio::io_context& control)
       : options_(std::move(options)),
         control_(control),
-        run_on_control_(
-            [this](std::function<void()> task) { asio::post(control_, std::move(task)); }),
+        queue_(control, [this] { Flush(); }),
+        run_on_control_([this](std::function<void()> task) { queue_.Post(std::move(task)); }),
         traffic_guard_(asio::make_work_guard(traffic_)),
         random_(core::SystemSeed()),
         http_client_(http::MakeCurlClient()),
@@ -70,7 +71,7 @@
                                     kStoreTimeout)),
         config_(*kv_, time_, random_, metrics_),
         workers_(TableOptions(options_)),
-        peers_(options_, traffic_, run_on_control_, config_, time_, metrics_),
+        peers_(options_, traffic_, queue_, config_, time_, metrics_),
         tcp_(peers_.Listen()),
         udp_(
             options_.udp,
@@ -85,14 +86,16 @@
              .body_limit = kBodyLimitBytes,
              .on_refused = [this](core::result_code code) { metrics_.CountRefusal("api", code); }},
             [this](http::request call, http::responder respond) {
-              run_on_control_([this, call = std::move(call), respond = std::move(respond)] {
+              const bool submits = IsTaskSubmission(call.method, call.path);
+              auto task = [this, call = std::move(call), respond = std::move(respond)] {
                 api_.Handle(call, false, respond);
                 TimeRequests();
-              });
+              };
+              submits ? queue_.Defer(std::move(task)) : queue_.Post(std::move(task));
             }),
         ledger_(LedgerOptions(), *kv_, time_, random_, metrics_, *this),
-        agents_(options_, traffic_, run_on_control_, workers_, ledger_, config_, interference_,
-                time_, metrics_),
+        agents_(options_, traffic_, queue_, workers_, ledger_, config_, interference_, time_,
+                metrics_),
         router_(
             workers_, config_, quarantine_, agents_, [this] { return tasks_.scheduler().view(); },
             options_.zone, time_, random_, metrics_),
@@ -111,8 +114,10 @@
     traffic_.stop();
     traffic_thread_.join();
     // Handlers that are still queued own sockets of the traffic context; they must end before it.
+    queue_.Run();
     control_.restart();
     control_.poll();
+    queue_.Clear();
   }
 
   std::string Endpoints() const {
@@ -125,6 +130,7 @@
     claims_.Tick();
     api_.Tick();
     TimeRequests();
+    queue_.Run();
     udp_.Poll(kDatagramsPerTick);
     config_.Tick();
     ledger_.Tick();
@@ -133,6 +139,7 @@
     agents_.Tick();
     tasks_.Tick();
     AdvanceShutdown(time_.Now());
+    Flush();
   }
 
   void StartShutdown(std::function<void()> done) {
@@ -175,9 +182,8 @@
   }
 
   void Connect() {
-    agents_.SetSender([this](const wire::endpoint& to, const std::string& datagram) {
-      udp_.Send(to, datagram);
-    });
+    agents_.SetSender(
+        [this](const wire::endpoint& to, const std::string& datagram) { udp_.Send(to, datagram); });
     agents_.SetListeners(
         {.on_reply = [this](const std::string& worker,
                             const wire::request_reply& reply) { router_.OnReply(worker, reply); },
@@ -230,10 +236,16 @@
       timing_requests_ = false;
       if (failure) return;
       router_.Tick();
+      Flush();
       TimeRequests();
     });
   }
 
+  void Flush() {
+    agents_.Flush();
+    peers_.Flush();
+  }
+
   void AdvanceShutdown(core::mono_time now) {
     if (!shutdown_done_ || releasing_) return;
     const bool idle = router_.active() == 0 && api_.waiting() == 0;
@@ -247,6 +259,7 @@
 
   const entry_options options_;
   asio::io_context& control_;
+  control_queue queue_;
   store::executor run_on_control_;
   asio::io_context traffic_;
   asio::executor_work_guard<asio::io_context::executor_type> traffic_guard_;
--- a/libs/entry/src/link_pool.cc
+++ b/libs/entry/src/link_pool.cc
@@ -10,10 +10,10 @@
 
 }  // namespace
 
-link_pool::link_pool(asio::io_context& traffic, store::executor run_on_control, std::string self,
+link_pool::link_pool(asio::io_context& traffic, control_queue& control, std::string self,
                      const core::clock& time, metrics::registry& metrics, callbacks handlers)
     : traffic_(traffic),
-      run_on_control_(std::move(run_on_control)),
+      control_(control),
       self_(std::move(self)),
       time_(time),
       metrics_(metrics),
@@ -43,16 +43,25 @@
 bool link_pool::Send(const std::string& link, std::string frame) {
   const auto found = links_.find(link);
   if (found == links_.end() || !found->second.up) return false;
-  asio::post(traffic_, [this, link, generation = found->second.generation,
-                        connection = found->second.connection, frame = std::move(frame)]() mutable {
-    if (connection->Send(std::move(frame))) return;
-    connection->Close();
-    run_on_control_(
-        [this, link, generation] { OnDown(link, generation, core::result_code::queue_full); });
-  });
+  outbox_.push_back({link, found->second.generation, found->second.connection, std::move(frame)});
   return true;
 }
 
+void link_pool::Flush() {
+  if (outbox_.empty()) return;
+  asio::post(traffic_, [this, batch = std::exchange(outbox_, {})]() mutable {
+    for (queued_frame& queued : batch) SendOnTraffic(queued);
+  });
+}
+
+void link_pool::SendOnTraffic(queued_frame& queued) {
+  if (queued.connection->Send(std::move(queued.frame))) return;
+  queued.connection->Close();
+  control_.Post([this, link = queued.link, generation = queued.generation] {
+    OnDown(link, generation, core::result_code::queue_full);
+  });
+}
+
 bool link_pool::is_up(const std::string& link) const {
   const auto found = links_.find(link);
   return found != links_.end() && found->second.up;
@@ -61,7 +70,7 @@
 wire::endpoint link_pool::Listen(const wire::endpoint& local) {
   listener_ = std::make_unique<wire::tcp_listener>(
       traffic_, local, [this](std::shared_ptr<wire::tcp_connection> connection) {
-        run_on_control_([this, connection = std::move(connection)] { Adopt(connection); });
+        control_.Post([this, connection = std::move(connection)] { Adopt(connection); });
       });
   return listener_->local();
 }
@@ -99,23 +108,22 @@
                                bool incoming) {
   wire::tcp_connection::handlers handlers;
   handlers.on_open = [this, link, generation] {
-    run_on_control_([this, link, generation] { OnUp(link, generation); });
+    control_.Post([this, link, generation] { OnUp(link, generation); });
   };
   handlers.on_message = [this, link, generation,
                          weak = std::weak_ptr(connection)](const wire::raw_message& message) {
     if (message.type == wire::hello::kType) return;
-    auto task = handlers_.decode(link, message);
-    if (task) {
-      run_on_control_(std::move(task));
+    control_task task = handlers_.decode(link, message);
+    if (task.run) {
+      task.may_wait ? control_.Defer(std::move(task.run)) : control_.Post(std::move(task.run));
       return;
     }
     if (const auto self = weak.lock()) self->Close();
-    run_on_control_(
+    control_.Post(
         [this, link, generation] { OnDown(link, generation, core::result_code::decode_error); });
   };
   handlers.on_close = [this, link, generation](const core::error_reason& reason) {
-    run_on_control_(
-        [this, link, generation, code = reason.code] { OnDown(link, generation, code); });
+    control_.Post([this, link, generation, code = reason.code] { OnDown(link, generation, code); });
   };
   if (!incoming) connection->Send(wire::ToFrame(wire::hello{self_}));
   connection->Start(std::move(handlers));
@@ -148,6 +156,7 @@
 
 void link_pool::CloseOnTraffic(const std::shared_ptr<wire::tcp_connection>& connection) {
   if (connection == nullptr) return;
+  Flush();  // frames of the same batch go out before
   asio::post(traffic_, [connection] { connection->Close(); });
 }
 
--- a/libs/entry/src/link_pool.h
+++ b/libs/entry/src/link_pool.h
@@ -7,10 +7,11 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
+#include "control_queue.h"
 #include "core/clock.h"
 #include "metrics/registry.h"
-#include "store/kv_client.h"
 #include "wire/transport.h"
 
 namespace coltsfoot::entry {
@@ -20,11 +21,14 @@
 /// callbacks run on the control thread.
 class link_pool {
  public:
+  /// What a message makes the control thread do.
+  struct control_task {
+    std::function<void()> run;  ///< empty if the message cannot be decoded, which closes the link
+    bool may_wait = false;      ///< the next tick is early enough
+  };
   /// Decodes a message on the traffic thread.
-  /// @return what to run on the control thread; empty if the message cannot be decoded, which
-  /// closes the link.
-  using decoder = std::function<std::function<void()>(const std::string& link,
-                                                      const wire::raw_message& message)>;
+  using decoder =
+      std::function<control_task(const std::string& link, const wire::raw_message& message)>;
   struct callbacks {
     decoder decode;
     std::function<void(const std::string& link)> on_up;
@@ -32,8 +36,7 @@
   };
 
   /// @param self id of this process, sent in the first message of each outgoing link.
-  /// @param run_on_control posts a function to the control thread.
-  link_pool(asio::io_context& traffic, store::executor run_on_control, std::string self,
+  link_pool(asio::io_context& traffic, control_queue& control, std::string self,
             const core::clock& time, metrics::registry& metrics, callbacks handlers);
   ~link_pool();
   link_pool(const link_pool&) = delete;
@@ -43,10 +46,12 @@
   void Connect(const std::string& link, const wire::endpoint& to);
   /// Closes a link and opens it no more.
   void Forget(const std::string& link);
-  /// Queues a frame.
+  /// Queues a frame, which `Flush` sends.
   /// @return false if the link is not up: nothing was sent. True does not prove delivery; the loss
   /// of the link is reported by `on_down`.
   bool Send(const std::string& link, std::string frame);
+  /// Hands the queued frames to the traffic thread in one wakeup.
+  void Flush();
   /// @return true if the link is up.
   bool is_up(const std::string& link) const;
   /// Accepts incoming links. Call once, before the traffic thread starts.
@@ -64,7 +69,15 @@
     std::shared_ptr<wire::tcp_connection> connection;  ///< used on the traffic thread only
   };
 
+  struct queued_frame {
+    std::string link;
+    std::uint64_t generation = 0;
+    std::shared_ptr<wire::tcp_connection> connection;
+    std::string frame;
+  };
+
   void Open(const std::string& link, link_state& state);
+  void SendOnTraffic(queued_frame& queued);
   void Adopt(const std::shared_ptr<wire::tcp_connection>& connection);
   void StartOnTraffic(const std::string& link, std::uint64_t generation,
                       const std::shared_ptr<wire::tcp_connection>& connection, bool incoming);
@@ -73,7 +86,7 @@
   void CloseOnTraffic(const std::shared_ptr<wire::tcp_connection>& connection);
 
   asio::io_context& traffic_;
-  store::executor run_on_control_;
+  control_queue& control_;
   std::string self_;
   const core::clock& time_;
   metrics::registry& metrics_;
@@ -82,6 +95,7 @@
   /// Outgoing links without a connection. `Tick` visits only these: a walk over the links to 990
   /// agents 50 times a second took 45 % of the user time of an entry without tasks.
   std::set<std::string> lost_;
+  std::vector<queued_frame> outbox_;
   std::uint64_t next_generation_ = 0;
   std::unique_ptr<wire::tcp_listener> listener_;
 };
--- a/libs/entry/src/peer_directory.cc
+++ b/libs/entry/src/peer_directory.cc
@@ -26,13 +26,13 @@
 }  // namespace
 
 peer_directory::peer_directory(const entry_options& options, asio::io_context& traffic,
-                               store::executor run_on_control, config_controller& config,
+                               control_queue& control, config_controller& config,
                                const core::clock& time, metrics::registry& metrics)
     : options_(options),
       config_(config),
       time_(time),
       metrics_(metrics),
-      links_(traffic, std::move(run_on_control), options.id, time, metrics,
+      links_(traffic, control, options.id, time, metrics,
              {.decode = [this](const std::string& link,
                                const wire::raw_message& raw) { return Decode(link, raw); },
               .on_up = [this](const std::string& link) { OnLinkUp(link); },
@@ -47,32 +47,27 @@
   own_usage_ = std::move(own_usage);
 }
 
-std::function<void()> peer_directory::Decode(const std::string& link,
-                                             const wire::raw_message& raw) {
+link_pool::control_task peer_directory::Decode(const std::string& link,
+                                               const wire::raw_message& raw) {
   core::last_error error;
   if (auto call = wire::FromRaw<wire::forward_call>(raw, error)) {
-    return [this, link, call = std::move(*call)] { OnCall(link, call); };
+    const bool submits = IsTaskSubmission(call->method, call->path);
+    return {[this, link, call = std::move(*call)] { OnCall(link, call); }, submits};
   }
   if (auto reply = wire::FromRaw<wire::forward_reply>(raw, error)) {
-    return [this, reply = std::move(*reply)] { OnReply(reply); };
+    return {[this, reply = std::move(*reply)] { OnReply(reply); }};
   }
   if (auto pull = wire::FromRaw<wire::config_pull>(raw, error)) {
-    return [this, link, pull = *pull] { OnPull(link, pull); };
+    return {[this, link, pull = *pull] { OnPull(link, pull); }, true};
   }
   if (auto push = wire::FromRaw<wire::config_push>(raw, error)) {
-    return [this, push = std::move(*push)] {
-      if (!push.document.empty()) config_.OnPeerConfig(push.document);
-    };
+    return {[this, push = std::move(*push)] {
+              if (!push.document.empty()) config_.OnPeerConfig(push.document);
+            },
+            true};
   }
   if (auto status = wire::FromRaw<wire::peer_status>(raw, error)) {
-    return [this, link, status = std::move(*status)] {
-      peers_[status.entry] = {status.config, time_.Now()};
-      // A peer with a newer version is asked for it, so that it spreads without the service too.
-      if (status.config > config_.version()) {
-        links_.Send(link, wire::ToFrame(wire::config_pull{config_.version()}));
-      }
-      on_status_(status);
-    };
+    return {[this, link, status = std::move(*status)] { OnStatus(link, status); }, true};
   }
   return {};
 }
@@ -103,6 +98,15 @@
   node.mapped().respond(std::move(answer));
 }
 
+void peer_directory::OnStatus(const std::string& link, const wire::peer_status& status) {
+  peers_[status.entry] = {status.config, time_.Now()};
+  // A peer with a newer version is asked for it, so that it spreads without the service too.
+  if (status.config > config_.version()) {
+    links_.Send(link, wire::ToFrame(wire::config_pull{config_.version()}));
+  }
+  on_status_(status);
+}
+
 void peer_directory::OnPull(const std::string& link, const wire::config_pull& pull) {
   const bool newer = config_.version() > pull.known;
   links_.Send(link,
--- a/libs/entry/src/peer_directory.h
+++ b/libs/entry/src/peer_directory.h
@@ -35,9 +35,8 @@
   using status_function = std::function<void(const wire::peer_status&)>;
   using usage_function = std::function<std::vector<wire::team_usage>()>;
 
-  peer_directory(const entry_options& options, asio::io_context& traffic,
-                 store::executor run_on_control, config_controller& config, const core::clock& time,
-                 metrics::registry& metrics);
+  peer_directory(const entry_options& options, asio::io_context& traffic, control_queue& control,
+                 config_controller& config, const core::clock& time, metrics::registry& metrics);
 
   /// Accepts links of other entries. Call before the traffic thread starts.
   wire::endpoint Listen();
@@ -53,6 +52,9 @@
   /// Keeps links to the registered entries, sends the status, expires forwarded calls.
   void Tick(const std::vector<ledger::live_entry>& entries);
 
+  /// Sends what was queued.
+  void Flush() { links_.Flush(); }
+
   const std::map<std::string, peer_state>& peers() const noexcept { return peers_; }
 
  private:
@@ -62,9 +64,10 @@
     http::responder respond;
   };
 
-  std::function<void()> Decode(const std::string& link, const wire::raw_message& raw);
+  link_pool::control_task Decode(const std::string& link, const wire::raw_message& raw);
   void OnCall(const std::string& link, const wire::forward_call& call);
   void OnReply(const wire::forward_reply& reply);
+  void OnStatus(const std::string& link, const wire::peer_status& status);
   void OnPull(const std::string& link, const wire::config_pull& pull);
   void OnLinkUp(const std::string& link);
   void OnLinkDown(const std::string& link);
