Measure policies over several seeds and compare them pairwise

Cause: each cell of docs/measurements.md is one run, and the differences between policies are not larger than the noise between repetitions.

Cells show the median with the least and the greatest value; a table counts the seeds in which the first policy was better, equal or worse than each baseline, run beside it with the same calls; the plot has a line for the range. Comparisons across seeds were ruled out, because seeds draw different loads.

The tables on the page are still those of single runs.

--- a/bench/measure/include/measure/run.h
+++ b/bench/measure/include/measure/run.h
@@ -13,6 +13,7 @@
 struct run_result {
   std::string scenario;
   std::string policy;
+  std::uint64_t seed = 0;
   std::string error;  ///< why the run is void; empty if it is valid
   load::load_report service;
   std::map<std::string, std::uint64_t> task_outcomes;  ///< by name of the result code
--- a/bench/measure/include/measure/scenario.h
+++ b/bench/measure/include/measure/scenario.h
@@ -16,6 +16,7 @@
   double tail_latency = 1;  ///< weights, as in settings/<name>/README.md
   double throughput = 1;
   double evictions = 1;
+  std::vector<std::string> main_quantities;  ///< those with the greatest weights
   bool operator==(const deployment&) const = default;
 };
 
--- a/bench/measure/main/measure.cc
+++ b/bench/measure/main/measure.cc
@@ -1,4 +1,5 @@
 #include <absl/flags/flag.h>
+#include <absl/strings/numbers.h>
 #include <absl/time/clock.h>
 #include <absl/time/time.h>
 #include <fmt/format.h>
@@ -17,7 +18,8 @@
 ABSL_FLAG(std::vector<std::string>, scenario, {}, "scenarios to run; empty: all");
 ABSL_FLAG(std::vector<std::string>, policy, {}, "policies to compare; empty: all");
 ABSL_FLAG(std::int64_t, seconds, 22, "length of each run");
-ABSL_FLAG(std::uint64_t, seed, 1, "the same seed draws the same calls");
+ABSL_FLAG(std::vector<std::string>, seed, {"1"},
+          "seeds, one set of runs each; the same seed draws the same calls");
 ABSL_FLAG(std::string, output, "docs/measurements", "directory for tables and plots");
 ABSL_FLAG(std::string, label, "", "added to the names of the written files");
 ABSL_FLAG(std::string, revision, "unknown", "revision that is measured, for the table");
@@ -43,6 +45,14 @@
 Flags
 )";
 
+/// @return whether all words are seeds.
+bool AreSeeds(const std::vector<std::string>& words) {
+  std::uint64_t seed = 0;
+  return !words.empty() && std::all_of(words.begin(), words.end(), [&](const std::string& word) {
+    return absl::SimpleAtoi(word, &seed);
+  });
+}
+
 bool IsWanted(const std::vector<std::string>& names, const std::string& name) {
   return names.empty() || std::find(names.begin(), names.end(), name) != names.end();
 }
@@ -72,9 +82,10 @@
 void Print(const measure::run_result& run) {
   const auto& all = run.service.all;
   std::cout << fmt::format(
-                   "{:<14} {:<13} p50 {:6.1f}  p99 {:7.1f}  p99.9 {:7.1f} ms  tasks/s {:6.2f}  "
+                   "{:<14} {:<13} seed {:3}  p50 {:6.1f}  p99 {:7.1f}  p99.9 {:7.1f} ms  tasks/s "
+                   "{:6.2f}  "
                    "evictions {:4}  requests ok {} of {}  wrong {}  violations {}  {}\n",
-                   run.scenario, run.policy, all.p50_ms, all.p99_ms, all.p999_ms,
+                   run.scenario, run.policy, run.seed, all.p50_ms, all.p99_ms, all.p999_ms,
                    run.TasksPerSecond(), run.Evictions(), run.service.answered.count, all.count,
                    run.wrong_answers, run.violations.size(), run.error)
             << std::flush;
@@ -89,6 +100,16 @@
   return text;
 }
 
+std::vector<measure::scenario> WantedScenarios(const measure::deployment& where,
+                                               std::uint64_t seed) {
+  std::vector<measure::scenario> scenarios =
+      measure::Scenarios(where.service, std::chrono::seconds{absl::GetFlag(FLAGS_seconds)}, seed);
+  std::erase_if(scenarios, [](const measure::scenario& what) {
+    return !IsWanted(absl::GetFlag(FLAGS_scenario), what.name);
+  });
+  return scenarios;
+}
+
 bool Measure(const measure::deployment& where, const std::string& command) {
   std::vector<std::string> policies = absl::GetFlag(FLAGS_policy);
   if (policies.empty()) policies = {"weighted", "random", "round_robin", "least_loaded"};
@@ -97,21 +118,23 @@
                                   .revision = absl::GetFlag(FLAGS_revision),
                                   .date = absl::FormatTime(absl::Now(), absl::UTCTimeZone()),
                                   .load_before = LoadAverage()};
-  std::vector<measure::scenario> scenarios = measure::Scenarios(
-      where.service, std::chrono::seconds{absl::GetFlag(FLAGS_seconds)}, absl::GetFlag(FLAGS_seed));
-  std::erase_if(scenarios, [](const measure::scenario& what) {
-    return !IsWanted(absl::GetFlag(FLAGS_scenario), what.name);
-  });
   std::cout << where.name << "\n";
+  std::vector<measure::scenario> scenarios;
   std::vector<measure::run_result> results;
-  bool good = !scenarios.empty();
-  for (const measure::scenario& what : scenarios) {
-    for (measure::run_result& run : RunSideBySide(where, what, policies)) {
-      Print(run);
-      good = good && run.error.empty() && run.wrong_answers == 0 && run.violations.empty();
-      results.push_back(std::move(run));
+  for (const std::string& seed : absl::GetFlag(FLAGS_seed)) {
+    scenarios = WantedScenarios(where, std::strtoull(seed.c_str(), nullptr, 10));
+    for (const measure::scenario& what : scenarios) {
+      for (measure::run_result& run : RunSideBySide(where, what, policies)) {
+        run.seed = std::strtoull(seed.c_str(), nullptr, 10);
+        Print(run);
+        results.push_back(std::move(run));
+      }
     }
   }
+  const bool good = !results.empty() &&
+                    std::all_of(results.begin(), results.end(), [](const measure::run_result& run) {
+                      return run.error.empty() && run.wrong_answers == 0 && run.violations.empty();
+                    });
   context.load_after = LoadAverage();
   const std::filesystem::path directory = absl::GetFlag(FLAGS_output);
   std::filesystem::create_directories(directory);
@@ -135,6 +158,10 @@
     std::cout << kHelp << coltsfoot::program::DescribeFlags(__FILE__);
     return 0;
   }
+  if (!AreSeeds(absl::GetFlag(FLAGS_seed))) {
+    std::cerr << "--seed takes whole numbers, separated by commas.\n";
+    return kUsage;
+  }
   coltsfoot::harness::SetTimeLimit(kTimeLimit);
   bool good = true;
   for (const measure::deployment& where : measure::Deployments()) {
--- a/bench/measure/src/report.cc
+++ b/bench/measure/src/report.cc
@@ -4,7 +4,8 @@
 
 #include <algorithm>
 #include <array>
-#include <functional>
+
+#include "measure/summary.h"
 
 namespace coltsfoot::measure {
 namespace {
@@ -19,7 +20,7 @@
 
 struct panel {
   std::string title;
-  std::function<double(const run_result&)> value;
+  std::string quantity;
 };
 
 template <class Counts>
@@ -42,15 +43,55 @@
   return text;
 }
 
-std::string Row(const run_result& run) {
+std::string SpreadText(const spread& value, int digits) {
+  if (value.least == value.greatest) return fmt::format("{:.{}f}", value.median, digits);
+  return fmt::format("{:.{}f} [{:.{}f}..{:.{}f}]", value.median, digits, value.least, digits,
+                     value.greatest, digits);
+}
+
+std::string Row(const std::vector<run_result>& results, const std::string& scenario,
+                const std::string& policy) {
+  const std::vector<const run_result*> runs = RunsOf(results, scenario, policy);
+  std::string text = fmt::format("| {} |", policy);
+  for (const measured_quantity& quantity : Quantities()) {
+    std::vector<double> values;
+    values.reserve(runs.size());
+    for (const run_result* run : runs) values.push_back(quantity.value(*run));
+    text += fmt::format(" {} |", SpreadText(SpreadOf(std::move(values)), quantity.digits));
+  }
+  std::uint64_t wrong = 0;
+  std::size_t violations = 0;
+  double late = 0;
+  for (const run_result* run : runs) {
+    wrong += run->wrong_answers;
+    violations += run->violations.size();
+    late = std::max(late, run->service.late.p99_ms);
+  }
+  return text + fmt::format(" {} | {} | {} | {:.0f} |\n", runs.size(), wrong, violations, late);
+}
+
+std::string TableHead() {
+  std::string head = "| policy |";
+  std::string rule = "| --- |";
+  for (const measured_quantity& quantity : Quantities()) {
+    head += fmt::format(" {} |", quantity.name);
+    rule += " --: |";
+  }
+  return head + " runs | wrong | violations | late |\n" + rule + " --: | --: | --: | --: |\n";
+}
+
+std::string Outcomes(const run_result& run) {
   if (!run.error.empty()) {
-    return fmt::format("| {} | void: {} | | | | | | | |\n", run.policy, run.error);
+    return fmt::format("- {}, seed {}: void: {}\n", run.policy, run.seed, run.error);
+  }
+  std::string text = fmt::format(
+      "- {}, seed {}: requests {}; submissions {}; tasks {}; evictions {}; tasks lost {}\n",
+      run.policy, run.seed, RequestOutcomes(run), CountsText(run.submissions),
+      CountsText(run.task_outcomes), CountsText(run.evictions), run.tasks_lost);
+  for (const std::string& violation : run.violations) {
+    text += fmt::format("  - violation: {}\n", violation);
   }
-  const load::latency_summary& all = run.service.all;
-  return fmt::format("| {} | {:.0f} | {:.0f} | {:.0f} | {:.2f} | {} | {} | {} | {:.0f} |\n",
-                     run.policy, all.p50_ms, all.p99_ms, all.p999_ms, run.TasksPerSecond(),
-                     run.Evictions(), run.wrong_answers, run.violations.size(),
-                     run.service.late.p99_ms);
+  return text;
 }
 
 std::vector<std::string> Names(const std::vector<run_result>& results,
@@ -64,31 +105,78 @@
   return names;
 }
 
+const measured_quantity& QuantityOf(const std::string& name) {
+  const auto& all = Quantities();
+  return *std::find_if(all.begin(), all.end(),
+                       [&](const measured_quantity& quantity) { return quantity.name == name; });
+}
+
+/// One bar per policy and scenario: the median, with a line from the least to the greatest value.
 std::string Panel(const panel& what, double top, const std::vector<run_result>& results,
                   const std::vector<std::string>& scenarios,
                   const std::vector<std::string>& policies) {
+  const measured_quantity& quantity = QuantityOf(what.quantity);
   double greatest = 0;
-  for (const run_result& run : results) greatest = std::max(greatest, what.value(run));
+  for (const run_result& run : results) greatest = std::max(greatest, quantity.value(run));
   const double scale = greatest > 0 ? kPanelHeight / greatest : 0;
+  const double bottom = top + kPanelHeight;
   const double group = kBarWidth * static_cast<double>(policies.size()) + kGroupGap;
   std::string text = fmt::format("<text x=\"{}\" y=\"{}\" font-weight=\"bold\">{}</text>\n", kLeft,
                                  top - 8, what.title);
   text += fmt::format("<text x=\"{}\" y=\"{}\" text-anchor=\"end\">{:.4g}</text>\n", kLeft - 6,
                       top + 10, greatest);
-  for (const run_result& run : results) {
-    const auto at = std::find(scenarios.begin(), scenarios.end(), run.scenario) - scenarios.begin();
-    const auto bar = std::find(policies.begin(), policies.end(), run.policy) - policies.begin();
-    const double height = what.value(run) * scale;
-    text += fmt::format(
-        "<rect x=\"{:.1f}\" y=\"{:.1f}\" width=\"{}\" height=\"{:.1f}\" fill=\"{}\"/>\n",
-        kLeft + static_cast<double>(at) * group + static_cast<double>(bar) * kBarWidth,
-        top + kPanelHeight - height, kBarWidth - 2, height,
-        kColours[static_cast<std::size_t>(bar) % kColours.size()]);
+  for (std::size_t at = 0; at < scenarios.size(); ++at) {
+    const double left = kLeft + static_cast<double>(at) * group;
+    for (std::size_t bar = 0; bar < policies.size(); ++bar) {
+      std::vector<double> values;
+      for (const run_result* run : RunsOf(results, scenarios[at], policies[bar])) {
+        values.push_back(quantity.value(*run));
+      }
+      const spread shown = SpreadOf(std::move(values));
+      const double x = left + static_cast<double>(bar) * kBarWidth;
+      text += fmt::format(
+          "<rect x=\"{:.1f}\" y=\"{:.1f}\" width=\"{}\" height=\"{:.1f}\" fill=\"{}\"/>\n", x,
+          bottom - shown.median * scale, kBarWidth - 2, shown.median * scale,
+          kColours[bar % kColours.size()]);
+      text += fmt::format(
+          "<line x1=\"{0:.1f}\" x2=\"{0:.1f}\" y1=\"{1:.1f}\" y2=\"{2:.1f}\" stroke=\"black\"/>\n",
+          x + kBarWidth / 2 - 1, bottom - shown.least * scale, bottom - shown.greatest * scale);
+    }
+    text += fmt::format("<text x=\"{:.1f}\" y=\"{:.1f}\">{}</text>\n", left, bottom + 15,
+                        scenarios[at]);
+  }
+  return text;
+}
+
+/// Table of the seeds in which the first policy was better, equal or worse than each other one.
+std::string ComparisonTable(const deployment& where, const std::vector<run_result>& results) {
+  const auto policies = Names(results, &run_result::policy);
+  if (policies.size() < 2) return "";
+  std::string text = fmt::format(
+      "\n## {} against each baseline\n\nSeeds in which {} was better/equal/worse than the "
+      "baseline in a run with the same calls at the same time. Quantities with the greatest "
+      "weights of this deployment are in bold.\n\n| scenario | quantity |",
+      policies.front(), policies.front());
+  std::string rule = "| --- | --- |";
+  for (std::size_t index = 1; index < policies.size(); ++index) {
+    text += fmt::format(" {} |", policies[index]);
+    rule += " --- |";
   }
-  for (std::size_t index = 0; index < scenarios.size(); ++index) {
-    text += fmt::format("<text x=\"{:.1f}\" y=\"{:.1f}\">{}</text>\n",
-                        kLeft + static_cast<double>(index) * group, top + kPanelHeight + 15,
-                        scenarios[index]);
+  text += "\n" + rule + "\n";
+  for (const std::string& scenario : Names(results, &run_result::scenario)) {
+    for (const measured_quantity& quantity : Quantities()) {
+      if (quantity.name == "p50") continue;
+      const auto& main = where.main_quantities;
+      const bool bold = std::find(main.begin(), main.end(), quantity.name) != main.end();
+      text += fmt::format("| {} | {}{}{} |", scenario, bold ? "**" : "", quantity.name,
+                          bold ? "**" : "");
+      for (std::size_t index = 1; index < policies.size(); ++index) {
+        const comparison found =
+            Compare(results, scenario, policies.front(), policies[index], quantity);
+        text += fmt::format(" {}/{}/{} |", found.better, found.equal, found.worse);
+      }
+      text += "\n";
+    }
   }
   return text;
 }
@@ -100,41 +188,34 @@
   const deployment& where = context.where;
   std::string text = fmt::format(
       "# Measurements of {}\n\nWritten by `{}` at {} on revision {}. Weights: tail latency {}, "
-      "throughput {}, evictions {}. The policies of a scenario ran side by side, each on its own "
-      "fleet, one run each. Load average of the machine before {:.1f}, after {:.1f} (the runs are "
-      "part of it).\n\nLatencies are in ms, of requests with any outcome, from their intended "
+      "throughput {}, evictions {}. The policies of a scenario and seed ran side by side, each "
+      "on its own fleet. Load average of the machine before {:.1f}, after {:.1f} (the runs are "
+      "part of it).\n\nCells are the median over the seeds, with the least and the greatest value "
+      "in "
+      "brackets; wrong and violations are sums, late is the greatest. Latencies are in ms, of "
+      "requests with any outcome, from their intended "
       "time. Tasks are those that ended with `ok` within the run, of all classes. Wrong: answers "
       "that were wrong or cut. Violations: findings of the history checker. Late: p99 of how late "
       "the generator sent, in ms.\n",
       where.name, context.command, context.date, context.revision, where.tail_latency,
       where.throughput, where.evictions, context.load_before, context.load_after);
   for (const scenario& what : scenarios) {
-    std::string outcomes;
-    text += fmt::format(
-        "\n## {}\n\n{}.\n\n| policy | p50 | p99 | p99.9 | tasks/s | evictions | wrong | violations "
-        "| late |\n| --- | --: | --: | --: | --: | --: | --: | --: | --: |\n",
-        what.name, what.description);
+    text += fmt::format("\n## {}\n\n{}.\n\n{}", what.name, what.description, TableHead());
+    for (const std::string& policy : Names(results, &run_result::policy)) {
+      text += Row(results, what.name, policy);
+    }
+    text += "\nOutcomes by code:\n\n";
     for (const run_result& run : results) {
-      if (run.scenario != what.name) continue;
-      text += Row(run);
-      outcomes +=
-          fmt::format("- {}: requests {}; submissions {}; tasks {}; evictions {}; tasks lost {}\n",
-                      run.policy, RequestOutcomes(run), CountsText(run.submissions),
-                      CountsText(run.task_outcomes), CountsText(run.evictions), run.tasks_lost);
-      for (const std::string& violation : run.violations) {
-        outcomes += fmt::format("  - violation: {}\n", violation);
-      }
+      if (run.scenario == what.name) text += Outcomes(run);
     }
-    text += "\nOutcomes by code:\n\n" + outcomes;
   }
-  return text;
+  return text + ComparisonTable(where, results);
 }
 
 std::string ToSvg(const report_context& context, const std::vector<run_result>& results) {
-  const std::vector<panel> panels = {
-      {"service p99, ms", [](const run_result& run) { return run.service.all.p99_ms; }},
-      {"tasks finished per second", [](const run_result& run) { return run.TasksPerSecond(); }},
-      {"evictions", [](const run_result& run) { return static_cast<double>(run.Evictions()); }}};
+  const std::vector<panel> panels = {{"service p99, ms", "p99"},
+                                     {"tasks finished per second", "tasks/s"},
+                                     {"evictions", "evictions"}};
   const auto scenarios = Names(results, &run_result::scenario);
   const auto policies = Names(results, &run_result::policy);
   const double group = kBarWidth * static_cast<double>(policies.size()) + kGroupGap;
--- a/bench/measure/src/scenario.cc
+++ b/bench/measure/src/scenario.cc
@@ -73,13 +73,18 @@
 }  // namespace
 
 std::vector<deployment> Deployments() {
-  return {
-      {.name = "malolos",
-       .service = "strawline",
-       .tail_latency = 1,
-       .throughput = 4,
-       .evictions = 3},
-      {.name = "armor", .service = "planner", .tail_latency = 6, .throughput = 1, .evictions = 1}};
+  return {{.name = "malolos",
+           .service = "strawline",
+           .tail_latency = 1,
+           .throughput = 4,
+           .evictions = 3,
+           .main_quantities = {"tasks/s", "evictions"}},
+          {.name = "armor",
+           .service = "planner",
+           .tail_latency = 6,
+           .throughput = 1,
+           .evictions = 1,
+           .main_quantities = {"p99", "p99.9"}}};
 }
 
 std::vector<scenario> Scenarios(const std::string& service, milliseconds duration,
--- a/bench/measure/tests/measure_test.cc
+++ b/bench/measure/tests/measure_test.cc
@@ -4,6 +4,7 @@
 
 #include "measure/report.h"
 #include "measure/run.h"
+#include "measure/summary.h"
 
 namespace coltsfoot::measure {
 namespace {
@@ -28,6 +29,30 @@
   CHECK(SumCounter(text, "plain", "") == std::map<std::string, std::uint64_t>{{"", 7}});
 }
 
+// Guards against a median that depends on the order of the runs, and against comparisons across
+// seeds, whose calls differ.
+TEST_CASE("runs are compared by seed") {
+  CHECK(SpreadOf({3, 1, 2}) == spread{2, 1, 3});
+  CHECK(SpreadOf({4, 1}) == spread{2.5, 1, 4});
+  CHECK(SpreadOf({}) == spread{});
+  std::vector<run_result> runs;
+  const auto add = [&](const char* policy, std::uint64_t seed, std::uint64_t ended) {
+    runs.push_back({.scenario = "steady", .policy = policy, .seed = seed, .seconds = 1});
+    runs.back().task_outcomes["ok"] = ended;
+  };
+  add("weighted", 1, 10);
+  add("weighted", 2, 5);
+  add("weighted", 3, 7);
+  add("random", 1, 9);
+  add("random", 2, 5);
+  add("random", 3, 8);
+  runs.back().error = "void";
+  const measured_quantity& tasks = Quantities()[3];
+  REQUIRE(tasks.name == "tasks/s");
+  CHECK(Compare(runs, "steady", "weighted", "random", tasks) == comparison{1, 1, 0});
+  CHECK(Compare(runs, "steady", "random", "weighted", tasks) == comparison{0, 1, 1});
+}
+
 // Guards against scenarios without requests, and against calls of one run that share a key.
 TEST_CASE("each phase of a scenario draws other keys") {
   for (const scenario& what : Scenarios("planner", milliseconds{20'000}, 1)) {
