Measure a wave of cancellations; filter listed tasks before rendering them

Cause: no measurement had thousands of cancellations at once. Listing tasks by state rendered and parsed each task of the team before it looked at the state, on the control thread; cancelling a wave lists it again and again.

The scenario cancel_wave submits 2,000 batch tasks of one team in 5 s, cancels them through all entries 200 at a time, and restarts two agents.

What the filter saves was not measured.

--- a/bench/measure/src/scenario.cc
+++ b/bench/measure/src/scenario.cc
@@ -1,11 +1,19 @@
 #include "measure/scenario.h"
 
+#include <fmt/format.h>
+
+#include <array>
+#include <atomic>
+#include <nlohmann/json.hpp>
 #include <utility>
 
+#include "http/client.h"
+
 namespace coltsfoot::measure {
 namespace {
 
 using core::milliseconds;
+using nlohmann::json;
 
 // About a third of the slots of 11 workers at 60 ms a request without interference.
 constexpr double kRequestRate = 480;
@@ -16,6 +24,15 @@
 constexpr double kPlanRate = 14;
 constexpr double kWatchRate = 2;
 constexpr double kNoisyRate = 12;
+// 2,000 tasks in 5 s, of which the fleet can run about a tenth before they are cancelled.
+constexpr double kSurgeRate = 400;
+constexpr milliseconds kSurgeTime{5000};
+constexpr const char* kSurgeTeam = "surge";
+constexpr std::uint64_t kSurgeSeed = 3000;
+// Tasks that are listed and then cancelled at once.
+constexpr int kCancelBatch = 200;
+constexpr milliseconds kCancelBound{4000};
+constexpr std::array<std::size_t, 2> kRestartedAgents = {2, 7};
 constexpr std::uint64_t kWatchSeed = 1000;
 constexpr std::uint64_t kNoisySeed = 2000;
 constexpr int kWaves = 3;
@@ -66,6 +83,56 @@
   }
 }
 
+void AddSurge(scenario& out, milliseconds duration, std::uint64_t seed) {
+  load_phase surge = Tasks(Part(duration, 10), kSurgeTime, seed + kSurgeSeed);
+  surge.load.task_rate = kSurgeRate;
+  surge.load.task_class = "surge";
+  surge.load.teams = {kSurgeTeam};
+  surge.load.task_expected_ms = {2000};
+  out.phases.push_back(std::move(surge));
+}
+
+/// @return ids of tasks of the surge that have not ended, from all entries.
+std::vector<std::string> SurgeTasks(harness::fleet& fleet, const std::string& state) {
+  std::vector<std::string> ids;
+  const auto listed =
+      fleet.calls().Call("GET", fmt::format("{}/v1/tasks?team={}&state={}&limit={}", fleet.Entry(0),
+                                            kSurgeTeam, state, kCancelBatch));
+  if (!listed.answer) return ids;
+  const json body = json::parse(listed.answer->body, nullptr, false);
+  if (!body.is_object()) return ids;
+  for (const json& task : body.at("tasks")) ids.push_back(task.at("task").get<std::string>());
+  return ids;
+}
+
+/// Cancels all tasks of the surge through all entries, many at once.
+void CancelSurge(harness::fleet& fleet) {
+  const auto client = http::MakeCurlClient();
+  const auto entries = fleet.Entries();
+  const auto end = std::chrono::steady_clock::now() + kCancelBound;
+  for (const char* state : {"queued", "running"}) {
+    while (std::chrono::steady_clock::now() < end) {
+      const std::vector<std::string> ids = SurgeTasks(fleet, state);
+      if (ids.empty()) break;
+      std::atomic<std::size_t> answered{0};
+      for (std::size_t i = 0; i < ids.size(); ++i) {
+        client->Send(
+            {.method = "POST",
+             .url = fmt::format("{}/v1/tasks/{}/cancel", entries[i % entries.size()], ids[i])},
+            [&answered](const http::call_result& /*result*/) { ++answered; });
+      }
+      harness::WaitUntil(kCancelBound, [&] { return answered.load() == ids.size(); });
+    }
+  }
+}
+
+void RestartAgents(harness::fleet& fleet) {
+  for (const std::size_t agent : kRestartedAgents) {
+    fleet.agent_process(agent).Kill();
+    fleet.StartAgent(agent);
+  }
+}
+
 void LoseZone(harness::fleet& fleet, std::size_t workers) {
   for (std::size_t index = kLostZone; index < workers; index += kZones) fleet.KillWorker(index);
 }
@@ -98,6 +165,14 @@
   AddNoisyWaves(wave, duration, seed);
   out.push_back(std::move(wave));
 
+  scenario cancel{"cancel_wave",
+                  "2,000 tasks are submitted at once, then cancelled, and two agents restart",
+                  phases};
+  AddSurge(cancel, duration, seed);
+  cancel.faults.push_back({Part(duration, 45), CancelSurge});
+  cancel.faults.push_back({Part(duration, 70), RestartAgents});
+  out.push_back(std::move(cancel));
+
   scenario sizes{"wrong_sizes", "run times and sizes are declared up to four times wrong", phases};
   sizes.phases.front().load.task_work_percent = {25, 100, 300};
   sizes.phases.front().load.task_use_percent = {25, 50, 200};
--- a/libs/entry/src/api.cc
+++ b/libs/entry/src/api.cc
@@ -367,8 +367,9 @@
     for (const auto& [task, entry] : use_.ledger.Table(shard)->tasks()) {
       if (static_cast<std::int64_t>(tasks.size()) >= *limit) break;
       if (!team.empty() && entry.spec.team != team) continue;
-      json view = json::parse(RenderTask(use_.tasks.Find(shard, task)));
-      if (!state.empty() && view.at("state") != state) continue;
+      const task_view found = use_.tasks.Find(shard, task);
+      if (!state.empty() && TaskStateName(found) != state) continue;
+      json view = json::parse(RenderTask(found));
       view.erase("result");
       tasks.push_back(std::move(view));
     }
--- a/libs/entry/src/task_json.cc
+++ b/libs/entry/src/task_json.cc
@@ -89,18 +89,6 @@
   bool failed_ = false;
 };
 
-std::string StateName(const task_view& view) {
-  switch (view.entry->state) {
-    case ledger::task_state::queued:
-      return "queued";
-    case ledger::task_state::assigned:
-      return view.running ? "running" : "assigned";
-    case ledger::task_state::ended:
-      break;
-  }
-  return "ended";
-}
-
 std::optional<core::resources> ParseResources(const json& body, core::last_error& error) {
   constexpr std::array<std::string_view, 3> kKnown = {"cpu_millis", "memory_mb", "accelerators"};
   const auto found = body.find("resources");
@@ -151,6 +139,18 @@
   return spec;
 }
 
+std::string_view TaskStateName(const task_view& view) {
+  switch (view.entry->state) {
+    case ledger::task_state::queued:
+      return "queued";
+    case ledger::task_state::assigned:
+      return view.running ? "running" : "assigned";
+    case ledger::task_state::ended:
+      break;
+  }
+  return "ended";
+}
+
 std::string RenderTask(const task_view& view) {
   const ledger::task_entry& entry = *view.entry;
   const bool ended = entry.state == ledger::task_state::ended;
@@ -160,7 +160,7 @@
       {"task_class", entry.spec.task_class},
       {"kind", entry.spec.kind == core::task_kind::batch ? "batch" : "latency_critical"},
       {"urgent", entry.spec.urgent},
-      {"state", StateName(view)},
+      {"state", TaskStateName(view)},
       {"code", ended ? static_cast<unsigned>(entry.code) : 0U},
       {"name", ended ? std::string(core::ToString(entry.code)) : ""},
       {"epoch", entry.epoch},
--- a/libs/entry/src/task_json.h
+++ b/libs/entry/src/task_json.h
@@ -15,6 +15,9 @@
 /// range are errors. The id and the submission time stay empty.
 std::optional<ledger::task_spec> ParseTaskSpec(std::string_view json, core::last_error& error);
 
+/// @return "queued", "assigned", "running" or "ended". `view.entry` must not be null.
+std::string_view TaskStateName(const task_view& view);
+
 /// @return the JSON view of a task. `view.entry` must not be null.
 std::string RenderTask(const task_view& view);
 
