Encode integers and lengths as varints

The protocol version is 2; records of the task log change with it.

Two tests of the ledger relied on the size of the encoding. The one of bounded appends has larger payloads, so that its records still need three appends.

--- a/libs/ledger/include/ledger/records.h
+++ b/libs/ledger/include/ledger/records.h
@@ -11,6 +11,7 @@
 #include "core/ids.h"
 #include "core/resources.h"
 #include "core/result_code.h"
+#include "wire/messages.h"
 
 /// Records of the task log. A record is an immutable value; `shard_table::ApplyBatch` defines its
 /// effect. The order of the alternatives of `record` is part of the stored format: add new
@@ -37,8 +38,8 @@
   bool operator==(const task_spec&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(task, team, task_class, kind, urgent, need, expected_ms, payload, request_digest,
-            submitted_wall_ms);
+    archive(task, team, task_class, kind, urgent, need, expected_ms, payload,
+            wire::FullWidth(request_digest), submitted_wall_ms);
   }
 };
 
@@ -150,7 +151,7 @@
   bool operator==(const claim_made&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(key, request_digest, team);
+    archive(key, wire::FullWidth(request_digest), team);
   }
 };
 
@@ -214,7 +215,7 @@
   bool operator==(const batch_token&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(writer, batch);
+    archive(wire::FullWidth(writer), wire::FullWidth(batch));
   }
 };
 
--- a/libs/ledger/include/ledger/shard_table.h
+++ b/libs/ledger/include/ledger/shard_table.h
@@ -16,6 +16,7 @@
 #include "core/error.h"
 #include "core/ids.h"
 #include "ledger/records.h"
+#include "wire/messages.h"
 
 namespace coltsfoot::ledger {
 
@@ -67,8 +68,8 @@
   bool operator==(const claim_entry&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(key, state, request_digest, team, fence, code, answer, answer_kept, made_wall_ms,
-            settled_wall_ms);
+    archive(key, state, wire::FullWidth(request_digest), team, fence, code, answer, answer_kept,
+            made_wall_ms, settled_wall_ms);
   }
 };
 
--- a/libs/ledger/src/shard_table.cc
+++ b/libs/ledger/src/shard_table.cc
@@ -21,7 +21,7 @@
   std::string bytes;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(part, parts, digest, bytes);
+    archive(part, parts, wire::FullWidth(digest), bytes);
   }
 };
 
--- a/libs/ledger/tests/shard_manager_test.cc
+++ b/libs/ledger/tests/shard_manager_test.cc
@@ -76,7 +76,7 @@
   for (int number = 0; number < 1000; ++number) {
     task_spec spec;
     spec.task = std::to_string(number);
-    spec.payload.resize(1000);
+    spec.payload.resize(1200);
     a.manager.Append(0, task_submitted{spec}, [&](append_outcome) { done += 1; });
   }
   REQUIRE(fleet.RunUntil([&] { return done == 1000; }));
--- a/libs/ledger/tests/shard_table_test.cc
+++ b/libs/ledger/tests/shard_table_test.cc
@@ -152,7 +152,7 @@
 
 // Guards against a takeover from a snapshot with missing or mixed parts.
 TEST_CASE("a snapshot is split into parts and refused unless it is whole") {
-  constexpr std::size_t kPartBytes = 200;
+  constexpr std::size_t kPartBytes = 100;
   shard_table table;
   for (int number = 0; number < 20; ++number) {
     ApplyOne(table, Submit("t" + std::to_string(number)));
@@ -165,9 +165,12 @@
   std::string last = std::move(parts.back());
   parts.pop_back();
   CHECK_FALSE(shard_table::DecodeSnapshot(parts, error).has_value());
-  ApplyOne(table, cancel_requested{"t1"});
-  parts.push_back(table.EncodeSnapshot(kPartBytes).back());
-  parts.front() = table.EncodeSnapshot(kPartBytes).front();
+  ApplyOne(table, cancel_requested{"t15"});
+  const std::vector<std::string> newer = table.EncodeSnapshot(kPartBytes);
+  parts.push_back(newer.back());
+  parts.front() = newer.front();
+  // The change lies in a part between the first and the last.
+  REQUIRE(parts != newer);
   CHECK_FALSE(shard_table::DecodeSnapshot(parts, error).has_value());
   CHECK_FALSE(shard_table::DecodeSnapshot({}, error).has_value());
 }
--- a/libs/wire/include/wire/codec.h
+++ b/libs/wire/include/wire/codec.h
@@ -1,14 +1,16 @@
 #pragma once
 
 #include <bit>
-#include <cereal/archives/binary.hpp>
 #include <cereal/cereal.hpp>
+#include <cstdint>
 #include <cstring>
+#include <limits>
+#include <memory>
 #include <optional>
-#include <sstream>
 #include <string>
 #include <string_view>
 #include <type_traits>
+#include <vector>
 
 #include "core/error.h"
 #include "wire/messages.h"
@@ -17,8 +19,41 @@
 
 static_assert(std::endian::native == std::endian::little, "the wire format is little endian");
 
-/// Input archive over a buffer that checks each length against the bytes that are left, so that a
-/// corrupt length can neither allocate much memory nor read past the end.
+/// Longest variable-length integer: 64 bits in groups of 7.
+inline constexpr std::size_t kMaxVarintBytes = 10;
+
+/// Integers that are written as variable-length integers. Those of one byte gain nothing.
+template <class T>
+inline constexpr bool kIsVarint = std::is_integral_v<T> && sizeof(T) > 1;
+
+/// Output archive that appends to a string. Unsigned integers and lengths are base-128 varints
+/// (least significant group first), signed integers zigzag varints; one-byte integers, floating
+/// point and cereal::binary_data keep their bytes.
+class compact_output_archive
+    : public cereal::OutputArchive<compact_output_archive, cereal::AllowEmptyClassElision> {
+ public:
+  explicit compact_output_archive(std::string& out) : OutputArchive(this), out_(out) {}
+
+  /// Appends `size` bytes.
+  void SaveBytes(const void* source, std::size_t size) {
+    out_.append(static_cast<const char*>(source), size);
+  }
+
+  /// Appends a base-128 varint.
+  void SaveVarint(std::uint64_t value) {
+    while (value >= 0x80U) {
+      out_.push_back(static_cast<char>(value | 0x80U));
+      value >>= 7U;
+    }
+    out_.push_back(static_cast<char>(value));
+  }
+
+ private:
+  std::string& out_;
+};
+
+/// Input archive for the bytes of compact_output_archive. It checks each length against the bytes
+/// that are left, so that a corrupt length can neither allocate much memory nor read past the end.
 ///
 /// cereal's own binary archives trust lengths: a 12-byte datagram that claims a string of 8 GiB
 /// makes them allocate 8 GiB.
@@ -35,6 +70,25 @@
     rest_.remove_prefix(size);
   }
 
+  /// @return the varint at the front.
+  /// @throws cereal::Exception if it is cut off or does not fit into 64 bits.
+  std::uint64_t LoadVarint() {
+    std::uint64_t value = 0;
+    for (std::size_t index = 0; index < kMaxVarintBytes; ++index) {
+      if (index >= rest_.size()) throw cereal::Exception("message is too short");
+      const auto byte = static_cast<std::uint8_t>(rest_[index]);
+      const auto shift = static_cast<unsigned>(7 * index);
+      const std::uint64_t group = byte & 0x7fU;
+      if ((group << shift) >> shift != group) break;
+      value |= group << shift;
+      if (byte < 0x80U) {
+        rest_.remove_prefix(index + 1);
+        return value;
+      }
+    }
+    throw cereal::Exception("integer is out of range");
+  }
+
   /// @return the number of bytes that are left.
   std::size_t remaining() const noexcept { return rest_.size(); }
 
@@ -46,9 +100,47 @@
 
 namespace cereal {
 
+template <class T, traits::EnableIf<std::is_arithmetic<T>::value> = traits::sfinae>
+void CEREAL_SAVE_FUNCTION_NAME(coltsfoot::wire::compact_output_archive& archive, const T& value) {
+  if constexpr (!coltsfoot::wire::kIsVarint<T>) {
+    archive.SaveBytes(std::addressof(value), sizeof(value));
+  } else if constexpr (std::is_signed_v<T>) {
+    // Zigzag: 0, -1, 1, -2, ... become 0, 1, 2, 3, ...
+    const auto wide = static_cast<std::int64_t>(value);
+    archive.SaveVarint((static_cast<std::uint64_t>(wide) << 1U) ^
+                       static_cast<std::uint64_t>(wide >> 63U));
+  } else {
+    archive.SaveVarint(value);
+  }
+}
+
 template <class T, traits::EnableIf<std::is_arithmetic<T>::value> = traits::sfinae>
 void CEREAL_LOAD_FUNCTION_NAME(coltsfoot::wire::bounded_input_archive& archive, T& value) {
-  archive.LoadBytes(std::addressof(value), sizeof(value));
+  if constexpr (std::is_same_v<T, bool>) {
+    std::uint8_t byte = 0;
+    archive.LoadBytes(&byte, sizeof(byte));
+    if (byte > 1) throw Exception("bool is out of range");
+    value = byte == 1;
+  } else if constexpr (!coltsfoot::wire::kIsVarint<T>) {
+    archive.LoadBytes(std::addressof(value), sizeof(value));
+  } else if constexpr (std::is_signed_v<T>) {
+    const std::uint64_t zigzag = archive.LoadVarint();
+    const auto wide = static_cast<std::int64_t>((zigzag >> 1U) ^ (0 - (zigzag & 1U)));
+    if (wide < std::numeric_limits<T>::min() || wide > std::numeric_limits<T>::max()) {
+      throw Exception("integer is out of range");
+    }
+    value = static_cast<T>(wide);
+  } else {
+    const std::uint64_t wide = archive.LoadVarint();
+    if (wide > std::numeric_limits<T>::max()) throw Exception("integer is out of range");
+    value = static_cast<T>(wide);
+  }
+}
+
+template <class T>
+void CEREAL_SAVE_FUNCTION_NAME(coltsfoot::wire::compact_output_archive& archive,
+                               const NameValuePair<T>& pair) {
+  archive(pair.value);
 }
 
 template <class T>
@@ -57,12 +149,24 @@
   archive(pair.value);
 }
 
+template <class T>
+void CEREAL_SAVE_FUNCTION_NAME(coltsfoot::wire::compact_output_archive& archive,
+                               const SizeTag<T>& tag) {
+  archive.SaveVarint(tag.size);
+}
+
 template <class T>
 void CEREAL_LOAD_FUNCTION_NAME(coltsfoot::wire::bounded_input_archive& archive, SizeTag<T>& tag) {
-  archive(tag.size);
+  tag.size = archive.LoadVarint();
   if (tag.size > archive.remaining()) throw Exception("length exceeds the message");
 }
 
+template <class T>
+void CEREAL_SAVE_FUNCTION_NAME(coltsfoot::wire::compact_output_archive& archive,
+                               const BinaryData<T>& data) {
+  archive.SaveBytes(data.data, static_cast<std::size_t>(data.size));
+}
+
 template <class T>
 void CEREAL_LOAD_FUNCTION_NAME(coltsfoot::wire::bounded_input_archive& archive,
                                BinaryData<T>& data) {
@@ -86,14 +190,10 @@
 
 }  // namespace cereal
 
-// cereal pairs each input archive with an output archive to check types that serialize through a
-// smaller type, such as enums. The macro for this would also redefine the reverse pair.
-namespace cereal::traits::detail {
-template <>
-struct get_output_from_input<coltsfoot::wire::bounded_input_archive> {
-  using type = cereal::BinaryOutputArchive;
-};
-}  // namespace cereal::traits::detail
+// Pairs the archives, by which cereal checks types that serialize through a smaller type, such as
+// enums.
+CEREAL_SETUP_ARCHIVE_TRAITS(coltsfoot::wire::bounded_input_archive,
+                            coltsfoot::wire::compact_output_archive)
 
 namespace coltsfoot::wire {
 
@@ -101,12 +201,10 @@
 /// service.
 template <class Value>
 std::string EncodeValue(const Value& value) {
-  std::ostringstream stream;
-  {
-    cereal::BinaryOutputArchive archive(stream);
-    archive(value);
-  }
-  return std::move(stream).str();
+  std::string bytes;
+  compact_output_archive archive(bytes);
+  archive(value);
+  return bytes;
 }
 
 /// Decodes bytes that EncodeValue made.
--- a/libs/wire/include/wire/messages.h
+++ b/libs/wire/include/wire/messages.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <cereal/cereal.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -17,7 +19,7 @@
 namespace coltsfoot::wire {
 
 /// Protocol version; a peer of another version is refused.
-inline constexpr std::uint16_t kProtocolVersion = 1;
+inline constexpr std::uint16_t kProtocolVersion = 2;
 
 /// Numbers of the messages on the wire.
 enum class message_type : std::uint16_t {
@@ -44,6 +46,12 @@
   peer_status = 34,
 };
 
+/// @return `number` in the form in which an archive keeps its 8 bytes. For random numbers and
+/// hashes, which would take 10 bytes as variable-length integers.
+inline auto FullWidth(std::uint64_t& number) {
+  return cereal::binary_data(std::addressof(number), sizeof(number));
+}
+
 /// IP address and port.
 struct endpoint {
   std::string ip;
@@ -117,9 +125,9 @@
   bool operator==(const agent_heartbeat&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(worker, incarnation, seq, agent_tcp, region, zone, rack, total, free, slots_total,
-            slots_free, connections_total, connections_free, running_tasks, config, recovering,
-            draining, services);
+    archive(worker, FullWidth(incarnation), seq, agent_tcp, region, zone, rack, total, free,
+            slots_total, slots_free, connections_total, connections_free, running_tasks, config,
+            recovering, draining, services);
   }
 };
 
@@ -138,7 +146,7 @@
   bool operator==(const heartbeat_ack&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(entry, incarnation, seq, shards, config, policy, entries, usage_interval_ms);
+    archive(entry, FullWidth(incarnation), seq, shards, config, policy, entries, usage_interval_ms);
   }
 };
 
@@ -150,7 +158,7 @@
   bool operator==(const agent_goodbye&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(worker, incarnation);
+    archive(worker, FullWidth(incarnation));
   }
 };
 
@@ -173,7 +181,7 @@
   bool operator==(const liveness_token&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(incarnation, seq);
+    archive(FullWidth(incarnation), seq);
   }
 };
 
@@ -213,7 +221,7 @@
   bool operator==(const request_reply&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(request_id, attempt, code, reason, body, digest, slots_free, config, load);
+    archive(request_id, attempt, code, reason, body, FullWidth(digest), slots_free, config, load);
   }
 };
 
@@ -311,7 +319,7 @@
   bool operator==(const shard_report&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(worker, incarnation, shard, fence, code, running, ended);
+    archive(worker, FullWidth(incarnation), shard, fence, code, running, ended);
   }
 };
 
@@ -346,8 +354,8 @@
   bool operator==(const task_event&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(worker, incarnation, event_id, shard, task, epoch, kind, code, result, checkpoint,
-            run_ms, observed);
+    archive(worker, FullWidth(incarnation), event_id, shard, task, epoch, kind, code, result,
+            checkpoint, run_ms, observed);
   }
 };
 
@@ -359,7 +367,7 @@
   bool operator==(const event_ack&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(incarnation, event_id);
+    archive(FullWidth(incarnation), event_id);
   }
 };
 
@@ -429,7 +437,7 @@
   bool operator==(const forward_reply&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(call_id, status, headers, body, digest);
+    archive(call_id, status, headers, body, FullWidth(digest));
   }
 };
 
--- a/libs/wire/tests/wire_test.cc
+++ b/libs/wire/tests/wire_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <asio/io_context.hpp>
+#include <limits>
 #include <vector>
 
 #include "core/random_source.h"
@@ -51,9 +52,65 @@
 // Guards against a datagram that claims a huge length and makes the process allocate it.
 TEST_CASE("a length beyond the message is refused without allocating") {
   core::last_error error;
-  std::string claim(12, '\xff');
-  CHECK_FALSE(DecodeValue<std::string>(claim, error).has_value());
-  CHECK_FALSE(DecodeValue<std::vector<service_load>>(claim, error).has_value());
+  std::vector<std::string> claims = {std::string(12, '\xff')};
+  for (const std::uint64_t length : {5ULL, 1ULL << 33U, 1ULL << 62U, ~0ULL}) {
+    claims.push_back(EncodeValue(length) + "rest");
+  }
+  for (const std::string& claim : claims) {
+    CHECK_FALSE(DecodeValue<std::string>(claim, error).has_value());
+    CHECK_FALSE(DecodeValue<std::vector<service_load>>(claim, error).has_value());
+    CHECK(error.reason().code == core::result_code::decode_error);
+  }
+}
+
+namespace {
+
+template <class Number>
+void CheckRoundTrip(Number number, std::size_t bytes) {
+  core::last_error error;
+  CAPTURE(+number);
+  const std::string encoded = EncodeValue(number);
+  CHECK(encoded.size() == bytes);
+  CHECK(DecodeValue<Number>(encoded, error) == number);
+}
+
+}  // namespace
+
+// Guards against an integer that changes its value or takes more bytes than it needs.
+TEST_CASE("integers of all widths survive a round trip in few bytes") {
+  CheckRoundTrip<std::uint64_t>(0, 1);
+  CheckRoundTrip<std::uint64_t>(127, 1);
+  CheckRoundTrip<std::uint64_t>(128, 2);
+  CheckRoundTrip(std::numeric_limits<std::uint64_t>::max(), kMaxVarintBytes);
+  CheckRoundTrip(std::numeric_limits<std::uint16_t>::max(), 3);
+  CheckRoundTrip<std::int64_t>(-1, 1);
+  CheckRoundTrip<std::int64_t>(63, 1);
+  CheckRoundTrip<std::int64_t>(-65, 2);
+  CheckRoundTrip(std::numeric_limits<std::int64_t>::min(), kMaxVarintBytes);
+  CheckRoundTrip(std::numeric_limits<std::int64_t>::max(), kMaxVarintBytes);
+  CheckRoundTrip(std::numeric_limits<std::int32_t>::min(), 5);
+  CheckRoundTrip<std::uint8_t>(200, 1);
+  CheckRoundTrip(true, 1);
+  CheckRoundTrip(-0.5, 8);
+  CHECK(EncodeValue(event_ack{~0ULL, 1}).size() == 9);
+}
+
+// Guards against a damaged integer that is cut to its type, shifted out or read past the end.
+TEST_CASE("integers that are too long, too large or cut off are refused") {
+  core::last_error error;
+  const std::string ones(9, '\xff');
+  CHECK(DecodeValue<std::uint64_t>(ones + '\x01', error) == ~0ULL);
+  CHECK_FALSE(DecodeValue<std::uint64_t>(ones + '\x02', error).has_value());
+  CHECK_FALSE(DecodeValue<std::uint64_t>(ones + '\x81' + '\x00', error).has_value());
+  CHECK_FALSE(DecodeValue<std::uint64_t>(std::string(10, '\x80') + '\x00', error).has_value());
+  CHECK_FALSE(DecodeValue<std::uint64_t>(ones, error).has_value());
+  CHECK_FALSE(DecodeValue<std::uint64_t>("", error).has_value());
+  CHECK_FALSE(DecodeValue<std::uint16_t>(EncodeValue(std::uint32_t{65'536}), error).has_value());
+  CHECK_FALSE(DecodeValue<std::uint32_t>(EncodeValue(std::uint64_t{1} << 32U), error).has_value());
+  CHECK_FALSE(DecodeValue<std::int32_t>(EncodeValue(std::int64_t{1} << 31U), error).has_value());
+  CHECK_FALSE(
+      DecodeValue<std::int32_t>(EncodeValue(-(std::int64_t{1} << 31U) - 1), error).has_value());
+  CHECK_FALSE(DecodeValue<bool>("\x02", error).has_value());
   CHECK(error.reason().code == core::result_code::decode_error);
 }
 
