Do not raise small tasks of a class to its large ones

Cause: until eight tasks of known declaration had finished, an entry raised each task of a class to the largest use it had seen of the class, with a margin. At a steady load with right declarations the mean size of tasks started in the first 6 s was 2.6 to 3.1 processors instead of 2.1 to 2.3, and tasks waited 0.5 to 0.9 s on average for a place.

Change: the ratio of use and declaration counts from the first task observed. Lowering still needs eight finished tasks.

Ruled out: a lack of processors. 107 to 115 of 176 were committed, and batch may use 141.

--- a/libs/blame/include/blame/size_correction.h
+++ b/libs/blame/include/blame/size_correction.h
@@ -66,10 +66,10 @@
   void ObserveTask(std::string_view task_class, const task_size& declared,
                    const core::resources& observed, std::uint32_t run_ms, core::mono_time now);
   /// @param largest_worker a size is not raised beyond it, so that no task stops fitting.
-  /// @return the size to place a task of the class with. Accelerators are never changed. Otherwise
-  /// a size is never below the largest remembered observation of the class, or, once enough tasks
-  /// of known declarations have finished, below the declared size times the largest remembered
-  /// ratio between the two, if that is less.
+  /// @return the size to place a task of the class with. Accelerators are never changed. A size is
+  /// lowered only once enough tasks have finished. Otherwise it is never below the largest
+  /// remembered observation of the class, or, once a task of known declaration was observed, below
+  /// the declared size times the largest remembered ratio between the two, if that is less.
   task_size Correct(std::string_view task_class, const task_size& declared,
                     const core::resources& largest_worker) const;
   std::size_t classes() const noexcept { return classes_.size(); }
@@ -89,7 +89,7 @@
   std::int64_t CorrectOne(const decaying_quantile& observed, std::int64_t declared,
                           bool may_lower) const;
   std::int64_t ScaleOne(const decaying_quantile& ratio, std::int64_t declared,
-                        std::int64_t corrected) const;
+                        std::int64_t corrected, bool may_lower) const;
   void ForgetOldest();
 
   size_correction_options options_;
--- a/libs/blame/src/size_correction.cc
+++ b/libs/blame/src/size_correction.cc
@@ -93,11 +93,13 @@
   corrected.need.memory_mb = std::min(CorrectOne(row.memory_mb, need.memory_mb, may_lower),
                                       std::max(need.memory_mb, largest_worker.memory_mb));
   corrected.run_ms = static_cast<std::uint32_t>(CorrectOne(row.run_ms, declared.run_ms, may_lower));
-  if (row.finished_with_declaration < options_.min_finished) return corrected;
-  corrected.need.cpu_millis = ScaleOne(row.cpu_ratio, need.cpu_millis, corrected.need.cpu_millis);
-  corrected.need.memory_mb = ScaleOne(row.memory_ratio, need.memory_mb, corrected.need.memory_mb);
-  corrected.run_ms =
-      static_cast<std::uint32_t>(ScaleOne(row.run_ratio, declared.run_ms, corrected.run_ms));
+  const bool may_scale_down = row.finished_with_declaration >= options_.min_finished;
+  corrected.need.cpu_millis =
+      ScaleOne(row.cpu_ratio, need.cpu_millis, corrected.need.cpu_millis, may_scale_down);
+  corrected.need.memory_mb =
+      ScaleOne(row.memory_ratio, need.memory_mb, corrected.need.memory_mb, may_scale_down);
+  corrected.run_ms = static_cast<std::uint32_t>(
+      ScaleOne(row.run_ratio, declared.run_ms, corrected.run_ms, may_scale_down));
   return corrected;
 }
 
@@ -115,7 +117,7 @@
 }
 
 std::int64_t size_correction::ScaleOne(const decaying_quantile& ratio, std::int64_t declared,
-                                       std::int64_t corrected) const {
+                                       std::int64_t corrected, bool may_lower) const {
   if (declared <= 0 || ratio.weight() <= 0) return corrected;
   const double largest = ratio.max() / kRatioUnit;
   double scale =
@@ -123,6 +125,7 @@
   // What has never been exceeded needs no margin.
   if (largest <= 1) scale = std::min(scale, 1.0);
   scale = std::max(std::clamp(scale, options_.min_ratio, options_.max_ratio), largest);
+  if (!may_lower) scale = std::max(scale, 1.0);
   return std::min(corrected,
                   static_cast<std::int64_t>(std::ceil(static_cast<double>(declared) * scale)));
 }
--- a/libs/blame/tests/blame_test.cc
+++ b/libs/blame/tests/blame_test.cc
@@ -177,6 +177,22 @@
   CHECK(sizes.Correct("low", large, kLargest).need.cpu_millis >= 8'000);
 }
 
+// Guards against raising the small tasks of a class to its large ones until enough have finished,
+// which kept them waiting for room, and against lowering a size by so few observations.
+TEST_CASE("few observations of right declarations change no size") {
+  size_correction sizes;
+  const task_size small{{1'000, 100, 0}, 1'000};
+  const task_size large{{4'000, 400, 0}, 4'000};
+  sizes.ObserveTask("right", large, large.need, large.run_ms, kStart);
+  CHECK(sizes.Correct("right", small, kLargest) == small);
+  CHECK(sizes.Correct("right", large, kLargest) == large);
+  sizes.ObserveTask("mixed", large, {1'000, 800, 0}, 1'000, kStart);
+  const task_size corrected = sizes.Correct("mixed", small, kLargest);
+  CHECK(corrected.need.cpu_millis == 1'000);
+  CHECK(corrected.need.memory_mb >= 200);
+  CHECK(corrected.run_ms == 1'000);
+}
+
 // Guards against lowering a class by many samples of one task that has not reached its peak.
 TEST_CASE("samples of a running task do not lower a size") {
   size_correction sizes;
