--- a/libs/entry/src/api.cc
+++ b/libs/entry/src/api.cc
@@ -366,8 +366,8 @@
   const auto is_full = [&] { return static_cast<std::int64_t>(tasks.size()) >= *limit; };
   const auto add = [&](const task_view& task) {
     if (!team.empty() && task.entry->spec.team != team) return;
+    if (!state.empty() && TaskStateName(task) != state) return;
     json view = json::parse(RenderTask(task));
-    if (!state.empty() && view.at("state") != state) return;
     view.erase("result");
     tasks.push_back(std::move(view));
   };
--- a/libs/ledger/include/ledger/shard_table.h
+++ b/libs/ledger/include/ledger/shard_table.h
@@ -18,6 +18,7 @@
 #include "ledger/ended_tasks.h"
 #include "ledger/records.h"
 #include "ledger/task_entry.h"
+#include "wire/messages.h"
 
 namespace coltsfoot::ledger {
 
@@ -39,8 +40,8 @@
   bool operator==(const claim_entry&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(key, state, request_digest, team, fence, code, answer, answer_kept, made_wall_ms,
-            settled_wall_ms);
+    archive(key, state, wire::FullWidth(request_digest), team, fence, code, answer, answer_kept,
+            made_wall_ms, settled_wall_ms);
   }
 };
 
