Do not work out the lease of each running task ten times a second

The time at which a lease lapses needs several look-ups by name per task. It only moves forward for an assignment that this entry has sent, so it is worked out again only when it has passed.

--- a/bench/capacity/src/main.cc
+++ b/bench/capacity/src/main.cc
@@ -76,6 +76,7 @@
   const std::vector<std::string> wanted = absl::GetFlag(FLAGS_sizes);
   if (wanted.empty()) return usual;
   std::vector<std::size_t> out;
+  out.reserve(wanted.size());
   for (const std::string& size : wanted) out.push_back(std::strtoull(size.c_str(), nullptr, 10));
   return out;
 }
--- a/libs/entry/src/task_controller.h
+++ b/libs/entry/src/task_controller.h
@@ -99,6 +99,9 @@
     std::optional<core::result_code> refusal;  ///< why the last assignment did not start
     core::mono_time resume_at{};
     core::mono_time next_checkpoint{};
+    /// The lease of epoch `silence_epoch` does not lapse before this time.
+    core::mono_time silent_until{};
+    core::epoch_number silence_epoch = 0;
     bool cancel_sent = false;
     bool adopted = false;  ///< counted by the scheduler as running
   };
@@ -133,7 +136,9 @@
   void ExpireLeases();
   core::milliseconds CheckpointInterval(const ledger::task_entry& entry);
   void TakeCheckpoint(const std::string& task, soft_task& row);
-  core::mono_time SilentUntil(const soft_task& row);
+  core::mono_time SilentUntil(const soft_task& row) const;
+  /// @return whether the worker has been silent so long that the task cannot run there any more.
+  bool HasLapsed(soft_task& row, core::mono_time now) const;
   void RecordEnd(const std::string& task, soft_task& row, ledger::record change,
                  const wire::task_event* event);
   void OnEndRecorded(const std::string& task, core::epoch_number epoch,
--- a/libs/entry/src/task_ownership.cc
+++ b/libs/entry/src/task_ownership.cc
@@ -151,12 +151,12 @@
   std::vector<std::string> rested;
   std::vector<std::string> checkpoint_due;
   std::set<std::pair<std::string, core::shard_index>> unresolved;
-  for (const auto& [task, row] : tasks_) {
+  for (auto& [task, row] : tasks_) {
     switch (row.phase) {
       case task_phase::starting:
       case task_phase::running:
       case task_phase::unresolved:
-        if (now > SilentUntil(row)) {
+        if (HasLapsed(row, now)) {
           lapsed.push_back(task);
         } else if (row.phase == task_phase::running && now >= row.next_checkpoint) {
           checkpoint_due.push_back(task);
@@ -186,10 +186,22 @@
   }
 }
 
+bool task_controller::HasLapsed(soft_task& row, core::mono_time now) const {
+  if (row.silence_epoch == row.epoch && now <= row.silent_until) return false;
+  const core::mono_time until = SilentUntil(row);
+  // Heartbeats only move the time of an assignment that this entry sent forward. That of an
+  // inherited one moves back when its worker reports or is declared lost.
+  if (row.sent_number != 0 && until != core::mono_time::max()) {
+    row.silence_epoch = row.epoch;
+    row.silent_until = until;
+  }
+  return now > until;
+}
+
 // A lease that this entry granted ends `lease_ttl` after the worker sent the heartbeat that was
 // answered, hence before the same time after the heartbeat was received here. Until the worker has
 // reported under the present fence, an earlier owner may have granted leases as well.
-core::mono_time task_controller::SilentUntil(const soft_task& row) {
+core::mono_time task_controller::SilentUntil(const soft_task& row) const {
   const auto since = ledger_.OwnedSince(row.shard);
   if (!since) return core::mono_time::max();
   core::mono_time base = since->since;
