Let agents make room for urgent tasks

An urgent task that needs the room of two batch tasks of different owners never started: PlanPreemption knows only the tasks of the entry's own shards.

Heartbeats name the resources that an agent can evict. When an urgent task has waited for the override and the entry's own victims do not suffice, the entry assigns it to a worker where free and evictable resources cover the need, and the start lets the agent evict.

--- a/bench/capacity/src/main.cc
+++ b/bench/capacity/src/main.cc
@@ -23,6 +23,7 @@
 ABSL_FLAG(int, window_s, 15, "length of each measured window; three heartbeats by default");
 ABSL_FLAG(std::vector<std::string>, urgent, (std::vector<std::string>{"1", "11", "33"}),
           "numbers of urgent tasks that are submitted at once");
+ABSL_FLAG(std::size_t, urgent_workers, 33, "full workers on which the urgent tasks are started");
 ABSL_FLAG(std::int64_t, urgent_cpu_millis, 6000,
           "size of an urgent task; the workers have 4,000 free beside batch tasks of 3,000");
 ABSL_FLAG(int, limit_s, 1800, "all processes are ended after this time");
@@ -319,25 +320,25 @@
 }
 
 void MeasureUrgentStart(std::size_t urgent) {
-  constexpr std::size_t kFullWorkers = 33;
   constexpr std::size_t kTasksPerWorker = 4;
-  bench full(Options(kEntries, kFullWorkers));
+  const std::size_t workers = absl::GetFlag(FLAGS_urgent_workers);
+  bench full(Options(kEntries, workers));
   // The stand-in's tasks use what they were given, so corrected sizes grow from task to task and
   // four no longer fit on a worker.
   full.Change({{"sizes.correction", false}});
   std::optional<std::string> last;
   // Four tasks of 3 processors leave 4 free, of which batch may use less than one task needs. Half
   // as many again wait in the queue, so that room that comes free is wanted at once.
-  for (std::uint64_t i = 0; i < kFullWorkers * kTasksPerWorker * 3 / 2; ++i) {
+  for (std::uint64_t i = 0; i < workers * kTasksPerWorker * 3 / 2; ++i) {
     harness::task_spec spec{.key = fmt::format("batch-{}", i)};
     spec.cpu_millis = 3000;
     spec.expected_ms = spec.work_ms = 3'600'000;
     last = full.fleet().calls().Submit(full.fleet().Entry(i % kEntries), spec);
   }
-  constexpr std::size_t kFull = kFullWorkers * kTasksPerWorker;
-  harness::WaitUntil(core::milliseconds{60'000}, [&] { return full.RunningTasks() >= kFull; });
+  const std::size_t wanted = workers * kTasksPerWorker;
+  harness::WaitUntil(core::milliseconds{60'000}, [&] { return full.RunningTasks() >= wanted; });
   const std::size_t batch = full.RunningTasks();
-  if (batch < kFull && last) {
+  if (batch < wanted && last) {
     const auto why =
         full.fleet().calls().Call("GET", full.fleet().Entry(0) + "/v1/tasks/" + *last + "/explain");
     if (why.answer) Print("\nThe workers are not full: " + why.answer->body + "\n");
@@ -375,7 +376,7 @@
       fmt::format("\n{} workers run {} batch tasks; {} urgent tasks at once: fastest {:.2f} s, "
                   "median {:.2f} s, "
                   "slowest {:.2f} s, {} not started within 40 s\n\n{}",
-                  kFullWorkers, batch, urgent, times[static_cast<std::size_t>(failed) % urgent],
+                  workers, batch, urgent, times[static_cast<std::size_t>(failed) % urgent],
                   times[urgent / 2], times.back(), failed,
                   full.EntryCounters({"coltsfoot_retries_total", "coltsfoot_evictions_total",
                                       "coltsfoot_task_controls_total", "coltsfoot_stray"})));
--- a/libs/agent/src/capacity_ledger.cc
+++ b/libs/agent/src/capacity_ledger.cc
@@ -7,6 +7,11 @@
 
 constexpr std::uint32_t kPercent = 100;
 
+core::resources NotNegative(const core::resources& value) {
+  return {std::max<std::int64_t>(value.cpu_millis, 0), std::max<std::int64_t>(value.memory_mb, 0),
+          std::max<std::int64_t>(value.accelerators, 0)};
+}
+
 }  // namespace
 
 void capacity_ledger::SetTotal(const core::resources& total, std::uint32_t slots,
@@ -22,13 +27,13 @@
 
 bool capacity_ledger::ReserveTask(const std::string& task, const core::resources& need,
                                   core::task_kind kind) {
-  if (!need.IsValid() || tasks_.contains(task)) return false;
+  if (!need.IsValid() || IsKnown(task)) return false;
   core::resources usable = total_;
   if (kind == core::task_kind::batch) {
     usable.cpu_millis = usable.cpu_millis * (kPercent - headroom_percent_) / kPercent;
   }
   // Compared against what is left, because a sum could overflow for a damaged `need`.
-  if (!need.FitsIn(usable - committed_)) return false;
+  if (!need.FitsIn(usable - committed_ - held())) return false;
   tasks_.emplace(task, need);
   committed_ += need;
   return true;
@@ -39,12 +44,51 @@
 }
 
 void capacity_ledger::ReleaseTask(const std::string& task) {
+  std::erase_if(holds_, [&task](const held_room& row) { return row.task == task; });
   const auto found = tasks_.find(task);
   if (found == tasks_.end()) return;
   committed_ -= found->second;
   tasks_.erase(found);
 }
 
+bool capacity_ledger::HoldRoom(const std::string& task, const core::resources& need) {
+  if (!need.IsValid() || !need.FitsIn(total_) || IsKnown(task)) return false;
+  holds_.push_back({task, need});
+  return true;
+}
+
+bool capacity_ledger::CommitHold(const std::string& task) {
+  core::resources usable = total_ - committed_;
+  for (auto row = holds_.begin(); row != holds_.end(); ++row) {
+    if (row->task != task) {
+      usable -= row->need;
+      continue;
+    }
+    if (!row->need.FitsIn(usable)) return false;
+    committed_ += row->need;
+    tasks_.emplace(task, row->need);
+    holds_.erase(row);
+    return true;
+  }
+  return false;
+}
+
+core::resources capacity_ledger::MissingRoom(const core::resources& coming) const {
+  return NotNegative(committed_ + held() - coming - total_);
+}
+
+bool capacity_ledger::IsKnown(const std::string& task) const {
+  return tasks_.contains(task) ||
+         std::any_of(holds_.begin(), holds_.end(),
+                     [&task](const held_room& row) { return row.task == task; });
+}
+
+core::resources capacity_ledger::held() const {
+  core::resources sum;
+  for (const held_room& row : holds_) sum += row.need;
+  return sum;
+}
+
 bool capacity_ledger::TakeConnection() {
   if (connections_used_ >= connections_total_) return false;
   ++connections_used_;
@@ -62,9 +106,7 @@
 void capacity_ledger::ReleaseSlot() { --slots_used_; }
 
 core::resources capacity_ledger::free() const {
-  const core::resources rest = total_ - committed_;
-  return {std::max<std::int64_t>(rest.cpu_millis, 0), std::max<std::int64_t>(rest.memory_mb, 0),
-          std::max<std::int64_t>(rest.accelerators, 0)};
+  return NotNegative(total_ - committed_ - held());
 }
 
 std::uint32_t capacity_ledger::slots_free() const {
--- a/libs/agent/src/controller.cc
+++ b/libs/agent/src/controller.cc
@@ -162,6 +162,7 @@
     bool recovering = true;
     bool target_live = false;
     bool draining = false;
+    std::size_t waiting_for_room = 0;
     bool operator==(const visible_state&) const = default;
   };
 
@@ -236,7 +237,8 @@
   }
 
   void NoticeChanges() {
-    const visible_state now{state_.recovering, state_.target_live, state_.draining()};
+    const visible_state now{state_.recovering, state_.target_live, state_.draining(),
+                            tasks_.waiting_for_room()};
     if (now == visible_) return;
     if (now.draining != visible_.draining) {
       spdlog::info("event={} tasks={}", now.draining ? "draining" : "drain_ended", tasks_.size());
@@ -256,6 +258,7 @@
     beat.rack = options_.rack;
     beat.total = ledger_.total();
     beat.free = ledger_.free();
+    beat.evictable = tasks_.Evictable();
     beat.slots_total = ledger_.slots_total();
     beat.slots_free = ledger_.slots_free();
     beat.connections_total = ledger_.connections_total();
--- a/libs/agent/src/task_manager.cc
+++ b/libs/agent/src/task_manager.cc
@@ -44,7 +44,8 @@
       gate_(gate),
       entries_(entries),
       outbox_(outbox),
-      target_(target) {}
+      target_(target),
+      rooms_(time, metrics, ledger) {}
 
 void task_manager::Start(connection_id from, const wire::start_task& message) {
   const fence_order order =
@@ -66,7 +67,8 @@
     Refuse(message, std::move(*reason));
     return;
   }
-  if (!ledger_.ReserveTask(message.task, message.need, message.kind)) {
+  const bool reserved = ledger_.ReserveTask(message.task, message.need, message.kind);
+  if (!reserved && !MakeRoom(message)) {
     Refuse(message,
            {result_code::no_capacity, "not enough free processors, memory or accelerators"});
     return;
@@ -85,7 +87,70 @@
                 .payload = message.payload,
                 .checkpoint = message.checkpoint,
                 .lease_until = gate_.LeaseEnd(message.token).value_or(core::mono_time{})};
-  StepStarting(entry, time_.Now());
+  entry.evictable = message.kind == core::task_kind::batch &&
+                    message.priority == wire::start_priority::normal;
+  if (reserved) {
+    StepStarting(entry, time_.Now());
+  } else {
+    entry.phase = task_phase::waiting;
+  }
+}
+
+bool task_manager::IsEvictable(const task_entry& entry) {
+  return entry.evictable && entry.phase == task_phase::running && !entry.end;
+}
+
+core::resources task_manager::Evictable() const {
+  core::resources sum;
+  for (const auto& [id, entry] : tasks_) {
+    if (IsEvictable(entry)) sum += entry.spec.need;
+  }
+  return sum;
+}
+
+bool task_manager::MakeRoom(const wire::start_task& message) {
+  if (message.priority != wire::start_priority::urgent_makes_room) return false;
+  std::vector<room_candidate> candidates;
+  core::resources coming;
+  for (const auto& [id, entry] : tasks_) {
+    if (IsEvictable(entry)) {
+      candidates.push_back({id, entry.spec.need, entry.saved});
+    } else if (entry.end && entry.phase == task_phase::running) {
+      coming += entry.spec.need;
+    }
+  }
+  const auto victims =
+      rooms_.Begin(message.task, message.need, std::move(candidates), coming);
+  if (!victims) return false;
+  for (const std::string& victim : *victims) {
+    PlanEnd(tasks_.at(victim), {task_event_kind::evicted, result_code::evicted});
+  }
+  return true;
+}
+
+void task_manager::StepWaiting(task_entry& entry, core::mono_time now) {
+  if (entry.end && entry.end->kind == task_event_kind::cancelled) {
+    rooms_.Abandon(entry.spec.task, "abandoned");
+    End({entry.spec.task, entry.spec.epoch},
+        MakeEvent(entry.spec, task_event_kind::cancelled, result_code::cancelled));
+  } else if (entry.end) {
+    const bool drains = state_.draining() || !state_.target_live;
+    RefuseWaiting(entry, drains ? result_code::draining : result_code::no_capacity, "abandoned");
+  } else if (now >= entry.spec.lease_until) {
+    RefuseWaiting(entry, result_code::stale_token, "abandoned");
+  } else if (rooms_.Take(entry.spec.task)) {
+    entry.phase = task_phase::starting;
+    StepStarting(entry, now);
+  } else if (rooms_.IsOverdue(entry.spec.task)) {
+    RefuseWaiting(entry, result_code::no_capacity, "timed_out");
+  }
+}
+
+void task_manager::RefuseWaiting(task_entry& entry, result_code code, std::string_view outcome) {
+  rooms_.Abandon(entry.spec.task, outcome);
+  metrics_.CountRefusal("agent", code);
+  End({entry.spec.task, entry.spec.epoch},
+      MakeEvent(entry.spec, task_event_kind::refused, code));
 }
 
 std::optional<error_reason> task_manager::RefusalOf(const wire::start_task& message,
@@ -202,6 +267,7 @@
   entry.phase = task_phase::running;
   entry.uncertain = false;
   entry.started = time_.Now();
+  entry.saved = entry.started;
   entry.next_call = entry.started;
   entry.spec.payload = {};
   outbox_.SendOnce(MakeEvent(entry.spec, task_event_kind::started, result_code::ok));
@@ -273,12 +339,13 @@
         if (generation != generation_ || found == nullptr) return;
         if (result.outcome != control_outcome::done || found->phase != task_phase::running) return;
         found->spec.checkpoint = std::move(result.checkpoint);
+        found->saved = time_.Now();
         outbox_.SendOnce(MakeEvent(found->spec, task_event_kind::checkpointed, result_code::ok));
       });
 }
 
 void task_manager::PlanEnd(task_entry& entry, planned_end end) {
-  if (entry.phase != task_phase::starting && entry.phase != task_phase::running) return;
+  if (entry.phase == task_phase::unconfirmed || entry.phase == task_phase::vanished) return;
   // A cancellation wins over an eviction, after which the task would be started again.
   const bool cancels = end.kind == task_event_kind::cancelled;
   if (!entry.end || cancels) entry.end = end;
@@ -462,6 +529,7 @@
       Remove(entry.spec.task);
       continue;
     }
+    rooms_.Abandon(entry.spec.task, "abandoned");
     const bool cancelled = entry.end && entry.end->kind == task_event_kind::cancelled;
     End({entry.spec.task, entry.spec.epoch},
         cancelled ? MakeEvent(entry.spec, task_event_kind::cancelled, result_code::cancelled)
@@ -499,6 +567,9 @@
 
 void task_manager::Step(task_entry& entry, core::mono_time now, std::vector<wire::task_ref>& over) {
   switch (entry.phase) {
+    case task_phase::waiting:
+      StepWaiting(entry, now);
+      return;
     case task_phase::starting:
       if (!entry.uncertain || now < entry.spec.lease_until + kLapseGrace) {
         StepStarting(entry, now);
--- a/libs/agent/src/task_manager.h
+++ b/libs/agent/src/task_manager.h
@@ -11,6 +11,7 @@
 #include "entry_directory.h"
 #include "event_outbox.h"
 #include "metrics/registry.h"
+#include "room_maker.h"
 
 namespace coltsfoot::agent {
 
@@ -49,11 +50,16 @@
   /// @return true if no task runs or may run.
   bool idle() const noexcept { return tasks_.empty(); }
   std::size_t size() const noexcept { return tasks_.size(); }
+  /// @return the number of starts that wait for room.
+  std::size_t waiting_for_room() const noexcept { return rooms_.size(); }
+  /// @return what the batch tasks hold that may be evicted for an urgent one.
+  core::resources Evictable() const;
   /// @return true if the target runs this assignment as far as is known.
   bool IsRunning(const wire::task_ref& task) const;
 
  private:
   enum class task_phase : std::uint8_t {
+    waiting,  ///< for the room of tasks that are being evicted; no call was made
     starting,
     running,
     vanished,     ///< the target does not run it; its event is awaited
@@ -70,9 +76,13 @@
     bool uncertain = false;       ///< a start call has no known outcome
     bool call_in_flight = false;  ///< of a start or stop
     bool lease_changed = false;   ///< the target has an older deadline
+    /// Makes room for urgent tasks. False for a task that was found running, because the target
+    /// does not know whether it is urgent.
+    bool evictable = false;
     std::optional<planned_end> end;
     core::mono_time next_call;
     core::mono_time started;
+    core::mono_time saved;  ///< start or newest checkpoint
     core::mono_time vanished;
   };
   struct seen_epoch {
@@ -87,6 +97,10 @@
   bool IsSeen(const std::string& task, core::epoch_number epoch) const;
   void RememberEpoch(const std::string& task, core::epoch_number epoch);
   task_entry* Find(const std::string& task, core::epoch_number epoch);
+  static bool IsEvictable(const task_entry& entry);
+  bool MakeRoom(const wire::start_task& message);
+  void StepWaiting(task_entry& entry, core::mono_time now);
+  void RefuseWaiting(task_entry& entry, core::result_code code, std::string_view outcome);
   void SendStart(task_entry& entry);
   void OnStarted(const wire::task_ref& task, start_result result);
   void ConfirmStart(task_entry& entry);
@@ -115,6 +129,7 @@
   entry_directory& entries_;
   event_outbox& outbox_;
   target_client& target_;
+  room_maker rooms_;
   task_map tasks_;
   std::map<std::string, seen_epoch> seen_;
   bool push_in_flight_ = false;
--- a/libs/entry/src/task_assignments.cc
+++ b/libs/entry/src/task_assignments.cc
@@ -31,6 +31,11 @@
   return wire::task_action::evict;
 }
 
+wire::start_priority PriorityOf(const placement::running_task& placed) {
+  if (placed.makes_room) return wire::start_priority::urgent_makes_room;
+  return placed.spec.urgent ? wire::start_priority::urgent : wire::start_priority::normal;
+}
+
 }  // namespace
 
 // Placement.
@@ -162,6 +167,7 @@
   message.team = entry.spec.team;
   message.task_class = entry.spec.task_class;
   message.kind = entry.spec.kind;
+  message.priority = PriorityOf(*placed);
   message.need = placed->spec.need;
   message.expected_ms = entry.spec.expected_ms;
   message.payload = entry.spec.payload;
@@ -174,6 +180,9 @@
   }
   row.sent_number = worker_states_[row.worker].messages;
   metrics_.GetCounter("coltsfoot_tasks_started_total").Add();
+  if (message.priority == wire::start_priority::urgent_makes_room) {
+    metrics_.GetCounter("coltsfoot_task_controls_total", {"action", "make_room"}).Add();
+  }
 }
 
 void task_controller::SendControl(const std::string& task, const soft_task& row,
--- a/libs/membership/include/membership/worker_table.h
+++ b/libs/membership/include/membership/worker_table.h
@@ -176,6 +176,8 @@
   std::span<const core::resources> total() const noexcept { return total_; }
   /// Estimated free capacity; a component may be negative while a hold waits for evictions.
   std::span<const core::resources> available() const noexcept { return available_; }
+  /// What an agent can evict for an urgent task, as its last heartbeat says.
+  std::span<const core::resources> evictable() const noexcept { return evictable_; }
   std::span<const std::uint32_t> slots_total() const noexcept { return slots_total_; }
   std::span<const std::uint32_t> slots_free() const noexcept { return slots_free_; }
   std::span<const name_id> region() const noexcept { return region_; }
@@ -220,6 +222,7 @@
   std::vector<core::mono_time> heard_;
   std::vector<core::resources> total_;
   std::vector<core::resources> available_;
+  std::vector<core::resources> evictable_;
   std::vector<std::uint32_t> slots_total_;
   std::vector<std::uint32_t> slots_free_;
   std::vector<name_id> region_;
--- a/libs/membership/src/worker_table.cc
+++ b/libs/membership/src/worker_table.cc
@@ -167,6 +167,7 @@
     flags_[worker] = kGone;
     total_[worker] = {};
     available_[worker] = {};
+    evictable_[worker] = {};
     free_rows_.push_back(worker);
     forgotten.push_back(worker);
   }
@@ -219,6 +220,7 @@
     heard_.emplace_back();
     total_.emplace_back();
     available_.emplace_back();
+    evictable_.emplace_back();
     slots_total_.emplace_back();
     slots_free_.emplace_back();
     region_.push_back(kNoName);
@@ -242,6 +244,7 @@
 void worker_table::ApplyCapacity(worker_index worker, const wire::agent_heartbeat& heartbeat) {
   total_[worker] = heartbeat.total;
   reported_free_[worker] = heartbeat.free;
+  evictable_[worker] = heartbeat.evictable;
   slots_total_[worker] = heartbeat.slots_total;
   slots_free_[worker] = heartbeat.slots_free;
   region_[worker] = place_names_.Intern(heartbeat.region);
--- a/libs/placement/include/placement/running_table.h
+++ b/libs/placement/include/placement/running_table.h
@@ -31,6 +31,7 @@
   core::mono_time saved_at;    ///< start or newest checkpoint; work since then is lost by a stop
   core::mono_time ordered_at;  ///< when `state` was ordered
   bool borrows_headroom = false;
+  bool makes_room = false;  ///< the agent may evict batch tasks for it
   interference::class_id interference_class = interference::kOtherClass;
 };
 
--- a/libs/placement/include/placement/scheduler.h
+++ b/libs/placement/include/placement/scheduler.h
@@ -84,6 +84,7 @@
   std::uint64_t over_quota = 0;
   std::uint64_t preemptions = 0;  ///< plans carried out
   std::uint64_t preempt_evictions = 0;
+  std::uint64_t room_requests = 0;  ///< starts for which the agent makes room
   std::uint64_t preempt_stops = 0;
   std::uint64_t reclaim_throttles = 0;
   std::uint64_t reclaim_evictions = 0;
@@ -177,6 +178,7 @@
                std::vector<std::string> victims, core::mono_time now);
   void RunPreemption(task_tier tier, core::nanoseconds after, core::mono_time now, actions& out);
   void StartPreemption(const task_spec& task, core::mono_time now, actions& out);
+  bool RequestRoom(const task_spec& task, double budget, core::mono_time now, actions& out);
   void KeepCapacity(core::mono_time now);
   void DropKeptCapacity();
   void Order(running_task& task, victim_step step, core::mono_time now, actions& out);
--- a/libs/placement/src/preemption.cc
+++ b/libs/placement/src/preemption.cc
@@ -17,6 +17,27 @@
 /// An eviction that was ordered longer ago than this no longer counts as capacity to come.
 constexpr core::nanoseconds kEvictionTrusted = std::chrono::seconds{5};
 
+/// @return the row with which the plan of a task starts. It differs between tasks and between
+/// attempts, so that all workers get their turn.
+std::size_t FirstRow(const task_spec& task, std::size_t rows, core::mono_time now) {
+  const auto turn = static_cast<std::uint64_t>(core::ToMs(now.time_since_epoch()));
+  return (core::StableHash(task.task) + turn * kTurnStride) % rows;
+}
+
+/// @return how many of `count` parts of `whole` are needed for `missing`, at least.
+std::uint32_t PartsFor(std::int64_t missing, std::int64_t whole, std::uint32_t count) {
+  if (missing <= 0 || whole <= 0) return 0;
+  return static_cast<std::uint32_t>((missing * count + whole - 1) / whole);
+}
+
+/// @return estimated evictions that free `missing`.
+std::uint32_t EstimateEvictions(const core::resources& missing, const core::resources& evictable,
+                                std::uint32_t tasks) {
+  return std::max({1U, PartsFor(missing.cpu_millis, evictable.cpu_millis, tasks),
+                   PartsFor(missing.memory_mb, evictable.memory_mb, tasks),
+                   PartsFor(missing.accelerators, evictable.accelerators, tasks)});
+}
+
 /// Running task that may be a victim.
 struct candidate {
   const running_task* task = nullptr;
@@ -62,9 +83,7 @@
   std::optional<preemption_plan> best;
   if (rows == 0) return best;
   std::uint32_t compared = 0;
-  // The start differs between tasks and between attempts, so that all workers get their turn.
-  const auto turn = static_cast<std::uint64_t>(core::ToMs(now_.time_since_epoch()));
-  const std::size_t start = (core::StableHash(task_.task) + turn * kTurnStride) % rows;
+  const std::size_t start = FirstRow(task_, rows, now_);
   const std::size_t examined = std::min<std::size_t>(rows, options_.max_examined);
   for (std::size_t i = 0; i < examined && compared < options_.max_candidates; ++i) {
     const auto worker = static_cast<worker_index>((start + i) % rows);
@@ -202,4 +221,30 @@
   return plan_search(task, waited, budget, view, options, now).Run();
 }
 
+std::optional<room_plan> PlanRoom(const task_spec& task, core::nanoseconds waited, double budget,
+                                  const placement_view& view, const preemption_options& options,
+                                  core::mono_time now) {
+  const std::size_t rows = view.workers->size();
+  if (!task.urgent || waited < options.urgent_override || rows == 0) return std::nullopt;
+  const worker_filter filter(task, view, now);
+  const std::size_t start = FirstRow(task, rows, now);
+  const std::size_t examined = std::min<std::size_t>(rows, options.max_examined);
+  std::optional<room_plan> best;
+  for (std::size_t i = 0; i < examined; ++i) {
+    const auto worker = static_cast<worker_index>((start + i) % rows);
+    const core::resources& available = view.workers->available()[worker];
+    const core::resources& evictable = view.workers->evictable()[worker];
+    if (!task.need.FitsIn(view.workers->total()[worker])) continue;
+    if (!task.need.FitsIn(available + evictable)) continue;
+    if (filter.ApplyWithoutCapacity(worker)) continue;
+    if (StandingOf(view, worker) != blame::worker_standing::trusted) continue;
+    const std::uint32_t evictions = std::min(
+        options.max_victims, EstimateEvictions(task.need - available, evictable,
+                                               view.workers->identity(worker).running_tasks));
+    if (static_cast<double>(evictions) > budget) continue;
+    if (!best || evictions < best->evictions) best = room_plan{worker, evictions};
+  }
+  return best;
+}
+
 }  // namespace coltsfoot::placement
--- a/libs/placement/src/scheduler.cc
+++ b/libs/placement/src/scheduler.cc
@@ -328,6 +328,7 @@
   const double budget = budget_.Available(now, overdue);
   const auto plan = PlanPreemption(task, waited, budget, view(), options_.preemption, now);
   if (!plan) {
+    if (overdue && RequestRoom(task, budget, now, out)) return;
     plan_retries_[task.task] = now + kPlanRetry;
     if (budget < 1) ++counters_.budget_denied;
     return;
@@ -350,6 +351,21 @@
   Reserve(task, plan->worker, false, std::move(victims), now);
 }
 
+// The agent chooses the victims, so the budget is charged with an estimate of their number.
+bool scheduler::RequestRoom(const task_spec& task, double budget, core::mono_time now,
+                            actions& out) {
+  const core::nanoseconds waited = now - task.submitted;
+  const auto plan = PlanRoom(task, waited, budget, view(), options_.preemption, now);
+  if (!plan) return false;
+  ++counters_.room_requests;
+  for (std::uint32_t i = 0; i < plan->evictions; ++i) budget_.Take(now, true);
+  const std::string name = task.task;
+  const auto assignment = workers_.Assign(plan->worker, task.need);
+  Commit(*queue_.Remove(name), {.worker = plan->worker}, assignment, now, out);
+  running_.Find(name)->makes_room = true;
+  return true;
+}
+
 void scheduler::KeepCapacity(core::mono_time now) {
   const std::size_t limit =
       fleet_size_ == 0 ? 0 : 1 + fleet_size_ / std::max(1U, options_.workers_per_kept_task);
--- a/libs/wire/include/wire/messages.h
+++ b/libs/wire/include/wire/messages.h
@@ -105,6 +105,7 @@
   std::string rack;
   core::resources total;
   core::resources free;
+  core::resources evictable;  ///< held by batch tasks that make room for an urgent one
   std::uint32_t slots_total = 0;
   std::uint32_t slots_free = 0;
   std::uint32_t connections_total = 0;
@@ -117,9 +118,9 @@
   bool operator==(const agent_heartbeat&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(worker, incarnation, seq, agent_tcp, region, zone, rack, total, free, slots_total,
-            slots_free, connections_total, connections_free, running_tasks, config, recovering,
-            draining, services);
+    archive(worker, incarnation, seq, agent_tcp, region, zone, rack, total, free, evictable,
+            slots_total, slots_free, connections_total, connections_free, running_tasks, config,
+            recovering, draining, services);
   }
 };
 
@@ -229,6 +230,13 @@
   }
 };
 
+/// What a start may cost other tasks. Tasks above `normal` never make room for others.
+enum class start_priority : std::uint8_t {
+  normal,
+  urgent,
+  urgent_makes_room,  ///< the agent evicts batch tasks if the room is not free
+};
+
 /// Entry to agent: start one assignment of a task. Answered by a `task_event`.
 struct start_task {
   static constexpr message_type kType = message_type::start_task;
@@ -242,6 +250,7 @@
   std::string team;
   std::string task_class;
   core::task_kind kind = core::task_kind::batch;
+  start_priority priority = start_priority::normal;
   core::resources need;
   std::uint32_t expected_ms = 0;
   std::string payload;
@@ -249,8 +258,8 @@
   bool operator==(const start_task&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(shard, fence, task, epoch, token, config, policy, team, task_class, kind, need,
-            expected_ms, payload, checkpoint);
+    archive(shard, fence, task, epoch, token, config, policy, team, task_class, kind, priority,
+            need, expected_ms, payload, checkpoint);
   }
 };
 
