--- a/libs/agent/src/capacity_ledger.cc
+++ b/libs/agent/src/capacity_ledger.cc
@@ -105,9 +105,7 @@
 
 void capacity_ledger::ReleaseSlot() { --slots_used_; }
 
-core::resources capacity_ledger::free() const {
-  return NotNegative(total_ - committed_ - held());
-}
+core::resources capacity_ledger::free() const { return NotNegative(total_ - committed_ - held()); }
 
 std::uint32_t capacity_ledger::slots_free() const {
   return slots_total_ - std::min(slots_used_, slots_total_);
--- a/libs/agent/src/task_manager.cc
+++ b/libs/agent/src/task_manager.cc
@@ -87,8 +87,8 @@
                 .payload = message.payload,
                 .checkpoint = message.checkpoint,
                 .lease_until = gate_.LeaseEnd(message.token).value_or(core::mono_time{})};
-  entry.evictable = message.kind == core::task_kind::batch &&
-                    message.priority == wire::start_priority::normal;
+  entry.evictable =
+      message.kind == core::task_kind::batch && message.priority == wire::start_priority::normal;
   if (reserved) {
     StepStarting(entry, time_.Now());
   } else {
@@ -119,8 +119,7 @@
       coming += entry.spec.need;
     }
   }
-  const auto victims =
-      rooms_.Begin(message.task, message.need, std::move(candidates), coming);
+  const auto victims = rooms_.Begin(message.task, message.need, std::move(candidates), coming);
   if (!victims) return false;
   for (const std::string& victim : *victims) {
     PlanEnd(tasks_.at(victim), {task_event_kind::evicted, result_code::evicted});
@@ -149,8 +148,7 @@
 void task_manager::RefuseWaiting(task_entry& entry, result_code code, std::string_view outcome) {
   rooms_.Abandon(entry.spec.task, outcome);
   metrics_.CountRefusal("agent", code);
-  End({entry.spec.task, entry.spec.epoch},
-      MakeEvent(entry.spec, task_event_kind::refused, code));
+  End({entry.spec.task, entry.spec.epoch}, MakeEvent(entry.spec, task_event_kind::refused, code));
 }
 
 std::optional<error_reason> task_manager::RefusalOf(const wire::start_task& message,
--- a/libs/agent/tests/capacity_ledger_test.cc
+++ b/libs/agent/tests/capacity_ledger_test.cc
@@ -16,6 +16,7 @@
     ledger.SetTotal(total, 3, 5);
     ledger.SetHeadroom(*rc::gen::inRange<std::uint32_t>(0, 101));
     std::map<std::string, core::resources> model;
+    std::map<std::string, core::resources> held;
     int slots = 0;
     const auto steps = *rc::gen::inRange(1, 200);
     for (int step = 0; step < steps; ++step) {
@@ -23,14 +24,25 @@
       const core::resources need{*rc::gen::inRange<std::int64_t>(-100, 3000),
                                  *rc::gen::inRange<std::int64_t>(0, 6000),
                                  *rc::gen::inRange<std::int64_t>(0, 3)};
-      const int choice = *rc::gen::inRange(0, 4);
+      const int choice = *rc::gen::inRange(0, 6);
       if (choice == 0 && ledger.ReserveTask(task, need,
                                             *rc::gen::element(core::task_kind::batch,
                                                               core::task_kind::latency_critical))) {
         RC_ASSERT(model.emplace(task, need).second);
+        RC_ASSERT(!held.contains(task));
+        core::resources promised;
+        for (const auto& [id, room] : held) promised += room;
+        RC_ASSERT(need.FitsIn(total - (ledger.committed() - need) - promised));
       } else if (choice == 1) {
         ledger.ReleaseTask(task);
         model.erase(task);
+        held.erase(task);
+      } else if (choice == 4 && ledger.HoldRoom(task, need)) {
+        RC_ASSERT(!model.contains(task));
+        RC_ASSERT(held.emplace(task, need).second);
+      } else if (choice == 5 && ledger.CommitHold(task)) {
+        RC_ASSERT(model.emplace(task, held.at(task)).second);
+        held.erase(task);
       } else if (choice == 2 && ledger.TakeSlot()) {
         ++slots;
       } else if (choice == 3 && slots > 0) {
@@ -60,6 +72,25 @@
   CHECK(ledger.ReserveTask("c", {1000, 0, 0}, core::task_kind::batch));
 }
 
+// Guards against room that is freed for one task and taken by another.
+TEST_CASE("holds are served in their order as room comes free") {
+  capacity_ledger ledger;
+  ledger.SetTotal({4000, 8000, 0}, 1, 1);
+  const auto batch = core::task_kind::batch;
+  REQUIRE(ledger.ReserveTask("a", {3000, 0, 0}, batch));
+  REQUIRE(ledger.HoldRoom("first", {2000, 0, 0}));
+  REQUIRE(ledger.HoldRoom("second", {1000, 0, 0}));
+  CHECK(ledger.MissingRoom({}) == core::resources{2000, 0, 0});
+  CHECK(ledger.MissingRoom({3000, 0, 0}) == core::resources{});
+  CHECK_FALSE(ledger.CommitHold("second"));
+  CHECK_FALSE(ledger.ReserveTask("b", {1, 0, 0}, batch));
+  ledger.ReleaseTask("a");
+  CHECK(ledger.CommitHold("second"));
+  CHECK(ledger.CommitHold("first"));
+  CHECK_FALSE(ledger.CommitHold("first"));
+  CHECK(ledger.free() == core::resources{1000, 8000, 0});
+}
+
 // Guards against admission over tasks that were found running.
 TEST_CASE("a relearned task is committed even beyond the total") {
   capacity_ledger ledger;
--- /dev/null
+++ b/libs/agent/tests/room_test.cc
@@ -0,0 +1,190 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+#include "../src/room_maker.h"
+#include "fixture.h"
+
+namespace coltsfoot::agent {
+namespace {
+
+using core::result_code;
+using std::chrono::seconds;
+using wire::task_event_kind;
+
+constexpr const char* kUrgent = "t03-00000000000000ee";
+
+/// Agent whose four processors are held by four batch tasks.
+struct full_worker : fixture {
+  full_worker() {
+    Recover();
+    for (int i = 0; i < 4; ++i) {
+      RunTask(1, Name(i));
+      Pass(seconds{1});
+    }
+  }
+  static std::string Name(int index) { return "t03-000000000000000" + std::to_string(index); }
+  wire::start_task UrgentStart(core::resources need) const {
+    wire::start_task out = StartMessage(1, kUrgent);
+    out.kind = core::task_kind::latency_critical;
+    out.priority = wire::start_priority::urgent_makes_room;
+    out.need = need;
+    return out;
+  }
+  /// Answers the checkpoint and the stop of the task that was asked first.
+  std::string StopOne() {
+    const auto checkpoint = Take(target.controls);
+    checkpoint.done({control_outcome::done, "half"});
+    const auto stop = std::move(target.controls.back());
+    target.controls.pop_back();
+    CHECK(stop.action == target_action::stop);
+    stop.done({control_outcome::done, ""});
+    return checkpoint.task.task;
+  }
+  void Control(wire::task_action action) {
+    control.OnFrame(kEntry, Raw(wire::control_task{3, 5, kUrgent, 1, action}));
+  }
+  std::uint64_t Count(std::string_view outcome) {
+    return metrics.GetCounter("coltsfoot_agent_room_total", {"outcome", outcome}).value();
+  }
+};
+
+}  // namespace
+
+// Guards against an urgent task that waits for batch of several owners, against more evictions than
+// needed, and against others that take the room while it comes free.
+TEST_CASE("an urgent start waits for the room of the batch tasks that lose the least work") {
+  full_worker test;
+  const wire::start_task urgent = test.UrgentStart({2000, 2000, 0});
+  test.Send(urgent);
+  REQUIRE(test.target.controls.size() == 2);
+  CHECK(test.LastBeat().free == core::resources{0, 2000, 1});
+  CHECK(test.LastBeat().evictable.cpu_millis == 2000);
+  test.Send(urgent);
+  CHECK(test.StopOne() == full_worker::Name(3));
+  CHECK(test.LastEvent(task_event_kind::evicted) == result_code::evicted);
+  test.Send(test.StartMessage(1, "t03-0000000000000009"));
+  CHECK(test.LastEvent(task_event_kind::refused) == result_code::no_capacity);
+  test.control.Tick();
+  CHECK(test.target.starts.empty());
+  CHECK(test.StopOne() == full_worker::Name(2));
+  test.control.Tick();
+  REQUIRE(test.target.starts.size() == 1);
+  CHECK(test.target.starts.front().first.task == kUrgent);
+  fixture::Take(test.target.starts).second({start_outcome::started, ""});
+  CHECK(test.LastEvent(task_event_kind::started) == result_code::ok);
+  CHECK(test.target.controls.empty());
+  CHECK(test.LastBeat().free.cpu_millis == 0);
+  CHECK(test.Count("made") == 1);
+}
+
+// Guards against evictions that cannot help, and against a start that others may not pay for.
+TEST_CASE("no task is evicted if the room cannot be made") {
+  full_worker test;
+  wire::start_task start = test.UrgentStart({4001, 0, 0});
+  SUBCASE("more than the worker has") {}
+  SUBCASE("an urgent start that makes no room") {
+    start = test.UrgentStart({1000, 0, 0});
+    start.priority = wire::start_priority::urgent;
+  }
+  SUBCASE("the rest is held by tasks that are not evicted") {
+    test.Send(test.UrgentStart({2000, 0, 0}));
+    test.StopOne();
+    test.StopOne();
+    test.control.Tick();
+    fixture::Take(test.target.starts).second({start_outcome::started, ""});
+    start = test.UrgentStart({3000, 0, 0});
+    start.task = "t03-00000000000000ff";
+  }
+  test.Send(start);
+  CHECK(test.LastEvent(task_event_kind::refused) == result_code::no_capacity);
+  CHECK(test.target.controls.empty());
+}
+
+// Guards against a start that takes effect after its owner was told that it did not run, and
+// against room that stays reserved for nobody.
+TEST_CASE("a start that waits for room ends as not run") {
+  full_worker test;
+  test.Send(test.UrgentStart({2000, 2000, 0}));
+  SUBCASE("the room does not come in time") {
+    test.Pass(core::milliseconds{4100});
+    CHECK(test.LastEvent(task_event_kind::refused) == result_code::no_capacity);
+    CHECK(test.Count("timed_out") == 1);
+  }
+  SUBCASE("it is cancelled") {
+    test.Control(wire::task_action::cancel);
+    test.control.Tick();
+    CHECK(test.LastEvent(task_event_kind::cancelled) == result_code::cancelled);
+  }
+  SUBCASE("it is evicted") {
+    test.Control(wire::task_action::evict);
+    test.control.Tick();
+    CHECK(test.LastEvent(task_event_kind::refused) == result_code::no_capacity);
+  }
+  SUBCASE("its lease lapses") {
+    test.time.Advance(seconds{16});
+    test.control.Tick();
+    const auto events = test.Sent<wire::task_event>();
+    CHECK(std::any_of(events.begin(), events.end(), [](const wire::task_event& event) {
+      return event.task == kUrgent && event.code == result_code::stale_token;
+    }));
+  }
+  SUBCASE("the agent is stopped") {
+    test.control.BeginShutdown();
+    test.control.Tick();
+    CHECK(test.LastEvent(task_event_kind::refused) == result_code::draining);
+  }
+  SUBCASE("the target is replaced") {
+    test.target.polls.clear();  // of the former instance
+    test.Recover({}, {}, "i2");
+    CHECK(test.LastBeat().free.cpu_millis == 4000);
+    test.RunTask(2, kUrgent);
+    return;
+  }
+  while (!test.target.controls.empty()) test.StopOne();
+  test.control.Tick();
+  CHECK(test.target.starts.empty());
+  CHECK(test.Count("made") == 0);
+}
+
+// Guards against a new owner that takes a waiting start for one that never runs.
+TEST_CASE("a start that waits for room is reported to a new owner of its shard") {
+  full_worker test;
+  test.Send(test.UrgentStart({1000, 1000, 0}));
+  test.control.OnFrame(fixture::kEntry, fixture::Raw(wire::adopt_shard{3, 6}));
+  const auto report = test.Sent<wire::shard_report>().back();
+  CHECK(std::count(report.running.begin(), report.running.end(), wire::task_ref{kUrgent, 1}) == 1);
+}
+
+// Guards against superfluous victims, and against too few.
+TEST_CASE("the chosen victims free enough and none of them is superfluous") {
+  int chosen = 0;
+  CHECK(rc::check([&chosen] {
+    const core::mono_time now{std::chrono::hours{1}};
+    std::map<std::string, core::resources> needs;
+    std::vector<room_candidate> candidates;
+    for (int i = *rc::gen::inRange(0, 12); i > 0; --i) {
+      const core::resources need{*rc::gen::inRange(0, 5000), *rc::gen::inRange(0, 5000),
+                                 *rc::gen::inRange(0, 2)};
+      const std::string name = std::to_string(i);
+      needs[name] = need;
+      candidates.push_back({name, need, now - seconds{*rc::gen::inRange(0, 300)}});
+    }
+    const core::resources missing{*rc::gen::inRange(0, 9000), *rc::gen::inRange(0, 9000),
+                                  *rc::gen::inRange(0, 2)};
+    const auto victims = ChooseVictims(candidates, missing, now);
+    if (!victims) return;
+    chosen += victims->empty() ? 0 : 1;
+    core::resources freed;
+    for (const std::string& victim : *victims) freed += needs.at(victim);
+    RC_ASSERT(missing.FitsIn(freed));
+    RC_ASSERT(victims->size() <= 8U);
+    for (const std::string& victim : *victims) {
+      RC_ASSERT(!missing.FitsIn(freed - needs.at(victim)));
+    }
+  }));
+  CHECK(chosen > 20);
+}
+
+}  // namespace coltsfoot::agent
--- a/libs/membership/include/membership/worker_table.h
+++ b/libs/membership/include/membership/worker_table.h
@@ -120,6 +120,8 @@
   /// connection that carries the worker's task events, so that it contains all confirmed
   /// assignments.
   void OnFreeReported(worker_index worker, const core::resources& free);
+  /// The agent could not make room; it is not asked again before its next heartbeat.
+  void OnRoomRefused(worker_index worker) { evictable_[worker] = {}; }
   /// Sets or clears a drain ordered by the fleet configuration (`worker.drain`, `worker.lost`).
   void SetOperatorDrain(worker_index worker, bool drain);
 
--- a/libs/placement/src/scheduler.cc
+++ b/libs/placement/src/scheduler.cc
@@ -102,6 +102,7 @@
     // Without capacity the assignment keeps counting, so that the worker is not asked again at
     // once. The next report of the worker's capacity is newer than the refusal and ends that.
     workers_.ConfirmAssignment(row->worker, row->assignment);
+    if (row->makes_room) workers_.OnRoomRefused(row->worker);
   }
   auto refused = Release(task, code != core::result_code::no_capacity, now);
   if (!refused) return;
--- a/libs/placement/tests/fleet.h
+++ b/libs/placement/tests/fleet.h
@@ -14,7 +14,8 @@
   static constexpr core::resources kWorker{16'000, 60'000, 2};
   static constexpr core::mono_time kStart{std::chrono::hours{1}};
 
-  explicit test_fleet(std::uint32_t workers) : free_(workers, kWorker), load_(workers) {
+  explicit test_fleet(std::uint32_t workers)
+      : free_(workers, kWorker), evictable_(workers), load_(workers) {
     names_.reserve(workers);
     for (std::uint32_t i = 0; i < workers; ++i) names_.push_back("w" + std::to_string(i));
     Beat(kStart);
@@ -37,6 +38,8 @@
     message.rack = "rack" + std::to_string(worker / 3);
     message.total = kWorker;
     message.free = free_[worker];
+    message.evictable = evictable_[worker];
+    message.running_tasks = 4;
     message.slots_total = 8;
     message.slots_free = 8;
     message.services = {{"planner", load_[worker], 0, 1'000}};
@@ -44,6 +47,8 @@
   }
   /// What the agent of a worker has left.
   core::resources& free(std::uint32_t worker) { return free_[worker]; }
+  /// What the agent of a worker can evict.
+  core::resources& evictable(std::uint32_t worker) { return evictable_[worker]; }
   /// Requests in flight on a worker.
   std::uint32_t& load(std::uint32_t worker) { return load_[worker]; }
   placement_view View() const { return {.workers = &table}; }
@@ -53,6 +58,7 @@
  private:
   std::vector<std::string> names_;
   std::vector<core::resources> free_;
+  std::vector<core::resources> evictable_;
   std::vector<std::uint32_t> load_;
   std::uint64_t seq_ = 0;
 };
