--- a/libs/agent/tests/room_test.cc
+++ b/libs/agent/tests/room_test.cc
@@ -89,7 +89,9 @@
     start.priority = wire::start_priority::urgent;
   }
   SUBCASE("the rest is held by tasks that are not evicted") {
-    test.Send(test.UrgentStart({2000, 0, 0}));
+    wire::start_task urgent_batch = test.UrgentStart({2000, 0, 0});
+    urgent_batch.kind = core::task_kind::batch;
+    test.Send(urgent_batch);
     test.StopOne();
     test.StopOne();
     test.control.Tick();
