--- /dev/null
+++ b/libs/entry/tests/control_queue_test.cc
@@ -0,0 +1,41 @@
+#include "control_queue.h"
+
+#include <doctest/doctest.h>
+
+#include <asio/executor_work_guard.hpp>
+#include <vector>
+
+namespace coltsfoot::entry {
+
+// Guards against the loss of a link that overtakes the messages of the link, against a wakeup for
+// each message, and against frames that stay unsent.
+TEST_CASE("queued functions run in order, several in one wakeup") {
+  asio::io_context control;
+  const auto work = asio::make_work_guard(control);  // else it stops when it is idle
+  std::vector<int> ran;
+  int batches = 0;
+  control_queue queue(control, [&] { ++batches; });
+  queue.Defer([&] { ran.push_back(1); });
+  CHECK(control.poll() == 0);
+  queue.Post([&] {
+    ran.push_back(2);
+    queue.Post([&] { ran.push_back(4); });
+  });
+  queue.Post([&] { ran.push_back(3); });
+  CHECK(control.poll_one() == 1);
+  CHECK(ran == std::vector<int>{1, 2, 3});
+  CHECK(batches == 1);
+  control.poll();
+  CHECK(ran == std::vector<int>{1, 2, 3, 4});
+  CHECK(batches == 2);
+
+  queue.Defer([&] { ran.push_back(5); });
+  queue.Run();
+  CHECK(ran.size() == 5);
+  queue.Defer([&] { ran.push_back(6); });
+  queue.Clear();
+  queue.Run();
+  CHECK(ran.size() == 5);
+}
+
+}  // namespace coltsfoot::entry
--- a/libs/wire/tests/wire_test.cc
+++ b/libs/wire/tests/wire_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <asio/io_context.hpp>
+#include <chrono>
 #include <limits>
 #include <vector>
 
@@ -141,6 +142,30 @@
   }
 }
 
+// Guards against a flood of datagrams that holds the caller of Poll, and against lost datagrams
+// when they arrive faster than they are read.
+TEST_CASE("a polled socket reads at most the limit and keeps the rest") {
+  std::size_t received = 0;
+  std::size_t dropped = 0;
+  polled_udp_socket to(
+      {"127.0.0.1", 0}, [&](const endpoint&, const raw_message&) { ++received; },
+      [&](core::result_code) { ++dropped; });
+  polled_udp_socket from(
+      {"127.0.0.1", 0}, [](const endpoint&, const raw_message&) {}, [](core::result_code) {});
+  to.Poll(10);
+  CHECK(received == 0);
+  for (int count = 0; count < 4; ++count) from.Send(to.local(), ToDatagram(SampleHeartbeat()));
+  from.Send(to.local(), "damaged");
+  const auto give_up = std::chrono::steady_clock::now() + std::chrono::seconds{10};
+  while (dropped == 0 && std::chrono::steady_clock::now() < give_up) {
+    const std::size_t before = received + dropped;
+    to.Poll(2);
+    REQUIRE(received + dropped <= before + 2);
+  }
+  CHECK(received == 4);
+  CHECK(dropped == 1);
+}
+
 TEST_CASE("a connection delivers frames in both directions and reports its end") {
   asio::io_context context;
   std::shared_ptr<tcp_connection> accepted;
