Reclaim only what batch has borrowed; throttle it beside slow services

Cause: reclaim took all use of the headroom for borrowing by batch, also that of the latency-critical tasks it is kept for.

Change: borrowed is what batch uses beyond its own part of the worker. Without lending that is nothing. So batch is now also throttled, and never evicted, beside a service that is slower than its own usual time by more than the weight of tail latency tolerates, the most harmful class first.

--- a/libs/placement/include/placement/reclaim.h
+++ b/libs/placement/include/placement/reclaim.h
@@ -6,6 +6,7 @@
 
 #include "placement/preemption.h"
 #include "placement/running_table.h"
+#include "placement/service_slowdown.h"
 #include "placement/types.h"
 
 namespace coltsfoot::placement {
@@ -25,6 +26,11 @@
   /// As in `preemption_options`: tasks that preemption throttled are unthrottled after `calm` when
   /// what they gave up is free again.
   std::uint32_t throttle_frees_percent = 0;
+  /// Batch beside a service that is slower than `placement_view::tolerated_slowdown` for this long
+  /// is throttled, one task per interval, until the service has lost half of its slowness for
+  /// `calm`.
+  core::nanoseconds slow_onset = std::chrono::milliseconds{500};
+  core::nanoseconds slow_interval = std::chrono::milliseconds{500};
 };
 
 /// Change that reclaim orders for one task.
@@ -42,7 +48,8 @@
 
 /// Gives capacity that batch borrowed back to latency-critical work: throttles batch tasks on a
 /// worker whose latency-critical load exceeds its share, then evicts them, and lifts the throttle
-/// after the load has fallen.
+/// after the load has fallen. Batch that has borrowed nothing is throttled, and never evicted,
+/// while the services beside it are slower than usual.
 class headroom_reclaim {
  public:
   explicit headroom_reclaim(reclaim_options options = {}) : options_(options) {}
@@ -66,11 +73,18 @@
     core::mono_time below_since{};
     core::mono_time started{};
     core::mono_time evicted_at{};
+    core::mono_time slow_since{};
+    core::mono_time fast_since{};
+    core::mono_time slow_ordered_at{};
     bool above = false;
     bool below = false;
+    bool slow = false;
+    bool fast = false;
   };
   void Examine(worker_index worker, const placement_view& view, running_table& running,
                eviction_budget& budget, core::mono_time now, std::vector<reclaim_action>& actions);
+  void ProtectService(worker_index worker, const placement_view& view, running_table& running,
+                      core::mono_time now, std::vector<reclaim_action>& actions);
   void Throttle(worker_index worker, std::int64_t borrowed, running_table& running,
                 core::mono_time now, std::vector<reclaim_action>& actions);
   void Unthrottle(worker_index worker, std::int64_t free_cpu, running_table& running,
@@ -79,6 +93,7 @@
                 core::mono_time now, std::vector<reclaim_action>& actions);
 
   reclaim_options options_;
+  service_slowdown slowdowns_;
   std::vector<worker_row> rows_;
   std::vector<std::uint8_t> active_;
   worker_index next_ = 0;
--- a/libs/placement/include/placement/types.h
+++ b/libs/placement/include/placement/types.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <limits>
 #include <span>
 #include <string>
 #include <string_view>
@@ -112,6 +113,8 @@
   std::uint32_t headroom_percent = 0;  ///< of each worker, kept for latency-critical work
   /// Batch may use the headroom of a worker when it fits nowhere else.
   bool borrow_headroom = true;
+  /// A service that takes longer than its usual time by more than this factor needs protection.
+  double tolerated_slowdown = std::numeric_limits<double>::infinity();
   /// Column by worker index, nonzero where reclaim is active and nothing may be borrowed.
   std::span<const std::uint8_t> no_borrowing;
 };
--- a/libs/placement/src/reclaim.cc
+++ b/libs/placement/src/reclaim.cc
@@ -1,18 +1,28 @@
 #include "placement/reclaim.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace coltsfoot::placement {
 
 namespace {
 
+/// A class whose estimated slowdown of a service is lower, and that is this certain (standard
+/// deviation of the logarithm), is not throttled for the sake of the service.
+constexpr double kHarmfulSlowdown = 1.1;
+constexpr double kCertainEstimate = 0.3;
+
 bool IsBatch(const running_task& task) { return task.spec.tier() == task_tier::batch; }
 
-/// Processors that batch has borrowed from the headroom of a worker, in thousandths.
-std::int64_t BorrowedCpu(const placement_view& view, worker_index worker) {
-  const std::int64_t headroom =
-      view.workers->total()[worker].cpu_millis * view.headroom_percent / 100;
-  return headroom - view.workers->available()[worker].cpu_millis;
+/// Processors that batch of this entry has borrowed from the headroom of a worker, in thousandths.
+/// Latency-critical tasks that use the headroom borrow nothing: it is kept for them. Batch of other
+/// entries is not known here and is theirs to reclaim.
+std::int64_t BorrowedCpu(const placement_view& view, const running_table& running,
+                         worker_index worker) {
+  const std::int64_t total = view.workers->total()[worker].cpu_millis;
+  const std::int64_t headroom = total * view.headroom_percent / 100;
+  return std::min(running.BatchCpu(worker) - (total - headroom),
+                  headroom - view.workers->available()[worker].cpu_millis);
 }
 
 /// @return batch tasks on the worker in the given state; those that borrow come first,
@@ -31,6 +41,19 @@
   return tasks;
 }
 
+/// How much a class of batch tasks slows a service down: 1 is not at all. Nothing if it is known to
+/// do no harm worth throttling.
+std::optional<double> HarmTo(const placement_view& view, membership::name_id service,
+                             const running_task& task, core::mono_time now) {
+  if (view.interference == nullptr) return 1;
+  const interference::class_id victim =
+      view.interference->FindClass(view.workers->service_names().Name(service));
+  const auto estimate = view.interference->Estimate(victim, task.interference_class, now);
+  const bool harmless =
+      estimate.slowdown < kHarmfulSlowdown && estimate.uncertainty < kCertainEstimate;
+  return harmless ? std::nullopt : std::optional(estimate.slowdown);
+}
+
 }  // namespace
 
 double LatencyCriticalLoadPercent(const membership::worker_table& workers, worker_index worker) {
@@ -53,7 +76,11 @@
   }
   for (std::uint32_t i = 0; i < std::min(kWorkersPerTick, workers); ++i) {
     next_ = next_ + 1 < workers ? next_ + 1 : 0;
-    if (active_[next_] == 0 && running.BatchCpu(next_) <= 0) continue;
+    if (active_[next_] == 0 && running.BatchCpu(next_) <= 0) {
+      slowdowns_.Observe(*view.workers, next_, now);
+      continue;
+    }
+    ProtectService(next_, view, running, now, actions);
     Examine(next_, view, running, budget, now, actions);
   }
   return actions;
@@ -63,6 +90,7 @@
   if (worker >= rows_.size()) return;
   rows_[worker] = {};
   active_[worker] = 0;
+  slowdowns_.ResetWorker(worker);
 }
 
 void headroom_reclaim::Examine(worker_index worker, const placement_view& view,
@@ -77,29 +105,62 @@
   if (below && !row.below) row.below_since = now;
   row.above = above;
   row.below = below;
+  const bool may_unthrottle = row.fast && now - row.fast_since >= options_.calm;
+  const std::int64_t available = view.workers->available()[worker].cpu_millis;
+  const std::int64_t borrowed = BorrowedCpu(view, running, worker);
   if (active_[worker] == 0) {
     const bool starts = above && now - row.above_since >= options_.onset;
-    if (!above) {
-      Unthrottle(worker, view.workers->available()[worker].cpu_millis, running, now, actions);
+    if ((!above || borrowed <= 0) && may_unthrottle) {
+      Unthrottle(worker, available, running, now, actions);
     }
-    if (!starts || BorrowedCpu(view, worker) <= 0) return;
+    if (!starts || borrowed <= 0) return;
     active_[worker] = 1;
     row.started = now;
-    Throttle(worker, BorrowedCpu(view, worker), running, now, actions);
+    Throttle(worker, borrowed, running, now, actions);
     return;
   }
   if (below && now - row.below_since >= options_.calm) {
     active_[worker] = 0;
-    Unthrottle(worker, view.workers->available()[worker].cpu_millis, running, now, actions);
+    if (may_unthrottle) Unthrottle(worker, available, running, now, actions);
     return;
   }
   const bool due = now - std::max(row.started + options_.evict_after,
                                   row.evicted_at + options_.evict_interval) >=
                    core::nanoseconds{0};
-  if (!above || !due || BorrowedCpu(view, worker) <= 0) return;
+  if (!above || !due || borrowed <= 0) return;
   if (EvictOne(worker, running, budget, now, actions)) row.evicted_at = now;
 }
 
+void headroom_reclaim::ProtectService(worker_index worker, const placement_view& view,
+                                      running_table& running, core::mono_time now,
+                                      std::vector<reclaim_action>& actions) {
+  worker_row& row = rows_[worker];
+  const slowed_service slowed = slowdowns_.Observe(*view.workers, worker, now);
+  const bool slow = slowed.slowdown > view.tolerated_slowdown;
+  const bool fast = slowed.slowdown < (1 + view.tolerated_slowdown) / 2;
+  if (slow && !row.slow) row.slow_since = now;
+  if (fast && !row.fast) row.fast_since = now;
+  row.slow = slow;
+  row.fast = fast;
+  if (!slow || now - row.slow_since < options_.slow_onset) return;
+  if (now - row.slow_ordered_at < options_.slow_interval) return;
+  running_task* worst = nullptr;
+  double most_harm = 0;
+  for (running_task* task : BatchTasks(running, worker, running_state::running)) {
+    const auto harm = HarmTo(view, slowed.service, *task, now);
+    if (!harm) continue;
+    // Of equals the newest, because the service has just become slow.
+    const bool newer = worst == nullptr || task->assigned_at > worst->assigned_at;
+    if (*harm < most_harm || (*harm == most_harm && !newer)) continue;
+    worst = task;
+    most_harm = *harm;
+  }
+  if (worst == nullptr) return;
+  row.slow_ordered_at = now;
+  running.SetState(*worst, running_state::throttled, now);
+  actions.push_back({worst->spec.task, worker, reclaim_action::kind::throttle});
+}
+
 void headroom_reclaim::Throttle(worker_index worker, std::int64_t borrowed, running_table& running,
                                 core::mono_time now, std::vector<reclaim_action>& actions) {
   for (running_task* task : BatchTasks(running, worker, running_state::running)) {
--- a/libs/placement/src/scheduler.cc
+++ b/libs/placement/src/scheduler.cc
@@ -16,6 +16,19 @@
 /// chosen again.
 constexpr core::nanoseconds kOrderLost = std::chrono::seconds{10};
 
+/// Slowdown of services, less one, that a fleet tolerates which weighs nothing but tail latency. It
+/// is beyond what full workers without noisy neighbours cause.
+constexpr double kLeastTolerance = 0.45;
+
+/// @return the factor on the usual time of a service above which batch beside it is throttled. The
+/// less tail latency weighs, the more batch gets done beside slow services.
+double ToleratedSlowdown(const goal_weights& weights) {
+  const double tail = std::max(0.0, weights.tail_latency);
+  const double all = tail + std::max(0.0, weights.throughput) + std::max(0.0, weights.evictions);
+  if (all <= 0) return ToleratedSlowdown({1, 1, 1});
+  return 1 + kLeastTolerance * all / tail;
+}
+
 reclaim_options ReclaimOptions(const scheduler_options& options) {
   reclaim_options reclaim = options.reclaim;
   reclaim.throttle_frees_percent = options.preemption.throttle_frees_percent;
@@ -171,6 +184,7 @@
                                              : quarantine_->standing(),
           .headroom_percent = options_.headroom_percent,
           .borrow_headroom = options_.borrow_headroom,
+          .tolerated_slowdown = ToleratedSlowdown(options_.scoring.weights),
           .no_borrowing = reclaim_.active()};
 }
 
--- a/libs/placement/tests/fleet.h
+++ b/libs/placement/tests/fleet.h
@@ -39,13 +39,15 @@
     message.free = free_[worker];
     message.slots_total = 8;
     message.slots_free = 8;
-    message.services = {{"planner", load_[worker], 0, 1'000}};
+    message.services = {{"planner", load_[worker], 0, service_us_}};
     return message;
   }
   /// What the agent of a worker has left.
   core::resources& free(std::uint32_t worker) { return free_[worker]; }
   /// Requests in flight on a worker.
   std::uint32_t& load(std::uint32_t worker) { return load_[worker]; }
+  /// Average service time on all workers, in microseconds.
+  std::uint32_t& service_us() { return service_us_; }
   placement_view View() const { return {.workers = &table}; }
 
   membership::worker_table table;
@@ -54,6 +56,7 @@
   std::vector<std::string> names_;
   std::vector<core::resources> free_;
   std::vector<std::uint32_t> load_;
+  std::uint32_t service_us_ = 1'000;
   std::uint64_t seq_ = 0;
 };
 
--- a/libs/placement/tests/scheduler_test.cc
+++ b/libs/placement/tests/scheduler_test.cc
@@ -305,6 +305,56 @@
   CHECK(run.evicted == 1);
 }
 
+// Guards against throttling batch that has borrowed nothing: latency-critical tasks use the
+// headroom that is kept for them, and requests alone keep the load above its share.
+TEST_CASE("latency-critical tasks in the headroom do not throttle batch") {
+  scheduler_options options;
+  options.headroom_percent = 25;
+  options.borrow_headroom = false;
+  simulation run(1, options);
+  run.subject.Adopt(MakeTask("b", task_kind::batch, {12'000, 1'000, 0}), 0, run.now, run.now);
+  run.subject.Adopt(MakeTask("c", task_kind::latency_critical, {4'000, 1'000, 0}), 0, run.now,
+                    run.now);
+  run.fleet.free(0) = {0, 58'000, 2};
+  run.fleet.load(0) = 6;
+  run.fleet.Beat(run.now);
+  run.Run(seconds{10});
+  CHECK(run.controls.empty());
+}
+
+// Guards against batch that keeps a service slow, against throttling all of it at once or for a
+// slowness that lasts less than the onset, and against evicting what has borrowed nothing.
+TEST_CASE("batch is throttled step by step while a service is slow, and let go after a calm") {
+  scheduler_options options;
+  options.scoring.weights = {6, 1, 1};
+  simulation run(1, options);
+  run.FillWithBatch(4, std::chrono::minutes{10});
+  run.fleet.load(0) = 1;
+  run.fleet.Beat(run.now);
+  run.Run(seconds{10});
+  run.fleet.service_us() = 1'500;
+  run.fleet.Beat(run.now);
+  run.Run(seconds{2});
+  CHECK(run.controls.empty());
+  run.fleet.service_us() = 2'000;
+  run.fleet.Beat(run.now);
+  run.Run(milliseconds{400});
+  CHECK(run.controls.empty());
+  run.Run(milliseconds{500});
+  REQUIRE(run.controls.size() == 1);
+  CHECK(run.controls[0].kind == control_kind::throttle);
+  run.Run(seconds{5});
+  CHECK(run.controls.size() == 4);
+  run.fleet.service_us() = 1'000;
+  run.fleet.Beat(run.now);
+  run.Run(seconds{9});
+  CHECK(run.controls.size() == 4);
+  run.Run(seconds{2});
+  CHECK(run.controls.size() == 8);
+  CHECK(run.controls.back().kind == control_kind::unthrottle);
+  CHECK(run.evicted == 0);
+}
+
 // Guards against a burst that overcommits workers through a stale view: agents would have to
 // refuse. 300 starts within a second, with heartbeats each 5 s.
 TEST_CASE("a burst is placed without refusals") {
