Test two regions that lose each other

The relay now also carries the connections between entries, whose addresses the stand-in for the store replaces, and can separate a region.

A first run reported a configuration that went back; that was the far entry's stale view of a near worker, so the history now names the observer of each version.

--- a/test/failure/config_test.cc
+++ b/test/failure/config_test.cc
@@ -1,56 +1,6 @@
-#include <nlohmann/json.hpp>
-
 #include "scenario.h"
 
 namespace coltsfoot::failure {
-namespace {
-
-using nlohmann::json;
-
-/// From the design page: a change is in force everywhere within this time.
-constexpr milliseconds kConfigBound{14000};
-
-json Get(fleet& running, std::size_t entry, const std::string& path) {
-  const auto result = running.calls().Call("GET", running.Entry(entry) + path);
-  if (!result.answer || result.answer->status != 200) return json::object();
-  return json::parse(result.answer->body, nullptr, false);
-}
-
-std::uint64_t Version(fleet& running, std::size_t entry) {
-  return Get(running, entry, "/v1/config").value("version", std::uint64_t{0});
-}
-
-outcome Change(fleet& running, std::size_t entry, std::uint64_t base, const std::string& author,
-               int deadline_ms) {
-  const json body = {{"if_version", base},
-                     {"author", author},
-                     {"set", {{"requests.default_deadline_ms", deadline_ms}}}};
-  outcome learned = harness::OutcomeOf(
-      running.calls().Call("PATCH", running.Entry(entry) + "/v1/config/defaults", body.dump()));
-  if (learned.ok()) {
-    running.history().Add("config_accepted", fmt::format(R"("version":{})", base + 1));
-  }
-  return learned;
-}
-
-/// Records the version in force at each process that entry 0 has heard of; a process that has just
-/// started has none.
-/// @return true if all have at least `version`.
-bool AllHave(fleet& running, std::uint64_t version, std::size_t processes) {
-  const json status = Get(running, 0, "/v1/config/status");
-  std::size_t current = 0;
-  for (const json& process : status.value("processes", json::array())) {
-    const auto in_force = process.value("version", std::uint64_t{0});
-    if (in_force == 0) continue;
-    running.history().Add("config_seen", fmt::format(R"("process":"{}","version":{})",
-                                                     process.value("process", ""), in_force));
-    if (in_force >= version) ++current;
-  }
-  return current >= processes;
-}
-
-}  // namespace
-
 // Guards against a change that is lost because another operator made one at the same time, and
 // against a version in force that goes back.
 TEST_CASE("of two operators that race one wins, and the change is in force everywhere") {
--- a/test/failure/scenario.h
+++ b/test/failure/scenario.h
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <future>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,7 @@
 using harness::request_options;
 using harness::task_spec;
 using harness::task_view;
+using nlohmann::json;
 
 inline constexpr milliseconds kSlack = harness::fleet_timings::kSlack;
 inline constexpr const char* kService = "strawline";
@@ -128,4 +130,49 @@
   return harness::WaitUntil(bound, [&] { return running.Truth(texts).size() >= count; });
 }
 
+/// From the design page: a change is in force everywhere within this time.
+inline constexpr milliseconds kConfigBound{14000};
+
+inline json Get(fleet& running, std::size_t entry, const std::string& path) {
+  const auto result = running.calls().Call("GET", running.Entry(entry) + path);
+  if (!result.answer || result.answer->status != 200) return json::object();
+  return json::parse(result.answer->body, nullptr, false);
+}
+
+inline std::uint64_t Version(fleet& running, std::size_t entry) {
+  return Get(running, entry, "/v1/config").value("version", std::uint64_t{0});
+}
+
+inline outcome Change(fleet& running, std::size_t entry, std::uint64_t base,
+                      const std::string& author, int deadline_ms) {
+  const json body = {{"if_version", base},
+                     {"author", author},
+                     {"set", {{"requests.default_deadline_ms", deadline_ms}}}};
+  outcome learned = harness::OutcomeOf(
+      running.calls().Call("PATCH", running.Entry(entry) + "/v1/config/defaults", body.dump()));
+  if (learned.ok()) {
+    running.history().Add("config_accepted", fmt::format(R"("version":{})", base + 1));
+  }
+  return learned;
+}
+
+/// Records the version in force at each process that an entry has heard of; a process that has just
+/// started has none. What two entries last heard of a process may differ, hence the entry in the
+/// record.
+/// @return true if all have at least `version`.
+inline bool AllHave(fleet& running, std::uint64_t version, std::size_t processes,
+                    std::size_t entry = 0) {
+  const json status = Get(running, entry, "/v1/config/status");
+  std::size_t current = 0;
+  for (const json& process : status.value("processes", json::array())) {
+    const auto in_force = process.value("version", std::uint64_t{0});
+    if (in_force == 0) continue;
+    running.history().Add("config_seen",
+                          fmt::format(R"("process":"{} seen by {}","version":{})",
+                                      process.value("process", ""), entry, in_force));
+    if (in_force >= version) ++current;
+  }
+  return current >= processes;
+}
+
 }  // namespace coltsfoot::failure
--- a/test/fakes/src/kv_service.cc
+++ b/test/fakes/src/kv_service.cc
@@ -24,6 +24,7 @@
 constexpr int kAnswerLost = 504;
 constexpr std::string_view kKeyPath = "/kv/";
 constexpr std::string_view kLeasePath = "/lease";
+constexpr std::string_view kReplacePath = "/admin/replace/";
 // Bounds the answer to a range read so that it stays within a few megabytes.
 constexpr std::size_t kMaxRangeBytes = 4U << 20U;
 
@@ -126,7 +127,8 @@
     leases_[found->second.lease].keys.erase(key);
   }
   Changed(key);
-  items_[key] = {received.body, revision_, lease};
+  const auto replaced = replaced_.find(key);
+  items_[key] = {replaced == replaced_.end() ? received.body : replaced->second, revision_, lease};
   if (lease != 0) leases_[lease].keys.insert(key);
   return Version(kOk, revision_);
 }
@@ -249,6 +251,15 @@
   });
 }
 
+void kv_service::ReplaceValue(const std::string& key, const std::string& value) {
+  replaced_[key] = value;
+  const auto present = items_.find(key);
+  if (present == items_.end()) return;
+  Changed(key);
+  present->second.value = value;
+  present->second.version = revision_;
+}
+
 http::response kv_service::HandleAdmin(const http::request& received) {
   if (received.path == "/admin/faults" && received.method == "POST") {
     const json body = json::parse(received.body, nullptr, false);
@@ -261,6 +272,10 @@
     faults_.cut = body.value("cut", faults_.cut);
     return Plain(kOk);
   }
+  if (received.path.starts_with(kReplacePath)) {
+    ReplaceValue(received.path.substr(kReplacePath.size()), received.body);
+    return Plain(kOk);
+  }
   if (received.path == "/admin/reset") {
     stats_ = {};
     return Plain(kOk);
--- a/test/fakes/src/kv_service.h
+++ b/test/fakes/src/kv_service.h
@@ -79,6 +79,8 @@
   http::response HandleLease(const http::request& received);
   http::response HandleRange(const http::request& received);
   http::response HandleAdmin(const http::request& received);
+  /// Stores `value` under the key now, if it exists, and in place of each later write.
+  void ReplaceValue(const std::string& key, const std::string& value);
   void HandleWatch(const http::request& received, answer done);
   std::optional<http::response> RefuseIfFaulty(const http::request& received, bool is_write);
   bool OverRate(rate_window& window, std::int64_t limit, std::uint64_t& worst);
@@ -92,6 +94,7 @@
   std::uint64_t revision_ = 0;
   std::uint64_t next_lease_ = 0;
   std::map<std::string, item> items_;
+  std::map<std::string, std::string> replaced_;  ///< values of a test in place of written ones
   std::map<std::string, std::uint64_t> change_of_key_;  ///< last revision, deletions included
   std::map<std::uint64_t, lease_state> leases_;
   std::vector<waiting_watch> watches_;
--- a/test/harness/include/harness/fleet.h
+++ b/test/harness/include/harness/fleet.h
@@ -39,12 +39,13 @@
 struct fleet_options {
   std::size_t entries = 2;
   std::size_t workers = 3;
+  std::size_t regions = 1;  ///< 2: odd entries and workers are in a second, "far" region
   std::vector<std::string> services{"strawline"};
   fleet_timings timings;
   settings_map entry;    ///< additional settings of each entry
   settings_map agent;    ///< additional settings of each agent
   settings_map target;   ///< additional settings of each target
-  bool relayed = false;  ///< puts a relay between agents and entries
+  bool relayed = false;  ///< puts a relay between agents and entries; always with two regions
 };
 
 /// Running fleet: platform, entries, and workers that each have an agent and a target. All
@@ -96,6 +97,9 @@
   void PlatformFaults(const std::string& faults);
   void TargetFaults(std::size_t index, const std::string& faults);
 
+  /// Cuts the far region from the other one and from the store, or ends the cut.
+  void CutRegions(bool cut);
+
   /// @return the entry that owns the shard of a task or key, or nothing if there is none.
   std::optional<std::size_t> OwnerOf(std::uint32_t shard);
 
@@ -112,6 +116,8 @@
 
  private:
   std::vector<std::string> EntryUdp(std::size_t agent);
+  bool IsFar(std::size_t index) const;
+  void RelayEntry(std::size_t index);
 
   fleet_options options_;
   std::filesystem::path directory_;
--- a/test/harness/src/fleet.cc
+++ b/test/harness/src/fleet.cc
@@ -5,10 +5,13 @@
 #include <cstdlib>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <system_error>
 #include <utility>
 
+#include "entry/options.h"
 #include "history/checker.h"
+#include "wire/codec.h"
 
 namespace coltsfoot::harness {
 namespace {
@@ -35,6 +38,8 @@
 
 std::string Zone(std::size_t index) { return "zone-" + std::to_string(index % kZones); }
 
+std::string RegionName(bool far) { return far ? "armor-nord" : "luzon-central"; }
+
 std::string PortOrAny(const std::string& known) { return known.empty() ? "127.0.0.1:0" : known; }
 
 std::vector<std::string> ReadLines(const std::filesystem::path& file) {
@@ -97,8 +102,8 @@
   }
   const fleet_timings& timings = options_.timings;
   settings_map settings{{"id", EntryId(index)},
-                        {"region", "luzon-central"},
-                        {"zone", Zone(index)},
+                        {"region", RegionName(IsFar(index))},
+                        {"zone", Zone(options_.regions > 1 ? index % 2 : index)},
                         {"http", PortOrAny(entry_http_[index])},
                         {"tcp", PortOrAny(entry_tcp_[index])},
                         {"udp", PortOrAny(entry_udp_[index])},
@@ -117,6 +122,32 @@
   entry_http_[index] = entries_[index]->Endpoint("http");
   entry_tcp_[index] = entries_[index]->Endpoint("tcp");
   entry_udp_[index] = entries_[index]->Endpoint("udp");
+  if (options_.regions > 1) RelayEntry(index);
+}
+
+// Other entries learn an entry's address from the store only.
+void fleet::RelayEntry(std::size_t index) {
+  const wire::endpoint face = relay_.AddEntry(EntryId(index), ToEndpoint(entry_tcp_[index]));
+  const entry::entry_address address{ToEndpoint(entry_udp_[index]), face,
+                                     ToEndpoint(entry_http_[index])};
+  calls_.Call("POST", store_ + "/admin/replace/entries/" + EntryId(index),
+              wire::EncodeValue(address));
+}
+
+bool fleet::IsFar(std::size_t index) const { return options_.regions > 1 && index % 2 == 1; }
+
+void fleet::CutRegions(bool cut) {
+  std::set<std::string> far;
+  json entries = json::array();
+  for (std::size_t index = 1; cut && index < options_.workers; index += 2) {
+    far.insert(WorkerId(index));
+  }
+  for (std::size_t index = 1; cut && index < entries_.size(); index += 2) {
+    far.insert(EntryId(index));
+    entries.push_back(EntryId(index));
+  }
+  PlatformFaults(json{{"cut", entries}}.dump());
+  relay_.Separate(std::move(far));
 }
 
 void fleet::AddEntry() {
@@ -126,7 +157,7 @@
 }
 
 std::vector<std::string> fleet::EntryUdp(std::size_t agent) {
-  if (!options_.relayed) return entry_udp_;
+  if (!options_.relayed && options_.regions == 1) return entry_udp_;
   std::vector<std::string>& faces = relayed_udp_[agent];
   for (std::size_t entry = faces.size(); entry < entry_udp_.size(); ++entry) {
     const wire::endpoint face =
@@ -139,8 +170,8 @@
 void fleet::StartAgent(std::size_t index) {
   const fleet_timings& timings = options_.timings;
   settings_map settings{{"id", WorkerId(index)},
-                        {"region", "luzon-central"},
-                        {"zone", Zone(index)},
+                        {"region", RegionName(IsFar(index))},
+                        {"zone", Zone(options_.regions > 1 ? index % 2 : index)},
                         {"rack", "rack-" + std::to_string(index / kWorkersPerRack)},
                         {"http", PortOrAny(agent_http_[index])},
                         {"udp", PortOrAny(agent_udp_[index])},
--- a/test/harness/src/relay.cc
+++ b/test/harness/src/relay.cc
@@ -26,8 +26,9 @@
   bool to_agent = false;
 };
 
-/// TCP connection from an entry to an agent, with frames that a cut holds back.
+/// TCP connection from an entry to an agent or another entry, with frames that a cut holds back.
 struct tcp_pair {
+  std::string entry;  ///< that connected; empty until an entry has named itself to another
   std::shared_ptr<wire::tcp_connection> entry_side;
   std::shared_ptr<wire::tcp_connection> agent_side;
   std::vector<std::string> held_to_agent;
@@ -72,30 +73,42 @@
             FromEntry(added, std::move(message));
           },
           [](core::result_code) {});
-      added.listener = std::make_unique<wire::tcp_listener>(
-          context_, AnyLocalPort(), [this, &added](std::shared_ptr<wire::tcp_connection> accepted) {
-            Accept(added, std::move(accepted));
-          });
       links_.push_back(std::move(item));
+      Listen(added);
       return added.agent_face->local();
     });
   }
 
+  endpoint AddEntry(const std::string& entry, const endpoint& entry_tcp) {
+    return OnThread([&] {
+      links_.push_back(std::make_unique<link>());
+      link& added = *links_.back();
+      added.agent = entry;
+      added.agent_tcp = entry_tcp;
+      return Listen(added);
+    });
+  }
+
   void SetCut(const std::string& entry, cut_state state) {
     OnThread([&] {
       cuts_[entry] = state;
-      for (auto& each : links_) {
-        if (each->entry != entry) continue;
-        for (auto& pair : each->pairs) Flush(*each, *pair);
-      }
+      FlushAll();
+      return 0;
+    });
+  }
+
+  void Separate(std::set<std::string> region) {
+    OnThread([&] {
+      region_ = std::move(region);
+      FlushAll();
       return 0;
     });
   }
 
  private:
   struct link {
-    std::string agent;
-    std::string entry;
+    std::string agent;  ///< or the entry to which others connect
+    std::string entry;  ///< empty for the links between entries
     endpoint entry_udp;
     endpoint agent_udp;
     endpoint agent_tcp;
@@ -112,8 +125,22 @@
     return done.get_future().get();
   }
 
+  endpoint Listen(link& on) {
+    on.listener = std::make_unique<wire::tcp_listener>(
+        context_, AnyLocalPort(), [this, &on](std::shared_ptr<wire::tcp_connection> accepted) {
+          Accept(on, std::move(accepted));
+        });
+    return on.listener->local();
+  }
+
+  cut_state CutOf(const std::string& entry, const link& on) const {
+    if (region_.contains(entry) != region_.contains(on.agent)) return {true, true};
+    const auto cut = cuts_.find(on.entry);
+    return cut == cuts_.end() ? cut_state{} : cut->second;
+  }
+
   void FromAgent(link& on, raw_message message) {
-    if (cuts_[on.entry].to_entry) return;
+    if (CutOf(on.entry, on).to_entry) return;
     core::last_error error;
     if (auto heartbeat = wire::FromRaw<wire::agent_heartbeat>(message, error)) {
       on.agent_tcp = std::exchange(heartbeat->agent_tcp, on.listener->local());
@@ -124,7 +151,7 @@
   }
 
   void FromEntry(link& on, raw_message message) {
-    if (cuts_[on.entry].to_agent) return;
+    if (CutOf(on.entry, on).to_agent) return;
     core::last_error error;
     if (auto ack = wire::FromRaw<wire::heartbeat_ack>(message, error)) {
       for (endpoint& each : ack->entries) each = FaceOf(on.agent, each);
@@ -143,6 +170,7 @@
 
   void Accept(link& on, std::shared_ptr<wire::tcp_connection> accepted) {
     auto pair = std::make_shared<tcp_pair>();
+    pair->entry = on.entry;
     pair->entry_side = std::move(accepted);
     pair->agent_side = wire::ConnectTcp(context_, on.agent_tcp);
     on.pairs.push_back(pair);
@@ -154,6 +182,9 @@
     pair->entry_side->Start({.on_open = {},
                              .on_message =
                                  [this, &on, pair](raw_message message) {
+                                   core::last_error error;
+                                   const auto hello = wire::FromRaw<wire::hello>(message, error);
+                                   if (hello) pair->entry = hello->process;
                                    pair->held_to_agent.push_back(
                                        wire::MakeFrame(message.type, message.payload));
                                    Flush(on, *pair);
@@ -173,9 +204,15 @@
                              .on_close = close});
   }
 
+  void FlushAll() {
+    for (auto& each : links_) {
+      for (auto& pair : each->pairs) Flush(*each, *pair);
+    }
+  }
+
   void Flush(const link& on, tcp_pair& pair) {
     if (pair.closed) return;
-    const cut_state cut = cuts_[on.entry];
+    const cut_state cut = CutOf(pair.entry, on);
     Forward(*pair.agent_side, pair.held_to_agent, cut.to_agent || !pair.agent_open);
     Forward(*pair.entry_side, pair.held_to_entry, cut.to_entry);
   }
@@ -183,6 +220,7 @@
   asio::io_context context_;
   asio::executor_work_guard<asio::io_context::executor_type> guard_;
   std::map<std::string, cut_state> cuts_;
+  std::set<std::string> region_;
   std::vector<std::unique_ptr<link>> links_;
   std::thread thread_;
 };
@@ -195,6 +233,12 @@
   return impl_->AddLink(agent, entry, entry_udp);
 }
 
+endpoint relay::AddEntry(const std::string& entry, const endpoint& entry_tcp) {
+  return impl_->AddEntry(entry, entry_tcp);
+}
+
+void relay::Separate(std::set<std::string> region) { impl_->Separate(std::move(region)); }
+
 void relay::Cut(const std::string& entry, direction which) {
   impl_->SetCut(entry, {which != direction::to_agent, which != direction::to_entry});
 }
