--- a/test/golden/session_test.cc
+++ b/test/golden/session_test.cc
@@ -12,13 +12,39 @@
 namespace {
 
 using harness::fleet;
+using harness::process;
 using nlohmann::json;
 
-constexpr const char* kGoldenFile = COLTSFOOT_SOURCE_DIR "/test/golden/session.txt";
+constexpr const char* kDirectory = COLTSFOOT_SOURCE_DIR "/test/golden/";
 constexpr core::milliseconds kWaitBound{40000};
-/// Set this variable to write the golden file from the present behaviour.
+/// Set this variable to write the golden files from the present behaviour.
 constexpr const char* kUpdateVariable = "COLTSFOOT_UPDATE_GOLDEN";
 
+/// @return the session with ids, times, ports and amounts of load replaced.
+std::string Normalise(std::string text) {
+  const auto replace = [&text](const char* pattern, const char* with) {
+    text = std::regex_replace(text, std::regex(pattern), with);
+  };
+  replace("t[0-9a-f]{2}-[0-9a-f]{16}", "TASK");
+  replace("[0-9a-f]{16}", "HEX");
+  replace("127\\.0\\.0\\.1:[0-9]+", "ADDRESS");
+  replace("(\"[a-z_]*_(ms|ms_ago|at)\"): [0-9]+", "$1: TIME");
+  replace("(\"(submitted|assigned|ended)_ms\"):[0-9]+", "$1:TIME");
+  replace("[0-9]{4}-[0-9]{2}-[0-9]{2}[T ][0-9:.]+Z?", "TIME");
+  replace("[0-9]+ ms", "TIME ms");
+  return text;
+}
+
+/// Compares a session with its golden file.
+void CheckGolden(const std::string& session, const std::string& name) {
+  const std::string text = Normalise(session);
+  if (std::getenv(kUpdateVariable) != nullptr) std::ofstream(kDirectory + name) << text;
+  std::ifstream file(kDirectory + name);
+  std::stringstream expected;
+  expected << file.rdbuf();
+  CHECK(text == expected.str());
+}
+
 /// Session of calls whose answers are written down in a form that is the same in every run.
 class session {
  public:
@@ -53,20 +79,7 @@
     running_.calls().WaitForEnd(running_.Entries(), task, kWaitBound);
   }
 
-  /// @return the session with ids, times, ports and amounts of load replaced.
-  std::string Text() const {
-    std::string text = log_.str();
-    const auto replace = [&text](const char* pattern, const char* with) {
-      text = std::regex_replace(text, std::regex(pattern), with);
-    };
-    replace("t[0-9a-f]{2}-[0-9a-f]{16}", "TASK");
-    replace("[0-9a-f]{16}", "HEX");
-    replace("127\\.0\\.0\\.1:[0-9]+", "ADDRESS");
-    replace("(\"[a-z_]*_(ms|ms_ago|at)\"): [0-9]+", "$1: TIME");
-    replace("[0-9]{4}-[0-9]{2}-[0-9]{2}T[0-9:.]+Z?", "TIME");
-    replace("[0-9]+ ms", "TIME ms");
-    return text;
-  }
+  std::string Text() const { return log_.str(); }
 
  private:
   fleet& running_;
@@ -135,6 +148,115 @@
   calls.Call("DELETE", "/v1/config/exceptions/drain-worker-0", nullptr, {{"X-Author", "ana"}});
 }
 
+/// Session of commands with the real coltsfootctl against a real entry.
+class ctl_session {
+ public:
+  explicit ctl_session(fleet& running) : running_(running) {}
+
+  /// Runs a command and writes down its output and its exit code.
+  /// @return the output.
+  std::string Run(const std::vector<std::string>& words) {
+    const auto program = Start(words);
+    return Finish(words, *program);
+  }
+
+  /// Starts a command; `entry` is the flag's value, or empty for the fleet's entry.
+  std::unique_ptr<process> Start(std::vector<std::string> words, const std::string& entry = "") {
+    words.push_back("--author=ana");
+    words.push_back("--entry=" + (entry.empty() ? running_.Entry(0) : entry));
+    return std::make_unique<process>(
+        harness::process_spec{"coltsfootctl", "ctl", {}, running_.directory(), std::move(words)});
+  }
+
+  /// Waits for the end of a command and writes it down.
+  std::string Finish(const std::vector<std::string>& words, process& program) {
+    const auto code = program.WaitForExit(kWaitBound);
+    std::string output = program.Output();
+    log_ << "$ coltsfootctl";
+    for (const std::string& word : words) {
+      const std::string_view quote = word.find(' ') == std::string::npos ? "" : "'";
+      log_ << " " << quote << word << quote;
+    }
+    log_ << "\n" << output << "exit code " << code.value_or(-1) << "\n\n";
+    return output;
+  }
+
+  /// Repeats a command, without writing it down, until its output contains `text`.
+  void WaitFor(const std::vector<std::string>& words, const std::string& text) {
+    CHECK(harness::WaitUntil(kWaitBound, [&] {
+      const auto program = Start(words);
+      program->WaitForExit(kWaitBound);
+      return program->Output().find(text) != std::string::npos;
+    }));
+  }
+
+  std::string Text() const { return log_.str(); }
+
+ private:
+  fleet& running_;
+  std::ostringstream log_;
+};
+
+void MakeMistakes(ctl_session& ctl) {
+  ctl.Run({"task"});
+  ctl.Run({"drain", "worker-0"});
+  ctl.Run({"config", "set", "requests.queue_limit", "many"});
+  ctl.Run({"exception", "add", "requests.queue_limit", "5", "--reason=load test"});
+  ctl.Run({"task", "submit", "--team=cutting"});
+  const std::vector<std::string> nowhere{"status"};
+  ctl.Finish(nowhere, *ctl.Start(nowhere, "http://127.0.0.1:1"));
+}
+
+void ChangeSettings(ctl_session& ctl) {
+  ctl.Run({"config", "get", "requests.queue_limit"});
+  ctl.Run({"config", "set", "requests.queue_limit", "32"});
+  ctl.Run({"config", "set", "requests.queue_limit", "48", "--if_version=1"});
+  ctl.Run({"config", "get", "requests.queue_limit"});
+  ctl.Run({"exception", "add", "requests.queue_limit", "10", "--scope=service:strawline",
+           "--reason=load test", "--id=load"});
+  ctl.Run({"exception", "challenge", "load", "the test is over"});
+  ctl.Run({"exception", "list"});
+  ctl.Run({"exception", "list", "--json"});
+  ctl.Run({"exception", "show", "load"});
+  ctl.Run({"config", "explain", "requests.queue_limit", "--scope=service:strawline"});
+  ctl.Run({"exception", "remove", "load"});
+  ctl.Run({"exception", "remove", "load"});
+  ctl.Run({"config", "unset", "requests.queue_limit", "--json"});
+  ctl.WaitFor({"config", "status"}, " 0 processes behind");
+  ctl.Run({"config", "status"});
+}
+
+void FollowTasks(ctl_session& ctl, fleet& running) {
+  const std::vector<std::string> submit{"task", "submit", "--team=cutting", "--class=plan"};
+  const auto with = [&submit](const std::vector<std::string>& more) {
+    std::vector<std::string> words = submit;
+    words.insert(words.end(), more.begin(), more.end());
+    return words;
+  };
+  const auto id = [&](const std::vector<std::string>& words) {
+    const std::string output = ctl.Run(words);
+    return output.substr(0, output.find('\n'));
+  };
+  const std::string plan = id(with({"--key=plan-1", R"(--payload={"work_ms":200})"}));
+  running.calls().WaitForEnd(running.Entries(), plan, kWaitBound);
+  ctl.Run(with({"--key=plan-1", "--payload=other"}));
+  ctl.Run({"task", "get", plan});
+  ctl.Run({"task", "get", plan, "--json"});
+  ctl.Run({"task", "watch", plan});
+  const std::string check = id(with({"--key=plan-2", R"(--payload={"work_ms":600000})"}));
+  running.calls().WaitForRun(running.Entries(), check, 0, kWaitBound);
+  ctl.Run({"task", "explain", check});
+  ctl.Run({"task", "watch", check, "--wait_ms=1"});
+  const std::vector<std::string> watch{"task", "watch", check};
+  const auto watching = ctl.Start(watch);
+  CHECK(watching->WaitForLine("running", kWaitBound).has_value());
+  ctl.Run({"task", "cancel", check});
+  ctl.Finish(watch, *watching);
+  ctl.Run({"task", "cancel", check, "--json"});
+  ctl.Run({"task", "get", "t00-0000000000000000"});
+  ctl.Run({"task", "list", "--team=cutting"});
+}
+
 }  // namespace
 
 // Guards against unintended changes of what callers and operators see: paths, fields, codes and
@@ -152,12 +274,27 @@
   calls.WaitForEnd(too_large);
   calls.Call("GET", "/v1/tasks/" + too_large);
   calls.Call("GET", "/v1/nothing");
-  const std::string text = calls.Text();
-  if (std::getenv(kUpdateVariable) != nullptr) std::ofstream(kGoldenFile) << text;
-  std::ifstream file(kGoldenFile);
-  std::stringstream expected;
-  expected << file.rdbuf();
-  CHECK(text == expected.str());
+  CheckGolden(calls.Text(), "session.txt");
+}
+
+// Guards against unintended changes of commands, tables, sentences and exit codes of coltsfootctl,
+// and against commands that disagree with the real API.
+TEST_CASE("a session with coltsfootctl gives the output of the golden file") {
+  fleet running({.entries = 1, .workers = 1});
+  REQUIRE(running.WaitReady());
+  ctl_session ctl(running);
+  MakeMistakes(ctl);
+  ctl.WaitFor({"config", "status"}, " 0 processes behind");
+  ctl.Run({"status"});
+  ctl.Run({"workers"});
+  ChangeSettings(ctl);
+  FollowTasks(ctl, running);
+  ctl.Run({"drain", "worker-0", "--reason=fan replacement"});
+  ctl.WaitFor({"workers"}, "draining");
+  ctl.Run({"status"});
+  ctl.Run({"undrain", "worker-0"});
+  ctl.Run({"teams"});
+  CheckGolden(ctl.Text(), "ctl_session.txt");
 }
 
 }  // namespace coltsfoot::golden
--- a/test/harness/include/harness/process.h
+++ b/test/harness/include/harness/process.h
@@ -28,6 +28,8 @@
   std::string id;
   settings_map settings;
   std::filesystem::path directory;  ///< for the settings file and the log
+  /// Command line of a program without a settings file; its stdout joins its stderr.
+  std::vector<std::string> arguments = {};
   bool operator==(const process_spec&) const = default;
 };
 
@@ -45,6 +47,8 @@
   /// Waits for a line of the log that contains `text`.
   /// @return the line, or nothing if the program ends or `bound` passes first.
   std::optional<std::string> WaitForLine(std::string_view text, core::milliseconds bound);
+  /// @return all lines so far, each with its newline; all of them once the end has been seen.
+  std::string Output();
   /// @return the endpoint "IP:PORT" that the ready line names `name` ("http", "tcp", "udp"); waits
   /// for the line. Empty if there is none within the start limit.
   std::string Endpoint(std::string_view name);
--- a/test/harness/src/process.cc
+++ b/test/harness/src/process.cc
@@ -66,17 +66,20 @@
   if (failure != 0) throw std::system_error(failure, std::generic_category(), what);
 }
 
-pid_t Spawn(const std::string& program, const std::string& settings_flag, int log_descriptor) {
+pid_t Spawn(std::string program, std::vector<std::string> words, int log_descriptor,
+            bool with_stdout) {
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_adddup2(&actions, log_descriptor, STDERR_FILENO);
-  std::string path = program;
-  std::string flag = settings_flag;
-  std::array<char*, 3> arguments{path.data(), flag.data(), nullptr};
+  if (with_stdout) posix_spawn_file_actions_adddup2(&actions, log_descriptor, STDOUT_FILENO);
+  std::vector<char*> arguments{program.data()};
+  for (std::string& word : words) arguments.push_back(word.data());
+  arguments.push_back(nullptr);
   pid_t pid = 0;
-  const int failure = posix_spawn(&pid, path.c_str(), &actions, nullptr, arguments.data(), environ);
+  const int failure =
+      posix_spawn(&pid, program.c_str(), &actions, nullptr, arguments.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
-  Check(failure, path.c_str());
+  Check(failure, program.c_str());
   return pid;
 }
 
@@ -96,14 +99,17 @@
 
 process::process(process_spec spec) : spec_(std::move(spec)) {
   StartAlarm();
-  const std::filesystem::path file = spec_.directory / (spec_.id + ".yaml");
-  {
+  std::vector<std::string> words = spec_.arguments;
+  if (words.empty()) {
+    const std::filesystem::path file = spec_.directory / (spec_.id + ".yaml");
+    words.push_back("--settings=" + file.string());
     std::ofstream out(file);
     for (const auto& [key, value] : spec_.settings) out << key << ": " << value << "\n";
   }
   std::array<int, 2> ends{};
   if (pipe2(ends.data(), O_CLOEXEC) != 0) Check(errno, "pipe2");
-  pid_ = Spawn(ProgramDirectory() + "/" + spec_.program, "--settings=" + file.string(), ends[1]);
+  pid_ = Spawn(ProgramDirectory() + "/" + spec_.program, std::move(words), ends[1],
+               !spec_.arguments.empty());
   Register(pid_);
   close(ends[1]);
   reader_ = std::thread([this, descriptor = ends[0]] { ReadLog(descriptor); });
@@ -163,6 +169,13 @@
   return found;
 }
 
+std::string process::Output() {
+  const std::lock_guard lock(mutex_);
+  std::string out;
+  for (const std::string& line : lines_) out += line + "\n";
+  return out;
+}
+
 std::string process::Endpoint(std::string_view name) {
   const std::string line = WaitForLine("event=ready", kStartLimit).value_or("");
   const std::string key = " " + std::string(name) + "=";
