--- a/libs/placement/tests/fleet.h
+++ b/libs/placement/tests/fleet.h
@@ -42,7 +42,7 @@
     message.running_tasks = 4;
     message.slots_total = 8;
     message.slots_free = 8;
-    message.services = {{"planner", load_[worker], 0, 1'000}};
+    message.services = {{"planner", load_[worker], 0, service_us_}};
     return message;
   }
   /// What the agent of a worker has left.
@@ -51,6 +51,8 @@
   core::resources& evictable(std::uint32_t worker) { return evictable_[worker]; }
   /// Requests in flight on a worker.
   std::uint32_t& load(std::uint32_t worker) { return load_[worker]; }
+  /// Average service time on all workers, in microseconds.
+  std::uint32_t& service_us() { return service_us_; }
   placement_view View() const { return {.workers = &table}; }
 
   membership::worker_table table;
@@ -60,6 +62,7 @@
   std::vector<core::resources> free_;
   std::vector<core::resources> evictable_;
   std::vector<std::uint32_t> load_;
+  std::uint32_t service_us_ = 1'000;
   std::uint64_t seq_ = 0;
 };
 
