--- a/libs/entry/src/api.cc
+++ b/libs/entry/src/api.cc
@@ -377,6 +377,9 @@
       if (is_full()) break;
       add(use_.tasks.Find(shard, task));
     }
+    const bool wants_ended = (state.empty() || state == "ended") &&
+                             (team.empty() || table.ended().teams().contains(team));
+    if (!wants_ended) continue;
     // The latest ends are the ones that are asked for.
     for (std::size_t position = table.ended().size(); position > 0 && !is_full(); --position) {
       const ledger::task_entry entry = table.ended().At(position - 1);
--- a/libs/ledger/include/ledger/ended_tasks.h
+++ b/libs/ledger/include/ledger/ended_tasks.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -33,6 +34,8 @@
   std::size_t size() const noexcept { return rows_.size(); }
   /// @return bytes of all results that are kept.
   std::uint64_t kept_bytes() const noexcept { return kept_bytes_; }
+  /// @return number of tasks by team; teams without any are absent.
+  const std::map<std::string, std::size_t>& teams() const noexcept { return teams_; }
   /// @return how many of the oldest tasks have lost their result.
   std::uint64_t dropped() const noexcept { return dropped_; }
   /// Restores `dropped()` after all tasks of a snapshot were added.
@@ -50,6 +53,7 @@
   std::deque<row> rows_;  ///< oldest first
   /// Number of the task by the hash of its id. Numbers count all tasks that were ever added.
   std::unordered_multimap<std::uint64_t, std::uint64_t> numbers_;
+  std::map<std::string, std::size_t> teams_;
   std::uint64_t removed_ = 0;  ///< number of the oldest task
   std::uint64_t dropped_ = 0;
   std::uint64_t kept_bytes_ = 0;
--- a/libs/ledger/src/ended_tasks.cc
+++ b/libs/ledger/src/ended_tasks.cc
@@ -24,6 +24,7 @@
   numbers_.emplace(core::StableHash(task.spec.task), removed_ + rows_.size());
   rows_.push_back({task.ended_wall_ms, Encode(task)});
   kept_bytes_ += task.result.size();
+  teams_[task.spec.team] += 1;
 }
 
 std::optional<task_entry> ended_tasks::Find(std::string_view task) const {
@@ -49,6 +50,8 @@
   removed_ += 1;
   kept_bytes_ -= oldest.result.size();
   if (dropped_ > 0) dropped_ -= 1;
+  const auto team = teams_.find(oldest.spec.team);
+  if (--team->second == 0) teams_.erase(team);
   return oldest;
 }
 
