Leave out of heartbeats and acks what the other side has acknowledged

Heartbeats and acks are the largest control traffic of an entry without starts, and most of their fields never change. A heartbeat carries the description of the worker (name, address, places, totals, names of services) only until the entry has acknowledged a heartbeat that names its version. An entry that does not know the incarnation or the version renews nothing and asks; the agent answers at once with the number of its last round. An ack carries the entry's id, shards and list of entries only unless the heartbeat names the digest of their content; otherwise it names the digest, and the agent extends the leases of exactly the lists of that digest which it keeps of the sender.

Ruled out: a version number per entry process instead of a digest (equal after a restart for other lists), a 32-bit digest (a collision renews leases of wrong shards), and a heartbeat number of its own for the answer to a question (other entries count intervals by it).

--- a/bench/capacity/src/heartbeat_load.cc
+++ b/bench/capacity/src/heartbeat_load.cc
@@ -20,6 +20,7 @@
   wire::agent_heartbeat beat;
   beat.worker = "worker-" + std::to_string(index);
   beat.incarnation = index + 1;
+  beat.description = 1;
   beat.agent_tcp = tcp;
   beat.region = "luzon-central";
   beat.zone = "zone-" + std::to_string(index % kZones);
@@ -42,7 +43,7 @@
         period_(period),
         udp_(
             context_, AnyPort(),
-            [this](const wire::endpoint&, const wire::raw_message& raw) { OnAck(raw); },
+            [this](const wire::endpoint& from, const wire::raw_message& raw) { OnAck(from, raw); },
             [](core::result_code) {}),
         listener_(context_, AnyPort(),
                   [this](std::shared_ptr<wire::tcp_connection> connection) {
@@ -76,8 +77,13 @@
     for (; next_ < due; ++next_) {
       wire::agent_heartbeat& beat = beats_[next_ % beats_.size()];
       ++beat.seq;
-      const std::string datagram = wire::ToDatagram(beat);
-      for (const wire::endpoint& entry : entries_) udp_.Send(entry, datagram);
+      for (const wire::endpoint& entry : entries_) {
+        // The lists of the last ack; an entry that has answered knows the description.
+        const auto lists = lists_.find({entry, beat.incarnation});
+        beat.described = lists == lists_.end();
+        beat.lists = beat.described ? 0 : lists->second;
+        udp_.Send(entry, wire::ToDatagram(beat));
+      }
       sent += entries_.size();
     }
     timer_.expires_after(kStep);
@@ -86,11 +92,16 @@
     });
   }
 
-  void OnAck(const wire::raw_message& raw) {
+  void OnAck(const wire::endpoint& from, const wire::raw_message& raw) {
     core::last_error error;
     const auto ack = wire::FromRaw<wire::heartbeat_ack>(raw, error);
     if (!ack || ack->incarnation == 0 || ack->incarnation > beats_.size()) return;
     ++acks;
+    if (ack->undescribed) {
+      lists_.erase({from, ack->incarnation});
+      return;
+    }
+    lists_[{from, ack->incarnation}] = ack->lists;
     wire::agent_heartbeat& beat = beats_[ack->incarnation - 1];
     if (ack->policy && ack->policy->version > beat.config) beat.config = ack->policy->version;
   }
@@ -103,6 +114,7 @@
   wire::tcp_listener listener_;
   asio::steady_timer timer_;
   std::vector<wire::agent_heartbeat> beats_;
+  std::map<std::pair<wire::endpoint, std::uint64_t>, std::uint64_t> lists_;
   std::chrono::steady_clock::time_point start_;
   std::uint64_t next_ = 0;
   std::thread thread_;
--- a/libs/agent/include/agent/controller.h
+++ b/libs/agent/include/agent/controller.h
@@ -27,7 +27,7 @@
   /// Handles the end of a connection.
   void OnDisconnected(connection_id connection);
   /// Handles a datagram of an entry.
-  void OnDatagram(const wire::raw_message& message);
+  void OnDatagram(const wire::endpoint& from, const wire::raw_message& message);
   /// Handles an announcement of the target.
   void OnAnnounce(const target_announcement& announcement);
   /// Handles the target's departure.
--- a/libs/agent/include/agent/network_link.h
+++ b/libs/agent/include/agent/network_link.h
@@ -19,7 +19,7 @@
   struct handlers {
     std::function<void(connection_id, const wire::raw_message&)> on_frame;
     std::function<void(connection_id)> on_disconnected;
-    std::function<void(const wire::raw_message&)> on_datagram;
+    std::function<void(const wire::endpoint& from, const wire::raw_message&)> on_datagram;
   };
 
   /// @throws std::system_error if an address cannot be bound.
--- a/libs/agent/src/controller.cc
+++ b/libs/agent/src/controller.cc
@@ -2,13 +2,16 @@
 
 #include <spdlog/spdlog.h>
 
+#include <limits>
 #include <optional>
+#include <set>
 #include <utility>
 
 #include "admission_gate.h"
 #include "agent/capacity_ledger.h"
 #include "entry_directory.h"
 #include "event_outbox.h"
+#include "heartbeat_contacts.h"
 #include "heartbeat_log.h"
 #include "request_manager.h"
 #include "target_monitor.h"
@@ -96,9 +99,9 @@
     requests_.Disconnected(connection);
   }
 
-  void OnDatagram(const wire::raw_message& message) {
+  void OnDatagram(const wire::endpoint& from, const wire::raw_message& message) {
     core::last_error error;
-    const auto ack = wire::FromRaw<wire::heartbeat_ack>(message, error);
+    auto ack = wire::FromRaw<wire::heartbeat_ack>(message, error);
     if (!ack) {
       CountDrop("bad_datagram");
       return;
@@ -107,8 +110,20 @@
       CountDrop("other_incarnation");
       return;
     }
+    using ack_use = heartbeat_contacts::ack_use;
+    const ack_use use = contacts_.OnAck(from, *ack);
+    if (use == ack_use::ignored) return;
+    if (use == ack_use::send_description) {
+      SendDescription(from);
+      return;
+    }
     Adopt(ack->policy);
     usage_interval_ = core::milliseconds{ack->usage_interval_ms};
+    if (use == ack_use::unknown_lists) {
+      CountDrop("unknown_lists");
+      NoticeChanges();
+      return;
+    }
     entries_.SetList(ack->entry, ack->entries, time_.Now());
     const auto lease_until = heartbeats_.LeaseEnd(ack->seq, time_.Now());
     if (lease_until) {
@@ -245,8 +260,8 @@
     SendHeartbeat();
   }
 
-  void SendHeartbeat() {
-    SetGauges();
+  /// @return the present heartbeat, described, without a number.
+  wire::agent_heartbeat ComposeHeartbeat() {
     wire::agent_heartbeat beat;
     beat.worker = options_.worker;
     beat.incarnation = options_.incarnation;
@@ -265,19 +280,40 @@
     beat.recovering = state_.recovering;
     beat.draining = state_.draining();
     if (state_.target_live) beat.services = requests_.Loads();
-    beat.seq = heartbeats_.Add(time_.Now());
-    next_heartbeat_ = time_.Now() + options_.heartbeat;
-    std::string datagram = wire::ToDatagram(beat);
-    while (datagram.empty() && !beat.services.empty()) {
+    // A number of full width, so that the datagram holds whichever number it gets.
+    beat.seq = beat.description = std::numeric_limits<std::uint32_t>::max();
+    while (!beat.services.empty() && wire::ToDatagram(beat).empty()) {
       CountDrop("service_not_announced");
       beat.services.pop_back();
-      datagram = wire::ToDatagram(beat);
     }
-    for (const auto& entry : entries_.HeartbeatTargets(time_.Now())) {
-      link_.SendDatagram(entry, datagram);
+    return beat;
+  }
+
+  void SendHeartbeat() {
+    SetGauges();
+    wire::agent_heartbeat beat = ComposeHeartbeat();
+    beat.seq = last_seq_ = heartbeats_.Add(time_.Now());
+    next_heartbeat_ = time_.Now() + options_.heartbeat;
+    const std::set<wire::endpoint> targets = entries_.HeartbeatTargets(time_.Now());
+    contacts_.Begin(beat, targets);
+    for (const wire::endpoint& entry : targets) {
+      link_.SendDatagram(entry, contacts_.Datagram(beat, entry));
     }
   }
 
+  // Repeats the number of the last round, which the entry has ignored: a number more would make
+  // other entries believe that an interval has passed.
+  void SendDescription(const wire::endpoint& to) {
+    wire::agent_heartbeat beat = ComposeHeartbeat();
+    if (!contacts_.IsCurrent(beat)) {
+      SendHeartbeat();
+      return;
+    }
+    beat.seq = last_seq_;
+    beat.description = contacts_.description();
+    link_.SendDatagram(to, contacts_.Datagram(beat, to));
+  }
+
   void SetGauges() {
     const auto set = [this](std::string_view name, std::size_t value) {
       metrics_.GetGauge(name).Set(static_cast<std::int64_t>(value));
@@ -301,6 +337,8 @@
   entry_link& link_;
   worker_state state_;
   heartbeat_log heartbeats_;
+  heartbeat_contacts contacts_;
+  std::uint64_t last_seq_ = 0;
   capacity_ledger ledger_;
   entry_directory entries_;
   admission_gate gate_;
@@ -327,7 +365,9 @@
 
 void controller::OnDisconnected(connection_id connection) { impl_->OnDisconnected(connection); }
 
-void controller::OnDatagram(const wire::raw_message& message) { impl_->OnDatagram(message); }
+void controller::OnDatagram(const wire::endpoint& from, const wire::raw_message& message) {
+  impl_->OnDatagram(from, message);
+}
 
 void controller::OnAnnounce(const target_announcement& announcement) {
   impl_->OnAnnounce(announcement);
--- a/libs/agent/src/network_link.cc
+++ b/libs/agent/src/network_link.cc
@@ -9,8 +9,8 @@
     : bytes_sent_(metrics.GetCounter("coltsfoot_agent_bytes_sent_total")),
       udp_(
           context, udp,
-          [this](const wire::endpoint&, const wire::raw_message& message) {
-            handlers_.on_datagram(message);
+          [this](const wire::endpoint& from, const wire::raw_message& message) {
+            handlers_.on_datagram(from, message);
           },
           [&metrics](core::result_code code) {
             metrics
--- a/libs/agent/tests/fixture.h
+++ b/libs/agent/tests/fixture.h
@@ -128,7 +128,7 @@
     ack.incarnation = kIncarnation;
     ack.seq = LastSeq();
     ack.shards = {{3, fence}};
-    control.OnDatagram(Raw(ack));
+    control.OnDatagram(entry_udp, Raw(ack));
   }
   wire::start_task StartMessage(core::epoch_number epoch = 1, std::string task = kTask) const {
     wire::start_task out;
@@ -163,7 +163,7 @@
     ack.incarnation = kIncarnation;
     ack.seq = LastSeq();
     ack.policy = policy;
-    control.OnDatagram(Raw(ack));
+    control.OnDatagram(entry_udp, Raw(ack));
   }
   void TargetEvent(target_event event) {
     if (target.polls.empty()) control.Tick();
--- /dev/null
+++ b/libs/agent/tests/heartbeat_test.cc
@@ -0,0 +1,165 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+
+#include "fixture.h"
+
+namespace coltsfoot::agent {
+namespace {
+
+using core::milliseconds;
+using std::chrono::seconds;
+
+/// Entry of the tests: answers heartbeats of the fixture's agent.
+struct acks {
+  fixture& test;
+
+  wire::heartbeat_ack Make(std::uint64_t seq, std::uint64_t lists) const {
+    wire::heartbeat_ack ack;
+    ack.entry = "entry-1";
+    ack.incarnation = fixture::kIncarnation;
+    ack.seq = seq;
+    ack.lists = lists;
+    return ack;
+  }
+  void Send(const wire::heartbeat_ack& ack) const {
+    test.control.OnDatagram(test.entry_udp, fixture::Raw(ack));
+  }
+  void Listed(std::uint64_t seq, std::uint64_t lists, std::vector<wire::shard_grant> shards) const {
+    auto ack = Make(seq, lists);
+    ack.shards = std::move(shards);
+    Send(ack);
+  }
+  void Brief(std::uint64_t seq, std::uint64_t lists) const {
+    auto ack = Make(seq, lists);
+    ack.listed = false;
+    Send(ack);
+  }
+  void Ask(std::uint64_t seq) const {
+    auto ack = Make(seq, 0);
+    ack.listed = false;
+    ack.undescribed = true;
+    Send(ack);
+  }
+  wire::agent_heartbeat NextBeat() const {
+    const std::uint64_t before = test.LastSeq();
+    test.Pass(seconds{5}, false);
+    REQUIRE(test.LastSeq() == before + 1);
+    return test.LastBeat();
+  }
+  std::uint64_t Drops(const std::string& reason) const {
+    return test.metrics.GetCounter("coltsfoot_drops_total", {"where", "agent"}, {"reason", reason})
+        .value();
+  }
+};
+
+}  // namespace
+
+// Guards against an entry that never learns who the worker is: an ack or a description is lost,
+// acks arrive late, or the description changes.
+TEST_CASE("a heartbeat is described until the entry acknowledges the description") {
+  fixture test;
+  const acks entry{test};
+  test.Recover();
+  CHECK(entry.NextBeat().described);
+  const wire::agent_heartbeat full = entry.NextBeat();
+  CHECK(full.described);
+  entry.Listed(full.seq, 0, {});
+  wire::agent_heartbeat brief = entry.NextBeat();
+  CHECK_FALSE(brief.described);
+  CHECK(brief.worker.empty());
+  CHECK(brief.incarnation == fixture::kIncarnation);
+  CHECK(brief.description == full.description);
+  CHECK(brief.services.size() == full.services.size());
+  CHECK(brief.free == full.free);
+
+  // The target offers one service more.
+  auto announcement = fixture::Announcement();
+  announcement.services.emplace_back("planner");
+  test.control.OnAnnounce(announcement);
+  test.time.Advance(seconds{5});
+  test.control.OnAnnounce(announcement);
+  test.control.Tick();
+  const wire::agent_heartbeat changed = test.LastBeat();
+  CHECK(changed.described);
+  CHECK(changed.description > full.description);
+  CHECK(changed.services.size() == 2);
+  // An ack of a heartbeat with the old description proves nothing.
+  entry.Listed(brief.seq, 0, {});
+  test.time.Advance(seconds{5});
+  test.control.OnAnnounce(announcement);
+  test.control.Tick();
+  CHECK(test.LastBeat().described);
+}
+
+// Guards against a worker that stays unknown to a restarted entry, and against a description for
+// each copy of its question.
+TEST_CASE("an entry that does not know the worker gets its description at once") {
+  fixture test;
+  const acks entry{test};
+  test.Recover();
+  entry.Listed(test.LastSeq(), 0, {});
+  const std::uint64_t seq = entry.NextBeat().seq;
+  CHECK_FALSE(test.LastBeat().described);
+  const std::size_t sent = test.link.datagrams.size();
+  entry.Ask(seq);
+  REQUIRE(test.link.datagrams.size() == sent + 1);
+  CHECK(test.LastBeat().described);
+  CHECK(test.LastBeat().seq == seq);
+  entry.Ask(seq);
+  entry.Ask(seq - 1);
+  CHECK(test.link.datagrams.size() == sent + 1);
+  // An ack of the entry's former process arrives late; the description is lost.
+  entry.Listed(seq - 1, 0, {});
+  CHECK(entry.NextBeat().described);
+  entry.Listed(test.LastSeq(), 0, {});
+  CHECK_FALSE(entry.NextBeat().described);
+}
+
+// Guards against a lease that is extended for a shard which the entry does not name, by a digest of
+// lists that the agent does not keep, of another entry, or that were replaced.
+TEST_CASE("an ack without lists extends the leases of exactly the lists that it names") {
+  fixture test;
+  const acks entry{test};
+  constexpr std::uint64_t kWith = 11;
+  constexpr std::uint64_t kWithout = 12;
+  test.Recover();
+  entry.Listed(test.LastSeq(), kWith, {{3, 5}});
+  test.RunTask();
+  const auto deadline = [&] {
+    return test.target.pushes.empty() ? core::mono_time{}
+                                      : test.target.pushes.back().back().lease_until;
+  };
+  CHECK(entry.NextBeat().lists == kWith);
+  const core::mono_time sent_at = test.time.Now();
+  entry.Brief(test.LastSeq(), kWith);
+  test.control.Tick();
+  const core::mono_time extended = deadline();
+  CHECK(extended > sent_at + seconds{14});
+  CHECK(extended <= sent_at + seconds{15});
+
+  // Neither an unknown digest, nor none, nor another sender's ack extends anything.
+  const std::uint64_t seq = entry.NextBeat().seq;
+  entry.Brief(seq, kWithout);
+  entry.Brief(seq, 0);
+  auto other = entry.Make(seq, kWith);
+  other.listed = false;
+  test.control.OnDatagram({"127.0.0.1", 7999}, fixture::Raw(other));
+  entry.Ask(seq);
+  test.control.Tick();
+  CHECK(deadline() == extended);
+  CHECK(entry.Drops("unknown_lists") == 3);
+
+  // The entry has lost the shard: its new lists arrive before an older ack with the former ones,
+  // which counts for its own heartbeat but is not kept.
+  entry.Listed(seq, kWithout, {});
+  entry.Listed(seq - 1, kWith, {{3, 5}});
+  CHECK(deadline() == extended);
+  CHECK(entry.NextBeat().lists == kWithout);
+  entry.Brief(test.LastSeq(), kWith);
+  entry.Brief(test.LastSeq(), kWithout);
+  test.control.Tick();
+  CHECK(deadline() == extended);
+}
+
+}  // namespace coltsfoot::agent
--- a/libs/agent/tests/network_test.cc
+++ b/libs/agent/tests/network_test.cc
@@ -218,7 +218,8 @@
   link.Start({.on_frame = [&](connection_id from,
                               const wire::raw_message& message) { control.OnFrame(from, message); },
               .on_disconnected = [&](connection_id gone) { control.OnDisconnected(gone); },
-              .on_datagram = [&](const wire::raw_message& raw) { control.OnDatagram(raw); }});
+              .on_datagram = [&](const wire::endpoint& from,
+                                 const wire::raw_message& raw) { control.OnDatagram(from, raw); }});
   target_announcement announcement = fixture::Announcement();
   announcement.address.port = target.front.port();
   control.OnAnnounce(announcement);
--- a/libs/agent/tests/request_test.cc
+++ b/libs/agent/tests/request_test.cc
@@ -156,13 +156,13 @@
     return ports;
   };
   ack.entries = {{"127.0.0.1", 7000}, {"127.0.0.1", 7100}};
-  test.control.OnDatagram(fixture::Raw(ack));
+  test.control.OnDatagram(test.entry_udp, fixture::Raw(ack));
   CHECK(receivers() == std::set<std::uint16_t>{7000, 7100});
   ack.entries.clear();
-  test.control.OnDatagram(fixture::Raw(ack));
+  test.control.OnDatagram(test.entry_udp, fixture::Raw(ack));
   CHECK(receivers() == std::set<std::uint16_t>{7000, 7100});
   ack.entries = {{"127.0.0.1", 7200}};
-  test.control.OnDatagram(fixture::Raw(ack));
+  test.control.OnDatagram(test.entry_udp, fixture::Raw(ack));
   CHECK(receivers() == std::set<std::uint16_t>{7000, 7200});
 }
 
--- a/libs/agent/tests/task_test.cc
+++ b/libs/agent/tests/task_test.cc
@@ -364,7 +364,7 @@
   ack.incarnation = fixture::kIncarnation;
   ack.seq = test.LastSeq();
   ack.usage_interval_ms = 3000;
-  test.control.OnDatagram(fixture::Raw(ack));
+  test.control.OnDatagram(test.entry_udp, fixture::Raw(ack));
   test.TargetEvent(usage);
   CHECK(test.Sent<wire::usage_report>().size() == 2);
   test.Pass(core::milliseconds{3000}, false);
--- a/libs/entry/src/agent_directory.cc
+++ b/libs/entry/src/agent_directory.cc
@@ -71,12 +71,18 @@
     metrics_.GetCounter("coltsfoot_heartbeats_stale_total").Add();
     return;
   }
+  if (result.outcome == membership::heartbeat_outcome::undescribed) {
+    metrics_.GetCounter("coltsfoot_heartbeats_undescribed_total").Add();
+    AskForDescription(from, heartbeat);
+    return;
+  }
   if (result.outcome != membership::heartbeat_outcome::updated) {
     OnNewAgent(result.worker, heartbeat);
   }
-  links_.Connect(heartbeat.worker, heartbeat.agent_tcp);
-  Acknowledge(from, heartbeat);
-  ReportIfReachable(heartbeat.worker, result.worker);
+  const membership::worker_identity& identity = workers_.identity(result.worker);
+  links_.Connect(identity.id, identity.agent_tcp);
+  Acknowledge(from, heartbeat, result.worker);
+  ReportIfReachable(identity.id, result.worker);
 }
 
 void agent_directory::OnNewAgent(membership::worker_index worker,
@@ -93,26 +99,35 @@
   ApplyDrain(worker);
 }
 
-void agent_directory::Acknowledge(const wire::endpoint& to,
-                                  const wire::agent_heartbeat& heartbeat) {
+void agent_directory::AskForDescription(const wire::endpoint& to,
+                                        const wire::agent_heartbeat& heartbeat) {
+  wire::heartbeat_ack ack;
+  ack.incarnation = heartbeat.incarnation;
+  ack.seq = heartbeat.seq;
+  ack.undescribed = true;
+  ack.listed = false;
+  send_(to, wire::ToDatagram(ack));
+}
+
+void agent_directory::Acknowledge(const wire::endpoint& to, const wire::agent_heartbeat& heartbeat,
+                                  membership::worker_index worker) {
   wire::heartbeat_ack ack;
-  ack.entry = self_;
   ack.incarnation = heartbeat.incarnation;
   ack.seq = heartbeat.seq;
-  for (const auto& grant : ledger_.Grants()) ack.shards.push_back({grant.shard, grant.fence});
   ack.config = config_.version();
   if (config_.is_known() && heartbeat.config < config_.version()) {
-    ack.policy = config::DeriveAgentPolicy(*config_.current(), {.worker = heartbeat.worker,
-                                                                .rack = heartbeat.rack,
-                                                                .zone = heartbeat.zone,
-                                                                .region = heartbeat.region});
+    ack.policy = config::DeriveAgentPolicy(*config_.current(), SubjectOf(worker));
   }
+  ack.entry = self_;
+  for (const auto& grant : ledger_.Grants()) ack.shards.push_back({grant.shard, grant.fence});
   core::last_error error;
   for (const auto& peer : ledger_.Entries()) {
     if (const auto address = wire::DecodeValue<entry_address>(peer.value, error)) {
       ack.entries.push_back(address->udp);
     }
   }
+  ack.lists = wire::DigestOfLists(ack);
+  ack.listed = ack.lists != heartbeat.lists;
   const core::milliseconds usage_interval = usage_pace_.Interval(workers_.size());
   ack.usage_interval_ms = static_cast<std::uint32_t>(usage_interval.count());
   send_(to, wire::ToDatagram(ack));
--- a/libs/entry/src/agent_directory.h
+++ b/libs/entry/src/agent_directory.h
@@ -54,7 +54,9 @@
 
  private:
   std::function<void()> Decode(const std::string& link, const wire::raw_message& raw);
-  void Acknowledge(const wire::endpoint& to, const wire::agent_heartbeat& heartbeat);
+  void AskForDescription(const wire::endpoint& to, const wire::agent_heartbeat& heartbeat);
+  void Acknowledge(const wire::endpoint& to, const wire::agent_heartbeat& heartbeat,
+                   membership::worker_index worker);
   void ReportIfReachable(const std::string& worker, membership::worker_index index);
   void OnNewAgent(membership::worker_index worker, const wire::agent_heartbeat& heartbeat);
   void ApplyDrain(membership::worker_index worker);
--- /dev/null
+++ b/libs/entry/tests/heartbeat_test.cc
@@ -0,0 +1,81 @@
+#include <doctest/doctest.h>
+
+#include "agent_directory.h"
+#include "fixture.h"
+
+namespace coltsfoot::entry {
+namespace {
+
+constexpr wire::message_type kAck = wire::message_type::heartbeat_ack;
+
+/// The directory of an entry with the acks that it sent.
+struct directory {
+  explicit directory(fixture& test)
+      : agents(
+            test.options, traffic, [](const std::function<void()>& run) { run(); }, test.workers,
+            test.ledger, test.config, test.interference, test.time, test.metrics) {
+    agents.SetSender([this](const wire::endpoint&, std::string datagram) {
+      core::last_error error;
+      const auto raw = wire::ParseDatagram(datagram, error);
+      REQUIRE(raw->type == kAck);
+      acks.push_back(*wire::FromRaw<wire::heartbeat_ack>(*raw, error));
+    });
+  }
+  wire::heartbeat_ack Beat(std::uint64_t seq, bool described, std::uint64_t lists) {
+    wire::agent_heartbeat beat;
+    beat.incarnation = 99;
+    beat.seq = seq;
+    beat.description = 1;
+    beat.described = described;
+    beat.lists = lists;
+    if (described) beat.worker = "w-9";
+    beat.recovering = true;
+    const std::size_t before = acks.size();
+    agents.OnHeartbeat({"127.0.0.1", 7000}, beat);
+    REQUIRE(acks.size() == before + 1);
+    return acks.back();
+  }
+
+  asio::io_context traffic;
+  agent_directory agents;
+  std::vector<wire::heartbeat_ack> acks;
+};
+
+}  // namespace
+
+// Guards against a restarted entry that renews leases of a worker which it does not know, and
+// against an ack that refers to lists which the agent lacks or which no longer hold.
+TEST_CASE("acks ask for a missing description and list what the agent does not have") {
+  fixture test;
+  test.Start();
+  directory entry(test);
+  const wire::heartbeat_ack asked = entry.Beat(1, false, 5);
+  CHECK(asked.undescribed);
+  CHECK_FALSE(asked.listed);
+  CHECK(asked.lists == 0);
+  CHECK(test.workers.Find("w-9") == std::nullopt);
+
+  const wire::heartbeat_ack first = entry.Beat(1, true, 5);
+  CHECK_FALSE(first.undescribed);
+  REQUIRE(first.listed);
+  CHECK(first.entry == "entry-1");
+  CHECK(first.shards.size() == 1);
+  CHECK(test.workers.Find("w-9").has_value());
+  const wire::heartbeat_ack same = entry.Beat(2, false, first.lists);
+  CHECK_FALSE(same.listed);
+  CHECK(same.lists == first.lists);
+  CHECK(same.shards.empty());
+
+  // The entry may no longer renew leases: the lists that the agent keeps do not hold.
+  test.kv.fate = [](bool, const std::string&) { return ledger::call_fate::refused; };
+  for (int seconds = 0; seconds < 300 && !test.ledger.Grants().empty(); ++seconds) {
+    test.Pass(core::milliseconds{1000});
+  }
+  REQUIRE(test.ledger.Grants().empty());
+  const wire::heartbeat_ack changed = entry.Beat(3, false, first.lists);
+  CHECK(changed.listed);
+  CHECK(changed.shards.empty());
+  CHECK(changed.lists != first.lists);
+}
+
+}  // namespace coltsfoot::entry
--- a/libs/membership/include/membership/worker_table.h
+++ b/libs/membership/include/membership/worker_table.h
@@ -48,6 +48,7 @@
   updated,   ///< newer heartbeat of the known incarnation
   replaced,  ///< the agent restarted; all that was counted against the old incarnation is dropped
   stale,     ///< not newer than a heartbeat already seen, or of a replaced incarnation; ignored
+  undescribed,  ///< without a description, and the one that it refers to is not known; ignored
 };
 
 /// Result of `worker_table::OnHeartbeat`.
@@ -77,8 +78,9 @@
 struct worker_identity {
   std::string id;
   std::uint64_t incarnation = 0;
-  std::uint64_t replaced = 0;  ///< the incarnation before; its late messages are ignored
-  std::uint64_t seq = 0;       ///< newest heartbeat received
+  std::uint64_t replaced = 0;     ///< the incarnation before; its late messages are ignored
+  std::uint64_t seq = 0;          ///< newest heartbeat received
+  std::uint32_t description = 0;  ///< version of the description in force
   wire::endpoint agent_tcp;
   std::uint32_t running_tasks = 0;
   std::uint32_t connections_total = 0;
@@ -100,7 +102,8 @@
 
   // Updates.
 
-  /// Applies a heartbeat.
+  /// Applies a heartbeat. One without a description applies only if the table has the description
+  /// that it names.
   /// An assignment is dropped from the estimate by the first heartbeat after `ConfirmAssignment`,
   /// and unconfirmed by the second one after it was made, because the first may have been sent
   /// before the assignment arrived.
@@ -199,7 +202,12 @@
   };
 
   worker_index AddRow(const std::string& id);
-  void ApplyCapacity(worker_index worker, const wire::agent_heartbeat& heartbeat);
+  heartbeat_result OnBriefHeartbeat(const wire::agent_heartbeat& heartbeat, core::mono_time now);
+  void ApplyDescription(worker_index worker, const wire::agent_heartbeat& heartbeat);
+  void ApplyState(worker_index worker, const wire::agent_heartbeat& heartbeat, core::mono_time now);
+  void SetIncarnation(worker_index worker, std::uint64_t incarnation);
+  void ForgetIncarnation(worker_index worker);
+  void ApplyLoads(worker_index worker, const std::vector<wire::service_load>& loads);
   void ApplyServices(worker_index worker, const std::vector<wire::service_load>& loads);
   void ClearServices(worker_index worker);
   void DropContained(worker_index worker, std::uint64_t seq);
@@ -213,6 +221,7 @@
   name_table service_names_;
   name_table place_names_;
   std::unordered_map<std::string, worker_index> index_;
+  std::unordered_map<std::uint64_t, worker_index> incarnations_;
   std::vector<worker_index> free_rows_;
   assignment_id next_assignment_ = 1;
 
--- a/libs/membership/src/worker_table.cc
+++ b/libs/membership/src/worker_table.cc
@@ -34,6 +34,7 @@
 
 heartbeat_result worker_table::OnHeartbeat(const wire::agent_heartbeat& heartbeat,
                                            core::mono_time now) {
+  if (!heartbeat.described) return OnBriefHeartbeat(heartbeat, now);
   const auto known = index_.find(heartbeat.worker);
   const bool added = known == index_.end();
   const worker_index worker = added ? AddRow(heartbeat.worker) : known->second;
@@ -46,27 +47,47 @@
     return {worker, heartbeat_outcome::stale};
   }
   if (added || restarted) {
-    identity.replaced = identity.incarnation;
-    identity.incarnation = heartbeat.incarnation;
+    SetIncarnation(worker, heartbeat.incarnation);
     std::erase_if(pending_[worker], [](const pending_assignment& row) { return !row.hold; });
     ClearServices(worker);
     SetFlag(worker, kGone, false);
   }
-  identity.seq = heartbeat.seq;
-  identity.agent_tcp = heartbeat.agent_tcp;
-  identity.running_tasks = heartbeat.running_tasks;
-  identity.connections_total = heartbeat.connections_total;
-  identity.connections_free = heartbeat.connections_free;
-  identity.config = heartbeat.config;
-  heard_[worker] = now;
-  SetFlag(worker, kRecovering, heartbeat.recovering);
-  SetFlag(worker, kAgentDrain, heartbeat.draining);
-  ApplyCapacity(worker, heartbeat);
+  ApplyDescription(worker, heartbeat);
+  ApplyState(worker, heartbeat, now);
   ApplyServices(worker, heartbeat.services);
   if (added) return {worker, heartbeat_outcome::added};
   return {worker, restarted ? heartbeat_outcome::replaced : heartbeat_outcome::updated};
 }
 
+heartbeat_result worker_table::OnBriefHeartbeat(const wire::agent_heartbeat& heartbeat,
+                                                core::mono_time now) {
+  const auto known = incarnations_.find(heartbeat.incarnation);
+  if (known == incarnations_.end()) return {kNoWorker, heartbeat_outcome::undescribed};
+  const worker_index worker = known->second;
+  const worker_identity& identity = identity_[worker];
+  if (heartbeat.seq <= identity.seq) return {worker, heartbeat_outcome::stale};
+  if (heartbeat.description != identity.description ||
+      heartbeat.services.size() != services_[worker].size()) {
+    return {worker, heartbeat_outcome::undescribed};
+  }
+  ApplyState(worker, heartbeat, now);
+  ApplyLoads(worker, heartbeat.services);
+  return {worker, heartbeat_outcome::updated};
+}
+
+void worker_table::SetIncarnation(worker_index worker, std::uint64_t incarnation) {
+  worker_identity& identity = identity_[worker];
+  ForgetIncarnation(worker);
+  identity.replaced = identity.incarnation;
+  identity.incarnation = incarnation;
+  incarnations_[incarnation] = worker;
+}
+
+void worker_table::ForgetIncarnation(worker_index worker) {
+  const auto known = incarnations_.find(identity_[worker].incarnation);
+  if (known != incarnations_.end() && known->second == worker) incarnations_.erase(known);
+}
+
 std::optional<worker_index> worker_table::OnGoodbye(const wire::agent_goodbye& goodbye) {
   const auto worker = Find(goodbye.worker);
   if (!worker || identity_[*worker].incarnation != goodbye.incarnation) return std::nullopt;
@@ -159,6 +180,7 @@
     if (forgotten.size() == kForgottenPerCall) break;
     if (identity_[worker].id.empty() || now - heard_[worker] <= forget_after_) continue;
     index_.erase(identity_[worker].id);
+    ForgetIncarnation(worker);
     ClearServices(worker);
     pending_[worker].clear();
     reported_free_[worker] = {};
@@ -239,17 +261,43 @@
   return worker;
 }
 
-void worker_table::ApplyCapacity(worker_index worker, const wire::agent_heartbeat& heartbeat) {
+void worker_table::ApplyDescription(worker_index worker, const wire::agent_heartbeat& heartbeat) {
+  worker_identity& identity = identity_[worker];
+  identity.description = heartbeat.description;
+  identity.agent_tcp = heartbeat.agent_tcp;
+  identity.connections_total = heartbeat.connections_total;
   total_[worker] = heartbeat.total;
-  reported_free_[worker] = heartbeat.free;
   slots_total_[worker] = heartbeat.slots_total;
-  slots_free_[worker] = heartbeat.slots_free;
   region_[worker] = place_names_.Intern(heartbeat.region);
   zone_[worker] = place_names_.Intern(heartbeat.zone);
   rack_[worker] = place_names_.Intern(heartbeat.rack);
+}
+
+void worker_table::ApplyState(worker_index worker, const wire::agent_heartbeat& heartbeat,
+                              core::mono_time now) {
+  worker_identity& identity = identity_[worker];
+  identity.seq = heartbeat.seq;
+  identity.running_tasks = heartbeat.running_tasks;
+  identity.connections_free = heartbeat.connections_free;
+  identity.config = heartbeat.config;
+  heard_[worker] = now;
+  SetFlag(worker, kRecovering, heartbeat.recovering);
+  SetFlag(worker, kAgentDrain, heartbeat.draining);
+  reported_free_[worker] = heartbeat.free;
+  slots_free_[worker] = heartbeat.slots_free;
   DropContained(worker, heartbeat.seq);
 }
 
+void worker_table::ApplyLoads(worker_index worker, const std::vector<wire::service_load>& loads) {
+  for (std::size_t index = 0; index < loads.size(); ++index) {
+    service_row& row = services_[worker][index];
+    row.in_flight = loads[index].in_flight;
+    row.queued = loads[index].queued;
+    row.average_us = loads[index].average_us;
+    row.sent_since = 0;
+  }
+}
+
 void worker_table::ApplyServices(worker_index worker,
                                  const std::vector<wire::service_load>& loads) {
   std::vector<service_row> rows;
--- a/libs/membership/tests/worker_table_test.cc
+++ b/libs/membership/tests/worker_table_test.cc
@@ -53,6 +53,52 @@
   CHECK(table.Token(worker) == wire::liveness_token{8, 1});
 }
 
+// Guards against a brief heartbeat that is applied to another worker, to another description or to
+// none, and against one that does not keep its worker live.
+TEST_CASE("a brief heartbeat applies only to the description that it names") {
+  worker_table table;
+  const auto brief = [](std::uint64_t seq) {
+    wire::agent_heartbeat out;
+    out.described = false;
+    out.incarnation = 7;
+    out.description = 1;
+    out.seq = seq;
+    out.free = {4'000, 60'000, 2};
+    out.services = {{"", 5, 0, 800}};
+    return out;
+  };
+  CHECK(table.OnHeartbeat(brief(1), kStart).outcome == heartbeat_outcome::undescribed);
+  auto full = Heartbeat(2);
+  full.description = 1;
+  const worker_index worker = table.OnHeartbeat(full, kStart).worker;
+  const auto updated = table.OnHeartbeat(brief(3), kStart + seconds{10});
+  CHECK(updated.outcome == heartbeat_outcome::updated);
+  CHECK(updated.worker == worker);
+  CHECK(table.IsDispatchable(worker, kStart + seconds{20}));
+  CHECK(table.available()[worker].cpu_millis == 4'000);
+  CHECK(table.total()[worker].cpu_millis == 16'000);
+  CHECK(table.services(worker)[0].in_flight == 5);
+  CHECK(table.place_names().Name(table.zone()[worker]) == "treguier");
+  CHECK(table.OnHeartbeat(brief(3), kStart).outcome == heartbeat_outcome::stale);
+  // A changed description that was lost, and loads of another number of services.
+  auto changed = brief(4);
+  changed.description = 2;
+  CHECK(table.OnHeartbeat(changed, kStart).outcome == heartbeat_outcome::undescribed);
+  changed = brief(4);
+  changed.services.clear();
+  CHECK(table.OnHeartbeat(changed, kStart).outcome == heartbeat_outcome::undescribed);
+  CHECK(table.Token(worker) == wire::liveness_token{7, 3});
+  // A restarted agent, and a worker that was forgotten.
+  auto restarted = full;
+  restarted.incarnation = 8;
+  table.OnHeartbeat(restarted, kStart);
+  CHECK(table.OnHeartbeat(brief(9), kStart).outcome == heartbeat_outcome::undescribed);
+  REQUIRE(table.Forget(kStart + std::chrono::hours{1}).size() == 1);
+  auto forgotten = brief(9);
+  forgotten.incarnation = 8;
+  CHECK(table.OnHeartbeat(forgotten, kStart).outcome == heartbeat_outcome::undescribed);
+}
+
 // Guards against overcommitting a worker by a burst that its last report cannot contain, and
 // against counting an assignment twice or dropping it too early.
 TEST_CASE("assignments count until a heartbeat contains them") {
--- a/libs/wire/include/wire/frame.h
+++ b/libs/wire/include/wire/frame.h
@@ -45,6 +45,10 @@
 /// @return the content of a datagram, or nothing with `decode_error` or `version_mismatch`.
 std::optional<raw_message> ParseDatagram(std::string_view bytes, core::last_error& error);
 
+/// @return the digest of the lists of `ack`, by which later acks name them; never 0. Of equal lists
+/// it is equal in every process.
+std::uint64_t DigestOfLists(const heartbeat_ack& ack);
+
 /// @return `message` as a TCP frame.
 template <class Message>
 std::string ToFrame(const Message& message) {
--- a/libs/wire/include/wire/messages.h
+++ b/libs/wire/include/wire/messages.h
@@ -102,51 +102,78 @@
 };
 
 /// Agent to each entry over UDP. Announces the worker and asks for renewal of its leases.
+///
+/// The fields from `worker` on describe the worker. They and the names of the services are sent
+/// only while `described` is true: until the entry acknowledges this description.
 struct agent_heartbeat {
   static constexpr message_type kType = message_type::agent_heartbeat;
-  std::string worker;
   std::uint64_t incarnation = 0;  ///< random number of this start of the agent
   std::uint64_t seq = 0;          ///< grows by one per round of heartbeats
-  endpoint agent_tcp;
-  std::string region;
-  std::string zone;
-  std::string rack;
-  core::resources total;
+  std::uint32_t description = 0;  ///< version of the description; grows within an incarnation
+  std::uint64_t lists = 0;  ///< digest of the receiver's lists that the agent keeps; 0 if none
   core::resources free;
-  std::uint32_t slots_total = 0;
   std::uint32_t slots_free = 0;
-  std::uint32_t connections_total = 0;
   std::uint32_t connections_free = 0;
   std::uint32_t running_tasks = 0;
   core::config_version config = 0;
   bool recovering = false;
   bool draining = false;
   std::vector<service_load> services;  ///< services of a live target; empty without one
+
+  bool described = true;
+  std::string worker;
+  endpoint agent_tcp;
+  std::string region;
+  std::string zone;
+  std::string rack;
+  core::resources total;
+  std::uint32_t slots_total = 0;
+  std::uint32_t connections_total = 0;
   bool operator==(const agent_heartbeat&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(worker, FullWidth(incarnation), seq, agent_tcp, region, zone, rack, total, free,
-            slots_total, slots_free, connections_total, connections_free, running_tasks, config,
-            recovering, draining, services);
+    archive(FullWidth(incarnation), seq, description, FullWidth(lists), free, slots_free,
+            connections_free, running_tasks, config, recovering, draining, described);
+    if (described) {
+      archive(services, worker, agent_tcp, region, zone, rack, total, slots_total,
+              connections_total);
+      return;
+    }
+    auto count = static_cast<cereal::size_type>(services.size());
+    archive(cereal::make_size_tag(count));
+    for (cereal::size_type index = 0; index < count; ++index) {
+      if (index == services.size()) services.emplace_back();
+      service_load& load = services[index];
+      archive(load.in_flight, load.queued, load.average_us);
+    }
   }
 };
 
 /// Entry to agent over UDP. Extends the leases of the tasks of the listed shards to the lease
 /// time after the agent sent heartbeat `seq`.
+///
+/// `entry`, `shards` and `entries` are the lists. They are sent only while `listed` is true;
+/// otherwise the agent uses those that it keeps of this entry, if their digest is `lists`.
 struct heartbeat_ack {
   static constexpr message_type kType = message_type::heartbeat_ack;
-  std::string entry;
   std::uint64_t incarnation = 0;  ///< of the agent, copied from the heartbeat
   std::uint64_t seq = 0;
-  std::vector<shard_grant> shards;
+  std::uint64_t lists = 0;   ///< digest of the lists; 0 if the agent must not keep them
+  bool undescribed = false;  ///< the entry does not know the worker: nothing else holds
   core::config_version config = 0;
   std::optional<agent_policy> policy;   ///< present if the agent's version is lower
-  std::vector<endpoint> entries;        ///< UDP endpoints of all known entries
   std::uint32_t usage_interval_ms = 0;  ///< least time between two usage reports of the agent
+
+  bool listed = true;
+  std::string entry;
+  std::vector<shard_grant> shards;
+  std::vector<endpoint> entries;  ///< UDP endpoints of all known entries
   bool operator==(const heartbeat_ack&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(entry, FullWidth(incarnation), seq, shards, config, policy, entries, usage_interval_ms);
+    archive(FullWidth(incarnation), seq, FullWidth(lists), undescribed, config, policy,
+            usage_interval_ms, listed);
+    if (listed) archive(entry, shards, entries);
   }
 };
 
--- a/libs/wire/src/frame.cc
+++ b/libs/wire/src/frame.cc
@@ -1,7 +1,10 @@
 #include "wire/frame.h"
 
+#include <algorithm>
 #include <cstring>
 
+#include "core/ids.h"
+
 namespace coltsfoot::wire {
 namespace {
 
@@ -68,4 +71,10 @@
                      std::string(bytes.substr(kDatagramHeaderBytes))};
 }
 
+std::uint64_t DigestOfLists(const heartbeat_ack& ack) {
+  const std::string bytes =
+      EncodeValue(ack.entry) + EncodeValue(ack.shards) + EncodeValue(ack.entries);
+  return std::max<std::uint64_t>(core::StableHash(bytes), 1);
+}
+
 }  // namespace coltsfoot::wire
--- a/libs/wire/tests/wire_test.cc
+++ b/libs/wire/tests/wire_test.cc
@@ -24,6 +24,25 @@
   return sample;
 }
 
+agent_heartbeat SampleBriefHeartbeat() {
+  agent_heartbeat sample;
+  sample.incarnation = 77;
+  sample.seq = 10;
+  sample.described = false;
+  sample.services = {{"", 3, 1, 2500}, {"", 0, 0, 0}};
+  return sample;
+}
+
+heartbeat_ack SampleAck() {
+  heartbeat_ack sample;
+  sample.incarnation = 77;
+  sample.lists = 5;
+  sample.entry = "entry-1";
+  sample.shards = {{3, 5}, {4, 5}};
+  sample.entries = {{"127.0.0.1", 4000}};
+  return sample;
+}
+
 start_task SampleStart() {
   start_task sample;
   sample.task = "t03-0000000000000001";
@@ -42,6 +61,10 @@
   REQUIRE(raw.has_value());
   CHECK(FromRaw<agent_heartbeat>(*raw, error) == SampleHeartbeat());
 
+  CHECK(DecodeValue<agent_heartbeat>(EncodeValue(SampleBriefHeartbeat()), error) ==
+        SampleBriefHeartbeat());
+  CHECK(DecodeValue<heartbeat_ack>(EncodeValue(SampleAck()), error) == SampleAck());
+
   const std::string frame = ToFrame(SampleStart());
   const auto header = ParseFrameHeader(frame, error);
   REQUIRE(header.has_value());
@@ -128,7 +151,8 @@
   core::seeded_random random(20261204);
   core::last_error error;
   const std::vector<std::string> samples = {EncodeValue(SampleHeartbeat()),
-                                            EncodeValue(SampleStart())};
+                                            EncodeValue(SampleBriefHeartbeat()),
+                                            EncodeValue(SampleAck()), EncodeValue(SampleStart())};
   for (int round = 0; round < 20000; ++round) {
     std::string bytes = samples[random.Below(samples.size())];
     const std::uint64_t changes = 1 + random.Below(4);
@@ -137,6 +161,7 @@
     }
     if (random.Below(4) == 0) bytes.resize(random.Below(bytes.size()));
     (void)DecodeValue<agent_heartbeat>(bytes, error);
+    (void)DecodeValue<heartbeat_ack>(bytes, error);
     (void)DecodeValue<start_task>(bytes, error);
   }
 }
--- a/test/harness/src/relay.cc
+++ b/test/harness/src/relay.cc
@@ -116,7 +116,9 @@
     if (cuts_[on.entry].to_entry) return;
     core::last_error error;
     if (auto heartbeat = wire::FromRaw<wire::agent_heartbeat>(message, error)) {
-      on.agent_tcp = std::exchange(heartbeat->agent_tcp, on.listener->local());
+      if (heartbeat->described) {
+        on.agent_tcp = std::exchange(heartbeat->agent_tcp, on.listener->local());
+      }
       on.entry_face->Send(on.entry_udp, wire::ToDatagram(*heartbeat));
       return;
     }
--- a/tools/coltsfoot-agent/main.cc
+++ b/tools/coltsfoot-agent/main.cc
@@ -47,11 +47,13 @@
   const auto http_client = http::MakeCurlClient();
   const auto target = MakeHttpTargetClient(*http_client, context);
   controller control(options, time, metrics, *target, link);
-  link.Start(
-      {.on_frame = [&](connection_id from,
-                       const wire::raw_message& message) { control.OnFrame(from, message); },
-       .on_disconnected = [&](connection_id gone) { control.OnDisconnected(gone); },
-       .on_datagram = [&](const wire::raw_message& message) { control.OnDatagram(message); }});
+  link.Start({.on_frame = [&](connection_id from,
+                              const wire::raw_message& message) { control.OnFrame(from, message); },
+              .on_disconnected = [&](connection_id gone) { control.OnDisconnected(gone); },
+              .on_datagram =
+                  [&](const wire::endpoint& from, const wire::raw_message& message) {
+                    control.OnDatagram(from, message);
+                  }});
   http::server front(
       {.address = options.http.ip, .port = options.http.port, .body_limit = kBodyLimitBytes},
       MakeTargetApi({.on_announce =
