Ask for usage reports of 10 KB/s and send team usage only when it changed

The 22.7 KB/s that stood for usage reports are all TCP traffic of an entry. The size of reports was estimated correctly; what came on top of the 15 KB/s aimed at was peer_status, which carried all 60 teams to and from each peer every second: 39 bytes a team before the varints, 9.4 KB/s worked out with three entries. With the varints the estimate became twice the real size, so reports were rarer than meant and the total fell without reaching its aim.

usage_pace now learns the size of the frame that was received, aims at 10 KB/s, and peer_status leaves out the teams unless they differ from those last sent over this link or 10 s have passed.

--- a/libs/entry/src/agent_directory.cc
+++ b/libs/entry/src/agent_directory.cc
@@ -55,8 +55,9 @@
     return [this, report = std::move(*report)] { listeners_.on_report(report); };
   }
   if (auto usage = wire::FromRaw<wire::usage_report>(raw, error)) {
-    return [this, usage = std::move(*usage)] {
-      usage_pace_.Observe(usage);
+    const std::size_t bytes = wire::kFrameHeaderBytes + raw.payload.size();
+    return [this, bytes, usage = std::move(*usage)] {
+      usage_pace_.Observe(bytes);
       listeners_.on_usage(usage);
     };
   }
@@ -118,19 +119,35 @@
   if (config_.is_known() && heartbeat.config < config_.version()) {
     ack.policy = config::DeriveAgentPolicy(*config_.current(), SubjectOf(worker));
   }
-  ack.entry = self_;
-  for (const auto& grant : ledger_.Grants()) ack.shards.push_back({grant.shard, grant.fence});
+  UpdateLists();
+  ack.lists = lists_.lists;
+  ack.listed = ack.lists != heartbeat.lists;
+  if (ack.listed) {
+    ack.entry = lists_.entry;
+    ack.shards = lists_.shards;
+    ack.entries = lists_.entries;
+  }
+  const core::milliseconds usage_interval = usage_pace_.Interval(workers_.size());
+  ack.usage_interval_ms = static_cast<std::uint32_t>(usage_interval.count());
+  send_(to, wire::ToDatagram(ack));
+}
+
+// Which shards may be granted depends on the time, so that it is found out for each ack.
+void agent_directory::UpdateLists() {
+  std::vector<ledger::lease_grant> grants = ledger_.Grants();
+  if (lists_.lists != 0 && grants == listed_grants_ && ledger_.Entries() == listed_entries_) return;
+  lists_ = {};
+  lists_.entry = self_;
+  for (const auto& grant : grants) lists_.shards.push_back({grant.shard, grant.fence});
   core::last_error error;
   for (const auto& peer : ledger_.Entries()) {
     if (const auto address = wire::DecodeValue<entry_address>(peer.value, error)) {
-      ack.entries.push_back(address->udp);
+      lists_.entries.push_back(address->udp);
     }
   }
-  ack.lists = wire::DigestOfLists(ack);
-  ack.listed = ack.lists != heartbeat.lists;
-  const core::milliseconds usage_interval = usage_pace_.Interval(workers_.size());
-  ack.usage_interval_ms = static_cast<std::uint32_t>(usage_interval.count());
-  send_(to, wire::ToDatagram(ack));
+  lists_.lists = wire::DigestOfLists(lists_);
+  listed_grants_ = std::move(grants);
+  listed_entries_ = ledger_.Entries();
 }
 
 void agent_directory::ReportIfReachable(const std::string& worker, membership::worker_index index) {
--- a/libs/entry/src/agent_directory.h
+++ b/libs/entry/src/agent_directory.h
@@ -57,6 +57,7 @@
   void AskForDescription(const wire::endpoint& to, const wire::agent_heartbeat& heartbeat);
   void Acknowledge(const wire::endpoint& to, const wire::agent_heartbeat& heartbeat,
                    membership::worker_index worker);
+  void UpdateLists();
   void ReportIfReachable(const std::string& worker, membership::worker_index index);
   void OnNewAgent(membership::worker_index worker, const wire::agent_heartbeat& heartbeat);
   void ApplyDrain(membership::worker_index worker);
@@ -75,6 +76,9 @@
   std::map<std::string, std::uint64_t> reached_;  ///< incarnation that was asked what it runs
   std::vector<std::string> names_;                ///< by worker index
   wire::usage_pace usage_pace_;
+  wire::heartbeat_ack lists_;  ///< lists of the next ack, with their digest
+  std::vector<ledger::lease_grant> listed_grants_;
+  std::vector<ledger::live_entry> listed_entries_;
   core::config_version drains_applied_ = 0;
   core::mono_time next_forget_{};
 };
--- a/libs/entry/src/entry.cc
+++ b/libs/entry/src/entry.cc
@@ -194,7 +194,7 @@
           api_.Handle(call, true, std::move(respond));
         },
         [this](const wire::peer_status& status) {
-          tasks_.SetPeerUsage(status.entry, status.teams);
+          if (status.teams) tasks_.SetPeerUsage(status.entry, *status.teams);
         },
         [this] { return tasks_.OwnUsage(); });
   }
--- a/libs/entry/src/peer_directory.cc
+++ b/libs/entry/src/peer_directory.cc
@@ -14,6 +14,9 @@
 using core::result_code;
 
 constexpr core::milliseconds kStatusInterval{1000};
+// A peer drops the usage of an entry whose lease at the key-value service lapses, although the link
+// between them stays up.
+constexpr core::milliseconds kUsageRefresh{10'000};
 constexpr std::string_view kSeedPrefix = "seed-";
 
 std::vector<wire::name_value> ToList(const auto& map) {
@@ -131,6 +134,7 @@
 }
 
 void peer_directory::OnLinkUp(const std::string& link) {
+  sent_usage_.erase(link);
   links_.Send(link, wire::ToFrame(wire::config_pull{config_.version()}));
 }
 
@@ -182,7 +186,8 @@
     if (present.contains(item.first)) return false;
     links_.Forget(item.first);
     peers_.erase(item.first);
-    on_status_({item.first, 0, {}});
+    sent_usage_.erase(item.first);
+    on_status_({item.first, 0, std::vector<wire::team_usage>{}});
     return true;
   });
   // Peers from the settings serve a process that cannot read the key-value service.
@@ -200,9 +205,20 @@
 }
 
 void peer_directory::SendStatus() {
-  const std::string frame =
-      wire::ToFrame(wire::peer_status{options_.id, config_.version(), own_usage_()});
-  for (const auto& [peer, value] : known_) links_.Send(peer, frame);
+  const core::mono_time now = time_.Now();
+  const std::vector<wire::team_usage> usage = own_usage_();
+  const std::string brief =
+      wire::ToFrame(wire::peer_status{options_.id, config_.version(), std::nullopt});
+  const std::string whole = wire::ToFrame(wire::peer_status{options_.id, config_.version(), usage});
+  for (const auto& [peer, value] : known_) {
+    sent_usage& last = sent_usage_[peer];
+    const bool known = last.teams == usage && now < last.expires;
+    if (!links_.Send(peer, known ? brief : whole)) {
+      sent_usage_.erase(peer);
+    } else if (!known) {
+      last = {usage, now + kUsageRefresh};
+    }
+  }
 }
 
 }  // namespace coltsfoot::entry
--- a/libs/entry/src/peer_directory.h
+++ b/libs/entry/src/peer_directory.h
@@ -62,6 +62,12 @@
     http::responder respond;
   };
 
+  /// Team usage that a peer was sent over the present link.
+  struct sent_usage {
+    std::vector<wire::team_usage> teams;
+    core::mono_time expires;
+  };
+
   std::function<void()> Decode(const std::string& link, const wire::raw_message& raw);
   void OnCall(const std::string& link, const wire::forward_call& call);
   void OnReply(const wire::forward_reply& reply);
@@ -83,6 +89,7 @@
   std::map<std::uint64_t, pending_call> pending_;
   std::map<std::string, peer_state> peers_;
   std::map<std::string, std::string> known_;  ///< registered value by entry
+  std::map<std::string, sent_usage> sent_usage_;
   bool seeds_open_ = false;
   core::mono_time next_status_{};
 };
--- a/libs/wire/include/wire/messages.h
+++ b/libs/wire/include/wire/messages.h
@@ -503,11 +503,12 @@
 };
 
 /// Entry to each other entry, once a second: what quotas and the status page need of it.
+/// `teams` is left out while it is as in the last status.
 struct peer_status {
   static constexpr message_type kType = message_type::peer_status;
   std::string entry;
   core::config_version config = 0;
-  std::vector<team_usage> teams;
+  std::optional<std::vector<team_usage>> teams;
   bool operator==(const peer_status&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
--- a/libs/wire/include/wire/usage_pace.h
+++ b/libs/wire/include/wire/usage_pace.h
@@ -3,20 +3,19 @@
 #include <cstddef>
 
 #include "core/clock.h"
-#include "wire/messages.h"
 
 namespace coltsfoot::wire {
 
-/// Bytes per second of usage reports that one entry asks its agents for together: half of what the
-/// design allows a node for control traffic.
-inline constexpr double kUsageBytesPerSecond = 15'000;
+/// Bytes per second of usage reports that one entry asks its agents for together: a third of what
+/// the design allows a node for control traffic.
+inline constexpr double kUsageBytesPerSecond = 10'000;
 
 /// Finds how often agents should report usage, so that the traffic at an entry stays within
 /// `kUsageBytesPerSecond` however many workers and tasks there are.
 class usage_pace {
  public:
-  /// Learns the size of a report.
-  void Observe(const usage_report& report);
+  /// Learns the size of a report, its frame header included.
+  void Observe(std::size_t frame_bytes);
   /// @return the least time between two reports of each of `workers` workers; zero while their
   /// reports are few, at most `kLongestInterval`.
   core::milliseconds Interval(std::size_t workers) const;
--- a/libs/wire/tests/wire_test.cc
+++ b/libs/wire/tests/wire_test.cc
@@ -236,7 +236,7 @@
   const double bytes = static_cast<double>(ToFrame(report).size());
   usage_pace pace;
   CHECK(pace.Interval(990).count() == 0);
-  for (int i = 0; i < 1000; ++i) pace.Observe(report);
+  for (int i = 0; i < 1000; ++i) pace.Observe(ToFrame(report).size());
   CHECK(pace.Interval(11).count() == 0);
   const auto interval = pace.Interval(990);
   CHECK(990 * bytes / (static_cast<double>(interval.count()) / 1000) <=
