--- a/libs/entry/src/entry.cc
+++ b/libs/entry/src/entry.cc
@@ -207,7 +207,7 @@
           TimeRequests();
         },
         [this](const wire::peer_status& status) {
-          tasks_.SetPeerUsage(status.entry, status.teams);
+          if (status.teams) tasks_.SetPeerUsage(status.entry, *status.teams);
         },
         [this] { return tasks_.OwnUsage(); });
   }
