Prove by a program that agents refuse leases of former owners

The fence decides only when a former owner still answers an agent that the new owner has lost. The new case of failure_region makes that: entry-0 loses the store and keeps renewing, entry-1 adopts the tasks, then entry-1 and one worker lose each other.

The check for a live target (no_target) gets no program test: agents send a heartbeat at once when their target is lost, so entries stop within a message and the check decides only about requests on their way, which no program test brings about in a repeatable way.

--- a/test/failure/entry_loss_test.cc
+++ b/test/failure/entry_loss_test.cc
@@ -3,17 +3,6 @@
 #include "scenario.h"
 
 namespace coltsfoot::failure {
-namespace {
-
-bool OwnsAllShards(fleet& running, std::size_t entry) {
-  constexpr std::uint32_t kShards = 8;
-  for (std::uint32_t shard = 0; shard < kShards; ++shard) {
-    if (running.OwnerOf(shard) != entry) return false;
-  }
-  return true;
-}
-
-}  // namespace
 
 // Guards against a takeover that evicts, repeats or forgets the running tasks of a dead entry.
 TEST_CASE("the tasks of a killed entry are adopted and end once") {
@@ -41,8 +30,7 @@
   const auto ids = SubmitTasks(running, 0, 8, kWorkMs);
   RequireRunning(running, running.Entries(), ids, kSlack);
   running.entry_process(0).Signal(SIGSTOP);
-  CHECK(harness::WaitUntil(running.timings().TakeoverBound(),
-                           [&] { return OwnsAllShards(running, 1); }));
+  CHECK(harness::WaitUntil(running.timings().TakeoverBound(), [&] { return OwnsAll(running, 1); }));
   running.entry_process(0).Signal(SIGCONT);
   for (const task_view& view :
        CheckFinished(running, running.Entries(), ids, milliseconds{kWorkMs} + kSlack)) {
--- a/test/failure/region_test.cc
+++ b/test/failure/region_test.cc
@@ -96,4 +96,29 @@
   CheckInvariants(running);
 }
 
+// Guards against leases that a former owner renews after an agent has adopted a new one, which
+// loses the agent and gives its tasks to another worker.
+TEST_CASE("an agent takes no leases from a former owner of a shard") {
+  fleet_options options;
+  options.workers = 2;
+  options.relayed = true;
+  options.timings.orphan_grace = milliseconds{15000};  // the former owner renews throughout
+  fleet running(options);
+  REQUIRE(running.WaitReady());
+  const auto ids = SubmitTasks(running, 0, 8, kWorkMs);
+  RequireRunning(running, running.Entries(), ids, kSlack);
+  running.PlatformFaults(R"({"cut":["entry-0"]})");
+  const std::vector<std::string> owner{running.Entry(1)};
+  CHECK(harness::WaitUntil(running.timings().TakeoverBound(), [&] { return OwnsAll(running, 1); }));
+  const auto adopted = RequireRunning(running, owner, ids, kSlack);
+  running.links().Separate({"entry-1", "worker-1"});
+  const milliseconds bound = running.timings().LapseBound() + milliseconds{kWorkMs} + kSlack;
+  const auto ended = CheckFinished(running, owner, ids, bound);
+  for (std::size_t index = 0; index < ids.size(); ++index) {
+    CHECK(ended[index].worker == "worker-1");
+    CHECK(ended[index].epoch == (adopted[index].worker == "worker-1" ? 1U : 2U));
+  }
+  CheckInvariants(running);
+}
+
 }  // namespace coltsfoot::failure
--- a/test/failure/scenario.h
+++ b/test/failure/scenario.h
@@ -97,6 +97,15 @@
   return views;
 }
 
+/// @return whether an entry owns all shards in the store.
+inline bool OwnsAll(fleet& running, std::size_t entry) {
+  constexpr std::uint32_t kShards = 8;
+  for (std::uint32_t shard = 0; shard < kShards; ++shard) {
+    if (running.OwnerOf(shard) != entry) return false;
+  }
+  return true;
+}
+
 /// Checks the invariants on all that ran and on all that callers learned.
 inline void CheckInvariants(fleet& running, bool strict_resume = false) {
   for (const std::string& violation : running.Violations(strict_resume)) FAIL_CHECK(violation);
