--- a/bench/capacity/src/main.cc
+++ b/bench/capacity/src/main.cc
@@ -21,8 +21,11 @@
                                     "requests", "changes", "urgent", "change_time"}),
           "what to measure, in this order");
 ABSL_FLAG(int, window_s, 15, "length of each measured window; three heartbeats by default");
+ABSL_FLAG(std::vector<std::string>, sizes, {},
+          "sizes to measure instead of the usual ones: workers, entries, tasks or starts a second");
 ABSL_FLAG(std::vector<std::string>, urgent, (std::vector<std::string>{"1", "11", "33"}),
           "numbers of urgent tasks that are submitted at once");
+ABSL_FLAG(std::size_t, urgent_workers, 33, "full workers on which the urgent tasks are started");
 ABSL_FLAG(std::int64_t, urgent_cpu_millis, 6000,
           "size of an urgent task; the workers have 4,000 free beside batch tasks of 3,000");
 ABSL_FLAG(int, limit_s, 1800, "all processes are ended after this time");
@@ -68,6 +71,17 @@
 }
 
 void Sleep(core::milliseconds time) { std::this_thread::sleep_for(time); }
+
+/// @return the sizes that the caller asked for, or the usual ones.
+std::vector<std::size_t> Sizes(std::vector<std::size_t> usual) {
+  const std::vector<std::string> wanted = absl::GetFlag(FLAGS_sizes);
+  if (wanted.empty()) return usual;
+  std::vector<std::size_t> out;
+  out.reserve(wanted.size());
+  for (const std::string& size : wanted) out.push_back(std::strtoull(size.c_str(), nullptr, 10));
+  return out;
+}
+
 seconds Window() { return seconds{absl::GetFlag(FLAGS_window_s)}; }
 
 /// Fleet that is ready, with the calls that the measurements make.
@@ -213,7 +227,7 @@
 
 void MeasureWorkers() {
   series out{"Idle fleet, 3 entries, by workers", "workers", {}};
-  for (const std::size_t workers : {11, 33, 99}) {
+  for (const std::size_t workers : Sizes({11, 33, 99})) {
     bench idle(Options(kEntries, workers));
     out.points.emplace_back(workers, idle.MeasureIdle());
   }
@@ -222,7 +236,7 @@
 
 void MeasureEntries() {
   series out{"Idle fleet, 11 workers, by entries", "entries", {}};
-  for (const std::size_t entries : {1, 2, 3, 5}) {
+  for (const std::size_t entries : Sizes({1, 2, 3, 5})) {
     bench idle(Options(entries, kWorkers));
     out.points.emplace_back(entries, idle.MeasureIdle());
   }
@@ -233,7 +247,7 @@
   series out{
       "3 entries without agents, heartbeats of many workers every 5 s, by workers", "workers", {}};
   std::string acks;
-  for (const std::size_t workers : {0, 330, 990, 4000}) {
+  for (const std::size_t workers : Sizes({0, 330, 990, 4000})) {
     bench idle(Options(kEntries, 0));
     std::vector<wire::endpoint> entries;
     for (std::size_t i = 0; i < kEntries; ++i) {
@@ -263,7 +277,7 @@
   bench busy(Options(kEntries, kWorkers, true));
   std::uint64_t submitted = 0;
   std::string notes;
-  for (const std::uint64_t tasks : {0, 300, 1000, 3000}) {
+  for (const std::size_t tasks : Sizes({0, 300, 1000, 3000})) {
     for (; submitted < tasks; ++submitted) {
       busy.SubmitTask(submitted, 3'600'000, 100);
       Sleep(core::milliseconds{2});
@@ -280,11 +294,12 @@
 void MeasureStarts() {
   series out{"3 entries, 11 workers, by starts a second of tasks of 1 s", "starts/s", {}};
   std::string notes;
-  for (const int rate : {0, 10, 50, 150, 310}) {
+  for (const std::size_t rate : Sizes({0, 10, 50, 150, 310})) {
     bench busy(Options(kEntries, kWorkers, true));
     out.points.emplace_back(rate, busy.Measure([&] {
       if (rate == 0) Sleep(Window());
-      bench::Pace(rate, [&](std::uint64_t number) { busy.SubmitTask(number, 1000, 100); });
+      bench::Pace(static_cast<double>(rate),
+                  [&](std::uint64_t number) { busy.SubmitTask(number, 1000, 100); });
     }));
     notes += fmt::format("\n{}/s: {}; {} run at the end of the window", rate, busy.Counts(),
                          busy.RunningTasks());
@@ -319,25 +334,25 @@
 }
 
 void MeasureUrgentStart(std::size_t urgent) {
-  constexpr std::size_t kFullWorkers = 33;
   constexpr std::size_t kTasksPerWorker = 4;
-  bench full(Options(kEntries, kFullWorkers));
+  const std::size_t workers = absl::GetFlag(FLAGS_urgent_workers);
+  bench full(Options(kEntries, workers));
   // The stand-in's tasks use what they were given, so corrected sizes grow from task to task and
   // four no longer fit on a worker.
   full.Change({{"sizes.correction", false}});
   std::optional<std::string> last;
   // Four tasks of 3 processors leave 4 free, of which batch may use less than one task needs. Half
   // as many again wait in the queue, so that room that comes free is wanted at once.
-  for (std::uint64_t i = 0; i < kFullWorkers * kTasksPerWorker * 3 / 2; ++i) {
+  for (std::uint64_t i = 0; i < workers * kTasksPerWorker * 3 / 2; ++i) {
     harness::task_spec spec{.key = fmt::format("batch-{}", i)};
     spec.cpu_millis = 3000;
     spec.expected_ms = spec.work_ms = 3'600'000;
     last = full.fleet().calls().Submit(full.fleet().Entry(i % kEntries), spec);
   }
-  constexpr std::size_t kFull = kFullWorkers * kTasksPerWorker;
-  harness::WaitUntil(core::milliseconds{60'000}, [&] { return full.RunningTasks() >= kFull; });
+  const std::size_t wanted = workers * kTasksPerWorker;
+  harness::WaitUntil(core::milliseconds{60'000}, [&] { return full.RunningTasks() >= wanted; });
   const std::size_t batch = full.RunningTasks();
-  if (batch < kFull && last) {
+  if (batch < wanted && last) {
     const auto why =
         full.fleet().calls().Call("GET", full.fleet().Entry(0) + "/v1/tasks/" + *last + "/explain");
     if (why.answer) Print("\nThe workers are not full: " + why.answer->body + "\n");
@@ -375,7 +390,7 @@
       fmt::format("\n{} workers run {} batch tasks; {} urgent tasks at once: fastest {:.2f} s, "
                   "median {:.2f} s, "
                   "slowest {:.2f} s, {} not started within 40 s\n\n{}",
-                  kFullWorkers, batch, urgent, times[static_cast<std::size_t>(failed) % urgent],
+                  workers, batch, urgent, times[static_cast<std::size_t>(failed) % urgent],
                   times[urgent / 2], times.back(), failed,
                   full.EntryCounters({"coltsfoot_retries_total", "coltsfoot_evictions_total",
                                       "coltsfoot_task_controls_total", "coltsfoot_stray"})));
--- a/libs/agent/tests/capacity_ledger_test.cc
+++ b/libs/agent/tests/capacity_ledger_test.cc
@@ -7,8 +7,8 @@
 
 namespace coltsfoot::agent {
 
-// Guards against a worker that is committed beyond what its target has, in any order of starts and
-// ends.
+// Guards against a worker that is committed beyond what its target has, and against room that is
+// held for one task and taken by another, in any order of starts and ends.
 TEST_CASE("no sequence of reservations exceeds the total") {
   const bool passed = rc::check([] {
     capacity_ledger ledger;
@@ -16,6 +16,7 @@
     ledger.SetTotal(total, 3, 5);
     ledger.SetHeadroom(*rc::gen::inRange<std::uint32_t>(0, 101));
     std::map<std::string, core::resources> model;
+    std::map<std::string, core::resources> held;
     int slots = 0;
     const auto steps = *rc::gen::inRange(1, 200);
     for (int step = 0; step < steps; ++step) {
@@ -23,14 +24,25 @@
       const core::resources need{*rc::gen::inRange<std::int64_t>(-100, 3000),
                                  *rc::gen::inRange<std::int64_t>(0, 6000),
                                  *rc::gen::inRange<std::int64_t>(0, 3)};
-      const int choice = *rc::gen::inRange(0, 4);
+      const int choice = *rc::gen::inRange(0, 6);
       if (choice == 0 && ledger.ReserveTask(task, need,
                                             *rc::gen::element(core::task_kind::batch,
                                                               core::task_kind::latency_critical))) {
         RC_ASSERT(model.emplace(task, need).second);
+        RC_ASSERT(!held.contains(task));
+        core::resources promised;
+        for (const auto& [id, room] : held) promised += room;
+        RC_ASSERT(need.FitsIn(total - (ledger.committed() - need) - promised));
       } else if (choice == 1) {
         ledger.ReleaseTask(task);
         model.erase(task);
+        held.erase(task);
+      } else if (choice == 4 && ledger.HoldRoom(task, need)) {
+        RC_ASSERT(!model.contains(task));
+        RC_ASSERT(held.emplace(task, need).second);
+      } else if (choice == 5 && ledger.CommitHold(task)) {
+        RC_ASSERT(model.emplace(task, held.at(task)).second);
+        held.erase(task);
       } else if (choice == 2 && ledger.TakeSlot()) {
         ++slots;
       } else if (choice == 3 && slots > 0) {
--- a/libs/ledger/tests/shard_manager_test.cc
+++ b/libs/ledger/tests/shard_manager_test.cc
@@ -76,7 +76,7 @@
   for (int number = 0; number < 1000; ++number) {
     task_spec spec;
     spec.task = std::to_string(number);
-    spec.payload.resize(1000);
+    spec.payload.resize(1200);
     a.manager.Append(0, task_submitted{spec}, [&](append_outcome) { done += 1; });
   }
   REQUIRE(fleet.RunUntil([&] { return done == 1000; }));
@@ -381,6 +381,7 @@
   test_entry& b = fleet.Start("b");
   REQUIRE(fleet.RunUntil([&] { return Owns(b); }));
   CHECK(b.manager.Table(0)->tasks() == live.tasks());
+  CHECK(b.manager.Table(0)->ended() == live.ended());
   CHECK(b.manager.Table(0)->next_index() == live.next_index() + 1);
 }
 
--- a/libs/ledger/tests/shard_table_test.cc
+++ b/libs/ledger/tests/shard_table_test.cc
@@ -128,6 +128,7 @@
   later.retention = batch.retention;
   table.ApplyBatch(later);
   CHECK(table.tasks().empty());
+  CHECK(table.ended().size() == 0);
   CHECK(table.claims().empty());
   CHECK(ApplyOne(table, Submit("a"), 2001));
   CHECK_FALSE(ApplyOne(table, task_assigned{"a", 5, "w"}, 2001));
@@ -148,11 +149,12 @@
   CHECK(table.ApplyBatch(Batch({Submit("t")}, 1000, 3)) == std::vector<bool>{false});
   CHECK(table.next_index() == 3);
   CHECK(table.tasks().empty());
+  CHECK(table.ended().size() == 0);
 }
 
 // Guards against a takeover from a snapshot with missing or mixed parts.
 TEST_CASE("a snapshot is split into parts and refused unless it is whole") {
-  constexpr std::size_t kPartBytes = 200;
+  constexpr std::size_t kPartBytes = 100;
   shard_table table;
   for (int number = 0; number < 20; ++number) {
     ApplyOne(table, Submit("t" + std::to_string(number)));
@@ -165,9 +167,12 @@
   std::string last = std::move(parts.back());
   parts.pop_back();
   CHECK_FALSE(shard_table::DecodeSnapshot(parts, error).has_value());
-  ApplyOne(table, cancel_requested{"t1"});
-  parts.push_back(table.EncodeSnapshot(kPartBytes).back());
-  parts.front() = table.EncodeSnapshot(kPartBytes).front();
+  ApplyOne(table, cancel_requested{"t15"});
+  const std::vector<std::string> newer = table.EncodeSnapshot(kPartBytes);
+  parts.push_back(newer.back());
+  parts.front() = newer.front();
+  // The change lies in a part between the first and the last.
+  REQUIRE(parts != newer);
   CHECK_FALSE(shard_table::DecodeSnapshot(parts, error).has_value());
   CHECK_FALSE(shard_table::DecodeSnapshot({}, error).has_value());
 }
--- a/libs/placement/src/scheduler.cc
+++ b/libs/placement/src/scheduler.cc
@@ -16,6 +16,19 @@
 /// chosen again.
 constexpr core::nanoseconds kOrderLost = std::chrono::seconds{10};
 
+/// Slowdown of services, less one, that a fleet tolerates which weighs nothing but tail latency. It
+/// is beyond what full workers without noisy neighbours cause.
+constexpr double kLeastTolerance = 0.45;
+
+/// @return the factor on the usual time of a service above which batch beside it is throttled. The
+/// less tail latency weighs, the more batch gets done beside slow services.
+double ToleratedSlowdown(const goal_weights& weights) {
+  const double tail = std::max(0.0, weights.tail_latency);
+  const double all = tail + std::max(0.0, weights.throughput) + std::max(0.0, weights.evictions);
+  if (all <= 0) return ToleratedSlowdown({1, 1, 1});
+  return 1 + kLeastTolerance * all / tail;
+}
+
 reclaim_options ReclaimOptions(const scheduler_options& options) {
   reclaim_options reclaim = options.reclaim;
   reclaim.throttle_frees_percent = options.preemption.throttle_frees_percent;
@@ -102,6 +115,7 @@
     // Without capacity the assignment keeps counting, so that the worker is not asked again at
     // once. The next report of the worker's capacity is newer than the refusal and ends that.
     workers_.ConfirmAssignment(row->worker, row->assignment);
+    if (row->makes_room) workers_.OnRoomRefused(row->worker);
   }
   auto refused = Release(task, code != core::result_code::no_capacity, now);
   if (!refused) return;
@@ -171,6 +185,7 @@
                                              : quarantine_->standing(),
           .headroom_percent = options_.headroom_percent,
           .borrow_headroom = options_.borrow_headroom,
+          .tolerated_slowdown = ToleratedSlowdown(options_.scoring.weights),
           .no_borrowing = reclaim_.active()};
 }
 
@@ -328,6 +343,7 @@
   const double budget = budget_.Available(now, overdue);
   const auto plan = PlanPreemption(task, waited, budget, view(), options_.preemption, now);
   if (!plan) {
+    if (overdue && RequestRoom(task, budget, now, out)) return;
     plan_retries_[task.task] = now + kPlanRetry;
     if (budget < 1) ++counters_.budget_denied;
     return;
@@ -350,6 +366,21 @@
   Reserve(task, plan->worker, false, std::move(victims), now);
 }
 
+// The agent chooses the victims, so the budget is charged with an estimate of their number.
+bool scheduler::RequestRoom(const task_spec& task, double budget, core::mono_time now,
+                            actions& out) {
+  const core::nanoseconds waited = now - task.submitted;
+  const auto plan = PlanRoom(task, waited, budget, view(), options_.preemption, now);
+  if (!plan) return false;
+  ++counters_.room_requests;
+  for (std::uint32_t i = 0; i < plan->evictions; ++i) budget_.Take(now, true);
+  const std::string name = task.task;
+  const auto assignment = workers_.Assign(plan->worker, task.need);
+  Commit(*queue_.Remove(name), {.worker = plan->worker}, assignment, now, out);
+  running_.Find(name)->makes_room = true;
+  return true;
+}
+
 void scheduler::KeepCapacity(core::mono_time now) {
   const std::size_t limit =
       fleet_size_ == 0 ? 0 : 1 + fleet_size_ / std::max(1U, options_.workers_per_kept_task);
--- a/libs/placement/tests/scheduler_test.cc
+++ b/libs/placement/tests/scheduler_test.cc
@@ -241,6 +241,32 @@
   CHECK(plans_with_victims > 20);
 }
 
+// Guards against an urgent task that waits for ever for the room of tasks whose owners are other
+// entries, and against a worker that is asked again and again.
+TEST_CASE("an agent is asked for room when the own victims do not suffice") {
+  scheduler_options options;
+  test_fleet fleet(3);
+  for (const worker_index worker : {0U, 1U, 2U}) fleet.free(worker) = {4'000, 60'000, 0};
+  fleet.evictable(1) = {12'000, 8'000, 0};
+  SUBCASE("what is free and evictable suffices") {}
+  SUBCASE("evictions are forbidden") { options.evictions_per_minute = 0; }
+  SUBCASE("too little can be evicted") { fleet.evictable(1) = {3'999, 8'000, 0}; }
+  const bool expected = options.evictions_per_minute > 0 && fleet.evictable(1).cpu_millis > 4'000;
+  fleet.Beat(kStart);
+  core::seeded_random random{11};
+  scheduler subject(options, fleet.table, nullptr, nullptr, random);
+  subject.Submit(Urgent("u", {8'000, 1'000, 0}, kStart));
+  CHECK(subject.Tick(kStart + milliseconds{1'400}).empty());
+  const core::mono_time now = kStart + milliseconds{1'600};
+  const auto actions = subject.Tick(now);
+  REQUIRE(actions.empty() != expected);
+  if (!expected) return;
+  CHECK(std::get<assign_action>(actions.front()) == assign_action{"u", 1});
+  CHECK(subject.running().Find("u")->makes_room);
+  subject.OnRefused("u", core::result_code::no_capacity, now);
+  CHECK(subject.Tick(now + seconds{1}).empty());
+}
+
 // Guards against evicting the work that is most expensive to repeat.
 TEST_CASE("the victim with the newest checkpoint is chosen") {
   simulation run(3);
@@ -305,6 +331,56 @@
   CHECK(run.evicted == 1);
 }
 
+// Guards against throttling batch that has borrowed nothing: latency-critical tasks use the
+// headroom that is kept for them, and requests alone keep the load above its share.
+TEST_CASE("latency-critical tasks in the headroom do not throttle batch") {
+  scheduler_options options;
+  options.headroom_percent = 25;
+  options.borrow_headroom = false;
+  simulation run(1, options);
+  run.subject.Adopt(MakeTask("b", task_kind::batch, {12'000, 1'000, 0}), 0, run.now, run.now);
+  run.subject.Adopt(MakeTask("c", task_kind::latency_critical, {4'000, 1'000, 0}), 0, run.now,
+                    run.now);
+  run.fleet.free(0) = {0, 58'000, 2};
+  run.fleet.load(0) = 6;
+  run.fleet.Beat(run.now);
+  run.Run(seconds{10});
+  CHECK(run.controls.empty());
+}
+
+// Guards against batch that keeps a service slow, against throttling all of it at once or for a
+// slowness that lasts less than the onset, and against evicting what has borrowed nothing.
+TEST_CASE("batch is throttled step by step while a service is slow, and let go after a calm") {
+  scheduler_options options;
+  options.scoring.weights = {6, 1, 1};
+  simulation run(1, options);
+  run.FillWithBatch(4, std::chrono::minutes{10});
+  run.fleet.load(0) = 1;
+  run.fleet.Beat(run.now);
+  run.Run(seconds{10});
+  run.fleet.service_us() = 1'500;
+  run.fleet.Beat(run.now);
+  run.Run(seconds{2});
+  CHECK(run.controls.empty());
+  run.fleet.service_us() = 2'000;
+  run.fleet.Beat(run.now);
+  run.Run(milliseconds{400});
+  CHECK(run.controls.empty());
+  run.Run(milliseconds{500});
+  REQUIRE(run.controls.size() == 1);
+  CHECK(run.controls[0].kind == control_kind::throttle);
+  run.Run(seconds{5});
+  CHECK(run.controls.size() == 4);
+  run.fleet.service_us() = 1'000;
+  run.fleet.Beat(run.now);
+  run.Run(seconds{9});
+  CHECK(run.controls.size() == 4);
+  run.Run(seconds{2});
+  CHECK(run.controls.size() == 8);
+  CHECK(run.controls.back().kind == control_kind::unthrottle);
+  CHECK(run.evicted == 0);
+}
+
 // Guards against a burst that overcommits workers through a stale view: agents would have to
 // refuse. 300 starts within a second, with heartbeats each 5 s.
 TEST_CASE("a burst is placed without refusals") {
