--- a/libs/entry/src/entry.cc
+++ b/libs/entry/src/entry.cc
@@ -5,6 +5,7 @@
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
 #include <cstdlib>
 #include <thread>
 #include <utility>
@@ -14,6 +15,7 @@
 #include "blame/quarantine.h"
 #include "claim_controller.h"
 #include "config_controller.h"
+#include "control_queue.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "interference/model.h"
@@ -31,7 +33,12 @@
 namespace coltsfoot::entry {
 namespace {
 
-constexpr core::milliseconds kSystemsPeriod{20};
+/// Requests in progress are timed in steps of this period. An entry without any does not wake up
+/// for it, because each wakeup costs about 10 us.
+constexpr core::milliseconds kRequestPeriod{5};
+/// Heartbeats of 4,000 workers are 16 in each tick. The limit keeps a flood of datagrams from
+/// delaying everything else on the control thread; what exceeds it waits in the socket.
+constexpr std::size_t kDatagramsPerTick = 256;
 constexpr core::milliseconds kStoreTimeout{2000};
 // Requests end at their deadlines, so the wait for them is bounded by the longest sensible one.
 constexpr core::milliseconds kDrainLimit{30'000};
@@ -55,8 +62,8 @@
   impl(entry_options options, asio::io_context& control)
       : options_(std::move(options)),
         control_(control),
-        run_on_control_(
-            [this](std::function<void()> task) { asio::post(control_, std::move(task)); }),
+        queue_(control, [this] { Flush(); }),
+        run_on_control_([this](std::function<void()> task) { queue_.Post(std::move(task)); }),
         traffic_guard_(asio::make_work_guard(traffic_)),
         random_(core::SystemSeed()),
         http_client_(http::MakeCurlClient()),
@@ -64,10 +71,10 @@
                                     kStoreTimeout)),
         config_(*kv_, time_, random_, metrics_),
         workers_(TableOptions(options_)),
-        peers_(options_, traffic_, run_on_control_, config_, time_, metrics_),
+        peers_(options_, traffic_, queue_, config_, time_, metrics_),
         tcp_(peers_.Listen()),
         udp_(
-            traffic_, options_.udp,
+            options_.udp,
             [this](const wire::endpoint& from, const wire::raw_message& raw) {
               OnDatagram(from, raw);
             },
@@ -79,13 +86,16 @@
              .body_limit = kBodyLimitBytes,
              .on_refused = [this](core::result_code code) { metrics_.CountRefusal("api", code); }},
             [this](http::request call, http::responder respond) {
-              run_on_control_([this, call = std::move(call), respond = std::move(respond)] {
+              const bool submits = IsTaskSubmission(call.method, call.path);
+              auto task = [this, call = std::move(call), respond = std::move(respond)] {
                 api_.Handle(call, false, respond);
-              });
+                TimeRequests();
+              };
+              submits ? queue_.Defer(std::move(task)) : queue_.Post(std::move(task));
             }),
         ledger_(LedgerOptions(), *kv_, time_, random_, metrics_, *this),
-        agents_(options_, traffic_, run_on_control_, workers_, ledger_, config_, interference_,
-                time_, metrics_),
+        agents_(options_, traffic_, queue_, workers_, ledger_, config_, interference_, time_,
+                metrics_),
         router_(
             workers_, config_, quarantine_, agents_, [this] { return tasks_.scheduler().view(); },
             options_.zone, time_, random_, metrics_),
@@ -104,8 +114,10 @@
     traffic_.stop();
     traffic_thread_.join();
     // Handlers that are still queued own sockets of the traffic context; they must end before it.
+    queue_.Run();
     control_.restart();
     control_.poll();
+    queue_.Clear();
   }
 
   std::string Endpoints() const {
@@ -114,19 +126,20 @@
   }
 
   void Tick() {
-    const core::mono_time now = time_.Now();
     router_.Tick();
     claims_.Tick();
     api_.Tick();
-    if (now < next_systems_) return;
-    next_systems_ = now + kSystemsPeriod;
+    TimeRequests();
+    queue_.Run();
+    udp_.Poll(kDatagramsPerTick);
     config_.Tick();
     ledger_.Tick();
     store_reachable_.Set(ledger_.store_reachable() ? 1 : 0);
     peers_.Tick(ledger_.Entries());
     agents_.Tick();
     tasks_.Tick();
-    AdvanceShutdown(now);
+    AdvanceShutdown(time_.Now());
+    Flush();
   }
 
   void StartShutdown(std::function<void()> done) {
@@ -169,9 +182,8 @@
   }
 
   void Connect() {
-    agents_.SetSender([this](const wire::endpoint& to, std::string datagram) {
-      asio::post(traffic_, [this, to, datagram = std::move(datagram)] { udp_.Send(to, datagram); });
-    });
+    agents_.SetSender(
+        [this](const wire::endpoint& to, const std::string& datagram) { udp_.Send(to, datagram); });
     agents_.SetListeners(
         {.on_reply = [this](const std::string& worker,
                             const wire::request_reply& reply) { router_.OnReply(worker, reply); },
@@ -192,6 +204,7 @@
     peers_.SetHandlers(
         [this](const http::request& call, http::responder respond) {
           api_.Handle(call, true, std::move(respond));
+          TimeRequests();
         },
         [this](const wire::peer_status& status) {
           tasks_.SetPeerUsage(status.entry, status.teams);
@@ -202,11 +215,9 @@
   void OnDatagram(const wire::endpoint& from, const wire::raw_message& raw) {
     core::last_error error;
     if (auto heartbeat = wire::FromRaw<wire::agent_heartbeat>(raw, error)) {
-      run_on_control_([this, from, heartbeat = std::move(*heartbeat)] {
-        agents_.OnHeartbeat(from, heartbeat);
-      });
+      agents_.OnHeartbeat(from, *heartbeat);
     } else if (auto goodbye = wire::FromRaw<wire::agent_goodbye>(raw, error)) {
-      run_on_control_([this, goodbye = std::move(*goodbye)] { agents_.OnGoodbye(goodbye); });
+      agents_.OnGoodbye(*goodbye);
     } else {
       CountDrop(error.reason().code);
     }
@@ -217,6 +228,24 @@
         .Add();
   }
 
+  /// Runs the router each `kRequestPeriod` until no request is in progress.
+  void TimeRequests() {
+    if (router_.active() == 0 || std::exchange(timing_requests_, true)) return;
+    request_timer_.expires_after(kRequestPeriod);
+    request_timer_.async_wait([this](asio::error_code failure) {
+      timing_requests_ = false;
+      if (failure) return;
+      router_.Tick();
+      Flush();
+      TimeRequests();
+    });
+  }
+
+  void Flush() {
+    agents_.Flush();
+    peers_.Flush();
+  }
+
   void AdvanceShutdown(core::mono_time now) {
     if (!shutdown_done_ || releasing_) return;
     const bool idle = router_.active() == 0 && api_.waiting() == 0;
@@ -230,6 +259,7 @@
 
   const entry_options options_;
   asio::io_context& control_;
+  control_queue queue_;
   store::executor run_on_control_;
   asio::io_context traffic_;
   asio::executor_work_guard<asio::io_context::executor_type> traffic_guard_;
@@ -245,7 +275,7 @@
   blame::quarantine quarantine_;
   peer_directory peers_;
   wire::endpoint tcp_;
-  wire::udp_socket udp_;
+  wire::polled_udp_socket udp_;
   http::server http_;
   ledger::shard_manager ledger_;
   agent_directory agents_;
@@ -254,7 +284,8 @@
   claim_controller claims_;
   api api_;
   std::thread traffic_thread_;
-  core::mono_time next_systems_{};
+  asio::steady_timer request_timer_{control_};
+  bool timing_requests_ = false;
   std::function<void()> shutdown_done_;
   core::mono_time shutdown_started_{};
   bool releasing_ = false;
