--- a/libs/ledger/include/ledger/ended_tasks.h
+++ b/libs/ledger/include/ledger/ended_tasks.h
@@ -32,6 +32,8 @@
   void DropOldestResult();
 
   std::size_t size() const noexcept { return rows_.size(); }
+  /// @return the number of tasks of each team that has any.
+  const std::map<std::string, std::size_t>& teams() const noexcept { return teams_; }
   /// @return bytes of all results that are kept.
   std::uint64_t kept_bytes() const noexcept { return kept_bytes_; }
   /// @return number of tasks by team; teams without any are absent.
