--- a/libs/entry/src/api_admin.cc
+++ b/libs/entry/src/api_admin.cc
@@ -108,7 +108,6 @@
       row.queued += entry.state == ledger::task_state::queued ? 1 : 0;
       row.running += entry.state == ledger::task_state::assigned ? 1 : 0;
     }
-    for (const auto& [team, ended] : use_.ledger.Table(shard)->ended().teams()) counts[team];
   }
   for (const auto& usage : use_.tasks.OwnUsage()) {
     counts[usage.team].cpu_millis = usage.used.cpu_millis;
--- a/libs/ledger/include/ledger/ended_tasks.h
+++ b/libs/ledger/include/ledger/ended_tasks.h
@@ -36,8 +36,6 @@
   const std::map<std::string, std::size_t>& teams() const noexcept { return teams_; }
   /// @return bytes of all results that are kept.
   std::uint64_t kept_bytes() const noexcept { return kept_bytes_; }
-  /// @return number of tasks by team; teams without any are absent.
-  const std::map<std::string, std::size_t>& teams() const noexcept { return teams_; }
   /// @return how many of the oldest tasks have lost their result.
   std::uint64_t dropped() const noexcept { return dropped_; }
   /// Restores `dropped()` after all tasks of a snapshot were added.
