--- a/libs/entry/src/entry.cc
+++ b/libs/entry/src/entry.cc
@@ -34,7 +34,7 @@
 namespace {
 
 /// Requests in progress are timed in steps of this period. An entry without any does not wake up
-/// for it, because each wakeup costs about 10 us.
+/// for it: the 150 wakeups a second beyond those of the tick cost 0.2 to 0.4 % of a core.
 constexpr core::milliseconds kRequestPeriod{5};
 /// Heartbeats of 4,000 workers are 16 in each tick. The limit keeps a flood of datagrams from
 /// delaying everything else on the control thread; what exceeds it waits in the socket.
