--- a/test/harness/src/process.cc
+++ b/test/harness/src/process.cc
@@ -72,6 +72,9 @@
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_adddup2(&actions, log_descriptor, STDERR_FILENO);
   if (with_stdout) posix_spawn_file_actions_adddup2(&actions, log_descriptor, STDOUT_FILENO);
+  // A program that inherits a socket of the relay would keep its connection open after the relay
+  // has closed it, so that an entry never connects again to a restarted agent.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   std::vector<char*> arguments{program.data()};
   for (std::string& word : words) arguments.push_back(word.data());
   arguments.push_back(nullptr);
--- a/test/harness/tests/harness_test.cc
+++ b/test/harness/tests/harness_test.cc
@@ -62,6 +62,15 @@
   CHECK(view.state == "running");
 }
 
+// Guards against connections that stay open because a program started later has inherited them.
+TEST_CASE("an entry connects to a restarted agent through the relay") {
+  fleet running({.entries = 1, .workers = 2, .relayed = true});
+  REQUIRE(running.WaitReady());
+  running.agent_process(0).Kill();
+  running.StartAgent(0);
+  CHECK(running.agent_process(0).WaitForLine("entry_connected", kBound).has_value());
+}
+
 // Guards against agents and entries that learn addresses which bypass the relay, so that a cut
 // cuts nothing.
 TEST_CASE("the relay carries all traffic under its own endpoints and can be cut one way") {
