--- a/libs/agent/src/task_manager.h
+++ b/libs/agent/src/task_manager.h
@@ -58,6 +58,9 @@
   bool IsRunning(const wire::task_ref& task) const;
 
  private:
+  /// Pause before a call to the target is repeated.
+  static constexpr core::milliseconds kCallRetryDelay{1000};
+
   enum class task_phase : std::uint8_t {
     waiting,  ///< for the room of tasks that are being evicted; no call was made
     starting,
--- a/libs/entry/tests/task_test.cc
+++ b/libs/entry/tests/task_test.cc
@@ -219,6 +219,35 @@
   CHECK(test.LastStart().checkpoint == "half");
 }
 
+// Guards against an agent that is not told to make room, that evicts an urgent task because it is
+// not told of the urgency, or that evicts for a task that can wait.
+TEST_CASE("a start says whether it is urgent and whether the agent makes room") {
+  for (const bool full : {false, true}) {
+    fixture test;
+    if (full) {
+      test.free = {4000, 60000, 0};
+      test.evictable = {12000, 8000, 0};
+    }
+    test.Start();
+    ledger::task_spec spec;
+    spec.task = fixture::kTask;
+    spec.urgent = true;
+    spec.need = {8000, 1000, 0};
+    spec.submitted_wall_ms = test.time.WallNow().time_since_epoch().count();
+    test.tasks.Submit(fixture::kShard, spec, [](const core::error_reason&) {});
+    test.Pass(milliseconds{1400});
+    CHECK(test.agents.Sent<wire::start_task>().size() == (full ? 0 : 1));
+    test.Pass(milliseconds{400});
+    REQUIRE(test.agents.Sent<wire::start_task>().size() == 1);
+    CHECK(test.LastStart().priority ==
+          (full ? wire::start_priority::urgent_makes_room : wire::start_priority::urgent));
+  }
+  fixture test;
+  test.Start();
+  test.SubmitTask();
+  CHECK(test.LastStart().priority == wire::start_priority::normal);
+}
+
 // Guards against a task that is tried for ever, and against one that is given up because of one bad
 // worker.
 TEST_CASE("a task that fails on three workers ends with a code of its own") {
