--- a/libs/agent/src/task_manager.cc
+++ b/libs/agent/src/task_manager.cc
@@ -10,7 +10,6 @@
 namespace coltsfoot::agent {
 namespace {
 
-using core::error_reason;
 using core::result_code;
 using wire::task_event;
 using wire::task_event_kind;
