Accept one HTTP connection at a time

Cause: with the thread sanitizer, entries and agents of failure_requests and failure_preemption reported a race in RESTinio's connection factory: it counts connections without a lock, and up to four were accepted at once by two threads. The number is only an id, so no wrong effect was seen.

Ruled out: the entry's new queue to the control thread and the datagrams read in the tick; no report names them.

Before: 5 reports, all at connection.hpp:1740. After: both programs pass without a report. unit_http, unit_load and failure_requests pass in the default build.

--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -116,7 +116,8 @@
               .read_next_http_message_timelimit(kIdleConnectionLimit)
               .handle_request_timeout(kHandleRequestLimit)
               .max_pipelined_requests(kMaxPipelinedRequests)
-              .concurrent_accepts_count(4)
+              // RESTinio counts connections without a lock, so only one may be accepted at a time.
+              .concurrent_accepts_count(1)
               .buffer_size(16384)
               .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
                                             .max_url_size(kMaxUrlBytes)
