--- a/libs/core/include/core/clock.h
+++ b/libs/core/include/core/clock.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace coltsfoot::core {
 
@@ -33,6 +34,20 @@
   }
 };
 
+/// The host's clocks, with the time during which the host was suspended. For leases, which run on
+/// while a host is suspended.
+class boot_clock final : public clock {
+ public:
+  mono_time Now() const override {
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return mono_time{std::chrono::seconds{now.tv_sec} + nanoseconds{now.tv_nsec}};
+  }
+  wall_time WallNow() const override {
+    return std::chrono::time_point_cast<milliseconds>(std::chrono::system_clock::now());
+  }
+};
+
 /// Clock that a test moves by hand.
 class manual_clock final : public clock {
  public:
--- a/libs/core/include/core/logging.h
+++ b/libs/core/include/core/logging.h
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <cstdint>
 #include <string_view>
 
 namespace coltsfoot::core {
@@ -11,4 +12,13 @@
 /// @param id name of this process in the fleet, for example "entry-1".
 void InitLogging(std::string_view program, std::string_view id);
 
+/// Sets up structured log lines on stdout that never block: lines wait in a bounded queue, whose
+/// oldest lines are dropped when it is full.
+/// @param program name of the program.
+/// @param id name of this process in the fleet.
+void InitAsyncLogging(std::string_view program, std::string_view id);
+
+/// @return the number of lines that InitAsyncLogging's queue has dropped.
+std::uint64_t DroppedLogLines();
+
 }  // namespace coltsfoot::core
--- a/libs/core/include/core/result_code.h
+++ b/libs/core/include/core/result_code.h
@@ -45,6 +45,7 @@
   config_pending = 219,
   fair_share_exceeded = 220,
   connect_failed = 221,
+  unsupported = 222,
 
   outcome_unknown = 300,
   deadline_exceeded = 301,
--- /dev/null
+++ b/libs/jobs/include/jobs/coordinator.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "jobs/job_table.h"
+#include "jobs/messages.h"
+#include "jobs/planner.h"
+#include "jobs/progress_writer.h"
+#include "jobs/queue_catalogue.h"
+#include "jobs/worker_table.h"
+#include "metrics/registry.h"
+#include "store/versioned_store.h"
+
+namespace coltsfoot::jobs {
+
+/// Connections of the coordinator to agents. Mocked in tests.
+class agent_link {
+ public:
+  virtual ~agent_link() = default;
+  /// Keeps a connection to an agent, until `Forget`.
+  virtual void Connect(const std::string& agent, const std::string& address) = 0;
+  virtual void Forget(const std::string& agent) = 0;
+  virtual void ForgetAll() = 0;
+  virtual void Send(const std::string& agent, const lease_grant& message) = 0;
+  virtual void Send(const std::string& agent, const worker_orders& message) = 0;
+};
+
+/// Settings of the coordinator.
+struct coordinator_options {
+  planner_options planner;
+  /// Lease of what a target runs, from the agent's last report that was answered.
+  core::milliseconds task_lease{5000};
+  /// How long a coordinator without contact to the store may still extend leases.
+  core::milliseconds grant_extension{6000};
+  /// Time for which ended jobs are kept.
+  core::milliseconds retention{150'000};
+  /// Share by which a target's clock may be slow, in thousandths.
+  std::int64_t clock_drift_permille = 20;
+  /// Failures of different jobs in a row after which a worker gets no tasks for a while.
+  std::uint32_t failures_to_avoid = 2;
+  /// First and longest time for which such a worker is avoided.
+  core::milliseconds avoid_first{3000};
+  core::milliseconds avoid_longest{12000};
+  bool operator==(const coordinator_options&) const = default;
+};
+
+/// Leadership of this process as the coordinator must know it.
+class term_authority {
+ public:
+  virtual ~term_authority() = default;
+  /// @return true while no other coordinator can exist.
+  virtual bool MayStart() const = 0;
+  /// @return true while leases may still be extended.
+  virtual bool MayExtend() const = 0;
+  /// Called when a write proved that another coordinator exists.
+  virtual void OnDeposed() = 0;
+};
+
+/// Runs all jobs of the fleet during one term: places tasks, takes note of their ends and stores
+/// progress. One thread; holds no socket and no wall clock of its own.
+class coordinator {
+ public:
+  coordinator(coordinator_options options, const core::clock& time, metrics::registry& metrics,
+              agent_link& agents, store::versioned_store& storage, term_authority& authority);
+
+  /// Starts a term with what the store holds.
+  /// @param term version of the leader key; rises with each coordinator.
+  void BeginTerm(std::uint64_t term, const std::vector<store::kv_entry>& inbox,
+                 const std::vector<store::kv_entry>& progress);
+  void EndTerm();
+  bool active() const noexcept { return term_ != 0; }
+
+  void SetQueues(std::shared_ptr<const queue_catalogue> queues);
+  /// Takes a change below `kInboxPrefix`.
+  void OnInboxChange(const store::key_change& change);
+  void OnAgentConnected(const std::string& agent);
+  void OnAgentDisconnected(const std::string& agent);
+  void OnReport(const worker_report& report);
+  /// Places tasks and flushes progress; call after events and at least each 100 ms.
+  void Tick();
+
+  /// @return the state of a job that callers may be shown, or nothing if it is unknown.
+  std::optional<job_state> StateOf(std::string_view job) const;
+  /// @return the number of jobs of a queue of which no task has started.
+  std::uint64_t CountWaiting(std::string_view queue) const;
+  /// @return a job, for explanations; nothing if it is unknown.
+  const job_row* FindJob(std::string_view job) const { return jobs_.Find(job); }
+  const worker_table& workers() const noexcept { return workers_; }
+
+ private:
+  void AddJob(const std::string& id, const store::kv_entry& entry);
+  void CancelJob(const std::string& id);
+  worker_row& WorkerOf(const std::string& agent);
+  void ChangeLife(worker_row& worker, const worker_report& report);
+  void ApplyEnds(worker_row& worker, const worker_report& report);
+  void ApplyEnd(worker_row& worker, const ended_run& end);
+  void Reconcile(worker_row& worker, const worker_report& report);
+  void AdoptRunning(worker_row& worker, const running_task& listed);
+  void AdoptStarting(worker_row& worker, const run_id& listed);
+  void Adopt(worker_row& worker, const task_place& place, const run_id& run, bool running);
+  void DropMissing(worker_row& worker, const worker_report& report);
+  void DropRefused(worker_row& worker, const worker_report& report);
+  void ResendOrders(worker_row& worker);
+  void LoseCopies(const std::string& agent, std::string_view reason,
+                  const std::optional<target_life>& keep);
+  void Blame(worker_row& worker, const ended_run& end);
+  void Grant(worker_row& worker, const worker_report& report);
+  void SettleTakeover();
+  void LapseSilent();
+  void StopSuperfluous();
+  void CountCommitted();
+  void StartPlanned();
+  void SendOrders();
+  void ForgetEnded();
+  worker_orders& OrdersFor(worker_row& worker);
+  start_order MakeStart(const job_row& job, const run_id& run, const task_row& task) const;
+  template <class Visit>
+  void ForEachCopy(const std::string& agent, Visit visit);
+  core::mono_time LeaseBound(core::mono_time granted) const;
+
+  coordinator_options options_;
+  const core::clock& time_;
+  metrics::registry& metrics_;
+  agent_link& agents_;
+  term_authority& authority_;
+  std::uint64_t term_ = 0;
+  core::mono_time term_began_;
+  bool settled_ = false;
+  std::shared_ptr<const queue_catalogue> queues_;
+  job_table jobs_;
+  worker_table workers_;
+  progress_writer progress_;
+  std::set<std::string> early_cancels_;  ///< cancellations that arrived before their job
+  std::map<std::string, worker_orders> orders_;
+  core::mono_time next_cleanup_;
+};
+
+}  // namespace coltsfoot::jobs
--- /dev/null
+++ b/libs/jobs/include/jobs/job_table.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "jobs/messages.h"
+#include "jobs/queue_catalogue.h"
+#include "jobs/records.h"
+#include "jobs/types.h"
+#include "store/kv_client.h"
+
+namespace coltsfoot::jobs {
+
+/// A run of a task that was ordered and has not ended.
+struct task_copy {
+  std::string agent;
+  target_life life;
+  std::uint32_t run = 0;
+  std::uint64_t order = 0;  ///< sequence of the orders that hold its start; 0: found running
+  core::mono_time ordered_at;
+  bool running = false;   ///< the target lists it
+  bool stopping = false;  ///< a stop was ordered
+  core::mono_time stopped_at;
+  std::uint32_t progress = 0;
+  core::mono_time progress_at;  ///< when `progress` last changed
+  bool operator==(const task_copy&) const = default;
+};
+
+/// A task of a job.
+struct task_row {
+  task_progress progress;
+  std::vector<task_copy> copies;
+  std::string failed_on;  ///< agent on which it failed last
+};
+
+/// Counts of a step, so that steps with nothing to place cost nothing.
+struct step_row {
+  std::uint32_t first_task = 0;
+  std::uint32_t done = 0;
+  std::uint32_t idle = 0;  ///< tasks that are not done and have no copy
+};
+
+/// A job that the coordinator knows.
+struct job_row {
+  std::string id;
+  job_record record;
+  queue_config queue;  ///< newest known configuration of its queue
+  std::uint64_t admitted_revision = 0;
+  core::mono_time admitted_at;
+  std::uint32_t run_base = 0;  ///< runs of this job have higher numbers
+  job_state state = job_state::queued;
+  std::int64_t ended_wall_ms = 0;
+  bool cancel_requested = false;
+  bool held = false;         ///< its tasks may still run where nobody has looked yet
+  bool dirty = false;        ///< differs from what is stored
+  std::uint32_t copies = 0;  ///< of all its tasks
+  job_state stored_state = job_state::queued;
+  store::key_version progress_version = 0;
+  std::vector<step_row> steps;
+  std::vector<task_row> tasks;
+
+  const step_spec& Spec(std::uint32_t step) const { return record.spec.steps[step]; }
+  /// @return true if all steps that `step` waits for are done.
+  bool IsReleased(std::uint32_t step) const;
+  /// @return the estimated time of the longest chain of steps that are not done, in ms.
+  std::int64_t RemainingChainMs() const;
+  /// @return the estimated time of the longest chain of all steps, in ms.
+  std::int64_t WholeChainMs() const;
+};
+
+/// A task with its place in the table.
+struct task_place {
+  job_row* job = nullptr;
+  std::uint32_t step = 0;
+  task_row* task = nullptr;
+};
+
+/// The jobs of one coordinator. Keeps the counts of steps and the states of jobs in order.
+class job_table {
+ public:
+  using map = std::map<std::string, job_row, std::less<>>;
+
+  void Clear() { jobs_.clear(); }
+  /// Adds a job with what is stored of its progress. A job that exists stays as it is.
+  job_row& Add(std::string id, job_record record, std::uint64_t revision, core::mono_time admitted);
+  /// Takes over stored progress; call before any run is known.
+  void Restore(job_row& job, const progress_record& stored, store::key_version version);
+  void Remove(const std::string& id) { jobs_.erase(id); }
+
+  job_row* Find(std::string_view id);
+  const job_row* Find(std::string_view id) const;
+  /// @return the place of a task, or nothing if the job or the task does not exist.
+  std::optional<task_place> FindTask(const task_id& task);
+  map& jobs() noexcept { return jobs_; }
+  const map& jobs() const noexcept { return jobs_; }
+
+  /// Adds a copy.
+  void AddCopy(const task_place& place, task_copy copy);
+  /// Removes the copy with this run at this agent.
+  /// @return the copy, or nothing if there is none.
+  std::optional<task_copy> RemoveCopy(const task_place& place, std::string_view agent,
+                                      std::uint32_t run);
+  /// Records that a run ended `done`. Idempotent.
+  void MarkDone(const task_place& place, std::int64_t wall_ms);
+  /// Records that a run failed; the job fails after the attempts of its queue. Idempotent by run.
+  void MarkFailed(const task_place& place, std::uint32_t run, std::int64_t wall_ms);
+  /// Records that the job was cancelled, unless it has ended.
+  void Cancel(job_row& job, std::int64_t wall_ms);
+  /// @return what to store of the job.
+  static progress_record Progress(const job_row& job);
+
+ private:
+  static void End(job_row& job, job_state state, std::int64_t wall_ms);
+  static void CountSteps(job_row& job);
+
+  map jobs_;
+};
+
+}  // namespace coltsfoot::jobs
--- /dev/null
+++ b/libs/jobs/include/jobs/network.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "core/clock.h"
+#include "jobs/coordinator.h"
+#include "jobs/job_service.h"
+#include "jobs/messages.h"
+#include "metrics/registry.h"
+#include "wire/transport.h"
+
+namespace coltsfoot::jobs {
+
+/// @return the endpoint in "IP:PORT", or nothing if it is something else.
+std::optional<wire::endpoint> ParseAddress(std::string_view text);
+
+/// The coordinator's TCP connections to agents. Dials again until an agent is forgotten.
+class agent_connections final : public agent_link {
+ public:
+  struct handlers {
+    std::function<void(const std::string& agent)> on_connected;
+    std::function<void(const std::string& agent)> on_disconnected;
+    std::function<void(const worker_report&)> on_report;
+  };
+
+  agent_connections(asio::io_context& context, const core::clock& time, metrics::registry& metrics);
+  void SetHandlers(handlers callbacks) { callbacks_ = std::move(callbacks); }
+  /// Sets the term that is announced to agents.
+  void SetTerm(std::uint64_t term) { term_ = term; }
+  /// Dials lost agents and closes silent connections; call at least each 100 ms.
+  void Tick();
+
+  void Connect(const std::string& agent, const std::string& address) override;
+  void Forget(const std::string& agent) override;
+  void ForgetAll() override;
+  void Send(const std::string& agent, const lease_grant& message) override;
+  void Send(const std::string& agent, const worker_orders& message) override;
+
+ private:
+  struct peer {
+    wire::endpoint address;
+    std::shared_ptr<wire::tcp_connection> connection;
+    std::uint64_t serial = 0;
+    bool open = false;
+    core::mono_time dialled_at;
+    core::mono_time heard_at;
+    core::mono_time dial_at;
+  };
+  void Dial(const std::string& agent, peer& to);
+  void OnMessage(const std::string& agent, std::uint64_t serial, const wire::raw_message& message);
+  void Lose(const std::string& agent, peer& from);
+  peer* Find(const std::string& agent, std::uint64_t serial);
+  template <class Message>
+  void SendTo(const std::string& agent, const Message& message);
+
+  asio::io_context& context_;
+  const core::clock& time_;
+  metrics::registry& metrics_;
+  handlers callbacks_;
+  std::uint64_t term_ = 0;
+  std::uint64_t next_serial_ = 1;
+  std::map<std::string, peer> peers_;
+};
+
+/// Connections between entries: answers queries of others and asks the coordinating entry.
+class entry_peers final : public coordinator_client {
+ public:
+  /// @param local listens for other entries.
+  /// @param leader gives the address of the coordinating entry, empty if there is none; the own
+  /// address asks in this process.
+  /// @param answer answers a query in this process.
+  entry_peers(asio::io_context& context, const core::clock& time, const wire::endpoint& local,
+              std::function<std::string()> leader,
+              std::function<job_answer(const job_query&)> answer);
+
+  void Ask(job_query query, std::function<void(job_answer)> done) override;
+  /// Gives up on queries without an answer; call at least each 100 ms.
+  void Tick();
+
+ private:
+  struct waiting_query {
+    core::mono_time asked_at;
+    std::function<void(job_answer)> done;
+  };
+  void Accept(const std::shared_ptr<wire::tcp_connection>& connection);
+  bool Reach(const std::string& address);
+  void Drop();
+  void OnAnswer(const wire::raw_message& message);
+
+  asio::io_context& context_;
+  const core::clock& time_;
+  wire::tcp_listener listener_;
+  std::string own_address_;
+  std::function<std::string()> leader_;
+  std::function<job_answer(const job_query&)> answer_;
+  std::uint64_t next_connection_ = 1;
+  std::map<std::uint64_t, std::shared_ptr<wire::tcp_connection>> accepted_;
+  std::shared_ptr<wire::tcp_connection> connection_;
+  std::string connected_to_;
+  std::uint64_t serial_ = 0;
+  std::uint64_t next_query_ = 1;
+  std::map<std::uint64_t, waiting_query> waiting_;
+};
+
+}  // namespace coltsfoot::jobs
--- /dev/null
+++ b/libs/jobs/include/jobs/progress_writer.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "jobs/job_table.h"
+#include "jobs/worker_table.h"
+#include "metrics/registry.h"
+#include "store/versioned_store.h"
+
+namespace coltsfoot::jobs {
+
+/// Stores the progress of jobs in batches, one at a time. Each batch expects the leader key and the
+/// stored version of each record, so that neither a deposed coordinator nor a write that takes
+/// effect late can undo newer progress.
+class progress_writer {
+ public:
+  /// @param on_deposed called when the leader key has another version.
+  progress_writer(const core::clock& time, metrics::registry& metrics,
+                  store::versioned_store& storage, std::function<void()> on_deposed);
+  ~progress_writer();
+
+  /// Forgets batches in flight; their outcomes are ignored.
+  void Reset(std::uint64_t term);
+  /// Writes what is due and marks ends as stored.
+  /// @return agents whose `stored_end` advanced.
+  std::vector<std::string> Flush(job_table& jobs, worker_table& workers);
+  /// Removes all keys of these jobs; the jobs must have ended.
+  void RemoveJobs(const std::vector<std::string>& ids);
+  /// Takes an agent off the list.
+  void RemoveAgent(const std::string& agent);
+
+ private:
+  struct batch;
+  void CommitRemoval(store::transaction writes);
+  void Write(job_table& jobs, worker_table& workers);
+  void OnWritten(const std::shared_ptr<batch>& written, const store::commit_result& result);
+  void Adopt(const std::shared_ptr<batch>& written, const store::commit_result& result);
+
+  const core::clock& time_;
+  metrics::registry& metrics_;
+  store::versioned_store& storage_;
+  std::function<void()> on_deposed_;
+  std::uint64_t term_ = 0;
+  job_table* jobs_ = nullptr;
+  worker_table* workers_ = nullptr;
+  std::shared_ptr<batch> in_flight_;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+  core::mono_time retry_at_;
+  core::mono_time first_dirty_;
+  bool dirty_since_set_ = false;
+  std::vector<std::string> advanced_;
+};
+
+}  // namespace coltsfoot::jobs
--- /dev/null
+++ b/libs/jobs/include/jobs/queue_catalogue.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace coltsfoot::jobs {
+
+/// A queue that jobs are submitted to.
+struct queue_config {
+  std::string name;
+  std::string host;                ///< host name that requests of this queue carry
+  std::string prefix;              ///< path prefix of its requests, with the final slash
+  std::string service;             ///< service whose workers run its tasks
+  std::uint32_t priority = 0;      ///< 0 comes first
+  std::uint32_t attempts = 1;      ///< runs of a task that may fail before the job fails
+  double stretch = 1.0;            ///< objective: times the longest chain of work
+  std::uint32_t objective_ms = 0;  ///< objective: added to the stretched chain
+  bool needs_advice = false;       ///< an outside policy must allow each worker
+  bool operator==(const queue_config&) const = default;
+};
+
+/// A service whose workers run tasks.
+struct service_config {
+  std::string name;
+  bool guards_capacity = false;  ///< its targets refuse what does not fit
+  bool operator==(const service_config&) const = default;
+};
+
+/// The queues and services of one version of the fleet's configuration.
+class queue_catalogue {
+ public:
+  queue_catalogue() = default;
+  queue_catalogue(std::uint64_t version, std::vector<queue_config> queues,
+                  std::vector<service_config> services);
+
+  std::uint64_t version() const noexcept { return version_; }
+  const std::vector<queue_config>& queues() const noexcept { return queues_; }
+  const std::vector<service_config>& services() const noexcept { return services_; }
+
+  /// @return the queue of `host` with the longest prefix of `path`, or nothing.
+  const queue_config* FindByPath(std::string_view host, std::string_view path) const noexcept;
+  /// @return the queue of this name, or nothing.
+  const queue_config* FindByName(std::string_view name) const noexcept;
+
+  bool operator==(const queue_catalogue&) const = default;
+
+ private:
+  std::uint64_t version_ = 0;
+  std::vector<queue_config> queues_;
+  std::vector<service_config> services_;
+};
+
+}  // namespace coltsfoot::jobs
--- /dev/null
+++ b/libs/jobs/include/jobs/records.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "jobs/types.h"
+
+/// What is kept of jobs in the key-value service. The keys below `kInboxPrefix` are written by any
+/// entry and agent and watched by the coordinator; progress is written by the coordinator alone.
+namespace coltsfoot::jobs {
+
+inline constexpr std::string_view kLeaderKey = "coltsfoot/leader";
+inline constexpr std::string_view kInboxPrefix = "coltsfoot/in/";
+inline constexpr std::string_view kJobPrefix = "coltsfoot/in/job/";
+inline constexpr std::string_view kCancelPrefix = "coltsfoot/in/cancel/";
+inline constexpr std::string_view kAgentPrefix = "coltsfoot/in/agent/";
+inline constexpr std::string_view kProgressPrefix = "coltsfoot/progress/";
+
+/// An accepted job. Never changes.
+struct job_record {
+  std::string queue;    ///< name of the queue it was submitted to
+  std::string service;  ///< service of the queue at that time
+  std::int64_t accepted_wall_ms = 0;
+  job_spec spec;
+  bool operator==(const job_record&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(queue, service, accepted_wall_ms, spec);
+  }
+};
+
+/// Progress of one task. Failures are kept by run number, so that an end that is reported twice
+/// counts once.
+struct task_progress {
+  bool done = false;
+  std::uint32_t last_run = 0;
+  std::vector<std::uint32_t> failed_runs;
+  std::string checkpoint;
+  bool operator==(const task_progress&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(done, last_run, failed_runs, checkpoint);
+  }
+};
+
+/// Progress of a job; tasks in the order of steps and indexes.
+struct progress_record {
+  job_state state = job_state::queued;
+  std::int64_t ended_wall_ms = 0;  ///< 0: not ended
+  std::vector<task_progress> tasks;
+  bool operator==(const progress_record&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(state, ended_wall_ms, tasks);
+  }
+};
+
+/// The coordinator's claim on its key.
+struct leader_record {
+  std::string entry;        ///< id of the entry that coordinates
+  std::string address;      ///< IP:PORT for other entries
+  std::uint64_t nonce = 0;  ///< differs for each start of the entry
+  bool operator==(const leader_record&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(entry, address, nonce);
+  }
+};
+
+std::string JobKey(std::string_view job);
+std::string CancelKey(std::string_view job);
+std::string ProgressKey(std::string_view job);
+std::string AgentKey(std::string_view agent);
+
+/// @return the part of `key` after `prefix`, or nothing if it does not begin with it.
+std::optional<std::string> KeySuffix(std::string_view key, std::string_view prefix);
+
+}  // namespace coltsfoot::jobs
--- /dev/null
+++ b/libs/jobs/include/jobs/worker_table.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "jobs/messages.h"
+
+namespace coltsfoot::jobs {
+
+/// What the coordinator knows of one agent and its target.
+struct worker_row {
+  std::string agent;
+  bool connected = false;
+  std::uint64_t agent_start = 0;
+  bool reported = false;  ///< in this term
+  bool resend = true;     ///< orders without an outcome have to be sent again
+  bool listed = false;    ///< a whole list of this life arrived in this term
+  core::mono_time last_report;
+  core::mono_time known_since;
+  target_state state = target_state::unknown;
+  target_life life;
+  std::string service;
+  std::string zone;
+  std::vector<std::string> labels;
+  core::resources capacity;
+  core::resources committed;     ///< of all copies here, stopping ones as well
+  std::int64_t filling_cpu = 0;  ///< thousandths of a processor that filling copies would use
+  std::uint32_t serving = 0;     ///< lasting copies
+  core::mono_time lease_bound;   ///< all that runs here has lapsed by then
+  std::uint64_t next_order = 1;
+  std::uint64_t processed_end = 0;  ///< ends of `life` that are in the job table
+  std::uint64_t stored_end = 0;     ///< ends of `life` that are in the store
+  std::uint32_t foreign = 0;        ///< runs of jobs that the coordinator does not know
+  std::uint32_t recent_failures = 0;
+  std::string last_failed_job;
+  core::mono_time avoid_until;      ///< no new tasks before; zero: none
+  core::milliseconds avoid_for{0};  ///< of the last quarantine
+
+  bool HasLabel(std::string_view label) const;
+};
+
+/// The workers by the id of their agent.
+using worker_table = std::map<std::string, worker_row, std::less<>>;
+
+}  // namespace coltsfoot::jobs
--- /dev/null
+++ b/libs/jobs/src/coordinator.cc
@@ -0,0 +1,573 @@
+#include "jobs/coordinator.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "jobs/records.h"
+#include "wire/codec.h"
+
+namespace coltsfoot::jobs {
+namespace {
+
+// Covers the time between the agent's send and the target's receipt of a lease, and the target's
+// own delay in ending what has lapsed.
+constexpr core::milliseconds kLapseMargin{400};
+constexpr core::milliseconds kStopRepeat{800};
+constexpr core::milliseconds kCleanupPeriod{2000};
+// Removing a job takes three entries of a transaction.
+constexpr std::size_t kJobsPerCleanup = 10;
+// An agent that was not reached for this long is taken off the list; it enters itself again when
+// it misses a coordinator.
+constexpr core::milliseconds kForgetAgentAfter{30'000};
+
+bool Contains(const std::vector<run_id>& runs, const run_id& run) {
+  return std::find(runs.begin(), runs.end(), run) != runs.end();
+}
+
+}  // namespace
+
+coordinator::coordinator(coordinator_options options, const core::clock& time,
+                         metrics::registry& metrics, agent_link& agents,
+                         store::versioned_store& storage, term_authority& authority)
+    : options_(options),
+      time_(time),
+      metrics_(metrics),
+      agents_(agents),
+      authority_(authority),
+      queues_(std::make_shared<queue_catalogue>()),
+      progress_(time, metrics, storage, [this] { authority_.OnDeposed(); }) {}
+
+core::mono_time coordinator::LeaseBound(core::mono_time granted) const {
+  return granted + options_.task_lease +
+         options_.task_lease * options_.clock_drift_permille / 1000 + kLapseMargin;
+}
+
+void coordinator::BeginTerm(std::uint64_t term, const std::vector<store::kv_entry>& inbox,
+                            const std::vector<store::kv_entry>& progress) {
+  EndTerm();
+  term_ = term;
+  term_began_ = time_.Now();
+  settled_ = false;
+  progress_.Reset(term);
+  for (const store::kv_entry& entry : inbox) OnInboxChange({entry.key, entry});
+  for (const store::kv_entry& entry : progress) {
+    const auto id = KeySuffix(entry.key, kProgressPrefix);
+    job_row* job = id ? jobs_.Find(*id) : nullptr;
+    if (job == nullptr) continue;
+    core::last_error error;
+    const auto stored = wire::DecodeValue<progress_record>(entry.value, error);
+    if (!stored) {
+      spdlog::error("event=progress_unreadable job={} reason=\"{}\"", *id, error.reason().message);
+      continue;
+    }
+    jobs_.Restore(*job, *stored, entry.version);
+    // A cancellation may have arrived after the last progress.
+    if (job->cancel_requested) CancelJob(*id);
+  }
+  spdlog::info("event=term_began term={} jobs={} agents={}", term, jobs_.jobs().size(),
+               workers_.size());
+}
+
+void coordinator::EndTerm() {
+  if (term_ != 0) spdlog::info("event=term_ended term={}", term_);
+  term_ = 0;
+  progress_.Reset(0);
+  jobs_.Clear();
+  workers_.clear();
+  early_cancels_.clear();
+  orders_.clear();
+  agents_.ForgetAll();
+}
+
+void coordinator::SetQueues(std::shared_ptr<const queue_catalogue> queues) {
+  queues_ = std::move(queues);
+  for (auto& [id, job] : jobs_.jobs()) {
+    // A queue that was removed keeps its last configuration for the jobs that it accepted.
+    if (const queue_config* queue = queues_->FindByName(job.record.queue)) job.queue = *queue;
+  }
+}
+
+void coordinator::OnInboxChange(const store::key_change& change) {
+  if (const auto job = KeySuffix(change.key, kJobPrefix)) {
+    if (change.entry) AddJob(*job, *change.entry);
+  } else if (const auto cancelled = KeySuffix(change.key, kCancelPrefix)) {
+    if (change.entry) CancelJob(*cancelled);
+  } else if (const auto agent = KeySuffix(change.key, kAgentPrefix)) {
+    if (!change.entry) return;
+    WorkerOf(*agent);
+    agents_.Connect(*agent, change.entry->value);
+  }
+}
+
+void coordinator::AddJob(const std::string& id, const store::kv_entry& entry) {
+  if (jobs_.Find(id) != nullptr) return;
+  core::last_error error;
+  auto record = wire::DecodeValue<job_record>(entry.value, error);
+  if (!record) {
+    spdlog::error("event=job_unreadable job={} reason=\"{}\"", id, error.reason().message);
+    return;
+  }
+  const std::int64_t wall_ms = time_.WallNow().time_since_epoch().count();
+  // Clocks of entries may differ; a job is never from the future.
+  const core::milliseconds age{std::max<std::int64_t>(0, wall_ms - record->accepted_wall_ms)};
+  job_row& job = jobs_.Add(id, std::move(*record), entry.version, time_.Now() - age);
+  job.queue.name = job.record.queue;
+  job.queue.service = job.record.service;
+  if (const queue_config* queue = queues_->FindByName(job.record.queue)) job.queue = *queue;
+  if (entry.version < term_) job.run_base = static_cast<std::uint32_t>(term_);
+  spdlog::info("event=job_known job={} queue={} priority={} steps={} tasks={} age_ms={}", id,
+               job.record.queue, job.queue.priority, job.steps.size(), job.tasks.size(),
+               age.count());
+  if (early_cancels_.erase(id) > 0) CancelJob(id);
+}
+
+void coordinator::CancelJob(const std::string& id) {
+  job_row* job = jobs_.Find(id);
+  if (job == nullptr) {
+    early_cancels_.insert(id);
+    return;
+  }
+  if (!IsEnded(job->state)) spdlog::info("event=job_cancelled job={}", id);
+  jobs_.Cancel(*job, time_.WallNow().time_since_epoch().count());
+}
+
+worker_row& coordinator::WorkerOf(const std::string& agent) {
+  const auto [place, added] = workers_.try_emplace(agent);
+  worker_row& worker = place->second;
+  if (added) {
+    worker.agent = agent;
+    worker.known_since = time_.Now();
+    worker.last_report = time_.Now();
+    // A coordinator before this one may have extended leases until then.
+    worker.lease_bound = LeaseBound(term_began_ + options_.grant_extension);
+  }
+  return worker;
+}
+
+void coordinator::OnAgentConnected(const std::string& agent) {
+  worker_row& worker = WorkerOf(agent);
+  worker.connected = true;
+  worker.next_order = 1;
+  worker.resend = true;
+}
+
+void coordinator::OnAgentDisconnected(const std::string& agent) {
+  const auto place = workers_.find(agent);
+  if (place == workers_.end()) return;
+  if (place->second.connected) spdlog::info("event=agent_lost agent={}", agent);
+  place->second.connected = false;
+}
+
+void coordinator::OnReport(const worker_report& report) {
+  if (!active()) return;
+  if (report.term > term_) {
+    spdlog::warn("event=deposed term={} by=report agent={} newer_term={}", term_, report.agent,
+                 report.term);
+    authority_.OnDeposed();
+    return;
+  }
+  worker_row& worker = WorkerOf(report.agent);
+  worker.last_report = time_.Now();
+  worker.reported = true;
+  worker.resend = worker.resend || worker.agent_start != report.agent_start;
+  worker.agent_start = report.agent_start;
+  ChangeLife(worker, report);
+  if (report.listed && worker.life == report.life) {
+    ApplyEnds(worker, report);
+    Reconcile(worker, report);
+    if (!std::exchange(worker.listed, true)) {
+      spdlog::info("event=worker_listed agent={} target={} running={} ended={}", worker.agent,
+                   worker.life.name, report.running.size(), report.ended.size());
+    }
+    if (std::exchange(worker.resend, false)) ResendOrders(worker);
+  }
+  Grant(worker, report);
+}
+
+void coordinator::ChangeLife(worker_row& worker, const worker_report& report) {
+  worker.state = report.state;
+  if (report.life.name.empty()) return;
+  worker.service = report.service;
+  worker.zone = report.zone;
+  worker.labels = report.labels;
+  worker.capacity = report.capacity;
+  if (worker.life != report.life) {
+    if (!worker.life.name.empty()) {
+      spdlog::info("event=target_restarted agent={} target={} before={}", worker.agent,
+                   report.life.name, worker.life.name);
+    }
+    LoseCopies(worker.agent, "target_restarted", report.life);
+    worker.life = report.life;
+    worker.listed = false;
+    worker.processed_end = 0;
+    worker.stored_end = 0;
+    worker.recent_failures = 0;
+    worker.avoid_until = {};
+    worker.avoid_for = core::milliseconds{0};
+  }
+  if (report.state == target_state::gone) LoseCopies(worker.agent, "target_gone", std::nullopt);
+}
+
+void coordinator::ApplyEnds(worker_row& worker, const worker_report& report) {
+  for (const ended_run& end : report.ended) {
+    if (end.number <= worker.processed_end) continue;
+    ApplyEnd(worker, end);
+    worker.processed_end = end.number;
+  }
+}
+
+void coordinator::ApplyEnd(worker_row& worker, const ended_run& end) {
+  metrics_.GetCounter("coltsfoot_task_ends_total", {"reason", ToString(end.reason)}).Add();
+  const auto place = jobs_.FindTask(end.task);
+  if (!place) {
+    spdlog::info("event=end_of_unknown_task task={} run={} agent={}", ToString(end.task), end.run,
+                 worker.agent);
+    return;
+  }
+  const auto copy = jobs_.RemoveCopy(*place, worker.agent, end.run);
+  const std::int64_t ran_ms = copy ? core::ToMs(time_.Now() - copy->ordered_at) : -1;
+  const std::int64_t wall_ms = time_.WallNow().time_since_epoch().count();
+  place->task->progress.last_run = std::max(place->task->progress.last_run, end.run);
+  if (!end.checkpoint.empty() && !place->task->progress.done) {
+    place->task->progress.checkpoint = end.checkpoint;
+  }
+  if (end.reason == end_reason::done && !place->job->Spec(place->step).lasting) {
+    jobs_.MarkDone(*place, wall_ms);
+    worker.recent_failures = 0;
+    worker.avoid_for = core::milliseconds{0};
+  } else if (end.reason == end_reason::failed) {
+    place->task->failed_on = worker.agent;
+    jobs_.MarkFailed(*place, end.run, wall_ms);
+    Blame(worker, end);
+  }
+  if (end.reason != end_reason::done) {
+    spdlog::info("event=run_ended task={} run={} reason={} agent={} ran_ms={} failures={}",
+                 ToString(end.task), end.run, ToString(end.reason), worker.agent, ran_ms,
+                 place->task->progress.failed_runs.size());
+  }
+  if (IsEnded(place->job->state) && place->job->stored_state != place->job->state) {
+    spdlog::info("event=job_ended job={} state={} age_ms={}", place->job->id,
+                 ToString(place->job->state), core::ToMs(time_.Now() - place->job->admitted_at));
+  }
+}
+
+void coordinator::Blame(worker_row& worker, const ended_run& end) {
+  if (worker.last_failed_job == end.task.job) return;
+  worker.last_failed_job = end.task.job;
+  if (++worker.recent_failures < options_.failures_to_avoid) return;
+  std::size_t avoided = 0;
+  const core::mono_time now = time_.Now();
+  for (const auto& [agent, other] : workers_) avoided += other.avoid_until > now ? 1 : 0;
+  // Jobs that fail everywhere must not take the whole fleet away.
+  if (3 * (avoided + 1) > workers_.size()) return;
+  worker.avoid_for = worker.avoid_for.count() == 0
+                         ? options_.avoid_first
+                         : std::min(2 * worker.avoid_for, options_.avoid_longest);
+  worker.avoid_until = now + worker.avoid_for;
+  worker.recent_failures = options_.failures_to_avoid - 1;
+  metrics_.GetCounter("coltsfoot_workers_avoided_total").Add();
+  spdlog::warn("event=worker_avoided agent={} for_ms={} last_task={}", worker.agent,
+               worker.avoid_for.count(), ToString(end.task));
+}
+
+void coordinator::Reconcile(worker_row& worker, const worker_report& report) {
+  worker.foreign = 0;
+  for (const running_task& listed : report.running) AdoptRunning(worker, listed);
+  for (const run_id& listed : report.starting) AdoptStarting(worker, listed);
+  DropRefused(worker, report);
+  DropMissing(worker, report);
+}
+
+void coordinator::AdoptRunning(worker_row& worker, const running_task& listed) {
+  const auto place = jobs_.FindTask(listed.task);
+  if (!place) {
+    ++worker.foreign;
+    OrdersFor(worker).stops.push_back({listed.task, listed.run});
+    return;
+  }
+  Adopt(worker, *place, {listed.task, listed.run}, true);
+  for (task_copy& copy : place->task->copies) {
+    if (copy.agent != worker.agent || copy.run != listed.run) continue;
+    if (copy.progress != listed.progress) copy.progress_at = time_.Now();
+    copy.progress = listed.progress;
+  }
+  if (!listed.checkpoint.empty() && !place->task->progress.done) {
+    place->task->progress.checkpoint = listed.checkpoint;
+  }
+}
+
+void coordinator::AdoptStarting(worker_row& worker, const run_id& listed) {
+  const auto place = jobs_.FindTask(listed.task);
+  if (place) {
+    Adopt(worker, *place, listed, false);
+  } else {
+    ++worker.foreign;
+    OrdersFor(worker).stops.push_back(listed);
+  }
+}
+
+void coordinator::Adopt(worker_row& worker, const task_place& place, const run_id& run,
+                        bool running) {
+  for (task_copy& copy : place.task->copies) {
+    if (copy.agent != worker.agent || copy.run != run.run) continue;
+    if (running && !copy.running) copy.progress_at = time_.Now();
+    copy.running = copy.running || running;
+    return;
+  }
+  jobs_.AddCopy(place, {.agent = worker.agent,
+                        .life = worker.life,
+                        .run = run.run,
+                        .ordered_at = time_.Now(),
+                        .running = running,
+                        .progress_at = time_.Now()});
+  const step_spec& step = place.job->Spec(place.step);
+  OrdersFor(worker).facts.push_back({run, step.lasting, step.fills, step.goal_ms});
+}
+
+void coordinator::DropRefused(worker_row& worker, const worker_report& report) {
+  for (const refused_run& refused : report.refused) {
+    metrics_.GetCounter("coltsfoot_starts_refused_total", {"reason", ToString(refused.reason)})
+        .Add();
+    spdlog::info("event=start_refused task={} run={} agent={} reason={}",
+                 ToString(refused.run.task), refused.run.run, worker.agent,
+                 ToString(refused.reason));
+    const auto place = jobs_.FindTask(refused.run.task);
+    if (place) jobs_.RemoveCopy(*place, worker.agent, refused.run.run);
+    if (refused.reason == start_refusal::unhealthy) {
+      worker.avoid_until = time_.Now() + options_.avoid_first;
+    }
+  }
+}
+
+void coordinator::DropMissing(worker_row& worker, const worker_report& report) {
+  std::vector<run_id> present = report.starting;
+  for (const running_task& listed : report.running) present.push_back({listed.task, listed.run});
+  std::vector<std::pair<task_place, std::uint32_t>> missing;
+  ForEachCopy(worker.agent, [&](const task_place& place, const task_id& id, task_copy& copy) {
+    const bool seen = copy.running || copy.order <= report.orders_seen;
+    if (seen && !Contains(present, {id, copy.run})) missing.emplace_back(place, copy.run);
+  });
+  for (const auto& [place, run] : missing) {
+    spdlog::info("event=run_missing job={} step={} run={} agent={}", place.job->id, place.step, run,
+                 worker.agent);
+    jobs_.RemoveCopy(place, worker.agent, run);
+  }
+}
+
+template <class Visit>
+void coordinator::ForEachCopy(const std::string& agent, Visit visit) {
+  for (auto& [id, job] : jobs_.jobs()) {
+    if (job.copies == 0) continue;
+    for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+      for (std::uint32_t index = 0; index < job.Spec(step).count; ++index) {
+        task_row& task = job.tasks[job.steps[step].first_task + index];
+        for (task_copy& copy : task.copies) {
+          if (!agent.empty() && copy.agent != agent) continue;
+          visit(task_place{&job, step, &task}, task_id{id, 0, step, index}, copy);
+        }
+      }
+    }
+  }
+}
+
+void coordinator::ResendOrders(worker_row& worker) {
+  std::vector<start_order> starts;
+  std::vector<task_facts> facts;
+  worker_orders& orders = OrdersFor(worker);
+  ForEachCopy(worker.agent, [&](const task_place& place, const task_id& id, task_copy& copy) {
+    const step_spec& step = place.job->Spec(place.step);
+    const run_id run{id, copy.run};
+    copy.stopping = false;
+    if (copy.running) {
+      facts.push_back({run, step.lasting, step.fills, step.goal_ms});
+    } else {
+      starts.push_back(MakeStart(*place.job, run, *place.task));
+      copy.order = orders.sequence;
+    }
+  });
+  orders.facts = std::move(facts);
+  orders.starts.insert(orders.starts.end(), starts.begin(), starts.end());
+}
+
+void coordinator::LoseCopies(const std::string& agent, std::string_view reason,
+                             const std::optional<target_life>& keep) {
+  std::vector<std::pair<task_place, std::uint32_t>> lost;
+  ForEachCopy(agent, [&](const task_place& place, const task_id&, const task_copy& copy) {
+    if (!keep || copy.life != *keep) lost.emplace_back(place, copy.run);
+  });
+  for (const auto& [place, run] : lost) jobs_.RemoveCopy(place, agent, run);
+  if (lost.empty()) return;
+  metrics_.GetCounter("coltsfoot_runs_lost_total", {"reason", reason}).Add(lost.size());
+  spdlog::warn("event=runs_lost agent={} runs={} reason={}", agent, lost.size(), reason);
+}
+
+void coordinator::Grant(worker_row& worker, const worker_report& report) {
+  if (!authority_.MayExtend()) return;
+  worker.lease_bound = std::max(worker.lease_bound, LeaseBound(time_.Now()));
+  agents_.Send(worker.agent, lease_grant{.term = term_,
+                                         .echo_ms = report.sent_ms,
+                                         .life = worker.life,
+                                         .stored_end = worker.stored_end});
+}
+
+void coordinator::Tick() {
+  if (!active()) return;
+  LapseSilent();
+  SettleTakeover();
+  StopSuperfluous();
+  if (authority_.MayStart()) StartPlanned();
+  SendOrders();
+  for (const std::string& agent : progress_.Flush(jobs_, workers_)) {
+    const worker_row& worker = workers_.at(agent);
+    // Without an echo it extends no lease.
+    agents_.Send(
+        agent,
+        lease_grant{
+            .term = term_, .echo_ms = 0, .life = worker.life, .stored_end = worker.stored_end});
+  }
+  ForgetEnded();
+}
+
+void coordinator::SettleTakeover() {
+  if (settled_) return;
+  for (const auto& [agent, worker] : workers_) {
+    if (!worker.listed && worker.state != target_state::gone && time_.Now() < worker.lease_bound) {
+      return;
+    }
+  }
+  settled_ = true;
+  spdlog::info("event=takeover_settled term={} after_ms={}", term_,
+               core::ToMs(time_.Now() - term_began_));
+}
+
+void coordinator::LapseSilent() {
+  for (auto& [agent, worker] : workers_) {
+    if (time_.Now() < worker.lease_bound) continue;
+    LoseCopies(agent, "lease_lapsed", std::nullopt);
+    worker.listed = false;
+  }
+}
+
+void coordinator::StopSuperfluous() {
+  const core::mono_time now = time_.Now();
+  ForEachCopy("", [&](const task_place& place, const task_id& id, task_copy& copy) {
+    const task_row& task = *place.task;
+    // Of two copies of a task that may run once, the one that started later goes on: the earlier
+    // one belongs to a coordinator that had lost contact.
+    const bool doubled = task.copies.size() > 1 && !place.job->Spec(place.step).speculative &&
+                         copy.run < task.progress.last_run;
+    if (!IsEnded(place.job->state) && !task.progress.done && !doubled) return;
+    if (copy.stopping && now - copy.stopped_at < kStopRepeat) return;
+    const auto worker = workers_.find(copy.agent);
+    if (worker == workers_.end() || !worker->second.connected) return;
+    copy.stopping = true;
+    copy.stopped_at = now;
+    OrdersFor(worker->second).stops.push_back({id, copy.run});
+  });
+}
+
+void coordinator::CountCommitted() {
+  for (auto& [agent, worker] : workers_) {
+    worker.committed = {};
+    worker.filling_cpu = 0;
+    worker.serving = 0;
+  }
+  ForEachCopy("", [&](const task_place& place, const task_id&, const task_copy& copy) {
+    worker_row& worker = WorkerOf(copy.agent);
+    const step_spec& step = place.job->Spec(place.step);
+    worker.committed += Reserved(step);
+    if (step.fills) worker.filling_cpu += step.need.cpu_millis;
+    if (step.lasting) ++worker.serving;
+  });
+}
+
+void coordinator::StartPlanned() {
+  CountCommitted();
+  for (auto& [id, job] : jobs_.jobs()) job.held = !settled_ && job.admitted_revision < term_;
+  const core::mono_time now = time_.Now();
+  for (const planned_start& start : Plan(jobs_, workers_, now, options_.planner)) {
+    const task_id id{start.job, 0, start.step, start.index};
+    const auto place = jobs_.FindTask(id);
+    worker_row& worker = workers_.at(start.agent);
+    worker_orders& orders = OrdersFor(worker);
+    const std::uint32_t run = std::max(place->task->progress.last_run, place->job->run_base) + 1;
+    if (place->job->state == job_state::queued) {
+      spdlog::info("event=job_started job={} agent={} waited_ms={}", start.job, start.agent,
+                   core::ToMs(now - place->job->admitted_at));
+    }
+    jobs_.AddCopy(*place, {.agent = start.agent,
+                           .life = worker.life,
+                           .run = run,
+                           .order = orders.sequence,
+                           .ordered_at = now,
+                           .progress_at = now});
+    orders.starts.push_back(MakeStart(*place->job, {id, run}, *place->task));
+    metrics_.GetCounter("coltsfoot_starts_total").Add();
+  }
+}
+
+start_order coordinator::MakeStart(const job_row& job, const run_id& run,
+                                   const task_row& task) const {
+  const step_spec& step = job.Spec(run.task.step);
+  return {.facts = {run, step.lasting, step.fills, step.goal_ms},
+          .payload = job.record.spec.payload,
+          .checkpoint = task.progress.checkpoint};
+}
+
+worker_orders& coordinator::OrdersFor(worker_row& worker) {
+  const auto [place, added] = orders_.try_emplace(worker.agent);
+  if (added) {
+    place->second.term = term_;
+    place->second.sequence = worker.next_order++;
+    place->second.life = worker.life;
+  }
+  return place->second;
+}
+
+void coordinator::SendOrders() {
+  for (const auto& [agent, orders] : orders_) agents_.Send(agent, orders);
+  orders_.clear();
+}
+
+void coordinator::ForgetEnded() {
+  const core::mono_time now = time_.Now();
+  if (now < next_cleanup_) return;
+  next_cleanup_ = now + kCleanupPeriod;
+  const std::int64_t wall_ms = time_.WallNow().time_since_epoch().count();
+  std::vector<std::string> old;
+  for (const auto& [id, job] : jobs_.jobs()) {
+    if (old.size() >= kJobsPerCleanup) break;
+    if (!IsEnded(job.state) || job.stored_state != job.state || job.copies > 0) continue;
+    if (wall_ms - job.ended_wall_ms > options_.retention.count()) old.push_back(id);
+  }
+  if (!old.empty()) progress_.RemoveJobs(old);
+  for (const std::string& id : old) jobs_.Remove(id);
+  for (auto& [agent, worker] : workers_) {
+    if (worker.connected || now - worker.last_report < kForgetAgentAfter) continue;
+    spdlog::info("event=agent_forgotten agent={}", agent);
+    progress_.RemoveAgent(agent);
+    agents_.Forget(agent);
+    workers_.erase(agent);
+    break;
+  }
+}
+
+std::optional<job_state> coordinator::StateOf(std::string_view job) const {
+  const job_row* row = jobs_.Find(job);
+  if (row == nullptr) return std::nullopt;
+  // A cancellation was stored before anybody was told of it.
+  if (row->state == job_state::cancelled || !IsEnded(row->state)) return row->state;
+  // An end that is not stored yet could still be lost with this process.
+  return row->stored_state == row->state ? row->state : job_state::active;
+}
+
+std::uint64_t coordinator::CountWaiting(std::string_view queue) const {
+  return static_cast<std::uint64_t>(
+      std::count_if(jobs_.jobs().begin(), jobs_.jobs().end(), [&](const auto& each) {
+        return each.second.state == job_state::queued && each.second.record.queue == queue;
+      }));
+}
+
+}  // namespace coltsfoot::jobs
--- /dev/null
+++ b/libs/jobs/src/job_service.cc
@@ -0,0 +1,249 @@
+#include "jobs/job_service.h"
+
+#include <spdlog/spdlog.h>
+
+#include <utility>
+
+#include "wire/codec.h"
+
+namespace coltsfoot::jobs {
+namespace {
+
+// An outage of the store lasts seconds; callers that come back sooner find it still away.
+constexpr std::uint32_t kOutageRetryAfterS = 1;
+// Time that a write and its answer to the caller need; with less left the outcome stays unknown.
+constexpr core::milliseconds kLeastWriteTime{150};
+
+}  // namespace
+
+struct job_service::submission {
+  std::string id;
+  std::string queue;
+  std::string value;
+  store::expectation config;
+  core::mono_time begun;
+  core::mono_time deadline;
+  bool may_be_stored = false;  ///< a write had no answer
+  handler done;
+};
+
+job_service::job_service(const core::clock& time, metrics::registry& metrics,
+                         store::versioned_store& storage, store_health& health,
+                         queue_source& queues, coordinator_client& coordinator)
+    : time_(time),
+      metrics_(metrics),
+      storage_(storage),
+      health_(health),
+      queues_(queues),
+      coordinator_(coordinator) {}
+
+job_reply job_service::StoreRefusal() const {
+  return {.code = core::result_code::store_unavailable,
+          .state = std::nullopt,
+          .retry_after_s = kOutageRetryAfterS};
+}
+
+void job_service::Submit(const std::string& id, const queue_config& queue, const job_spec& spec,
+                         core::mono_time deadline, handler done) {
+  auto job = std::make_shared<submission>();
+  job->id = id;
+  job->queue = queue.name;
+  job->value =
+      wire::EncodeValue(job_record{.queue = queue.name,
+                                   .service = queue.service,
+                                   .accepted_wall_ms = time_.WallNow().time_since_epoch().count(),
+                                   .spec = spec});
+  job->config = queues_.Guard();
+  job->begun = time_.Now();
+  job->deadline = deadline;
+  job->done = std::move(done);
+  if (!health_.reachable()) {
+    Finish(*job, StoreRefusal());
+    return;
+  }
+  Store(job);
+}
+
+void job_service::Store(const std::shared_ptr<submission>& job) {
+  store::transaction writes;
+  writes.expect.push_back({JobKey(job->id), 0});
+  writes.expect.push_back(job->config);
+  writes.puts.push_back({JobKey(job->id), job->value, 0});
+  storage_.Commit(std::move(writes),
+                  [this, job](const store::commit_result& result) { OnStored(job, result); });
+}
+
+void job_service::OnStored(const std::shared_ptr<submission>& job,
+                           const store::commit_result& result) {
+  const bool has_time = time_.Now() + kLeastWriteTime < job->deadline;
+  switch (result.status) {
+    case store::kv_status::ok:
+      Finish(*job, {.code = core::result_code::ok, .state = job_state::queued});
+      return;
+    case store::kv_status::conflict:
+      for (const store::kv_entry& entry : result.present) {
+        if (entry.key != JobKey(job->id)) continue;
+        Finish(*job, {.code = core::result_code::ok, .state = std::nullopt});
+        return;
+      }
+      Finish(*job, {.code = core::result_code::stale_config, .state = std::nullopt});
+      return;
+    case store::kv_status::unknown:
+      job->may_be_stored = true;
+      if (has_time && health_.reachable()) {
+        metrics_.CountRetry("submit", core::result_code::outcome_unknown);
+        Store(job);
+        return;
+      }
+      Finish(*job, {.code = core::result_code::outcome_unknown, .state = std::nullopt});
+      return;
+    default:
+      if (job->may_be_stored) {
+        Finish(*job, {.code = core::result_code::outcome_unknown, .state = std::nullopt});
+      } else {
+        Finish(*job, StoreRefusal());
+      }
+  }
+}
+
+void job_service::Finish(const submission& job, job_reply reply) {
+  if (reply.code != core::result_code::ok) {
+    metrics_.CountRefusal("submit", reply.code);
+    spdlog::warn("event=submit_refused job={} queue={} code={} took_ms={}", job.id, job.queue,
+                 core::ToString(reply.code), core::ToMs(time_.Now() - job.begun));
+  } else {
+    spdlog::info("event=submitted job={} queue={} took_ms={}", job.id, job.queue,
+                 core::ToMs(time_.Now() - job.begun));
+  }
+  job.done(std::move(reply));
+}
+
+void job_service::Show(const std::string& id, const std::string& queue, handler done) {
+  coordinator_.Ask({.number = 0, .queue = queue, .job = id},
+                   [this, id, done = std::move(done)](const job_answer& answer) {
+                     if (answer.outcome == query_outcome::found) {
+                       done({.code = core::result_code::ok, .state = answer.state});
+                       return;
+                     }
+                     // The coordinator may not have heard of the job yet.
+                     ShowStored(id, done);
+                   });
+}
+
+void job_service::ShowStored(const std::string& id, handler done) {
+  if (!health_.reachable()) {
+    done(StoreRefusal());
+    return;
+  }
+  storage_.Get(ProgressKey(id), [this, id, done = std::move(done)](const store::get_result& got) {
+    if (got.status == store::kv_status::not_found) {
+      ShowUncancelled(id, std::nullopt, done);
+      return;
+    }
+    if (got.status != store::kv_status::ok) {
+      done(StoreRefusal());
+      return;
+    }
+    core::last_error error;
+    const auto progress = wire::DecodeValue<progress_record>(got.entry->value, error);
+    if (!progress) {
+      spdlog::error("event=progress_unreadable job={} reason=\"{}\"", id, error.reason().message);
+      done({.code = core::result_code::internal_error, .state = std::nullopt});
+      return;
+    }
+    if (IsEnded(progress->state)) {
+      done({.code = core::result_code::ok, .state = progress->state});
+      return;
+    }
+    ShowUncancelled(id, progress, done);
+  });
+}
+
+void job_service::ShowUncancelled(const std::string& id,
+                                  const std::optional<progress_record>& progress, handler done) {
+  storage_.Get(CancelKey(id),
+               [this, id, progress, done = std::move(done)](const store::get_result& cancelled) {
+                 if (cancelled.status == store::kv_status::ok) {
+                   done({.code = core::result_code::ok, .state = job_state::cancelled});
+                   return;
+                 }
+                 if (cancelled.status != store::kv_status::not_found) {
+                   done(StoreRefusal());
+                   return;
+                 }
+                 if (progress) {
+                   done({.code = core::result_code::ok, .state = progress->state});
+                   return;
+                 }
+                 storage_.Get(JobKey(id), [this, done](const store::get_result& job) {
+                   if (job.status == store::kv_status::ok) {
+                     done({.code = core::result_code::ok, .state = job_state::queued});
+                   } else if (job.status == store::kv_status::not_found) {
+                     done({.code = core::result_code::not_found, .state = std::nullopt});
+                   } else {
+                     done(StoreRefusal());
+                   }
+                 });
+               });
+}
+
+void job_service::Cancel(const std::string& id, const std::string& queue, core::mono_time deadline,
+                         handler done) {
+  if (!health_.reachable()) {
+    metrics_.CountRefusal("cancel", core::result_code::store_unavailable);
+    spdlog::warn("event=cancel_refused job={} queue={} code=store_unavailable", id, queue);
+    done(StoreRefusal());
+    return;
+  }
+  storage_.Get(JobKey(id),
+               [this, id, deadline, done = std::move(done)](const store::get_result& job) {
+                 if (job.status == store::kv_status::not_found) {
+                   done({.code = core::result_code::not_found, .state = std::nullopt});
+                 } else if (job.status == store::kv_status::ok) {
+                   StoreCancel(id, deadline, false, done);
+                 } else {
+                   done(StoreRefusal());
+                 }
+               });
+}
+
+void job_service::StoreCancel(const std::string& id, core::mono_time deadline, bool repeated,
+                              handler done) {
+  store::transaction writes;
+  writes.expect.push_back({CancelKey(id), 0});
+  writes.puts.push_back({CancelKey(id), "1", 0});
+  storage_.Commit(std::move(writes), [this, id, deadline, repeated,
+                                      done = std::move(done)](const store::commit_result& result) {
+    if (result.status == store::kv_status::ok || result.status == store::kv_status::conflict) {
+      spdlog::info("event=cancel_stored job={}", id);
+      done({.code = core::result_code::ok, .state = job_state::cancelled});
+      return;
+    }
+    const bool unanswered = result.status == store::kv_status::unknown;
+    const bool unknown = repeated || unanswered;
+    if (unanswered && health_.reachable() && time_.Now() + kLeastWriteTime < deadline) {
+      metrics_.CountRetry("cancel", core::result_code::outcome_unknown);
+      StoreCancel(id, deadline, unknown, done);
+      return;
+    }
+    const job_reply reply =
+        unknown ? job_reply{.code = core::result_code::outcome_unknown, .state = std::nullopt}
+                : StoreRefusal();
+    metrics_.CountRefusal("cancel", reply.code);
+    spdlog::warn("event=cancel_refused job={} code={}", id, core::ToString(reply.code));
+    done(reply);
+  });
+}
+
+void job_service::CountWaiting(const std::string& queue, handler done) {
+  coordinator_.Ask({.number = 0, .queue = queue, .job = ""}, [this, done = std::move(done)](
+                                                                 const job_answer& answer) {
+    if (answer.outcome == query_outcome::not_coordinator) {
+      done(StoreRefusal());
+      return;
+    }
+    done({.code = core::result_code::ok, .state = std::nullopt, .waiting = answer.waiting});
+  });
+}
+
+}  // namespace coltsfoot::jobs
--- /dev/null
+++ b/libs/jobs/src/job_table.cc
@@ -0,0 +1,179 @@
+#include "jobs/job_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace coltsfoot::jobs {
+namespace {
+
+/// @return the longest chain over the steps, each weighing `weight(step)`.
+template <class Weight>
+std::int64_t LongestChain(const std::vector<step_spec>& steps, Weight weight) {
+  std::vector<std::int64_t> until(steps.size(), 0);
+  std::int64_t longest = 0;
+  for (std::size_t step = 0; step < steps.size(); ++step) {
+    std::int64_t begin = 0;
+    for (const std::uint32_t earlier : steps[step].after) begin = std::max(begin, until[earlier]);
+    until[step] = begin + weight(static_cast<std::uint32_t>(step));
+    longest = std::max(longest, until[step]);
+  }
+  return longest;
+}
+
+}  // namespace
+
+bool job_row::IsReleased(std::uint32_t step) const {
+  const auto& after = Spec(step).after;
+  return std::all_of(after.begin(), after.end(), [this](std::uint32_t earlier) {
+    return steps[earlier].done == Spec(earlier).count;
+  });
+}
+
+std::int64_t job_row::RemainingChainMs() const {
+  return LongestChain(record.spec.steps, [this](std::uint32_t step) -> std::int64_t {
+    return steps[step].done == Spec(step).count ? 0 : Spec(step).estimate_ms;
+  });
+}
+
+std::int64_t job_row::WholeChainMs() const {
+  return LongestChain(record.spec.steps, [this](std::uint32_t step) -> std::int64_t {
+    return Spec(step).estimate_ms;
+  });
+}
+
+job_row& job_table::Add(std::string id, job_record record, std::uint64_t revision,
+                        core::mono_time admitted) {
+  const auto [place, added] = jobs_.try_emplace(id);
+  job_row& job = place->second;
+  if (!added) return job;
+  job.id = std::move(id);
+  job.record = std::move(record);
+  job.admitted_revision = revision;
+  job.admitted_at = admitted;
+  std::uint32_t first = 0;
+  for (const step_spec& step : job.record.spec.steps) {
+    job.steps.push_back({.first_task = first, .done = 0, .idle = step.count});
+    first += step.count;
+  }
+  job.tasks.resize(first);
+  return job;
+}
+
+void job_table::Restore(job_row& job, const progress_record& stored, store::key_version version) {
+  job.progress_version = version;
+  job.state = stored.state;
+  job.stored_state = stored.state;
+  job.ended_wall_ms = stored.ended_wall_ms;
+  const std::size_t count = std::min(job.tasks.size(), stored.tasks.size());
+  for (std::size_t index = 0; index < count; ++index) {
+    job.tasks[index].progress = stored.tasks[index];
+  }
+  CountSteps(job);
+}
+
+job_row* job_table::Find(std::string_view id) {
+  const auto place = jobs_.find(id);
+  return place == jobs_.end() ? nullptr : &place->second;
+}
+
+const job_row* job_table::Find(std::string_view id) const {
+  const auto place = jobs_.find(id);
+  return place == jobs_.end() ? nullptr : &place->second;
+}
+
+std::optional<task_place> job_table::FindTask(const task_id& task) {
+  job_row* job = Find(task.job);
+  if (job == nullptr || task.occurrence != 0 || task.step >= job->steps.size()) return std::nullopt;
+  if (task.index >= job->Spec(task.step).count) return std::nullopt;
+  return task_place{job, task.step, &job->tasks[job->steps[task.step].first_task + task.index]};
+}
+
+void job_table::AddCopy(const task_place& place, task_copy copy) {
+  task_row& task = *place.task;
+  if (task.copies.empty() && !task.progress.done) --place.job->steps[place.step].idle;
+  task.progress.last_run = std::max(task.progress.last_run, copy.run);
+  task.copies.push_back(std::move(copy));
+  ++place.job->copies;
+  if (place.job->state == job_state::queued) place.job->state = job_state::active;
+}
+
+std::optional<task_copy> job_table::RemoveCopy(const task_place& place, std::string_view agent,
+                                               std::uint32_t run) {
+  task_row& task = *place.task;
+  const auto copy = std::find_if(task.copies.begin(), task.copies.end(), [&](const auto& each) {
+    return each.agent == agent && each.run == run;
+  });
+  if (copy == task.copies.end()) return std::nullopt;
+  task_copy removed = std::move(*copy);
+  task.copies.erase(copy);
+  --place.job->copies;
+  if (task.copies.empty() && !task.progress.done) ++place.job->steps[place.step].idle;
+  return removed;
+}
+
+void job_table::MarkDone(const task_place& place, std::int64_t wall_ms) {
+  task_row& task = *place.task;
+  if (task.progress.done) return;
+  job_row& job = *place.job;
+  task.progress.done = true;
+  task.progress.checkpoint.clear();
+  if (task.copies.empty()) --job.steps[place.step].idle;
+  ++job.steps[place.step].done;
+  job.dirty = true;
+  if (job.state == job_state::queued) job.state = job_state::active;
+  for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+    if (job.steps[step].done != job.Spec(step).count) return;
+  }
+  if (!IsEnded(job.state)) End(job, job_state::complete, wall_ms);
+}
+
+void job_table::MarkFailed(const task_place& place, std::uint32_t run, std::int64_t wall_ms) {
+  auto& failed = place.task->progress.failed_runs;
+  if (std::find(failed.begin(), failed.end(), run) != failed.end()) return;
+  job_row& job = *place.job;
+  if (job.Spec(place.step).lasting) return;
+  failed.push_back(run);
+  job.dirty = true;
+  if (job.state == job_state::queued) job.state = job_state::active;
+  if (failed.size() >= job.queue.attempts && !place.task->progress.done && !IsEnded(job.state)) {
+    End(job, job_state::failed, wall_ms);
+  }
+}
+
+void job_table::Cancel(job_row& job, std::int64_t wall_ms) {
+  job.cancel_requested = true;
+  if (IsEnded(job.state)) return;
+  End(job, job_state::cancelled, wall_ms);
+}
+
+progress_record job_table::Progress(const job_row& job) {
+  progress_record out{.state = job.state, .ended_wall_ms = job.ended_wall_ms, .tasks = {}};
+  if (IsEnded(job.state)) return out;
+  out.tasks.reserve(job.tasks.size());
+  for (const task_row& task : job.tasks) out.tasks.push_back(task.progress);
+  return out;
+}
+
+void job_table::End(job_row& job, job_state state, std::int64_t wall_ms) {
+  job.state = state;
+  job.ended_wall_ms = wall_ms;
+  job.dirty = true;
+}
+
+void job_table::CountSteps(job_row& job) {
+  for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+    step_row& row = job.steps[step];
+    row.done = 0;
+    row.idle = 0;
+    for (std::uint32_t index = 0; index < job.Spec(step).count; ++index) {
+      const task_row& task = job.tasks[row.first_task + index];
+      if (task.progress.done) {
+        ++row.done;
+      } else if (task.copies.empty()) {
+        ++row.idle;
+      }
+    }
+  }
+}
+
+}  // namespace coltsfoot::jobs
--- /dev/null
+++ b/libs/jobs/src/leadership.cc
@@ -0,0 +1,307 @@
+#include "jobs/leadership.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "wire/codec.h"
+
+namespace coltsfoot::jobs {
+namespace {
+
+// Waits of the watches: short, because a watch whose connection went silent is only noticed by its
+// timeout.
+constexpr core::milliseconds kLeaderWatch{1500};
+constexpr core::milliseconds kInboxWatch{1000};
+constexpr core::milliseconds kRetryDelay{150};
+// The lease runs from the arrival of the renewal at the store, which is after it was sent; the
+// margin covers a clock that runs fast.
+constexpr core::milliseconds kLeaseMargin{100};
+
+}  // namespace
+
+leadership::leadership(leadership_options options, const core::clock& time,
+                       core::random_source& random, metrics::registry& metrics,
+                       store::versioned_store& storage, handlers callbacks)
+    : options_(std::move(options)),
+      time_(time),
+      random_(random),
+      metrics_(metrics),
+      storage_(storage),
+      callbacks_(std::move(callbacks)),
+      nonce_(random.Next()) {}
+
+leadership::~leadership() = default;
+
+template <class Result>
+std::function<void(Result)> leadership::Guard(std::function<void(Result)> handler) {
+  return [this, epoch = epoch_, alive = std::weak_ptr<int>(alive_),
+          handler = std::move(handler)](Result result) {
+    if (!alive.expired() && epoch == epoch_) handler(std::move(result));
+  };
+}
+
+void leadership::Start() { Follow(); }
+
+void leadership::Follow() {
+  role_ = role::following;
+  ++epoch_;
+  looking_ = false;
+  renewing_ = false;
+  term_ = 0;
+  lease_ = 0;
+  Look();
+}
+
+void leadership::LookAgainIn(core::milliseconds delay) {
+  looking_ = false;
+  // Spreads the entries, so that not all of them stand at the same moment.
+  look_at_ = time_.Now() + delay + core::milliseconds{random_.Below(50)};
+}
+
+void leadership::Look() {
+  looking_ = true;
+  storage_.Get(std::string(kLeaderKey), Guard<store::get_result>([this](store::get_result result) {
+                 if (result.status == store::kv_status::ok) {
+                   OnLeaderEntry(result.entry);
+                 } else if (result.status == store::kv_status::not_found) {
+                   OnLeaderEntry(std::nullopt);
+                 } else {
+                   LookAgainIn(kRetryDelay);
+                 }
+               }));
+}
+
+void leadership::OnLeaderEntry(const std::optional<store::kv_entry>& entry) {
+  if (!entry) {
+    leader_.reset();
+    Stand(0);
+    return;
+  }
+  core::last_error error;
+  const auto record = wire::DecodeValue<leader_record>(entry->value, error);
+  if (!record) {
+    spdlog::error("event=leader_unreadable reason=\"{}\"", error.reason().message);
+    LookAgainIn(kRetryDelay);
+    return;
+  }
+  if (record->entry == options_.entry) {
+    // The key of an earlier life of this entry, or a claim of this one whose answer was lost. In
+    // both cases nobody else leads.
+    Stand(entry->version);
+    return;
+  }
+  if (leader_ != record) {
+    spdlog::info("event=leader_seen leader={} term={}", record->entry, entry->version);
+  }
+  leader_ = *record;
+  leader_version_ = entry->version;
+  watched_from_ = entry->version;
+  Watch();
+}
+
+void leadership::Watch() {
+  storage_.WatchChanges(std::string(kLeaderKey), watched_from_, kLeaderWatch,
+                        Guard<store::change_batch>([this](store::change_batch batch) {
+                          if (batch.status != store::kv_status::ok) {
+                            LookAgainIn(kRetryDelay);
+                            return;
+                          }
+                          // A quiet watch may be a dead one; the key itself cannot be wrong.
+                          if (batch.changes.empty()) {
+                            LookAgainIn(core::milliseconds{0});
+                            return;
+                          }
+                          OnLeaderEntry(batch.changes.back().entry);
+                        }));
+}
+
+void leadership::Stand(store::key_version present) {
+  role_ = role::standing;
+  ++epoch_;
+  const core::mono_time sent = time_.Now();
+  storage_.GrantLease(options_.lease_ttl,
+                      Guard<store::lease_result>([this, present, sent](store::lease_result result) {
+                        if (result.status != store::kv_status::ok) {
+                          role_ = role::following;
+                          LookAgainIn(kRetryDelay);
+                          return;
+                        }
+                        Claim(present, result.lease, sent);
+                      }));
+}
+
+void leadership::Claim(store::key_version present, store::lease_id lease, core::mono_time granted) {
+  store::transaction writes;
+  writes.expect.push_back({std::string(kLeaderKey), present});
+  writes.puts.push_back(
+      {std::string(kLeaderKey),
+       wire::EncodeValue(
+           leader_record{.entry = options_.entry, .address = options_.address, .nonce = nonce_}),
+       lease});
+  storage_.Commit(std::move(writes),
+                  Guard<store::commit_result>([this, lease, granted](store::commit_result result) {
+                    OnClaimed(result, lease, granted);
+                  }));
+}
+
+void leadership::OnClaimed(const store::commit_result& result, store::lease_id lease,
+                           core::mono_time granted) {
+  if (result.status == store::kv_status::ok) {
+    Win(result.revision, lease, granted);
+    return;
+  }
+  role_ = role::following;
+  LookAgainIn(result.status == store::kv_status::conflict ? core::milliseconds{0} : kRetryDelay);
+}
+
+void leadership::Win(std::uint64_t term, store::lease_id lease, core::mono_time granted) {
+  term_ = term;
+  lease_ = lease;
+  valid_until_ = granted + options_.lease_ttl - kLeaseMargin;
+  renew_at_ = time_.Now() + options_.renew_period;
+  leader_ = leader_record{.entry = options_.entry, .address = options_.address, .nonce = nonce_};
+  leader_version_ = term;
+  role_ = role::loading;
+  load_at_.reset();
+  ++epoch_;
+  metrics_.GetCounter("coltsfoot_terms_total").Add();
+  spdlog::info("event=elected term={}", term);
+  Load();
+}
+
+void leadership::Load() {
+  storage_.ReadAll(
+      std::string(kInboxPrefix), Guard<store::range_result>([this](store::range_result inbox) {
+        if (inbox.status != store::kv_status::ok) {
+          load_at_ = time_.Now() + kRetryDelay;
+          return;
+        }
+        storage_.ReadAll(
+            std::string(kProgressPrefix),
+            Guard<store::range_result>([this, inbox](const store::range_result& progress) {
+              if (progress.status != store::kv_status::ok) {
+                load_at_ = time_.Now() + kRetryDelay;
+                return;
+              }
+              role_ = role::leading;
+              callbacks_.on_elected({term_, inbox.entries, progress.entries});
+              WatchInbox(inbox.revision);
+            }));
+      }));
+}
+
+void leadership::WatchInbox(std::uint64_t since) {
+  storage_.WatchChanges(std::string(kInboxPrefix), since, kInboxWatch,
+                        Guard<store::change_batch>([this, since](store::change_batch batch) {
+                          if (batch.status == store::kv_status::conflict) {
+                            ReloadInbox();
+                            return;
+                          }
+                          if (batch.status != store::kv_status::ok) {
+                            retry_inbox_at_ = time_.Now() + kRetryDelay;
+                            retry_inbox_from_ = since;
+                            return;
+                          }
+                          const std::uint64_t epoch = epoch_;
+                          for (const store::key_change& change : batch.changes) {
+                            callbacks_.on_inbox_change(change);
+                            if (epoch != epoch_) return;
+                          }
+                          WatchInbox(std::max(since, batch.revision));
+                        }));
+}
+
+void leadership::ReloadInbox() {
+  spdlog::info("event=inbox_reloaded term={} reason=history_gone", term_);
+  storage_.ReadAll(std::string(kInboxPrefix),
+                   Guard<store::range_result>([this](const store::range_result& inbox) {
+                     if (inbox.status != store::kv_status::ok) {
+                       // The history from there is gone, which leads back here.
+                       retry_inbox_from_ = 1;
+                       retry_inbox_at_ = time_.Now() + kRetryDelay;
+                       return;
+                     }
+                     for (const store::kv_entry& entry : inbox.entries) {
+                       callbacks_.on_inbox_change({entry.key, entry});
+                     }
+                     WatchInbox(inbox.revision);
+                   }));
+}
+
+void leadership::Renew() {
+  renewing_ = true;
+  const core::mono_time sent = time_.Now();
+  renew_at_ = sent + options_.renew_period;
+  storage_.RenewLease(lease_, Guard<store::lease_result>([this, sent](store::lease_result result) {
+                        renewing_ = false;
+                        if (result.status == store::kv_status::ok) {
+                          valid_until_ =
+                              std::max(valid_until_, sent + options_.lease_ttl - kLeaseMargin);
+                        } else if (result.status == store::kv_status::not_found) {
+                          spdlog::warn("event=leader_lease_ended term={}", term_);
+                          Depose();
+                        } else {
+                          metrics_.GetCounter("coltsfoot_leader_renewal_failures_total").Add();
+                        }
+                      }));
+}
+
+void leadership::Tick() {
+  const core::mono_time now = time_.Now();
+  switch (role_) {
+    case role::following:
+      if (!looking_ && now >= look_at_) Look();
+      return;
+    case role::loading:
+    case role::leading:
+      if (now >= valid_until_ + options_.grant_extension) {
+        spdlog::warn("event=leader_lease_lost term={} reason=store_out_of_reach", term_);
+        Depose();
+        return;
+      }
+      if (load_at_ && now >= *load_at_) {
+        load_at_.reset();
+        Load();
+      }
+      if (retry_inbox_from_ != 0 && now >= retry_inbox_at_) {
+        WatchInbox(std::exchange(retry_inbox_from_, 0));
+      }
+      if (!renewing_ && now >= renew_at_) Renew();
+      return;
+    case role::standing:
+    case role::resigned:
+      return;
+  }
+}
+
+void leadership::Depose() {
+  if (role_ != role::leading && role_ != role::loading) return;
+  const bool led = role_ == role::leading;
+  leader_.reset();
+  retry_inbox_from_ = 0;
+  role_ = role::following;
+  ++epoch_;
+  if (led) callbacks_.on_deposed();
+  Follow();
+}
+
+void leadership::Resign() {
+  const bool led = role_ == role::leading;
+  const store::lease_id lease = std::exchange(lease_, 0);
+  role_ = role::resigned;
+  ++epoch_;
+  if (led) callbacks_.on_deposed();
+  if (lease == 0) return;
+  spdlog::info("event=resigned term={}", term_);
+  storage_.EndLease(lease, [](const store::lease_result&) {});
+}
+
+bool leadership::MayStart() const { return leading() && time_.Now() < valid_until_; }
+
+bool leadership::MayExtend() const {
+  return leading() && time_.Now() < valid_until_ + options_.grant_extension;
+}
+
+}  // namespace coltsfoot::jobs
--- /dev/null
+++ b/libs/jobs/src/network.cc
@@ -0,0 +1,242 @@
+#include "jobs/network.h"
+
+#include <spdlog/spdlog.h>
+
+#include <asio/ip/address.hpp>
+#include <asio/post.hpp>
+#include <charconv>
+#include <utility>
+#include <vector>
+
+namespace coltsfoot::jobs {
+namespace {
+
+constexpr core::milliseconds kDialPause{200};
+// Connections go silent without a reset when a host freezes or is cut off; agents report twice a
+// second.
+constexpr core::milliseconds kSilentConnection{2000};
+constexpr core::milliseconds kDialLimit{1000};
+// A query beyond this is answered from the store instead.
+constexpr core::milliseconds kQueryLimit{300};
+
+template <class Message>
+std::optional<Message> Decode(const wire::raw_message& raw, std::string_view from) {
+  core::last_error error;
+  auto message = wire::FromRaw<Message>(raw, error);
+  if (!message) {
+    spdlog::warn("event=message_unreadable from={} reason=\"{}\"", from, error.reason().message);
+  }
+  return message;
+}
+
+}  // namespace
+
+std::optional<wire::endpoint> ParseAddress(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  wire::endpoint out{std::string(text.substr(0, colon)), 0};
+  asio::error_code failure;
+  asio::ip::make_address(out.ip, failure);
+  const char* end = text.data() + text.size();
+  const auto [parsed, error] = std::from_chars(text.data() + colon + 1, end, out.port);
+  if (failure || error != std::errc{} || parsed != end) return std::nullopt;
+  return out;
+}
+
+agent_connections::agent_connections(asio::io_context& context, const core::clock& time,
+                                     metrics::registry& metrics)
+    : context_(context), time_(time), metrics_(metrics) {}
+
+void agent_connections::Connect(const std::string& agent, const std::string& address) {
+  const auto parsed = ParseAddress(address);
+  if (!parsed) {
+    spdlog::error("event=agent_address_unreadable agent={} address=\"{}\"", agent, address);
+    return;
+  }
+  peer& known = peers_[agent];
+  if (known.connection && known.address == *parsed) return;
+  if (known.connection) Lose(agent, known);
+  known.address = *parsed;
+  Dial(agent, known);
+}
+
+void agent_connections::Dial(const std::string& agent, peer& to) {
+  const std::uint64_t serial = next_serial_++;
+  to.serial = serial;
+  to.open = false;
+  to.dialled_at = time_.Now();
+  to.connection = wire::ConnectTcp(context_, to.address);
+  to.connection->Start(
+      {.on_open =
+           [this, agent, serial] {
+             peer* opened = Find(agent, serial);
+             if (opened == nullptr) return;
+             opened->open = true;
+             opened->heard_at = time_.Now();
+             opened->connection->Send(wire::ToFrame(coordinator_hello{.term = term_}));
+             callbacks_.on_connected(agent);
+           },
+       .on_message = [this, agent, serial](
+                         const wire::raw_message& message) { OnMessage(agent, serial, message); },
+       .on_close =
+           [this, agent, serial](const core::error_reason&) {
+             if (peer* closed = Find(agent, serial)) Lose(agent, *closed);
+           }});
+}
+
+agent_connections::peer* agent_connections::Find(const std::string& agent, std::uint64_t serial) {
+  const auto place = peers_.find(agent);
+  return place == peers_.end() || place->second.serial != serial ? nullptr : &place->second;
+}
+
+void agent_connections::OnMessage(const std::string& agent, std::uint64_t serial,
+                                  const wire::raw_message& message) {
+  peer* from = Find(agent, serial);
+  if (from == nullptr) return;
+  from->heard_at = time_.Now();
+  if (const auto report = Decode<worker_report>(message, agent)) callbacks_.on_report(*report);
+}
+
+void agent_connections::Lose(const std::string& agent, peer& from) {
+  const bool was_open = std::exchange(from.open, false);
+  if (from.connection) from.connection->Close();
+  from.connection.reset();
+  from.serial = 0;
+  from.dial_at = time_.Now() + kDialPause;
+  if (was_open) callbacks_.on_disconnected(agent);
+}
+
+void agent_connections::Tick() {
+  const core::mono_time now = time_.Now();
+  for (auto& [agent, each] : peers_) {
+    if (!each.connection) {
+      if (now >= each.dial_at) Dial(agent, each);
+    } else if (each.open ? now - each.heard_at > kSilentConnection
+                         : now - each.dialled_at > kDialLimit) {
+      if (each.open) {
+        metrics_.GetCounter("coltsfoot_silent_connections_total", {"peer", "agent"}).Add();
+        spdlog::warn("event=agent_silent agent={}", agent);
+      }
+      Lose(agent, each);
+    }
+  }
+}
+
+void agent_connections::Forget(const std::string& agent) {
+  const auto place = peers_.find(agent);
+  if (place == peers_.end()) return;
+  if (place->second.connection) place->second.connection->Close();
+  peers_.erase(place);
+}
+
+void agent_connections::ForgetAll() {
+  for (auto& [agent, each] : peers_) {
+    if (each.connection) each.connection->Close();
+  }
+  peers_.clear();
+}
+
+template <class Message>
+void agent_connections::SendTo(const std::string& agent, const Message& message) {
+  const auto place = peers_.find(agent);
+  if (place == peers_.end() || !place->second.open) return;
+  // A full queue belongs to an agent that does not read; its silence ends the connection.
+  if (!place->second.connection->Send(wire::ToFrame(message))) {
+    metrics_.GetCounter("coltsfoot_messages_dropped_total", {"peer", "agent"}).Add();
+  }
+}
+
+void agent_connections::Send(const std::string& agent, const lease_grant& message) {
+  SendTo(agent, message);
+}
+
+void agent_connections::Send(const std::string& agent, const worker_orders& message) {
+  SendTo(agent, message);
+}
+
+entry_peers::entry_peers(asio::io_context& context, const core::clock& time,
+                         const wire::endpoint& local, std::function<std::string()> leader,
+                         std::function<job_answer(const job_query&)> answer)
+    : context_(context),
+      time_(time),
+      listener_(context, local, [this](const auto& connection) { Accept(connection); }),
+      own_address_(local.ip + ":" + std::to_string(local.port)),
+      leader_(std::move(leader)),
+      answer_(std::move(answer)) {}
+
+void entry_peers::Accept(const std::shared_ptr<wire::tcp_connection>& connection) {
+  const std::uint64_t number = next_connection_++;
+  accepted_.emplace(number, connection);
+  connection->Start(
+      {.on_open = [] {},
+       .on_message =
+           [this, number](const wire::raw_message& message) {
+             const auto query = Decode<job_query>(message, "entry");
+             const auto place = accepted_.find(number);
+             if (!query || place == accepted_.end()) return;
+             job_answer answer = answer_(*query);
+             answer.number = query->number;
+             place->second->Send(wire::ToFrame(answer));
+           },
+       .on_close = [this, number](const core::error_reason&) { accepted_.erase(number); }});
+}
+
+void entry_peers::Ask(job_query query, std::function<void(job_answer)> done) {
+  const std::string address = leader_();
+  if (address == own_address_) {
+    asio::post(context_,
+               [this, query = std::move(query), done = std::move(done)] { done(answer_(query)); });
+    return;
+  }
+  query.number = next_query_++;
+  if (address.empty() || !Reach(address) || !connection_->Send(wire::ToFrame(query))) {
+    asio::post(context_, [done = std::move(done)] { done({}); });
+    return;
+  }
+  waiting_.emplace(query.number, waiting_query{time_.Now(), std::move(done)});
+}
+
+bool entry_peers::Reach(const std::string& address) {
+  if (connection_ && connected_to_ == address) return true;
+  Drop();
+  const auto endpoint = ParseAddress(address);
+  if (!endpoint) return false;
+  connected_to_ = address;
+  connection_ = wire::ConnectTcp(context_, *endpoint);
+  const std::uint64_t serial = ++serial_;
+  connection_->Start({.on_open = [] {},
+                      .on_message =
+                          [this, serial](const wire::raw_message& message) {
+                            if (serial == serial_) OnAnswer(message);
+                          },
+                      .on_close =
+                          [this, serial](const core::error_reason&) {
+                            if (serial == serial_) Drop();
+                          }});
+  return true;
+}
+
+void entry_peers::Drop() {
+  ++serial_;
+  if (connection_) connection_->Close();
+  connection_.reset();
+  auto waiting = std::exchange(waiting_, {});
+  for (auto& [number, query] : waiting) {
+    asio::post(context_, [done = std::move(query.done)] { done({}); });
+  }
+}
+
+void entry_peers::OnAnswer(const wire::raw_message& message) {
+  const auto answer = Decode<job_answer>(message, connected_to_);
+  if (!answer) return;
+  auto node = waiting_.extract(answer->number);
+  if (node) node.mapped().done(*answer);
+}
+
+void entry_peers::Tick() {
+  if (waiting_.empty()) return;
+  // Queries are answered in order: if the oldest is late, the connection is dead.
+  if (time_.Now() - waiting_.begin()->second.asked_at > kQueryLimit) Drop();
+}
+
+}  // namespace coltsfoot::jobs
--- /dev/null
+++ b/libs/jobs/src/planner.cc
@@ -0,0 +1,193 @@
+#include "jobs/planner.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace coltsfoot::jobs {
+namespace {
+
+/// A step with tasks to place.
+struct open_step {
+  job_rank rank;
+  const job_row* job = nullptr;
+  std::uint32_t step = 0;
+};
+
+using copies_by_worker = std::map<std::string, std::uint32_t, std::less<>>;
+
+copies_by_worker CountCopies(const job_row& job, std::uint32_t step) {
+  copies_by_worker counts;
+  const step_row& row = job.steps[step];
+  for (std::uint32_t index = 0; index < job.Spec(step).count; ++index) {
+    for (const task_copy& copy : job.tasks[row.first_task + index].copies) ++counts[copy.agent];
+  }
+  return counts;
+}
+
+std::int64_t FreeCpu(const worker_row& worker) {
+  return worker.capacity.cpu_millis - worker.committed.cpu_millis;
+}
+
+bool HasRoom(const worker_row& worker, const core::resources& need, std::int64_t headroom) {
+  core::resources free = worker.capacity - worker.committed;
+  free.cpu_millis -= headroom;
+  return need.FitsIn(free);
+}
+
+/// Rates a worker for a task; the highest score wins. Filling tasks go where most processors are
+/// idle and few tasks serve; lasting tasks spread; others pack tightly, so that wide tasks find
+/// room elsewhere.
+std::int64_t Score(const worker_row& worker, const step_spec& step) {
+  constexpr std::int64_t kServingPenalty = 4000;
+  constexpr std::int64_t kRemoteDataPenalty = 100'000;
+  std::int64_t score = 0;
+  if (step.fills) {
+    score = FreeCpu(worker) - worker.filling_cpu - kServingPenalty * worker.serving;
+  } else if (step.lasting) {
+    score = FreeCpu(worker) - worker.filling_cpu - kServingPenalty * worker.serving;
+  } else {
+    score = -FreeCpu(worker);
+  }
+  if (!step.data_rack.empty() && !worker.HasLabel(step.data_rack)) score -= kRemoteDataPenalty;
+  return score;
+}
+
+class step_placer {
+ public:
+  step_placer(const open_step& open, worker_table& workers, core::mono_time now,
+              const planner_options& options)
+      : job_(*open.job),
+        step_(open.step),
+        spec_(open.job->Spec(open.step)),
+        need_(Reserved(spec_)),
+        workers_(workers),
+        now_(now),
+        options_(options) {
+    if (spec_.max_per_worker > 0) counts_ = CountCopies(job_, step_);
+  }
+
+  void Place(std::vector<planned_start>& out) {
+    const std::uint32_t first = job_.steps[step_].first_task;
+    for (std::uint32_t index = 0; index < spec_.count; ++index) {
+      if (out.size() >= options_.max_starts) return;
+      const task_row& task = job_.tasks[first + index];
+      if (task.progress.done || !task.copies.empty()) continue;
+      worker_row* worker = Choose(task.failed_on);
+      if (worker == nullptr) {
+        // A task that failed on the only worker with room may still find others; one that found
+        // no room means that its siblings find none either.
+        if (task.failed_on.empty()) return;
+        continue;
+      }
+      Commit(*worker);
+      out.push_back({job_.id, step_, index, worker->agent});
+    }
+  }
+
+ private:
+  worker_row* Choose(const std::string& avoid) {
+    worker_row* best = nullptr;
+    std::int64_t best_score = std::numeric_limits<std::int64_t>::min();
+    for (auto& [agent, worker] : workers_) {
+      if (!TakesTasks(worker, job_.queue.service, now_)) continue;
+      if (!spec_.label.empty() && !worker.HasLabel(spec_.label)) continue;
+      if (!HasRoom(worker, need_, Headroom(worker))) continue;
+      if (spec_.max_per_worker > 0 && CountAt(agent) >= spec_.max_per_worker) continue;
+      std::int64_t score = Score(worker, spec_);
+      if (agent == avoid) score -= kFailedHerePenalty;
+      if (score > best_score) {
+        best = &worker;
+        best_score = score;
+      }
+    }
+    return best;
+  }
+
+  std::int64_t Headroom(const worker_row& worker) const {
+    if (job_.queue.priority == 0 || spec_.fills) return 0;
+    return worker.capacity.cpu_millis * options_.urgent_headroom_permille / 1000;
+  }
+
+  std::uint32_t CountAt(const std::string& agent) const {
+    const auto place = counts_.find(agent);
+    return place == counts_.end() ? 0 : place->second;
+  }
+
+  void Commit(worker_row& worker) {
+    worker.committed += need_;
+    if (spec_.fills) worker.filling_cpu += spec_.need.cpu_millis;
+    if (spec_.lasting) ++worker.serving;
+    if (spec_.max_per_worker > 0) ++counts_[worker.agent];
+  }
+
+  // Above any other difference in scores, so that a task returns to a worker on which it failed
+  // only if no other has room.
+  static constexpr std::int64_t kFailedHerePenalty = 1'000'000'000;
+
+  const job_row& job_;
+  std::uint32_t step_;
+  const step_spec& spec_;
+  core::resources need_;
+  worker_table& workers_;
+  core::mono_time now_;
+  const planner_options& options_;
+  copies_by_worker counts_;
+};
+
+}  // namespace
+
+job_rank RankJob(const job_row& job, core::mono_time now, const planner_options& options) {
+  job_rank rank{.priority = job.queue.priority, .lateness = 0, .key_ms = 0};
+  const auto objective_ms = static_cast<std::int64_t>(
+      job.queue.stretch * static_cast<double>(job.WholeChainMs()) + job.queue.objective_ms);
+  const std::int64_t age_ms = core::ToMs(now - job.admitted_at);
+  const std::int64_t remaining_ms = job.RemainingChainMs();
+  const std::int64_t slack_ms = objective_ms - age_ms - remaining_ms;
+  if (slack_ms < 0) {
+    const auto limit_ms =
+        static_cast<std::int64_t>(options.worthless_factor * static_cast<double>(objective_ms));
+    rank.lateness = age_ms + remaining_ms <= limit_ms ? 1 : 2;
+  }
+  rank.key_ms = core::ToMs(job.admitted_at.time_since_epoch()) + objective_ms - remaining_ms;
+  return rank;
+}
+
+bool TakesTasks(const worker_row& worker, std::string_view service, core::mono_time now) {
+  // Agents report at least every half second; one that has missed this many reports is probably
+  // cut off.
+  constexpr core::milliseconds kReportLimit{1600};
+  return worker.connected && worker.listed && worker.foreign == 0 &&
+         worker.state == target_state::ready && worker.service == service &&
+         now - worker.last_report < kReportLimit && now >= worker.avoid_until;
+}
+
+core::resources Reserved(const step_spec& step) {
+  core::resources need = step.need;
+  if (step.fills) need.cpu_millis = 0;
+  return need;
+}
+
+std::vector<planned_start> Plan(const job_table& jobs, worker_table& workers, core::mono_time now,
+                                const planner_options& options) {
+  std::vector<open_step> open;
+  for (const auto& [id, job] : jobs.jobs()) {
+    if (IsEnded(job.state) || job.held) continue;
+    std::optional<job_rank> rank;
+    for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+      if (job.steps[step].idle == 0 || !job.IsReleased(step)) continue;
+      if (!rank) rank = RankJob(job, now, options);
+      open.push_back({*rank, &job, step});
+    }
+  }
+  std::stable_sort(open.begin(), open.end(), [](const open_step& left, const open_step& right) {
+    return left.rank < right.rank;
+  });
+  std::vector<planned_start> out;
+  for (const open_step& each : open) step_placer(each, workers, now, options).Place(out);
+  return out;
+}
+
+}  // namespace coltsfoot::jobs
--- /dev/null
+++ b/libs/jobs/src/progress_writer.cc
@@ -0,0 +1,178 @@
+#include "jobs/progress_writer.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "jobs/records.h"
+#include "wire/codec.h"
+
+namespace coltsfoot::jobs {
+namespace {
+
+// Each record takes an expectation and a put; the leader key takes one more expectation.
+constexpr std::size_t kMaxJobsPerBatch = (store::kMaxTransactionEntries - 1) / 2;
+// Ends of tasks wait this long for others, because each write has a price. The end of a job does
+// not wait: its caller does.
+constexpr core::milliseconds kBatchDelay{150};
+constexpr core::milliseconds kRetryDelay{150};
+
+}  // namespace
+
+/// Records of one write and what they confirm.
+struct progress_writer::batch {
+  struct record {
+    std::string job;
+    progress_record progress;
+  };
+  std::uint64_t term = 0;
+  std::vector<record> records;
+  std::map<std::string, std::pair<target_life, std::uint64_t>> ends;
+};
+
+progress_writer::progress_writer(const core::clock& time, metrics::registry& metrics,
+                                 store::versioned_store& storage, std::function<void()> on_deposed)
+    : time_(time), metrics_(metrics), storage_(storage), on_deposed_(std::move(on_deposed)) {}
+
+progress_writer::~progress_writer() = default;
+
+void progress_writer::Reset(std::uint64_t term) {
+  term_ = term;
+  in_flight_.reset();
+  advanced_.clear();
+  dirty_since_set_ = false;
+  retry_at_ = {};
+}
+
+std::vector<std::string> progress_writer::Flush(job_table& jobs, worker_table& workers) {
+  jobs_ = &jobs;
+  workers_ = &workers;
+  if (!in_flight_ && time_.Now() >= retry_at_) Write(jobs, workers);
+  return std::exchange(advanced_, {});
+}
+
+void progress_writer::Write(job_table& jobs, worker_table& workers) {
+  auto next = std::make_shared<batch>();
+  next->term = term_;
+  store::transaction writes;
+  writes.expect.push_back({std::string(kLeaderKey), term_});
+  bool whole = true;
+  bool urgent = false;
+  for (auto& [id, job] : jobs.jobs()) {
+    if (!job.dirty) continue;
+    if (next->records.size() >= kMaxJobsPerBatch) {
+      whole = false;
+      break;
+    }
+    urgent = urgent || (IsEnded(job.state) && job.stored_state != job.state);
+    next->records.push_back({id, job_table::Progress(job)});
+    writes.expect.push_back({ProgressKey(id), job.progress_version});
+    writes.puts.push_back({ProgressKey(id), wire::EncodeValue(next->records.back().progress), 0});
+  }
+  if (next->records.empty()) {
+    dirty_since_set_ = false;
+    for (auto& [agent, worker] : workers) {
+      if (worker.stored_end == worker.processed_end) continue;
+      worker.stored_end = worker.processed_end;
+      advanced_.push_back(agent);
+    }
+    return;
+  }
+  const core::mono_time now = time_.Now();
+  if (!std::exchange(dirty_since_set_, true)) first_dirty_ = now;
+  if (!urgent && whole && now - first_dirty_ < kBatchDelay) return;
+  dirty_since_set_ = false;
+  if (whole) {
+    for (const auto& [agent, worker] : workers) {
+      next->ends.emplace(agent, std::pair{worker.life, worker.processed_end});
+    }
+  }
+  for (const auto& record : next->records) jobs.Find(record.job)->dirty = false;
+  in_flight_ = next;
+  metrics_.GetCounter("coltsfoot_progress_writes_total").Add();
+  storage_.Commit(std::move(writes),
+                  [this, next, alive = std::weak_ptr<int>(alive_)](store::commit_result result) {
+                    if (alive.expired() || in_flight_ != next) return;
+                    OnWritten(next, result);
+                  });
+}
+
+void progress_writer::OnWritten(const std::shared_ptr<batch>& written,
+                                const store::commit_result& result) {
+  in_flight_.reset();
+  if (result.status == store::kv_status::ok) {
+    for (const auto& record : written->records) {
+      job_row* job = jobs_->Find(record.job);
+      if (job == nullptr) continue;
+      job->progress_version = result.revision;
+      job->stored_state = record.progress.state;
+    }
+    for (const auto& [agent, end] : written->ends) {
+      const auto worker = workers_->find(agent);
+      if (worker == workers_->end() || worker->second.life != end.first) continue;
+      if (worker->second.stored_end >= end.second) continue;
+      worker->second.stored_end = end.second;
+      advanced_.push_back(agent);
+    }
+    return;
+  }
+  for (const auto& record : written->records) {
+    if (job_row* job = jobs_->Find(record.job)) job->dirty = true;
+  }
+  retry_at_ = time_.Now() + kRetryDelay;
+  if (result.status == store::kv_status::conflict) {
+    Adopt(written, result);
+    return;
+  }
+  metrics_.GetCounter("coltsfoot_progress_write_failures_total").Add();
+  spdlog::warn("event=progress_write_failed term={} jobs={} status={}", written->term,
+               written->records.size(), static_cast<int>(result.status));
+}
+
+void progress_writer::Adopt(const std::shared_ptr<batch>& written,
+                            const store::commit_result& result) {
+  bool still_leader = false;
+  for (const store::kv_entry& entry : result.present) {
+    if (entry.key == kLeaderKey) still_leader = entry.version == written->term;
+  }
+  if (!still_leader) {
+    spdlog::warn("event=deposed term={} by=progress_write", written->term);
+    on_deposed_();
+    return;
+  }
+  // An earlier write whose answer was lost took effect: only this coordinator writes these keys.
+  for (const store::kv_entry& entry : result.present) {
+    const auto id = KeySuffix(entry.key, kProgressPrefix);
+    job_row* job = id ? jobs_->Find(*id) : nullptr;
+    if (job != nullptr) job->progress_version = entry.version;
+  }
+  retry_at_ = time_.Now();
+}
+
+void progress_writer::RemoveJobs(const std::vector<std::string>& ids) {
+  store::transaction writes;
+  writes.expect.push_back({std::string(kLeaderKey), term_});
+  for (const std::string& id : ids) {
+    writes.removes.push_back(JobKey(id));
+    writes.removes.push_back(CancelKey(id));
+    writes.removes.push_back(ProgressKey(id));
+  }
+  CommitRemoval(std::move(writes));
+}
+
+void progress_writer::RemoveAgent(const std::string& agent) {
+  CommitRemoval(
+      {.expect = {{std::string(kLeaderKey), term_}}, .puts = {}, .removes = {AgentKey(agent)}});
+}
+
+void progress_writer::CommitRemoval(store::transaction writes) {
+  const std::string first = writes.removes.front();
+  storage_.Commit(std::move(writes), [first](const store::commit_result& result) {
+    if (result.status == store::kv_status::ok) return;
+    spdlog::warn("event=removal_failed first_key={} status={}", first,
+                 static_cast<int>(result.status));
+  });
+}
+
+}  // namespace coltsfoot::jobs
--- a/libs/program/include/program/program.h
+++ b/libs/program/include/program/program.h
@@ -41,7 +41,9 @@
 /// @param tick called every `period` on the context.
 /// @param on_stop called once on the context at the first SIGTERM or SIGINT; it must lead to
 /// `context.stop()`. A second signal stops the context at once.
+/// @param on_reload called at each SIGHUP, which never ends the program; may be empty.
 void RunUntilStopped(asio::io_context& context, core::milliseconds period,
-                     std::function<void()> tick, std::function<void()> on_stop);
+                     std::function<void()> tick, std::function<void()> on_stop,
+                     std::function<void()> on_reload = {});
 
 }  // namespace coltsfoot::program
--- a/libs/program/src/program.cc
+++ b/libs/program/src/program.cc
@@ -30,6 +30,15 @@
   });
 }
 
+void WaitForReload(asio::signal_set& signals, const std::function<void()>& on_reload) {
+  signals.async_wait([&signals, &on_reload](asio::error_code failure, int) {
+    if (failure) return;
+    spdlog::info("event=reload");
+    if (on_reload) on_reload();
+    WaitForReload(signals, on_reload);
+  });
+}
+
 }  // namespace
 
 void RaiseOpenFileLimit() {
@@ -78,7 +87,10 @@
 void LogReady(std::string_view pairs) { spdlog::info("event=ready {}", pairs); }
 
 void RunUntilStopped(asio::io_context& context, core::milliseconds period,
-                     std::function<void()> tick, std::function<void()> on_stop) {
+                     std::function<void()> tick, std::function<void()> on_stop,
+                     std::function<void()> on_reload) {
+  asio::signal_set reloads(context, SIGHUP);
+  WaitForReload(reloads, on_reload);
   asio::signal_set signals(context, SIGTERM, SIGINT);
   signals.async_wait([&](asio::error_code failure, int signal) {
     if (failure) return;
--- /dev/null
+++ b/libs/runner/include/runner/network.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "core/clock.h"
+#include "runner/runner.h"
+#include "store/versioned_store.h"
+#include "wire/transport.h"
+
+namespace coltsfoot::runner {
+
+/// Accepts connections of coordinators and keeps that of the newest term.
+class coordinator_listener final : public coordinator_link {
+ public:
+  coordinator_listener(asio::io_context& context, const wire::endpoint& local);
+  /// Sets the receiver of messages; call before the context runs.
+  void SetRunner(runner& receiver) { runner_ = &receiver; }
+  bool Send(const jobs::worker_report& report) override;
+  std::size_t queued_bytes() const;
+
+ private:
+  void Accept(const std::shared_ptr<wire::tcp_connection>& connection);
+  void OnMessage(std::uint64_t number, const wire::raw_message& message);
+  void OnHello(std::uint64_t number, const wire::raw_message& message);
+
+  runner* runner_ = nullptr;
+  std::uint64_t next_ = 1;
+  std::map<std::uint64_t, std::shared_ptr<wire::tcp_connection>> connections_;
+  std::uint64_t current_ = 0;  ///< number of the coordinator's connection; 0: none
+  wire::tcp_listener listener_;
+};
+
+/// Keeps the agent's address in the store, where coordinators look for agents.
+class registration {
+ public:
+  registration(const core::clock& time, store::versioned_store& storage, std::string agent,
+               std::string address);
+  /// Call at least each 100 ms.
+  /// @param last_contact when a coordinator was last heard of.
+  void Tick(core::mono_time last_contact);
+
+ private:
+  void Check();
+  void Write(store::key_version present);
+
+  const core::clock& time_;
+  store::versioned_store& storage_;
+  std::string key_;
+  std::string address_;
+  bool busy_ = false;
+  bool confirmed_ = false;
+  core::mono_time next_check_;
+};
+
+}  // namespace coltsfoot::runner
--- /dev/null
+++ b/libs/runner/src/pacer.cc
@@ -0,0 +1,56 @@
+#include "runner/pacer.h"
+
+#include <algorithm>
+
+namespace coltsfoot::runner {
+
+void pacer::Adjust(const std::vector<jobs::running_task>& listed,
+                   const std::map<jobs::run_id, jobs::task_facts>& facts, core::mono_time now) {
+  std::uint32_t worst_percent = 0;
+  for (const jobs::running_task& task : listed) {
+    const auto known = facts.find({task.task, task.run});
+    if (known == facts.end() || known->second.goal_ms == 0) continue;
+    worst_percent = std::max(worst_percent, 100 * task.reading / known->second.goal_ms);
+  }
+  if (worst_percent >= 100) {
+    percent_ = 0;
+    changed_at_ = now;
+  } else if (worst_percent >= options_.slow_at_percent) {
+    percent_ /= 2;
+    changed_at_ = now;
+  } else if (worst_percent < options_.restore_below_percent && percent_ < 100 &&
+             now - changed_at_ >= options_.restore_period) {
+    percent_ = std::min<std::uint32_t>(100, percent_ + options_.restore_step);
+    changed_at_ = now;
+  }
+}
+
+std::vector<pace_change> pacer::Update(const std::vector<jobs::running_task>& listed,
+                                       const std::map<jobs::run_id, jobs::task_facts>& facts,
+                                       core::mono_time now) {
+  Adjust(listed, facts, now);
+  std::map<jobs::run_id, std::uint32_t> kept;
+  std::vector<pace_change> changes;
+  for (const jobs::running_task& task : listed) {
+    const jobs::run_id run{task.task, task.run};
+    const auto known = facts.find(run);
+    if (known == facts.end() || !known->second.fills) continue;
+    const auto confirmed = confirmed_.find(run);
+    const std::uint32_t present = confirmed == confirmed_.end() ? 100 : confirmed->second;
+    kept.emplace(run, present);
+    if (present != percent_) changes.push_back({run, percent_});
+  }
+  confirmed_ = std::move(kept);
+  return changes;
+}
+
+void pacer::Confirm(const pace_change& change) {
+  confirmed_.insert_or_assign(change.run, change.percent);
+}
+
+void pacer::Clear() {
+  percent_ = 100;
+  confirmed_.clear();
+}
+
+}  // namespace coltsfoot::runner
--- /dev/null
+++ b/libs/runner/src/runner.cc
@@ -0,0 +1,423 @@
+#include "runner/runner.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace coltsfoot::runner {
+namespace {
+
+// Orders to the target that wait for an answer at a time; more would open more connections.
+constexpr std::size_t kMaxCallsInFlight = 2;
+// A start with less lease than this would lapse before the next grant arrives.
+constexpr core::milliseconds kLeastLease{400};
+// Pause between looks while ends wait to be stored: the target answers at once as long as it lists
+// an end.
+constexpr core::milliseconds kPauseUnstored{60};
+constexpr core::milliseconds kPauseFailed{150};
+// Whole lists are sent with each change, and this often without one.
+constexpr core::milliseconds kListingPeriod{1000};
+// The target's clock may be slow by two percent; its lease ends later by that.
+constexpr std::int64_t kDriftPermille = 20;
+constexpr core::milliseconds kLapseMargin{200};
+
+}  // namespace
+
+runner::runner(runner_options options, const core::clock& time, metrics::registry& metrics,
+               target_port& target, coordinator_link& coordinator)
+    : options_(std::move(options)),
+      time_(time),
+      metrics_(metrics),
+      target_(target),
+      coordinator_(coordinator),
+      pacer_(options_.pacing) {}
+
+void runner::OnAnnouncement(const target_announcement& announcement) {
+  if (announced_) {
+    const target_announcement& known = *announced_;
+    // A delayed announcement of an earlier life, or one that was overtaken.
+    if (announcement.life.born_ms < known.life.born_ms) return;
+    if (announcement.life == known.life && announcement.sequence <= known.sequence) return;
+  }
+  announced_at_ = time_.Now();
+  if (!announced_ || announced_->life != announcement.life) {
+    ChangeLife(announcement);
+    return;
+  }
+  const bool changed = announced_->draining != announcement.draining || left_ ||
+                       announced_->capacity != announcement.capacity;
+  if (announced_->draining != announcement.draining) {
+    spdlog::info("event=target_state target={} draining={}", announcement.life.name,
+                 announcement.draining);
+  }
+  if (announced_->address != announcement.address) target_.SetAddress(announcement.address);
+  announced_ = announcement;
+  left_ = false;
+  report_due_ = report_due_ || changed;
+}
+
+void runner::ChangeLife(const target_announcement& announcement) {
+  spdlog::info("event=target_found target={} born={} service={} cpu={} memory_mb={}",
+               announcement.life.name, announcement.life.born_ms, announcement.service,
+               announcement.capacity.cpu_millis, announcement.capacity.memory_mb);
+  announced_ = announcement;
+  ++life_count_;
+  left_ = false;
+  target_.SetAddress(announcement.address);
+  clock_offset_ms_.reset();
+  sent_lease_end_ = {};
+  stored_end_ = 0;
+  last_ended_ = 0;
+  looking_ = false;
+  next_look_ = time_.Now();
+  last_answer_ = time_.Now();
+  listed_ = false;
+  running_.clear();
+  ended_.clear();
+  starts_.clear();
+  stops_.clear();
+  facts_.clear();
+  refused_.clear();
+  calls_in_flight_ = 0;
+  pacer_.Clear();
+  pacing_.clear();
+  report_due_ = true;
+}
+
+void runner::OnLeave(const std::string& target) {
+  if (!announced_ || announced_->life.name != target) return;
+  spdlog::info("event=target_left target={} draining={}", target, announced_->draining);
+  // Without the announcement before a planned end this may be a delayed message of an earlier life.
+  if (!announced_->draining) return;
+  left_ = true;
+  report_due_ = true;
+}
+
+bool runner::OnHello(std::uint64_t term) {
+  if (term < term_) {
+    spdlog::warn("event=coordinator_refused term={} newer_term={}", term, term_);
+    return false;
+  }
+  if (term > term_) spdlog::info("event=coordinator_found term={} before={}", term, term_);
+  term_ = term;
+  orders_seen_ = 0;
+  last_contact_ = time_.Now();
+  // The new coordinator waits for lists of this life before it places anything.
+  if (!looking_) next_look_ = time_.Now();
+  report_due_ = true;
+  return true;
+}
+
+void runner::OnGrant(const jobs::lease_grant& grant) {
+  if (grant.term != term_) return;
+  last_contact_ = time_.Now();
+  if (grant.echo_ms > 0) {
+    const core::mono_time sent{core::milliseconds{grant.echo_ms}};
+    lease_end_ = std::max(lease_end_, sent + options_.task_lease);
+  }
+  if (!announced_ || grant.life != announced_->life || grant.stored_end <= stored_end_) return;
+  stored_end_ = grant.stored_end;
+  std::erase_if(ended_, [this](const auto& end) { return end.number <= stored_end_; });
+  if (!looking_) next_look_ = time_.Now();
+}
+
+void runner::OnOrders(const jobs::worker_orders& orders) {
+  if (orders.term != term_) return;
+  orders_seen_ = std::max(orders_seen_, orders.sequence);
+  report_due_ = true;
+  if (!announced_ || orders.life != announced_->life) {
+    for (const jobs::start_order& start : orders.starts) {
+      Refuse(start.facts.run, jobs::start_refusal::not_sent);
+    }
+    return;
+  }
+  for (const jobs::task_facts& facts : orders.facts) facts_.insert_or_assign(facts.run, facts);
+  for (const jobs::start_order& start : orders.starts) {
+    facts_.insert_or_assign(start.facts.run, start.facts);
+    if (IsRunning(start.facts.run)) continue;
+    starts_.try_emplace(start.facts.run, pending_start{.order = start});
+  }
+  for (const jobs::run_id& stop : orders.stops) {
+    const auto start = starts_.find(stop);
+    if (start != starts_.end() && !start->second.sent && !start->second.in_flight &&
+        !start->second.started_at) {
+      starts_.erase(start);
+      continue;
+    }
+    pending_stop& pending = stops_[stop];
+    pending.done = false;
+  }
+  SendOrders();
+}
+
+bool runner::IsRunning(const jobs::run_id& run) const {
+  return std::any_of(running_.begin(), running_.end(), [&](const auto& each) {
+    return each.run == run.run && each.task == run.task;
+  });
+}
+
+void runner::Tick() {
+  if (!announced_) {
+    if (time_.Now() >= next_report_) Report(false);
+    return;
+  }
+  const core::mono_time now = time_.Now();
+  if (!looking_ && now >= next_look_ && term_ != 0) Look();
+  SendOrders();
+  if (report_due_ || now >= next_report_) Report(report_due_ || now >= next_listing_);
+}
+
+void runner::Look() {
+  looking_ = true;
+  const core::mono_time sent = time_.Now();
+  const bool unstored = !ended_.empty();
+  const bool pacing =
+      std::any_of(facts_.begin(), facts_.end(), [](const auto& each) { return each.second.fills; });
+  hold_call call{.fence = term_, .lease_until_ms = std::nullopt, .stored_end = stored_end_};
+  if (!unstored && clock_offset_ms_) {
+    call.wait = pacing ? options_.hold_wait_pacing : options_.hold_wait;
+  }
+  call.lease_until_ms = LeaseOnTargetClock();
+  if (call.lease_until_ms) sent_lease_end_ = std::max(sent_lease_end_, lease_end_);
+  target_.Hold(call, announced_->life.name,
+               [this, sent, life = life_count_](const std::optional<target_lists>& lists) {
+                 if (life == life_count_) OnLists(lists, sent);
+               });
+}
+
+std::optional<std::int64_t> runner::LeaseOnTargetClock() const {
+  if (!clock_offset_ms_ || lease_end_ <= time_.Now()) return std::nullopt;
+  return core::ToMs(lease_end_.time_since_epoch()) + *clock_offset_ms_;
+}
+
+void runner::NoteClock(std::int64_t clock_ms) {
+  // The answer left the target before now, so this never names a later time on its clock.
+  clock_offset_ms_ = clock_ms - core::ToMs(time_.Now().time_since_epoch());
+}
+
+void runner::OnLists(const std::optional<target_lists>& lists, core::mono_time sent) {
+  looking_ = false;
+  const core::mono_time now = time_.Now();
+  if (!lists) {
+    next_look_ = now + kPauseFailed;
+    metrics_.GetCounter("coltsfoot_target_looks_failed_total").Add();
+    return;
+  }
+  if (lists->born_ms && *lists->born_ms != announced_->life.born_ms) {
+    // A new life that has not announced itself yet.
+    next_look_ = now + kPauseFailed;
+    return;
+  }
+  last_answer_ = now;
+  TakeLists(*lists, sent);
+  PaceFilling();
+  next_look_ = ended_.empty() ? now : now + kPauseUnstored;
+  if (!ended_.empty() && ended_.back().number > last_ended_) {
+    last_ended_ = ended_.back().number;
+    report_due_ = true;
+  }
+  if (!std::exchange(listed_, true)) report_due_ = true;
+  if (report_due_) Report(true);
+}
+
+void runner::TakeLists(const target_lists& lists, core::mono_time sent) {
+  NoteClock(lists.clock_ms);
+  const std::size_t before = running_.size();
+  running_ = lists.running;
+  ended_ = lists.ended;
+  std::erase_if(ended_, [this](const auto& end) { return end.number <= stored_end_; });
+  std::sort(ended_.begin(), ended_.end(),
+            [](const auto& left, const auto& right) { return left.number < right.number; });
+  if (running_.size() != before) report_due_ = true;
+  std::set<jobs::run_id> listed;
+  for (const jobs::running_task& task : running_) listed.insert({task.task, task.run});
+  std::set<jobs::run_id> over;
+  for (const jobs::ended_run& end : ended_) over.insert({end.task, end.run});
+  std::erase_if(starts_, [&](const auto& each) {
+    const auto& [run, start] = each;
+    if (listed.contains(run) || over.contains(run)) return !start.in_flight;
+    // Confirmed before this look and not listed: it has ended, and the end is stored.
+    return start.started_at && *start.started_at < sent;
+  });
+  std::erase_if(stops_, [&](const auto& each) {
+    return !each.second.in_flight &&
+           (over.contains(each.first) ||
+            (each.second.done && !listed.contains(each.first) && !starts_.contains(each.first)));
+  });
+  std::erase_if(facts_, [&](const auto& each) {
+    return !listed.contains(each.first) && !starts_.contains(each.first);
+  });
+}
+
+void runner::SendOrders() {
+  if (!announced_) return;
+  for (auto& [run, stop] : stops_) {
+    if (calls_in_flight_ >= kMaxCallsInFlight) return;
+    if (!stop.in_flight && !stop.done) SendStop(run, stop);
+  }
+  std::vector<jobs::run_id> refused;
+  for (auto& [run, start] : starts_) {
+    if (calls_in_flight_ >= kMaxCallsInFlight) break;
+    if (start.in_flight || start.started_at || stops_.contains(run)) continue;
+    if (announced_->draining || left_) {
+      // What was sent before may still begin; a stop settles it.
+      if (start.sent) {
+        stops_.try_emplace(run);
+      } else {
+        refused.push_back(run);
+      }
+      continue;
+    }
+    if (!clock_offset_ms_ || lease_end_ - time_.Now() < kLeastLease) continue;
+    SendStart(run, start);
+  }
+  for (const jobs::run_id& run : refused) Refuse(run, jobs::start_refusal::not_sent);
+}
+
+void runner::SendStart(const jobs::run_id& run, pending_start& start) {
+  start.in_flight = true;
+  ++calls_in_flight_;
+  sent_lease_end_ = std::max(sent_lease_end_, lease_end_);
+  target_.Start({.run = run,
+                 .payload = start.order.payload,
+                 .checkpoint = start.order.checkpoint,
+                 .fence = term_,
+                 .lease_until_ms = *LeaseOnTargetClock(),
+                 .target = announced_->life.name},
+                [this, run, life = life_count_](const order_reply& reply) {
+                  if (life != life_count_) return;
+                  --calls_in_flight_;
+                  OnStarted(run, reply);
+                  SendOrders();
+                });
+}
+
+void runner::OnStarted(const jobs::run_id& run, const order_reply& reply) {
+  if (reply.clock_ms) NoteClock(*reply.clock_ms);
+  const auto place = starts_.find(run);
+  if (place == starts_.end()) return;
+  pending_start& start = place->second;
+  start.in_flight = false;
+  switch (reply.status) {
+    case order_status::ok:
+      start.started_at = time_.Now();
+      return;
+    case order_status::unknown:
+      // Sent again under the same run number, which starts it at most once.
+      start.sent = true;
+      metrics_.GetCounter("coltsfoot_orders_unanswered_total", {"order", "start"}).Add();
+      spdlog::info("event=start_unanswered task={} run={}", jobs::ToString(run.task), run.run);
+      return;
+    case order_status::other_life:
+      Refuse(run, jobs::start_refusal::not_sent);
+      return;
+    case order_status::refused:
+      if (start.sent && reply.refusal == jobs::start_refusal::old_run) {
+        // An earlier call without an answer may have run and ended; the lists tell.
+        start.started_at = time_.Now();
+        return;
+      }
+      Refuse(run, reply.refusal);
+      return;
+  }
+}
+
+void runner::Refuse(const jobs::run_id& run, jobs::start_refusal reason) {
+  starts_.erase(run);
+  refused_.push_back({run, reason});
+  report_due_ = true;
+}
+
+void runner::SendStop(const jobs::run_id& run, pending_stop& stop) {
+  stop.in_flight = true;
+  ++calls_in_flight_;
+  target_.Stop(
+      run, term_, announced_->life.name, [this, run, life = life_count_](const order_reply& reply) {
+        if (life != life_count_) return;
+        --calls_in_flight_;
+        const auto place = stops_.find(run);
+        if (place != stops_.end()) {
+          place->second.in_flight = false;
+          if (reply.status == order_status::unknown) {
+            metrics_.GetCounter("coltsfoot_orders_unanswered_total", {"order", "stop"}).Add();
+          } else {
+            place->second.done = true;
+            // The target refuses a start of this run from now on.
+            const auto start = starts_.find(run);
+            if (start != starts_.end() && !start->second.in_flight && !start->second.started_at) {
+              starts_.erase(start);
+              report_due_ = true;
+            }
+          }
+        }
+        SendOrders();
+      });
+}
+
+void runner::PaceFilling() {
+  for (const pace_change& change : pacer_.Update(running_, facts_, time_.Now())) {
+    if (!pacing_.insert(change.run).second) continue;
+    metrics_.GetCounter("coltsfoot_pace_orders_total").Add();
+    target_.Pace(change.run, change.percent, term_, announced_->life.name,
+                 [this, change, life = life_count_](const order_reply& reply) {
+                   if (life != life_count_) return;
+                   pacing_.erase(change.run);
+                   if (reply.status == order_status::ok) pacer_.Confirm(change);
+                 });
+  }
+}
+
+jobs::target_state runner::State() const {
+  if (!announced_) return jobs::target_state::unknown;
+  if (left_) return jobs::target_state::gone;
+  const core::mono_time now = time_.Now();
+  if (listed_ && now - last_answer_ > options_.silent_after + options_.hold_wait) {
+    const core::nanoseconds lease = sent_lease_end_ - last_answer_;
+    const core::mono_time lapsed = sent_lease_end_ + lease * kDriftPermille / 1000 + kLapseMargin;
+    return now > lapsed ? jobs::target_state::gone : jobs::target_state::silent;
+  }
+  return announced_->draining ? jobs::target_state::draining : jobs::target_state::ready;
+}
+
+void runner::Report(bool listed) {
+  const core::mono_time now = time_.Now();
+  jobs::worker_report report{.agent = options_.agent,
+                             .agent_start = options_.agent_start,
+                             .term = term_,
+                             .sent_ms = core::ToMs(now.time_since_epoch()),
+                             .orders_seen = orders_seen_,
+                             .state = State()};
+  if (announced_) {
+    report.life = announced_->life;
+    report.service = announced_->service;
+    report.zone = announced_->zone;
+    report.labels = announced_->labels;
+    report.capacity = announced_->capacity;
+  }
+  if (listed && listed_) {
+    report.listed = true;
+    report.running = running_;
+    for (const auto& [run, start] : starts_) {
+      if (!IsRunning(run)) report.starting.push_back(run);
+    }
+    report.ended = ended_;
+    report.refused = refused_;
+  }
+  next_report_ = now + options_.report_period;
+  if (!coordinator_.Send(report)) return;
+  report_due_ = false;
+  if (!report.listed) return;
+  refused_.clear();
+  next_listing_ = now + kListingPeriod;
+}
+
+void runner::PrepareStop() {
+  if (!announced_ || term_ == 0) return;
+  const auto until = LeaseOnTargetClock();
+  if (!until) return;
+  target_.Hold({.fence = term_, .lease_until_ms = until, .stored_end = stored_end_},
+               announced_->life.name, [](const std::optional<target_lists>&) {});
+}
+
+}  // namespace coltsfoot::runner
--- a/libs/wire/include/wire/messages.h
+++ b/libs/wire/include/wire/messages.h
@@ -44,6 +44,13 @@
   config_pull = 32,
   config_push = 33,
   peer_status = 34,
+
+  coordinator_hello = 40,
+  worker_report = 41,
+  lease_grant = 42,
+  worker_orders = 43,
+  job_query = 44,
+  job_answer = 45,
 };
 
 /// @return `number` in the form in which an archive keeps its 8 bytes. For random numbers and
--- /dev/null
+++ b/tools/coltsfoot-runner/main.cc
@@ -0,0 +1,126 @@
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <optional>
+#include <utility>
+
+#include "core/logging.h"
+#include "core/random_source.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "metrics/registry.h"
+#include "platform/store_client.h"
+#include "platform/target_client.h"
+#include "program/program.h"
+#include "runner/network.h"
+#include "runner/runner.h"
+
+namespace coltsfoot {
+namespace {
+
+constexpr std::string_view kUsage =
+    "Agent of one worker for jobs: starts, stops and paces tasks at the target on its host.\n"
+    "Settings: id, announce (IP:PORT for the target's announcements), target, peer, metrics "
+    "(IP:PORT),\nstore (IP:PORT), task_lease_ms (5000).";
+constexpr core::milliseconds kTick{40};
+// Time for the last lease extension to reach the target.
+constexpr core::milliseconds kStopDelay{60};
+constexpr core::milliseconds kHttpShutdownLimit{100};
+constexpr std::size_t kBodyLimitBytes = 4U << 20U;
+
+struct runner_settings {
+  std::string id;
+  wire::endpoint announce;
+  std::string target;
+  wire::endpoint peer;
+  wire::endpoint metrics;
+  std::string store;
+  core::milliseconds task_lease{0};
+};
+
+runner_settings ReadOptions(settings::reader& source) {
+  const auto endpoint = [&source](std::string_view key) {
+    return program::ParseEndpoint(source, key, source.Text(key));
+  };
+  runner_settings options;
+  options.id = source.Text("id");
+  options.announce = endpoint("announce");
+  options.target = source.Text("target");
+  options.peer = endpoint("peer");
+  options.metrics = endpoint("metrics");
+  options.store = source.Text("store");
+  options.task_lease = core::milliseconds{source.Number("task_lease_ms", {1000, 60'000}, 5000)};
+  return options;
+}
+
+http::server_options ServerOptions(const wire::endpoint& at) {
+  return {.address = at.ip, .port = at.port, .body_limit = kBodyLimitBytes};
+}
+
+int Main(int argc, char** argv) {
+  settings::reader source = program::OpenSettings(argc, argv, kUsage);
+  const runner_settings options = ReadOptions(source);
+  program::RequireValid(source);
+  core::InitAsyncLogging("coltsfoot-runner", options.id);
+
+  asio::io_context context;
+  const core::boot_clock time;
+  metrics::registry metrics;
+  const auto http_client = http::MakeCurlClient();
+  const auto post = [&context](std::function<void()> task) {
+    asio::post(context, std::move(task));
+  };
+  const auto storage = platform::MakeStoreClient({.address = options.store}, *http_client, post,
+                                                 [](store::kv_status) {});
+  const auto target = platform::MakeTargetClient(*http_client, post, options.target);
+  runner::coordinator_listener coordinator(context, options.peer);
+  runner::runner control(
+      {.agent = options.id, .agent_start = core::SystemSeed(), .task_lease = options.task_lease},
+      time, metrics, *target, coordinator);
+  coordinator.SetRunner(control);
+  runner::registration registration(time, *storage, options.id,
+                                    fmt::format("{}:{}", options.peer.ip, options.peer.port));
+  http::server announcements(
+      ServerOptions(options.announce),
+      platform::MakeAnnouncementHandler(
+          {.on_announcement =
+               [&](runner::target_announcement announcement) {
+                 asio::post(context, [&control, announcement = std::move(announcement)] {
+                   control.OnAnnouncement(announcement);
+                 });
+               },
+           .on_leave =
+               [&](std::string name) {
+                 asio::post(context, [&control, name = std::move(name)] { control.OnLeave(name); });
+               }}));
+  http::server metrics_server(ServerOptions(options.metrics),
+                              [&](const http::request&, const http::responder& respond) {
+                                respond({.status = 200,
+                                         .headers = {{"Content-Type", "text/plain"}},
+                                         .body = metrics.Render() + wire::RenderTraffic()});
+                              });
+  program::LogReady(fmt::format("http={}:{} peer={}:{}", options.announce.ip, announcements.port(),
+                                options.peer.ip, options.peer.port));
+  std::optional<core::mono_time> stop_at;
+  program::RunUntilStopped(
+      context, kTick,
+      [&] {
+        control.Tick();
+        registration.Tick(control.last_contact());
+        if (stop_at && time.Now() >= *stop_at) context.stop();
+      },
+      [&] {
+        control.PrepareStop();
+        stop_at = time.Now() + kStopDelay;
+      });
+  announcements.ShutDown(kHttpShutdownLimit);
+  spdlog::shutdown();
+  return 0;
+}
+
+}  // namespace
+}  // namespace coltsfoot
+
+int main(int argc, char** argv) { return coltsfoot::Main(argc, argv); }
--- /dev/null
+++ b/tools/coltsfoot-scheduler/main.cc
@@ -0,0 +1,237 @@
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "core/logging.h"
+#include "core/random_source.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "jobs/coordinator.h"
+#include "jobs/job_service.h"
+#include "jobs/leadership.h"
+#include "jobs/network.h"
+#include "jobs/store_health.h"
+#include "platform/configuration.h"
+#include "platform/job_front.h"
+#include "platform/store_client.h"
+#include "program/program.h"
+
+namespace coltsfoot {
+namespace {
+
+constexpr std::string_view kUsage =
+    "Entry of the job scheduler: admits, shows and cancels jobs; one of the entries places tasks.\n"
+    "Settings: id, front, ready, peer, metrics (IP:PORT), store (IP:PORT), task_lease_ms (5000),\n"
+    "drain_ms (2500).";
+constexpr core::milliseconds kTick{40};
+constexpr core::milliseconds kHttpShutdownLimit{1500};
+constexpr std::size_t kBodyLimitBytes = 256U << 10U;
+
+struct scheduler_options {
+  std::string id;
+  wire::endpoint front;
+  wire::endpoint ready;
+  wire::endpoint peer;
+  wire::endpoint metrics;
+  std::string store;
+  core::milliseconds task_lease{0};
+  core::milliseconds drain{0};
+};
+
+scheduler_options ReadOptions(settings::reader& source) {
+  const auto endpoint = [&source](std::string_view key) {
+    return program::ParseEndpoint(source, key, source.Text(key));
+  };
+  scheduler_options options;
+  options.id = source.Text("id");
+  options.front = endpoint("front");
+  options.ready = endpoint("ready");
+  options.peer = endpoint("peer");
+  options.metrics = endpoint("metrics");
+  options.store = source.Text("store");
+  options.task_lease = core::milliseconds{source.Number("task_lease_ms", {1000, 60'000}, 5000)};
+  options.drain = core::milliseconds{source.Number("drain_ms", {0, 60'000}, 2500)};
+  return options;
+}
+
+std::string Format(const wire::endpoint& value) {
+  return fmt::format("{}:{}", value.ip, value.port);
+}
+
+/// All parts of one entry, in the order in which they depend on each other.
+class scheduler final : public jobs::term_authority {
+ public:
+  scheduler(asio::io_context& context, const scheduler_options& options)
+      : context_(context),
+        options_(options),
+        random_(core::SystemSeed()),
+        health_(time_),
+        http_(http::MakeCurlClient()),
+        storage_(platform::MakeStoreClient(
+            {.address = options.store}, *http_,
+            [&context](std::function<void()> task) { asio::post(context, std::move(task)); },
+            [this](store::kv_status status) { health_.Note(status); })),
+        agents_(context, time_, metrics_),
+        coordinator_({.task_lease = options.task_lease}, time_, metrics_, agents_, *storage_,
+                     *this),
+        leadership_({.entry = options.id, .address = Format(options.peer)}, time_, random_,
+                    metrics_, *storage_,
+                    {.on_elected = [this](const jobs::term_start& start) { OnElected(start); },
+                     .on_deposed = [this] { coordinator_.EndTerm(); },
+                     .on_inbox_change =
+                         [this](const store::key_change& change) {
+                           coordinator_.OnInboxChange(change);
+                           TickSoon();
+                         }}),
+        queues_(time_, *storage_,
+                [this](const auto& catalogue) { coordinator_.SetQueues(catalogue); }),
+        peers_(
+            context, time_, options.peer,
+            [this] { return leadership_.leader() ? leadership_.leader()->address : ""; },
+            [this](const jobs::job_query& query) { return Answer(query); }),
+        service_(time_, metrics_, *storage_, health_, queues_, peers_),
+        front_(context, time_, metrics_, service_, queues_) {
+    agents_.SetHandlers(
+        {.on_connected = [this](const std::string& agent) { coordinator_.OnAgentConnected(agent); },
+         .on_disconnected =
+             [this](const std::string& agent) { coordinator_.OnAgentDisconnected(agent); },
+         .on_report =
+             [this](const jobs::worker_report& report) {
+               coordinator_.OnReport(report);
+               TickSoon();
+             }});
+  }
+
+  void Start() {
+    queues_.Start();
+    leadership_.Start();
+  }
+
+  void Tick() {
+    leadership_.Tick();
+    queues_.Tick();
+    agents_.Tick();
+    peers_.Tick();
+    coordinator_.Tick();
+    ready_ = !stopping_at_ && queues_.Current() && health_.reachable();
+    if (stopping_at_ && time_.Now() >= *stopping_at_ + options_.drain) context_.stop();
+  }
+
+  /// Hands the leadership over and goes on serving until no caller is sent here any more.
+  void BeginShutdown() {
+    stopping_at_ = time_.Now();
+    ready_ = false;
+    leadership_.Resign();
+  }
+
+  http::request_handler FrontHandler() { return front_.Handler(); }
+
+  http::request_handler ReadyHandler() {
+    return [this](const http::request&, const http::responder& respond) {
+      respond(http::JsonResponse(ready_ ? 200 : 503, "{}"));
+    };
+  }
+
+  http::request_handler MetricsHandler() {
+    return [this](const http::request&, const http::responder& respond) {
+      respond({.status = 200,
+               .headers = {{"Content-Type", "text/plain"}},
+               .body = metrics_.Render() + wire::RenderTraffic()});
+    };
+  }
+
+  bool MayStart() const override { return leadership_.MayStart(); }
+  bool MayExtend() const override { return leadership_.MayExtend(); }
+  void OnDeposed() override {
+    // Not from within the coordinator's own call.
+    asio::post(context_, [this] { leadership_.Depose(); });
+  }
+
+ private:
+  void OnElected(const jobs::term_start& start) {
+    agents_.SetTerm(start.term);
+    coordinator_.BeginTerm(start.term, start.inbox, start.progress);
+    if (queues_.Current()) coordinator_.SetQueues(queues_.Current());
+    TickSoon();
+  }
+
+  /// Places tasks once after all events that have arrived.
+  void TickSoon() {
+    if (std::exchange(tick_posted_, true)) return;
+    asio::post(context_, [this] {
+      tick_posted_ = false;
+      coordinator_.Tick();
+    });
+  }
+
+  jobs::job_answer Answer(const jobs::job_query& query) {
+    jobs::job_answer answer;
+    if (!leadership_.MayExtend()) return answer;
+    answer.outcome = jobs::query_outcome::found;
+    if (query.job.empty()) {
+      answer.waiting = coordinator_.CountWaiting(query.queue);
+      return answer;
+    }
+    const auto state = coordinator_.StateOf(query.job);
+    if (state) {
+      answer.state = *state;
+    } else {
+      answer.outcome = jobs::query_outcome::absent;
+    }
+    return answer;
+  }
+
+  asio::io_context& context_;
+  const scheduler_options& options_;
+  core::boot_clock time_;
+  core::seeded_random random_;
+  metrics::registry metrics_;
+  jobs::store_health health_;
+  std::unique_ptr<http::client> http_;
+  std::unique_ptr<store::versioned_store> storage_;
+  jobs::agent_connections agents_;
+  jobs::coordinator coordinator_;
+  jobs::leadership leadership_;
+  platform::configuration queues_;
+  jobs::entry_peers peers_;
+  jobs::job_service service_;
+  platform::job_front front_;
+  std::atomic<bool> ready_{false};
+  std::optional<core::mono_time> stopping_at_;
+  bool tick_posted_ = false;
+};
+
+http::server_options ServerOptions(const wire::endpoint& at) {
+  return {.address = at.ip, .port = at.port, .body_limit = kBodyLimitBytes};
+}
+
+int Main(int argc, char** argv) {
+  settings::reader source = program::OpenSettings(argc, argv, kUsage);
+  const scheduler_options options = ReadOptions(source);
+  program::RequireValid(source);
+  core::InitAsyncLogging("coltsfoot-scheduler", options.id);
+
+  asio::io_context context;
+  scheduler entry(context, options);
+  http::server ready(ServerOptions(options.ready), entry.ReadyHandler());
+  http::server metrics(ServerOptions(options.metrics), entry.MetricsHandler());
+  http::server front(ServerOptions(options.front), entry.FrontHandler());
+  program::LogReady(fmt::format("http={} peer={}", Format(options.front), Format(options.peer)));
+  entry.Start();
+  program::RunUntilStopped(
+      context, kTick, [&] { entry.Tick(); }, [&] { entry.BeginShutdown(); });
+  front.ShutDown(kHttpShutdownLimit);
+  spdlog::shutdown();
+  return 0;
+}
+
+}  // namespace
+}  // namespace coltsfoot
+
+int main(int argc, char** argv) { return coltsfoot::Main(argc, argv); }
