Let runs of a silent target lapse; keep serving and filling tasks apart

Cause: an agent whose target had died went on extending the lease that it believed the target to hold, so the runs never counted as lapsed (LOST, lasting tasks not started again). Orders that failed at once were sent again without a pause. The entry's control loop ended before its HTTP server, so requests that arrived in between were never answered (LOST on SIGTERM). Filling tasks were spread over all workers and stopped by each short latency peak of any serving task beside them, most of which are the serving task's own load: readings without filling tasks reach 120 of 150 ms.

Ruled out: processors (entry below 0.02 of a core) and admission (first start within 22 ms for half of the jobs).

Change: the lease stays as last confirmed after one failed look; refused and unanswered orders pause 100 ms; the entry answers until it is idle; lasting tasks share workers, filling tasks take the others and queue beyond the idle processors; pacing acts after 0.6 s of misses, first to 30 %, then to a stop.

--- a/libs/http/include/http/server.h
+++ b/libs/http/include/http/server.h
@@ -43,6 +43,14 @@
   /// @return the port that the server listens on.
   std::uint16_t port() const noexcept;
 
+  /// Ends each connection with its next answer, for a graceful shutdown during which the owner goes
+  /// on answering.
+  void BeginClose();
+  /// Stops accepting connections; requests in progress can still be answered.
+  void StopAccepting();
+  /// @return true if no request is in progress.
+  bool idle() const;
+
   /// Stops accepting connections, waits until each request in progress has been answered, then
   /// closes the connections and joins the threads.
   /// @param limit longest time to wait.
--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -86,6 +86,18 @@
 
   std::uint16_t port() const noexcept { return port_; }
 
+  void BeginClose() { closing_ = true; }
+
+  void StopAccepting() {
+    closing_ = true;
+    restinio::asio_ns::post(context_, [this] { server_.close_sync(); });
+  }
+
+  bool idle() const {
+    const std::lock_guard lock(mutex_);
+    return IsIdle();
+  }
+
   void ShutDown(std::chrono::milliseconds limit) {
     closing_ = true;
     {
@@ -191,7 +203,7 @@
   std::uint16_t port_ = 0;
   std::atomic<bool> closing_{false};
   std::atomic<bool> stopped_{false};
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
   std::condition_variable idle_;
   std::uint64_t last_id_ = 0;
   std::size_t sending_ = 0;
@@ -210,6 +222,12 @@
 
 std::uint16_t server::port() const noexcept { return impl_->port(); }
 
+void server::BeginClose() { impl_->BeginClose(); }
+
+void server::StopAccepting() { impl_->StopAccepting(); }
+
+bool server::idle() const { return impl_->idle(); }
+
 void server::ShutDown(std::chrono::milliseconds limit) { impl_->ShutDown(limit); }
 
 }  // namespace coltsfoot::http
--- a/libs/jobs/include/jobs/messages.h
+++ b/libs/jobs/include/jobs/messages.h
@@ -153,10 +153,12 @@
   bool lasting = false;
   bool fills = false;
   std::uint32_t goal_ms = 0;
+  std::int64_t cpu_millis = 0;
+  std::string image;
   bool operator==(const task_facts&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(run, lasting, fills, goal_ms);
+    archive(run, lasting, fills, goal_ms, cpu_millis, image);
   }
 };
 
--- a/libs/jobs/src/coordinator.cc
+++ b/libs/jobs/src/coordinator.cc
@@ -26,6 +26,15 @@
   return std::find(runs.begin(), runs.end(), run) != runs.end();
 }
 
+task_facts FactsOf(const run_id& run, const step_spec& step) {
+  return {.run = run,
+          .lasting = step.lasting,
+          .fills = step.fills,
+          .goal_ms = step.goal_ms,
+          .cpu_millis = step.need.cpu_millis,
+          .image = step.image};
+}
+
 }  // namespace
 
 coordinator::coordinator(coordinator_options options, const core::clock& time,
@@ -176,7 +185,7 @@
   ChangeLife(worker, report);
   if (report.listed && worker.life == report.life) {
     ApplyEnds(worker, report);
-    Reconcile(worker, report);
+    if (report.state != target_state::gone) Reconcile(worker, report);
     if (!std::exchange(worker.listed, true)) {
       spdlog::info("event=worker_listed agent={} target={} running={} ended={}", worker.agent,
                    worker.life.name, report.running.size(), report.ended.size());
@@ -322,8 +331,7 @@
                         .ordered_at = time_.Now(),
                         .running = running,
                         .progress_at = time_.Now()});
-  const step_spec& step = place.job->Spec(place.step);
-  OrdersFor(worker).facts.push_back({run, step.lasting, step.fills, step.goal_ms});
+  OrdersFor(worker).facts.push_back(FactsOf(run, place.job->Spec(place.step)));
 }
 
 void coordinator::DropRefused(worker_row& worker, const worker_report& report) {
@@ -377,11 +385,10 @@
   std::vector<task_facts> facts;
   worker_orders& orders = OrdersFor(worker);
   ForEachCopy(worker.agent, [&](const task_place& place, const task_id& id, task_copy& copy) {
-    const step_spec& step = place.job->Spec(place.step);
     const run_id run{id, copy.run};
     copy.stopping = false;
     if (copy.running) {
-      facts.push_back({run, step.lasting, step.fills, step.goal_ms});
+      facts.push_back(FactsOf(run, place.job->Spec(place.step)));
     } else {
       starts.push_back(MakeStart(*place.job, run, *place.task));
       copy.order = orders.sequence;
@@ -510,8 +517,7 @@
 
 start_order coordinator::MakeStart(const job_row& job, const run_id& run,
                                    const task_row& task) const {
-  const step_spec& step = job.Spec(run.task.step);
-  return {.facts = {run, step.lasting, step.fills, step.goal_ms},
+  return {.facts = FactsOf(run, job.Spec(run.task.step)),
           .payload = job.record.spec.payload,
           .checkpoint = task.progress.checkpoint};
 }
--- a/libs/jobs/src/planner.cc
+++ b/libs/jobs/src/planner.cc
@@ -37,24 +37,34 @@
   return need.FitsIn(free);
 }
 
-/// Rates a worker for a task; the highest score wins. Filling tasks go where most processors are
-/// idle and few tasks serve; lasting tasks spread; others pack tightly, so that wide tasks find
-/// room elsewhere.
+/// @return the processors that neither committed nor filling tasks would use.
+std::int64_t IdleCpu(const worker_row& worker) { return FreeCpu(worker) - worker.filling_cpu; }
+
+/// Rates a worker for a task; the highest score wins. Filling tasks disturb serving ones, so the
+/// two kinds are kept apart: serving tasks share workers, filling tasks take the others, and short
+/// tasks use what serving tasks leave before they take processors from filling ones.
 std::int64_t Score(const worker_row& worker, const step_spec& step) {
-  constexpr std::int64_t kServingPenalty = 4000;
-  constexpr std::int64_t kRemoteDataPenalty = 100'000;
+  // Above any difference in processors, in thousandths, between two workers.
+  constexpr std::int64_t kApart = 10'000'000;
+  constexpr std::int64_t kRemoteData = 1'000'000;
   std::int64_t score = 0;
   if (step.fills) {
-    score = FreeCpu(worker) - worker.filling_cpu - kServingPenalty * worker.serving;
+    score = IdleCpu(worker) - kApart * worker.serving;
   } else if (step.lasting) {
-    score = FreeCpu(worker) - worker.filling_cpu - kServingPenalty * worker.serving;
+    score = (worker.serving > 0 ? kApart : 0) - FreeCpu(worker) - 2 * worker.filling_cpu;
   } else {
-    score = -FreeCpu(worker);
+    score = (worker.serving > 0 ? kApart : 0) + IdleCpu(worker);
   }
-  if (!step.data_rack.empty() && !worker.HasLabel(step.data_rack)) score -= kRemoteDataPenalty;
+  if (!step.data_rack.empty() && !worker.HasLabel(step.data_rack)) score -= kRemoteData;
   return score;
 }
 
+/// Filling tasks beyond the idle processors only slow each other down; a few late jobs are better
+/// than all jobs late.
+bool IsWorthFilling(const worker_row& worker, const step_spec& step) {
+  return worker.filling_cpu == 0 || 10 * IdleCpu(worker) >= 8 * step.need.cpu_millis;
+}
+
 class step_placer {
  public:
   step_placer(const open_step& open, worker_table& workers, core::mono_time now,
@@ -95,6 +105,7 @@
       if (!TakesTasks(worker, job_.queue.service, now_)) continue;
       if (!spec_.label.empty() && !worker.HasLabel(spec_.label)) continue;
       if (!HasRoom(worker, need_, Headroom(worker))) continue;
+      if (spec_.fills && !IsWorthFilling(worker, spec_)) continue;
       if (spec_.max_per_worker > 0 && CountAt(agent) >= spec_.max_per_worker) continue;
       std::int64_t score = Score(worker, spec_);
       if (agent == avoid) score -= kFailedHerePenalty;
--- a/libs/runner/include/runner/pacer.h
+++ b/libs/runner/include/runner/pacer.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "core/clock.h"
@@ -11,14 +12,19 @@
 
 /// Settings of the pacer.
 struct pacer_options {
-  /// Tail latency, as a share of its goal in percent, above which filling tasks are slowed down.
-  std::uint32_t slow_at_percent = 85;
-  /// Share below which they get some of their processors back.
-  std::uint32_t restore_below_percent = 60;
-  /// Step by which they get them back, in percent points.
-  std::uint32_t restore_step = 20;
-  /// Time between two steps back, longer than the readings' window.
-  core::milliseconds restore_period{1500};
+  /// Tail latency, as a share of its goal in percent, that counts as a miss.
+  std::uint32_t miss_at_percent = 100;
+  /// Share below which filling tasks get processors back.
+  std::uint32_t restore_below_percent = 90;
+  /// Time of misses after which filling tasks are slowed. Readings cover half a second, and a short
+  /// peak of the serving task's own load is none of theirs.
+  core::milliseconds slow_after{600};
+  /// Time between two further changes, longer than the readings' window.
+  core::milliseconds step_period{600};
+  /// Pace after the first change, in percent; the next one stops filling tasks.
+  std::uint32_t slowed_percent = 30;
+  /// Step by which filling tasks get their processors back, in percent points.
+  std::uint32_t restore_step = 35;
   bool operator==(const pacer_options&) const = default;
 };
 
@@ -29,8 +35,8 @@
   bool operator==(const pace_change&) const = default;
 };
 
-/// Slows filling tasks down while a serving task beside them misses its goal: at once and far, back
-/// in steps.
+/// Slows filling tasks down while a serving task beside them misses its goal, and stops them if
+/// that is not enough.
 class pacer {
  public:
   explicit pacer(pacer_options options) : options_(options) {}
@@ -54,6 +60,7 @@
   pacer_options options_;
   std::uint32_t percent_ = 100;
   core::mono_time changed_at_;
+  std::optional<core::mono_time> missing_since_;
   std::map<jobs::run_id, std::uint32_t> confirmed_;
 };
 
--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -69,12 +69,14 @@
   struct pending_start {
     jobs::start_order order;
     bool in_flight = false;
-    bool sent = false;                          ///< at least one call had no answer
+    bool sent = false;  ///< at least one call had no answer
+    core::mono_time retry_at;
     std::optional<core::mono_time> started_at;  ///< when the target confirmed it
   };
   struct pending_stop {
     bool in_flight = false;
     bool done = false;
+    core::mono_time retry_at;
   };
 
   void ChangeLife(const target_announcement& announcement);
@@ -88,7 +90,10 @@
   void OnStarted(const jobs::run_id& run, const order_reply& reply);
   void Refuse(const jobs::run_id& run, jobs::start_refusal reason);
   void SendStop(const jobs::run_id& run, pending_stop& stop);
+  void OnStopped(const jobs::run_id& run, const order_reply& reply);
   void PaceFilling();
+  /// Drops what a target that is gone ran.
+  void ForgetRuns();
   void Report(bool listed);
   jobs::target_state State() const;
   bool IsRunning(const jobs::run_id& run) const;
@@ -114,6 +119,7 @@
 
   bool looking_ = false;
   core::mono_time next_look_;
+  std::uint32_t failed_looks_ = 0;  ///< since the last answer
   core::mono_time last_answer_;
   bool listed_ = false;
   std::vector<jobs::running_task> running_;
--- a/libs/runner/include/runner/target_port.h
+++ b/libs/runner/include/runner/target_port.h
@@ -40,6 +40,7 @@
   ok,
   refused,     ///< `refusal` says why; nothing was done
   other_life,  ///< another life of the target answered; nothing was done
+  not_sent,    ///< no connection, so nothing reached the target
   unknown,     ///< no answer; the target may carry it out, now or later
 };
 
--- a/libs/runner/src/pacer.cc
+++ b/libs/runner/src/pacer.cc
@@ -12,14 +12,16 @@
     if (known == facts.end() || known->second.goal_ms == 0) continue;
     worst_percent = std::max(worst_percent, 100 * task.reading / known->second.goal_ms);
   }
-  if (worst_percent >= 100) {
-    percent_ = 0;
+  const bool settled = now - changed_at_ >= options_.step_period;
+  if (worst_percent >= options_.miss_at_percent) {
+    if (!missing_since_) missing_since_ = now;
+    if (percent_ == 0 || !settled || now - *missing_since_ < options_.slow_after) return;
+    percent_ = percent_ > options_.slowed_percent ? options_.slowed_percent : 0;
     changed_at_ = now;
-  } else if (worst_percent >= options_.slow_at_percent) {
-    percent_ /= 2;
-    changed_at_ = now;
-  } else if (worst_percent < options_.restore_below_percent && percent_ < 100 &&
-             now - changed_at_ >= options_.restore_period) {
+    return;
+  }
+  missing_since_.reset();
+  if (worst_percent < options_.restore_below_percent && percent_ < 100 && settled) {
     percent_ = std::min<std::uint32_t>(100, percent_ + options_.restore_step);
     changed_at_ = now;
   }
@@ -50,6 +52,7 @@
 
 void pacer::Clear() {
   percent_ = 100;
+  missing_since_.reset();
   confirmed_.clear();
 }
 
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -16,6 +16,8 @@
 // an end.
 constexpr core::milliseconds kPauseUnstored{60};
 constexpr core::milliseconds kPauseFailed{150};
+// Pause before an order without an outcome is sent again.
+constexpr core::milliseconds kPauseOrder{100};
 // Whole lists are sent with each change, and this often without one.
 constexpr core::milliseconds kListingPeriod{1000};
 // The target's clock may be slow by two percent; its lease ends later by that.
@@ -70,6 +72,7 @@
   stored_end_ = 0;
   last_ended_ = 0;
   looking_ = false;
+  failed_looks_ = 0;
   next_look_ = time_.Now();
   last_answer_ = time_.Now();
   listed_ = false;
@@ -178,7 +181,9 @@
   if (!unstored && clock_offset_ms_) {
     call.wait = pacing ? options_.hold_wait_pacing : options_.hold_wait;
   }
-  call.lease_until_ms = LeaseOnTargetClock();
+  // Of a target that does not answer, each further extension would put off the time at which what
+  // it ran has surely lapsed.
+  if (failed_looks_ == 0) call.lease_until_ms = LeaseOnTargetClock();
   if (call.lease_until_ms) sent_lease_end_ = std::max(sent_lease_end_, lease_end_);
   target_.Hold(call, announced_->life.name,
                [this, sent, life = life_count_](const std::optional<target_lists>& lists) {
@@ -200,6 +205,7 @@
   looking_ = false;
   const core::mono_time now = time_.Now();
   if (!lists) {
+    ++failed_looks_;
     next_look_ = now + kPauseFailed;
     metrics_.GetCounter("coltsfoot_target_looks_failed_total").Add();
     return;
@@ -210,6 +216,7 @@
     return;
   }
   last_answer_ = now;
+  failed_looks_ = 0;
   TakeLists(*lists, sent);
   PaceFilling();
   next_look_ = ended_.empty() ? now : now + kPauseUnstored;
@@ -252,14 +259,16 @@
 
 void runner::SendOrders() {
   if (!announced_) return;
+  const core::mono_time now = time_.Now();
   for (auto& [run, stop] : stops_) {
     if (calls_in_flight_ >= kMaxCallsInFlight) return;
-    if (!stop.in_flight && !stop.done) SendStop(run, stop);
+    if (!stop.in_flight && !stop.done && now >= stop.retry_at) SendStop(run, stop);
   }
   std::vector<jobs::run_id> refused;
   for (auto& [run, start] : starts_) {
     if (calls_in_flight_ >= kMaxCallsInFlight) break;
-    if (start.in_flight || start.started_at || stops_.contains(run)) continue;
+    if (start.in_flight || start.started_at || now < start.retry_at) continue;
+    if (stops_.contains(run)) continue;
     if (announced_->draining || left_) {
       // What was sent before may still begin; a stop settles it.
       if (start.sent) {
@@ -269,7 +278,8 @@
       }
       continue;
     }
-    if (!clock_offset_ms_ || lease_end_ - time_.Now() < kLeastLease) continue;
+    if (failed_looks_ > 0 || !clock_offset_ms_) continue;
+    if (lease_end_ - now < kLeastLease) continue;
     SendStart(run, start);
   }
   for (const jobs::run_id& run : refused) Refuse(run, jobs::start_refusal::not_sent);
@@ -303,7 +313,11 @@
     case order_status::ok:
       start.started_at = time_.Now();
       return;
+    case order_status::not_sent:
+      start.retry_at = time_.Now() + kPauseOrder;
+      return;
     case order_status::unknown:
+      start.retry_at = time_.Now() + kPauseOrder;
       // Sent again under the same run number, which starts it at most once.
       start.sent = true;
       metrics_.GetCounter("coltsfoot_orders_unanswered_total", {"order", "start"}).Add();
@@ -332,27 +346,31 @@
 void runner::SendStop(const jobs::run_id& run, pending_stop& stop) {
   stop.in_flight = true;
   ++calls_in_flight_;
-  target_.Stop(
-      run, term_, announced_->life.name, [this, run, life = life_count_](const order_reply& reply) {
-        if (life != life_count_) return;
-        --calls_in_flight_;
-        const auto place = stops_.find(run);
-        if (place != stops_.end()) {
-          place->second.in_flight = false;
-          if (reply.status == order_status::unknown) {
-            metrics_.GetCounter("coltsfoot_orders_unanswered_total", {"order", "stop"}).Add();
-          } else {
-            place->second.done = true;
-            // The target refuses a start of this run from now on.
-            const auto start = starts_.find(run);
-            if (start != starts_.end() && !start->second.in_flight && !start->second.started_at) {
-              starts_.erase(start);
-              report_due_ = true;
-            }
-          }
-        }
-        SendOrders();
-      });
+  target_.Stop(run, term_, announced_->life.name,
+               [this, run, life = life_count_](const order_reply& reply) {
+                 if (life != life_count_) return;
+                 --calls_in_flight_;
+                 OnStopped(run, reply);
+                 SendOrders();
+               });
+}
+
+void runner::OnStopped(const jobs::run_id& run, const order_reply& reply) {
+  const auto place = stops_.find(run);
+  if (place == stops_.end()) return;
+  pending_stop& stop = place->second;
+  stop.in_flight = false;
+  if (reply.status == order_status::unknown || reply.status == order_status::not_sent) {
+    stop.retry_at = time_.Now() + kPauseOrder;
+    metrics_.GetCounter("coltsfoot_orders_unanswered_total", {"order", "stop"}).Add();
+    return;
+  }
+  stop.done = true;
+  // The target refuses a start of this run from now on.
+  const auto start = starts_.find(run);
+  if (start == starts_.end() || start->second.in_flight || start->second.started_at) return;
+  starts_.erase(start);
+  report_due_ = true;
 }
 
 void runner::PaceFilling() {
@@ -380,8 +398,19 @@
   return announced_->draining ? jobs::target_state::draining : jobs::target_state::ready;
 }
 
+void runner::ForgetRuns() {
+  if (running_.empty() && starts_.empty()) return;
+  spdlog::warn("event=target_gone target={} runs={} unanswered_for_ms={}", announced_->life.name,
+               running_.size(), core::ToMs(time_.Now() - last_answer_));
+  running_.clear();
+  starts_.clear();
+  stops_.clear();
+  facts_.clear();
+}
+
 void runner::Report(bool listed) {
   const core::mono_time now = time_.Now();
+  if (State() == jobs::target_state::gone) ForgetRuns();
   jobs::worker_report report{.agent = options_.agent,
                              .agent_start = options_.agent_start,
                              .term = term_,
--- a/tools/coltsfoot-scheduler/main.cc
+++ b/tools/coltsfoot-scheduler/main.cc
@@ -28,9 +28,11 @@
 constexpr std::string_view kUsage =
     "Entry of the job scheduler: admits, shows and cancels jobs; one of the entries places tasks.\n"
     "Settings: id, front, ready, peer, metrics (IP:PORT), store (IP:PORT), task_lease_ms (5000),\n"
-    "drain_ms (2500).";
+    "drain_ms (3000).";
 constexpr core::milliseconds kTick{40};
+// Longest time for requests in progress after no more are accepted.
 constexpr core::milliseconds kHttpShutdownLimit{1500};
+constexpr core::milliseconds kFlushLimit{200};
 constexpr std::size_t kBodyLimitBytes = 256U << 10U;
 
 struct scheduler_options {
@@ -56,7 +58,7 @@
   options.metrics = endpoint("metrics");
   options.store = source.Text("store");
   options.task_lease = core::milliseconds{source.Number("task_lease_ms", {1000, 60'000}, 5000)};
-  options.drain = core::milliseconds{source.Number("drain_ms", {0, 60'000}, 2500)};
+  options.drain = core::milliseconds{source.Number("drain_ms", {0, 60'000}, 3000)};
   return options;
 }
 
@@ -120,11 +122,20 @@
     peers_.Tick();
     coordinator_.Tick();
     ready_ = !stopping_at_ && queues_.Current() && health_.reachable();
-    if (stopping_at_ && time_.Now() >= *stopping_at_ + options_.drain) context_.stop();
+  }
+
+  /// Hands each step of a graceful shutdown to the server that callers use.
+  /// @return true when the program may end.
+  bool ContinueShutdown(http::server& front) {
+    if (!stopping_at_ || time_.Now() < *stopping_at_ + options_.drain) return false;
+    if (!std::exchange(accepting_stopped_, true)) front.StopAccepting();
+    const core::mono_time limit = *stopping_at_ + options_.drain + kHttpShutdownLimit;
+    return front.idle() || time_.Now() >= limit;
   }
 
   /// Hands the leadership over and goes on serving until no caller is sent here any more.
-  void BeginShutdown() {
+  void BeginShutdown(http::server& front) {
+    front.BeginClose();
     stopping_at_ = time_.Now();
     ready_ = false;
     leadership_.Resign();
@@ -204,6 +215,7 @@
   platform::job_front front_;
   std::atomic<bool> ready_{false};
   std::optional<core::mono_time> stopping_at_;
+  bool accepting_stopped_ = false;
   bool tick_posted_ = false;
 };
 
@@ -225,8 +237,13 @@
   program::LogReady(fmt::format("http={} peer={}", Format(options.front), Format(options.peer)));
   entry.Start();
   program::RunUntilStopped(
-      context, kTick, [&] { entry.Tick(); }, [&] { entry.BeginShutdown(); });
-  front.ShutDown(kHttpShutdownLimit);
+      context, kTick,
+      [&] {
+        entry.Tick();
+        if (entry.ContinueShutdown(front)) context.stop();
+      },
+      [&] { entry.BeginShutdown(front); });
+  front.ShutDown(kFlushLimit);
   spdlog::shutdown();
   return 0;
 }
