Give filling tasks what lasting tasks leave unused; move slowed and stuck runs

Ruled out: admission, pacing (2 of 11 workers slowed at a time). Change: lasting tasks count with 55 % of their processors for the room of filling tasks; filling tasks on a worker whose pace is down are stopped at their checkpoint when processors are idle elsewhere; a task without progress for 2.5 s is started elsewhere; event=fleet every two seconds.

--- a/libs/jobs/include/jobs/coordinator.h
+++ b/libs/jobs/include/jobs/coordinator.h
@@ -117,6 +117,8 @@
   void StopSuperfluous();
   void CountCommitted();
   void StartPlanned();
+  void MovePlanned();
+  void LogFleet();
   void SendOrders();
   void ForgetEnded();
   worker_orders& OrdersFor(worker_row& worker);
@@ -140,6 +142,8 @@
   std::set<std::string> early_cancels_;  ///< cancellations that arrived before their job
   std::map<std::string, worker_orders> orders_;
   core::mono_time next_cleanup_;
+  core::mono_time next_move_;
+  core::mono_time next_summary_;
 };
 
 }  // namespace coltsfoot::jobs
--- a/libs/jobs/include/jobs/messages.h
+++ b/libs/jobs/include/jobs/messages.h
@@ -119,6 +119,7 @@
   std::string zone;
   std::vector<std::string> labels;
   core::resources capacity;
+  std::uint32_t pace = 100;  ///< of filling tasks, in percent
   bool listed = false;
   std::vector<running_task> running;
   std::vector<run_id> starting;      ///< ordered, outcome not known yet
@@ -128,7 +129,7 @@
   template <class Archive>
   void serialize(Archive& archive) {
     archive(agent, agent_start, term, sent_ms, orders_seen, state, life, service, zone, labels,
-            capacity, listed, running, starting, ended, refused);
+            capacity, pace, listed, running, starting, ended, refused);
   }
 };
 
--- a/libs/jobs/include/jobs/planner.h
+++ b/libs/jobs/include/jobs/planner.h
@@ -20,6 +20,15 @@
   std::size_t max_starts = 200;
   /// Lateness, as a multiple of the objective, after which a job earns its caller nothing.
   double worthless_factor = 3.0;
+  /// Share of their processors, in thousandths, that lasting tasks use on average. Filling tasks get
+  /// the rest.
+  std::int64_t serving_use_permille = 550;
+  /// Pace of a worker's filling tasks, in percent, below which it gets no further ones.
+  std::uint32_t least_pace = 70;
+  /// Time for which filling tasks are slowed down before they are moved to idle processors.
+  core::milliseconds move_slowed_after{1000};
+  /// Time without progress after which a task counts as stuck.
+  core::milliseconds stuck_after{2500};
   bool operator==(const planner_options&) const = default;
 };
 
@@ -54,4 +63,46 @@
 std::vector<planned_start> Plan(const job_table& jobs, worker_table& workers, core::mono_time now,
                                 const planner_options& options);
 
+/// Why a running task is stopped to start again elsewhere.
+enum class move_reason : std::uint8_t {
+  slowed,  ///< serving tasks beside it leave it no processors
+  stuck,   ///< it makes no progress
+};
+
+/// @return the reason's name in logs and metrics.
+const char* ToString(move_reason reason) noexcept;
+
+/// A run to stop, so that its task starts again on another worker.
+struct planned_move {
+  run_id run;
+  std::string agent;
+  move_reason reason = move_reason::slowed;
+  bool operator==(const planned_move&) const = default;
+};
+
+/// Plans moves of filling tasks that are slowed down while processors elsewhere are idle, and of
+/// tasks that stand still.
+/// @param workers with what is committed after `Plan`.
+std::vector<planned_move> PlanMoves(const job_table& jobs, const worker_table& workers,
+                                    core::mono_time now, const planner_options& options);
+
+/// State of the fleet at one moment, for logs.
+struct fleet_summary {
+  std::uint32_t usable = 0;   ///< workers that take tasks
+  std::uint32_t avoided = 0;  ///< workers that get none because tasks failed there
+  std::uint32_t slowed = 0;   ///< workers whose filling tasks are slowed down
+  std::int64_t cpu_millis = 0;
+  std::int64_t committed_millis = 0;
+  std::int64_t filling_millis = 0;
+  std::uint32_t open_jobs = 0;
+  std::uint32_t waiting_tasks = 0;    ///< released, not filling
+  std::uint32_t waiting_filling = 0;  ///< released, filling
+  std::uint32_t running = 0;          ///< copies
+  bool operator==(const fleet_summary&) const = default;
+};
+
+/// @return the state of the fleet.
+fleet_summary Summarize(const job_table& jobs, const worker_table& workers, core::mono_time now);
+
 }  // namespace coltsfoot::jobs
+
--- a/libs/jobs/include/jobs/worker_table.h
+++ b/libs/jobs/include/jobs/worker_table.h
@@ -29,6 +29,9 @@
   core::resources committed;     ///< of all copies here, stopping ones as well
   std::int64_t filling_cpu = 0;  ///< thousandths of a processor that filling copies would use
   std::uint32_t serving = 0;     ///< lasting copies
+  std::int64_t serving_cpu = 0;  ///< thousandths of a processor committed to lasting copies
+  std::uint32_t pace = 100;      ///< of filling copies, in percent
+  core::mono_time slowed_since;  ///< since when `pace` is below 100; zero: it is not
   core::mono_time lease_bound;   ///< all that runs here has lapsed by then
   std::uint64_t next_order = 1;
   std::uint64_t processed_end = 0;  ///< ends of `life` that are in the job table
--- a/libs/jobs/src/coordinator.cc
+++ b/libs/jobs/src/coordinator.cc
@@ -16,6 +16,9 @@
 constexpr core::milliseconds kLapseMargin{400};
 constexpr core::milliseconds kStopRepeat{800};
 constexpr core::milliseconds kCleanupPeriod{2000};
+constexpr core::milliseconds kSummaryPeriod{2000};
+// A stop takes up to half a second to show in the lists.
+constexpr core::milliseconds kMovePeriod{500};
 // Removing a job takes three entries of a transaction.
 constexpr std::size_t kJobsPerCleanup = 10;
 // An agent that was not reached for this long is taken off the list; it enters itself again when
@@ -202,6 +205,12 @@
   worker.zone = report.zone;
   worker.labels = report.labels;
   worker.capacity = report.capacity;
+  if (report.pace == 100) {
+    worker.slowed_since = {};
+  } else if (worker.pace == 100) {
+    worker.slowed_since = time_.Now();
+  }
+  worker.pace = report.pace;
   if (worker.life != report.life) {
     if (!worker.life.name.empty()) {
       spdlog::info("event=target_restarted agent={} target={} before={}", worker.agent,
@@ -424,7 +433,10 @@
   LapseSilent();
   SettleTakeover();
   StopSuperfluous();
-  if (authority_.MayStart()) StartPlanned();
+  if (authority_.MayStart()) {
+    StartPlanned();
+    MovePlanned();
+  }
   SendOrders();
   for (const std::string& agent : progress_.Flush(jobs_, workers_)) {
     const worker_row& worker = workers_.at(agent);
@@ -435,6 +447,7 @@
             .term = term_, .echo_ms = 0, .life = worker.life, .stored_end = worker.stored_end});
   }
   ForgetEnded();
+  LogFleet();
 }
 
 void coordinator::SettleTakeover() {
@@ -480,13 +493,16 @@
     worker.committed = {};
     worker.filling_cpu = 0;
     worker.serving = 0;
+    worker.serving_cpu = 0;
   }
   ForEachCopy("", [&](const task_place& place, const task_id&, const task_copy& copy) {
     worker_row& worker = WorkerOf(copy.agent);
     const step_spec& step = place.job->Spec(place.step);
     worker.committed += Reserved(step);
     if (step.fills) worker.filling_cpu += step.need.cpu_millis;
-    if (step.lasting) ++worker.serving;
+    if (!step.lasting) return;
+    ++worker.serving;
+    worker.serving_cpu += step.need.cpu_millis;
   });
 }
 
@@ -515,6 +531,38 @@
   }
 }
 
+void coordinator::MovePlanned() {
+  const core::mono_time now = time_.Now();
+  if (now < next_move_) return;
+  next_move_ = now + kMovePeriod;
+  for (const planned_move& move : PlanMoves(jobs_, workers_, now, options_.planner)) {
+    const auto place = jobs_.FindTask(move.run.task);
+    if (!place) continue;
+    for (task_copy& copy : place->task->copies) {
+      if (copy.agent != move.agent || copy.run != move.run.run) continue;
+      copy.stopping = true;
+      copy.stopped_at = now;
+    }
+    if (move.reason == move_reason::stuck) place->task->failed_on = move.agent;
+    OrdersFor(workers_.at(move.agent)).stops.push_back(move.run);
+    metrics_.GetCounter("coltsfoot_moves_total", {"reason", ToString(move.reason)}).Add();
+    spdlog::info("event=run_moved task={} run={} agent={} reason={}", ToString(move.run.task),
+                 move.run.run, move.agent, ToString(move.reason));
+  }
+}
+
+void coordinator::LogFleet() {
+  const core::mono_time now = time_.Now();
+  if (now < next_summary_) return;
+  next_summary_ = now + kSummaryPeriod;
+  const fleet_summary sum = Summarize(jobs_, workers_, now);
+  spdlog::info(
+      "event=fleet workers={} usable={} avoided={} slowed={} cpu={} committed={} filling={} "
+      "jobs={} waiting_tasks={} waiting_filling={} running={}",
+      workers_.size(), sum.usable, sum.avoided, sum.slowed, sum.cpu_millis, sum.committed_millis,
+      sum.filling_millis, sum.open_jobs, sum.waiting_tasks, sum.waiting_filling, sum.running);
+}
+
 start_order coordinator::MakeStart(const job_row& job, const run_id& run,
                                    const task_row& task) const {
   return {.facts = FactsOf(run, job.Spec(run.task.step)),
--- a/libs/jobs/src/planner.cc
+++ b/libs/jobs/src/planner.cc
@@ -37,23 +37,28 @@
   return need.FitsIn(free);
 }
 
-/// @return the processors that neither committed nor filling tasks would use.
-std::int64_t IdleCpu(const worker_row& worker) { return FreeCpu(worker) - worker.filling_cpu; }
+/// @return the processors that neither filling nor other tasks are expected to use.
+std::int64_t IdleCpu(const worker_row& worker, const planner_options& options) {
+  const std::int64_t unused_by_serving =
+      worker.serving_cpu * (1000 - options.serving_use_permille) / 1000;
+  return FreeCpu(worker) + unused_by_serving - worker.filling_cpu;
+}
 
 /// Rates a worker for a task; the highest score wins. Filling tasks disturb serving ones, so the
 /// two kinds are kept apart: serving tasks share workers, filling tasks take the others, and short
 /// tasks use what serving tasks leave before they take processors from filling ones.
-std::int64_t Score(const worker_row& worker, const step_spec& step) {
+std::int64_t Score(const worker_row& worker, const step_spec& step,
+                   const planner_options& options) {
   // Above any difference in processors, in thousandths, between two workers.
   constexpr std::int64_t kApart = 10'000'000;
   constexpr std::int64_t kRemoteData = 1'000'000;
   std::int64_t score = 0;
   if (step.fills) {
-    score = IdleCpu(worker) - kApart * worker.serving;
+    score = IdleCpu(worker, options) - kApart * worker.serving;
   } else if (step.lasting) {
     score = (worker.serving > 0 ? kApart : 0) - FreeCpu(worker) - 2 * worker.filling_cpu;
   } else {
-    score = (worker.serving > 0 ? kApart : 0) + IdleCpu(worker);
+    score = (worker.serving > 0 ? kApart : 0) + IdleCpu(worker, options);
   }
   if (!step.data_rack.empty() && !worker.HasLabel(step.data_rack)) score -= kRemoteData;
   return score;
@@ -61,8 +66,10 @@
 
 /// Filling tasks beyond the idle processors only slow each other down; a few late jobs are better
 /// than all jobs late.
-bool IsWorthFilling(const worker_row& worker, const step_spec& step) {
-  return worker.filling_cpu == 0 || 10 * IdleCpu(worker) >= 8 * step.need.cpu_millis;
+bool IsWorthFilling(const worker_row& worker, const step_spec& step,
+                    const planner_options& options) {
+  if (worker.pace < options.least_pace) return false;
+  return worker.filling_cpu == 0 || 10 * IdleCpu(worker, options) >= 8 * step.need.cpu_millis;
 }
 
 class step_placer {
@@ -105,9 +112,9 @@
       if (!TakesTasks(worker, job_.queue.service, now_)) continue;
       if (!spec_.label.empty() && !worker.HasLabel(spec_.label)) continue;
       if (!HasRoom(worker, need_, Headroom(worker))) continue;
-      if (spec_.fills && !IsWorthFilling(worker, spec_)) continue;
+      if (spec_.fills && !IsWorthFilling(worker, spec_, options_)) continue;
       if (spec_.max_per_worker > 0 && CountAt(agent) >= spec_.max_per_worker) continue;
-      std::int64_t score = Score(worker, spec_);
+      std::int64_t score = Score(worker, spec_, options_);
       if (agent == avoid) score -= kFailedHerePenalty;
       if (score > best_score) {
         best = &worker;
@@ -130,7 +137,10 @@
   void Commit(worker_row& worker) {
     worker.committed += need_;
     if (spec_.fills) worker.filling_cpu += spec_.need.cpu_millis;
-    if (spec_.lasting) ++worker.serving;
+    if (spec_.lasting) {
+      ++worker.serving;
+      worker.serving_cpu += spec_.need.cpu_millis;
+    }
     if (spec_.max_per_worker > 0) ++counts_[worker.agent];
   }
 
@@ -201,4 +211,97 @@
   return out;
 }
 
+const char* ToString(move_reason reason) noexcept {
+  return reason == move_reason::stuck ? "stuck" : "slowed";
+}
+
+namespace {
+
+/// Looks for copies to move, job by job.
+class move_finder {
+ public:
+  move_finder(const worker_table& workers, core::mono_time now, const planner_options& options)
+      : workers_(workers), now_(now), options_(options) {
+    // Moved tasks would take the idle processors of workers without serving tasks.
+    for (const auto& [agent, worker] : workers) {
+      if (worker.serving > 0 || !TakesTasks(worker, worker.service, now)) continue;
+      idle_millis_ += std::max<std::int64_t>(0, IdleCpu(worker, options));
+    }
+  }
+
+  void Visit(const job_row& job, std::uint32_t step) {
+    const step_spec& spec = job.Spec(step);
+    if (spec.lasting) return;
+    for (std::uint32_t index = 0; index < spec.count; ++index) {
+      for (const task_copy& copy : job.tasks[job.steps[step].first_task + index].copies) {
+        const auto reason = Reason(spec, copy);
+        if (!reason) continue;
+        planned_move& move = moves_.emplace_back();
+        move.run = {{job.id, 0, step, index}, copy.run};
+        move.agent = copy.agent;
+        move.reason = *reason;
+      }
+    }
+  }
+
+  std::vector<planned_move> Take() { return std::move(moves_); }
+
+ private:
+  std::optional<move_reason> Reason(const step_spec& spec, const task_copy& copy) {
+    const auto worker = workers_.find(copy.agent);
+    if (worker == workers_.end() || !copy.running || copy.stopping) return std::nullopt;
+    const worker_row& at = worker->second;
+    if (at.state != target_state::ready || !at.connected) return std::nullopt;
+    if (!spec.fills || at.pace == 100) {
+      if (now_ - copy.progress_at < options_.stuck_after) return std::nullopt;
+      return move_reason::stuck;
+    }
+    if (!spec.checkpoints || at.pace >= options_.least_pace) return std::nullopt;
+    if (idle_millis_ < spec.need.cpu_millis) return std::nullopt;
+    if (now_ - at.slowed_since < options_.move_slowed_after) return std::nullopt;
+    idle_millis_ -= spec.need.cpu_millis;
+    return move_reason::slowed;
+  }
+
+  const worker_table& workers_;
+  core::mono_time now_;
+  const planner_options& options_;
+  std::int64_t idle_millis_ = 0;
+  std::vector<planned_move> moves_;
+};
+
+}  // namespace
+
+std::vector<planned_move> PlanMoves(const job_table& jobs, const worker_table& workers,
+                                    core::mono_time now, const planner_options& options) {
+  move_finder finder(workers, now, options);
+  for (const auto& [id, job] : jobs.jobs()) {
+    if (job.copies == 0 || IsEnded(job.state)) continue;
+    for (std::uint32_t step = 0; step < job.steps.size(); ++step) finder.Visit(job, step);
+  }
+  return finder.Take();
+}
+
+fleet_summary Summarize(const job_table& jobs, const worker_table& workers, core::mono_time now) {
+  fleet_summary sum;
+  for (const auto& [agent, worker] : workers) {
+    if (TakesTasks(worker, worker.service, now)) ++sum.usable;
+    if (worker.avoid_until > now) ++sum.avoided;
+    if (worker.pace < 100) ++sum.slowed;
+    sum.cpu_millis += worker.capacity.cpu_millis;
+    sum.committed_millis += worker.committed.cpu_millis;
+    sum.filling_millis += worker.filling_cpu;
+  }
+  for (const auto& [id, job] : jobs.jobs()) {
+    sum.running += job.copies;
+    if (IsEnded(job.state)) continue;
+    ++sum.open_jobs;
+    for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+      if (!job.IsReleased(step)) continue;
+      (job.Spec(step).fills ? sum.waiting_filling : sum.waiting_tasks) += job.steps[step].idle;
+    }
+  }
+  return sum;
+}
+
 }  // namespace coltsfoot::jobs
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -423,6 +423,7 @@
     report.zone = announced_->zone;
     report.labels = announced_->labels;
     report.capacity = announced_->capacity;
+    report.pace = pacer_.percent();
   }
   if (listed && listed_) {
     report.listed = true;
