Learn which images disturb which serving tasks; slow and place by it

Change: each reading is evidence for or against the images beside it; a miss is blamed in proportion to suspicion. The agent stops suspect images first, the coordinator places filling tasks where no pair is risky.

--- a/libs/jobs/include/jobs/coordinator.h
+++ b/libs/jobs/include/jobs/coordinator.h
@@ -11,6 +11,7 @@
 #include "core/clock.h"
 #include "jobs/job_table.h"
 #include "jobs/messages.h"
+#include "jobs/pair_risk.h"
 #include "jobs/planner.h"
 #include "jobs/progress_writer.h"
 #include "jobs/queue_catalogue.h"
@@ -102,6 +103,7 @@
   void ApplyEnds(worker_row& worker, const worker_report& report);
   void ApplyEnd(worker_row& worker, const ended_run& end);
   void Reconcile(worker_row& worker, const worker_report& report);
+  void LearnRisks(const worker_report& report);
   void AdoptRunning(worker_row& worker, const running_task& listed);
   void AdoptStarting(worker_row& worker, const run_id& listed);
   void Adopt(worker_row& worker, const task_place& place, const run_id& run, bool running);
@@ -138,6 +140,7 @@
   std::shared_ptr<const queue_catalogue> queues_;
   job_table jobs_;
   worker_table workers_;
+  pair_risk risks_;
   progress_writer progress_;
   std::set<std::string> early_cancels_;  ///< cancellations that arrived before their job
   std::map<std::string, worker_orders> orders_;
--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -26,7 +26,9 @@
   bool stopping = false;  ///< a stop was ordered
   core::mono_time stopped_at;
   std::uint32_t progress = 0;
-  core::mono_time progress_at;  ///< when `progress` last changed
+  std::uint32_t pace = 100;      ///< percent that the agent lets it work
+  core::mono_time slowed_since;  ///< since when `pace` is low; zero: it is not
+  core::mono_time progress_at;   ///< when `progress` last changed
   bool operator==(const task_copy&) const = default;
 };
 
--- a/libs/jobs/include/jobs/messages.h
+++ b/libs/jobs/include/jobs/messages.h
@@ -38,10 +38,11 @@
   std::string checkpoint;
   std::uint32_t progress = 0;  ///< percent
   std::uint32_t reading = 0;   ///< tail latency (ms) of a lasting task, else processors in use
+  std::uint32_t pace = 100;    ///< percent that the agent lets a filling task work
   bool operator==(const running_task&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(task, run, checkpoint, progress, reading);
+    archive(task, run, checkpoint, progress, reading, pace);
   }
 };
 
@@ -119,7 +120,6 @@
   std::string zone;
   std::vector<std::string> labels;
   core::resources capacity;
-  std::uint32_t pace = 100;  ///< of filling tasks, in percent
   bool listed = false;
   std::vector<running_task> running;
   std::vector<run_id> starting;      ///< ordered, outcome not known yet
@@ -129,7 +129,7 @@
   template <class Archive>
   void serialize(Archive& archive) {
     archive(agent, agent_start, term, sent_ms, orders_seen, state, life, service, zone, labels,
-            capacity, pace, listed, running, starting, ended, refused);
+            capacity, listed, running, starting, ended, refused);
   }
 };
 
--- a/libs/jobs/include/jobs/planner.h
+++ b/libs/jobs/include/jobs/planner.h
@@ -6,6 +6,7 @@
 
 #include "core/clock.h"
 #include "jobs/job_table.h"
+#include "jobs/pair_risk.h"
 #include "jobs/worker_table.h"
 
 /// Decides which waiting tasks start where. Plain code over tables: no network, no wall clock.
@@ -20,10 +21,12 @@
   std::size_t max_starts = 200;
   /// Lateness, as a multiple of the objective, after which a job earns its caller nothing.
   double worthless_factor = 3.0;
-  /// Share of their processors, in thousandths, that lasting tasks use on average. Filling tasks get
-  /// the rest.
+  /// Share of their processors, in thousandths, that lasting tasks use on average. Filling tasks
+  /// get the rest.
   std::int64_t serving_use_permille = 550;
-  /// Pace of a worker's filling tasks, in percent, below which it gets no further ones.
+  /// Probability to make a serving task miss its goal above which a filling task goes elsewhere.
+  double highest_risk = 0.35;
+  /// Pace of a filling task, in percent, below which it counts as slowed down.
   std::uint32_t least_pace = 70;
   /// Time for which filling tasks are slowed down before they are moved to idle processors.
   core::milliseconds move_slowed_after{1000};
@@ -60,7 +63,8 @@
 
 /// Plans starts for all released tasks without a copy, best rank first.
 /// @param workers is changed: planned starts are added to what is committed.
-std::vector<planned_start> Plan(const job_table& jobs, worker_table& workers, core::mono_time now,
+std::vector<planned_start> Plan(const job_table& jobs, worker_table& workers,
+                                const pair_risk& risks, core::mono_time now,
                                 const planner_options& options);
 
 /// Why a running task is stopped to start again elsewhere.
@@ -105,4 +109,3 @@
 fleet_summary Summarize(const job_table& jobs, const worker_table& workers, core::mono_time now);
 
 }  // namespace coltsfoot::jobs
-
--- a/libs/jobs/include/jobs/worker_table.h
+++ b/libs/jobs/include/jobs/worker_table.h
@@ -30,9 +30,10 @@
   std::int64_t filling_cpu = 0;  ///< thousandths of a processor that filling copies would use
   std::uint32_t serving = 0;     ///< lasting copies
   std::int64_t serving_cpu = 0;  ///< thousandths of a processor committed to lasting copies
-  std::uint32_t pace = 100;      ///< of filling copies, in percent
-  core::mono_time slowed_since;  ///< since when `pace` is below 100; zero: it is not
-  core::mono_time lease_bound;   ///< all that runs here has lapsed by then
+  std::uint32_t slowed = 0;      ///< filling copies that the agent slows down
+  /// Images of the lasting copies, and of the filling ones with the processors that they use.
+  std::vector<std::string> serving_images;
+  core::mono_time lease_bound;  ///< all that runs here has lapsed by then
   std::uint64_t next_order = 1;
   std::uint64_t processed_end = 0;  ///< ends of `life` that are in the job table
   std::uint64_t stored_end = 0;     ///< ends of `life` that are in the store
--- a/libs/jobs/src/coordinator.cc
+++ b/libs/jobs/src/coordinator.cc
@@ -89,6 +89,7 @@
   jobs_.Clear();
   workers_.clear();
   early_cancels_.clear();
+  risks_.Clear();
   orders_.clear();
   agents_.ForgetAll();
 }
@@ -205,12 +206,6 @@
   worker.zone = report.zone;
   worker.labels = report.labels;
   worker.capacity = report.capacity;
-  if (report.pace == 100) {
-    worker.slowed_since = {};
-  } else if (worker.pace == 100) {
-    worker.slowed_since = time_.Now();
-  }
-  worker.pace = report.pace;
   if (worker.life != report.life) {
     if (!worker.life.name.empty()) {
       spdlog::info("event=target_restarted agent={} target={} before={}", worker.agent,
@@ -293,11 +288,28 @@
 void coordinator::Reconcile(worker_row& worker, const worker_report& report) {
   worker.foreign = 0;
   for (const running_task& listed : report.running) AdoptRunning(worker, listed);
+  LearnRisks(report);
   for (const run_id& listed : report.starting) AdoptStarting(worker, listed);
   DropRefused(worker, report);
   DropMissing(worker, report);
 }
 
+void coordinator::LearnRisks(const worker_report& report) {
+  std::vector<filling_use> beside;
+  for (const running_task& listed : report.running) {
+    const auto place = jobs_.FindTask(listed.task);
+    if (!place || !place->job->Spec(place->step).fills) continue;
+    beside.push_back({place->job->Spec(place->step).image, listed.reading / 1000.0});
+  }
+  for (const running_task& listed : report.running) {
+    const auto place = jobs_.FindTask(listed.task);
+    if (!place || place->job->Spec(place->step).goal_ms == 0) continue;
+    const step_spec& step = place->job->Spec(place->step);
+    risks_.Observe(step.image, static_cast<double>(listed.reading) / step.goal_ms, beside,
+                   time_.Now());
+  }
+}
+
 void coordinator::AdoptRunning(worker_row& worker, const running_task& listed) {
   const auto place = jobs_.FindTask(listed.task);
   if (!place) {
@@ -310,6 +322,12 @@
     if (copy.agent != worker.agent || copy.run != listed.run) continue;
     if (copy.progress != listed.progress) copy.progress_at = time_.Now();
     copy.progress = listed.progress;
+    copy.pace = listed.pace;
+    if (listed.pace >= options_.planner.least_pace) {
+      copy.slowed_since = {};
+    } else if (copy.slowed_since == core::mono_time{}) {
+      copy.slowed_since = time_.Now();
+    }
   }
   if (!listed.checkpoint.empty() && !place->task->progress.done) {
     place->task->progress.checkpoint = listed.checkpoint;
@@ -494,13 +512,19 @@
     worker.filling_cpu = 0;
     worker.serving = 0;
     worker.serving_cpu = 0;
+    worker.slowed = 0;
+    worker.serving_images.clear();
   }
   ForEachCopy("", [&](const task_place& place, const task_id&, const task_copy& copy) {
     worker_row& worker = WorkerOf(copy.agent);
     const step_spec& step = place.job->Spec(place.step);
     worker.committed += Reserved(step);
-    if (step.fills) worker.filling_cpu += step.need.cpu_millis;
+    if (step.fills) {
+      worker.filling_cpu += step.need.cpu_millis;
+      if (copy.slowed_since != core::mono_time{}) ++worker.slowed;
+    }
     if (!step.lasting) return;
+    worker.serving_images.push_back(step.image);
     ++worker.serving;
     worker.serving_cpu += step.need.cpu_millis;
   });
@@ -510,7 +534,7 @@
   CountCommitted();
   for (auto& [id, job] : jobs_.jobs()) job.held = !settled_ && job.admitted_revision < term_;
   const core::mono_time now = time_.Now();
-  for (const planned_start& start : Plan(jobs_, workers_, now, options_.planner)) {
+  for (const planned_start& start : Plan(jobs_, workers_, risks_, now, options_.planner)) {
     const task_id id{start.job, 0, start.step, start.index};
     const auto place = jobs_.FindTask(id);
     worker_row& worker = workers_.at(start.agent);
--- a/libs/jobs/src/planner.cc
+++ b/libs/jobs/src/planner.cc
@@ -64,23 +64,36 @@
   return score;
 }
 
+/// @return the highest risk that the step's tasks make a serving task of the worker miss its goal.
+double HighestRisk(const worker_row& worker, const step_spec& step, const pair_risk& risks) {
+  double highest = 0;
+  for (const std::string& image : worker.serving_images) {
+    highest = std::max(highest, risks.Risk(image, step.image));
+  }
+  return highest;
+}
+
 /// Filling tasks beyond the idle processors only slow each other down; a few late jobs are better
 /// than all jobs late.
-bool IsWorthFilling(const worker_row& worker, const step_spec& step,
+bool IsWorthFilling(const worker_row& worker, const step_spec& step, const pair_risk& risks,
                     const planner_options& options) {
-  if (worker.pace < options.least_pace) return false;
+  if (worker.serving > 0 &&
+      (worker.slowed > 0 || HighestRisk(worker, step, risks) > options.highest_risk)) {
+    return false;
+  }
   return worker.filling_cpu == 0 || 10 * IdleCpu(worker, options) >= 8 * step.need.cpu_millis;
 }
 
 class step_placer {
  public:
-  step_placer(const open_step& open, worker_table& workers, core::mono_time now,
-              const planner_options& options)
+  step_placer(const open_step& open, worker_table& workers, const pair_risk& risks,
+              core::mono_time now, const planner_options& options)
       : job_(*open.job),
         step_(open.step),
         spec_(open.job->Spec(open.step)),
         need_(Reserved(spec_)),
         workers_(workers),
+        risks_(risks),
         now_(now),
         options_(options) {
     if (spec_.max_per_worker > 0) counts_ = CountCopies(job_, step_);
@@ -112,7 +125,7 @@
       if (!TakesTasks(worker, job_.queue.service, now_)) continue;
       if (!spec_.label.empty() && !worker.HasLabel(spec_.label)) continue;
       if (!HasRoom(worker, need_, Headroom(worker))) continue;
-      if (spec_.fills && !IsWorthFilling(worker, spec_, options_)) continue;
+      if (spec_.fills && !IsWorthFilling(worker, spec_, risks_, options_)) continue;
       if (spec_.max_per_worker > 0 && CountAt(agent) >= spec_.max_per_worker) continue;
       std::int64_t score = Score(worker, spec_, options_);
       if (agent == avoid) score -= kFailedHerePenalty;
@@ -139,6 +152,7 @@
     if (spec_.fills) worker.filling_cpu += spec_.need.cpu_millis;
     if (spec_.lasting) {
       ++worker.serving;
+      worker.serving_images.push_back(spec_.image);
       worker.serving_cpu += spec_.need.cpu_millis;
     }
     if (spec_.max_per_worker > 0) ++counts_[worker.agent];
@@ -153,6 +167,7 @@
   const step_spec& spec_;
   core::resources need_;
   worker_table& workers_;
+  const pair_risk& risks_;
   core::mono_time now_;
   const planner_options& options_;
   copies_by_worker counts_;
@@ -191,7 +206,8 @@
   return need;
 }
 
-std::vector<planned_start> Plan(const job_table& jobs, worker_table& workers, core::mono_time now,
+std::vector<planned_start> Plan(const job_table& jobs, worker_table& workers,
+                                const pair_risk& risks, core::mono_time now,
                                 const planner_options& options) {
   std::vector<open_step> open;
   for (const auto& [id, job] : jobs.jobs()) {
@@ -207,7 +223,7 @@
     return left.rank < right.rank;
   });
   std::vector<planned_start> out;
-  for (const open_step& each : open) step_placer(each, workers, now, options).Place(out);
+  for (const open_step& each : open) step_placer(each, workers, risks, now, options).Place(out);
   return out;
 }
 
@@ -252,13 +268,13 @@
     if (worker == workers_.end() || !copy.running || copy.stopping) return std::nullopt;
     const worker_row& at = worker->second;
     if (at.state != target_state::ready || !at.connected) return std::nullopt;
-    if (!spec.fills || at.pace == 100) {
+    if (!spec.fills || copy.pace == 100) {
       if (now_ - copy.progress_at < options_.stuck_after) return std::nullopt;
       return move_reason::stuck;
     }
-    if (!spec.checkpoints || at.pace >= options_.least_pace) return std::nullopt;
+    if (!spec.checkpoints || copy.pace >= options_.least_pace) return std::nullopt;
     if (idle_millis_ < spec.need.cpu_millis) return std::nullopt;
-    if (now_ - at.slowed_since < options_.move_slowed_after) return std::nullopt;
+    if (now_ - copy.slowed_since < options_.move_slowed_after) return std::nullopt;
     idle_millis_ -= spec.need.cpu_millis;
     return move_reason::slowed;
   }
@@ -287,7 +303,7 @@
   for (const auto& [agent, worker] : workers) {
     if (TakesTasks(worker, worker.service, now)) ++sum.usable;
     if (worker.avoid_until > now) ++sum.avoided;
-    if (worker.pace < 100) ++sum.slowed;
+    if (worker.slowed > 0) ++sum.slowed;
     sum.cpu_millis += worker.capacity.cpu_millis;
     sum.committed_millis += worker.committed.cpu_millis;
     sum.filling_millis += worker.filling_cpu;
--- a/libs/runner/include/runner/pacer.h
+++ b/libs/runner/include/runner/pacer.h
@@ -3,10 +3,12 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "core/clock.h"
 #include "jobs/messages.h"
+#include "jobs/pair_risk.h"
 
 namespace coltsfoot::runner {
 
@@ -18,13 +20,13 @@
   std::uint32_t restore_below_percent = 90;
   /// Time of misses after which filling tasks are slowed. Readings cover half a second, and a short
   /// peak of the serving task's own load is none of theirs.
-  core::milliseconds slow_after{600};
+  core::milliseconds slow_after{400};
   /// Time between two further changes, longer than the readings' window.
-  core::milliseconds step_period{600};
-  /// Pace after the first change, in percent; the next one stops filling tasks.
-  std::uint32_t slowed_percent = 30;
+  core::milliseconds step_period{700};
   /// Step by which filling tasks get their processors back, in percent points.
   std::uint32_t restore_step = 35;
+  /// Images with at least this share of the highest risk beside a missed goal are slowed first.
+  double suspect_share = 0.6;
   bool operator==(const pacer_options&) const = default;
 };
 
@@ -35,8 +37,8 @@
   bool operator==(const pace_change&) const = default;
 };
 
-/// Slows filling tasks down while a serving task beside them misses its goal, and stops them if
-/// that is not enough.
+/// Stops filling tasks while a serving task beside them misses its goal: first those of the images
+/// that are suspect, then all. Gives their processors back in steps.
 class pacer {
  public:
   explicit pacer(pacer_options options) : options_(options) {}
@@ -50,15 +52,25 @@
   void Confirm(const pace_change& change);
   /// Forgets all runs, for another life of the target.
   void Clear();
-  /// @return the pace of filling tasks at this target, in percent.
-  std::uint32_t percent() const noexcept { return percent_; }
+  /// @return the pace of a run, in percent.
+  std::uint32_t PaceOf(const jobs::run_id& run) const;
 
  private:
-  void Adjust(const std::vector<jobs::running_task>& listed,
-              const std::map<jobs::run_id, jobs::task_facts>& facts, core::mono_time now);
+  /// The serving task that is furthest over its goal.
+  struct worst_task {
+    std::uint32_t percent = 0;
+    std::string image;
+  };
+
+  worst_task Learn(const std::vector<jobs::running_task>& listed,
+                   const std::map<jobs::run_id, jobs::task_facts>& facts, core::mono_time now);
+  void Adjust(const worst_task& worst, core::mono_time now);
+  void Slow(const std::string& victim);
+  void Restore();
 
   pacer_options options_;
-  std::uint32_t percent_ = 100;
+  jobs::pair_risk risk_;
+  std::map<std::string, std::uint32_t> percent_;  ///< by image; only those that run here
   core::mono_time changed_at_;
   std::optional<core::mono_time> missing_since_;
   std::map<jobs::run_id, std::uint32_t> confirmed_;
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -423,11 +423,13 @@
     report.zone = announced_->zone;
     report.labels = announced_->labels;
     report.capacity = announced_->capacity;
-    report.pace = pacer_.percent();
   }
   if (listed && listed_) {
     report.listed = true;
     report.running = running_;
+    for (jobs::running_task& task : report.running) {
+      task.pace = pacer_.PaceOf({task.task, task.run});
+    }
     for (const auto& [run, start] : starts_) {
       if (!IsRunning(run)) report.starting.push_back(run);
     }
