Let takeovers settle without a dead target; give starved jobs one task

Ruled out: the election (5 ms) and the agents' lists (all within 0.4 s). Change: a grant counts only for the life of the target that it names; a job with nothing running for 6 s gets one task placed wherever it has room.

--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -53,6 +53,7 @@
   queue_config queue;  ///< newest known configuration of its queue
   std::uint64_t admitted_revision = 0;
   core::mono_time admitted_at;
+  core::mono_time last_running;  ///< when a task of it ran last; zero: never
   std::uint32_t run_base = 0;  ///< runs of this job have higher numbers
   job_state state = job_state::queued;
   std::int64_t ended_wall_ms = 0;
--- a/libs/jobs/include/jobs/planner.h
+++ b/libs/jobs/include/jobs/planner.h
@@ -24,6 +24,9 @@
   /// Share of their processors, in thousandths, that lasting tasks use on average. Filling tasks
   /// get the rest.
   std::int64_t serving_use_permille = 550;
+  /// Time with nothing running after which a job gets one filling task placed, idle processors or
+  /// not, so that a steady load does not shut late jobs out.
+  core::milliseconds starved_after{6000};
   /// Probability to make a serving task miss its goal above which a filling task goes elsewhere.
   double highest_risk = 0.35;
   /// Pace of a filling task, in percent, below which it counts as slowed down.
--- a/libs/jobs/src/coordinator.cc
+++ b/libs/jobs/src/coordinator.cc
@@ -439,10 +439,13 @@
 
 void coordinator::Grant(worker_row& worker, const worker_report& report) {
   if (!authority_.MayExtend()) return;
-  worker.lease_bound = std::max(worker.lease_bound, LeaseBound(time_.Now()));
+  // An agent that does not know its target yet extends nothing; what ran there lapses.
+  if (!report.life.name.empty()) {
+    worker.lease_bound = std::max(worker.lease_bound, LeaseBound(time_.Now()));
+  }
   agents_.Send(worker.agent, lease_grant{.term = term_,
                                          .echo_ms = report.sent_ms,
-                                         .life = worker.life,
+                                         .life = report.life,
                                          .stored_end = worker.stored_end});
 }
 
@@ -532,8 +535,11 @@
 
 void coordinator::StartPlanned() {
   CountCommitted();
-  for (auto& [id, job] : jobs_.jobs()) job.held = !settled_ && job.admitted_revision < term_;
   const core::mono_time now = time_.Now();
+  for (auto& [id, job] : jobs_.jobs()) {
+    job.held = !settled_ && job.admitted_revision < term_;
+    if (job.copies > 0) job.last_running = now;
+  }
   for (const planned_start& start : Plan(jobs_, workers_, risks_, now, options_.planner)) {
     const task_id id{start.job, 0, start.step, start.index};
     const auto place = jobs_.FindTask(id);
--- a/libs/jobs/src/planner.cc
+++ b/libs/jobs/src/planner.cc
@@ -96,6 +96,8 @@
         risks_(risks),
         now_(now),
         options_(options) {
+    const core::mono_time idle_since = std::max(job_.admitted_at, job_.last_running);
+    starved_ = job_.copies == 0 && now - idle_since >= options.starved_after;
     if (spec_.max_per_worker > 0) counts_ = CountCopies(job_, step_);
   }
 
@@ -114,6 +116,7 @@
       }
       Commit(*worker);
       out.push_back({job_.id, step_, index, worker->agent});
+      starved_ = false;
     }
   }
 
@@ -125,7 +128,7 @@
       if (!TakesTasks(worker, job_.queue.service, now_)) continue;
       if (!spec_.label.empty() && !worker.HasLabel(spec_.label)) continue;
       if (!HasRoom(worker, need_, Headroom(worker))) continue;
-      if (spec_.fills && !IsWorthFilling(worker, spec_, risks_, options_)) continue;
+      if (spec_.fills && !starved_ && !IsWorthFilling(worker, spec_, risks_, options_)) continue;
       if (spec_.max_per_worker > 0 && CountAt(agent) >= spec_.max_per_worker) continue;
       std::int64_t score = Score(worker, spec_, options_);
       if (agent == avoid) score -= kFailedHerePenalty;
@@ -171,6 +174,7 @@
   core::mono_time now_;
   const planner_options& options_;
   copies_by_worker counts_;
+  bool starved_ = false;  ///< the job's next task is placed wherever it has room
 };
 
 }  // namespace
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -68,6 +68,7 @@
   left_ = false;
   target_.SetAddress(announcement.address);
   clock_offset_ms_.reset();
+  lease_end_ = {};
   sent_lease_end_ = {};
   stored_end_ = 0;
   last_ended_ = 0;
@@ -115,11 +116,12 @@
 void runner::OnGrant(const jobs::lease_grant& grant) {
   if (grant.term != term_) return;
   last_contact_ = time_.Now();
+  if (!announced_ || grant.life != announced_->life) return;
   if (grant.echo_ms > 0) {
     const core::mono_time sent{core::milliseconds{grant.echo_ms}};
     lease_end_ = std::max(lease_end_, sent + options_.task_lease);
   }
-  if (!announced_ || grant.life != announced_->life || grant.stored_end <= stored_end_) return;
+  if (grant.stored_end <= stored_end_) return;
   stored_end_ = grant.stored_end;
   std::erase_if(ended_, [this](const auto& end) { return end.number <= stored_end_; });
   if (!looking_) next_look_ = time_.Now();
