--- a/libs/jobs/src/coordinator.cc
+++ b/libs/jobs/src/coordinator.cc
@@ -126,8 +126,12 @@
   // Clocks of entries may differ; a job is never from the future.
   const core::milliseconds age{std::max<std::int64_t>(0, wall_ms - record->accepted_wall_ms)};
   job_row& job = jobs_.Add(id, std::move(*record), entry.version, time_.Now() - age);
-  job.queue.name = job.record.queue;
-  job.queue.service = job.record.service;
+  job.queue = {.name = job.record.queue,
+               .service = job.record.service,
+               .priority = job.record.priority,
+               .attempts = job.record.attempts,
+               .stretch = job.record.stretch,
+               .objective_ms = job.record.objective_ms};
   if (const queue_config* queue = queues_->FindByName(job.record.queue)) job.queue = *queue;
   if (entry.version < term_) job.run_base = static_cast<std::uint32_t>(term_);
   spdlog::info("event=job_known job={} queue={} priority={} steps={} tasks={} age_ms={}", id,
--- a/libs/jobs/src/job_service.cc
+++ b/libs/jobs/src/job_service.cc
@@ -51,6 +51,10 @@
   job->value =
       wire::EncodeValue(job_record{.queue = queue.name,
                                    .service = queue.service,
+                                   .priority = queue.priority,
+                                   .attempts = queue.attempts,
+                                   .stretch = queue.stretch,
+                                   .objective_ms = queue.objective_ms,
                                    .accepted_wall_ms = time_.WallNow().time_since_epoch().count(),
                                    .spec = spec});
   job->config = queues_.Guard();
--- a/libs/jobs/tests/coordinator_test.cc
+++ b/libs/jobs/tests/coordinator_test.cc
@@ -240,6 +240,22 @@
   CHECK(fleet.agents.TakeStarts().empty());
 }
 
+// Hunt, cbha-recup trouble-2 seed 198752024829: an entry that was elected before it had read the
+// configuration took each queue to allow one attempt and failed jobs after their first failure.
+TEST_CASE("without a configuration a job keeps the attempts it was accepted with") {
+  coordinator_fixture fleet;
+  fleet.control.SetQueues(std::make_shared<queue_catalogue>());
+  fleet.Begin({"a"});
+  fleet.Submit(kJob, {TestStep(1)});
+  fleet.Tick();
+  const auto starts = fleet.agents.TakeStarts();
+  REQUIRE(starts.size() == 1);
+  fleet.End("a", starts[0].second.facts.run, end_reason::failed);
+  fleet.Report("a");
+  fleet.Tick();
+  CHECK(fleet.control.StateOf(kJob) == job_state::active);
+}
+
 // Guards against lost work: a restart continues from the newest checkpoint.
 TEST_CASE("a restarted task carries its checkpoint") {
   coordinator_fixture fleet;
--- a/libs/jobs/tests/fixture.h
+++ b/libs/jobs/tests/fixture.h
@@ -209,6 +209,7 @@
   void Submit(const std::string& id, std::vector<step_spec> steps) {
     const job_record record{.queue = "q",
                             .service = "svc",
+                            .attempts = 2,
                             .accepted_wall_ms = time.WallNow().time_since_epoch().count(),
                             .spec = {"payload", std::move(steps)}};
     storage.Put(JobKey(id), wire::EncodeValue(record));
