--- /dev/null
+++ b/libs/runner/tests/runner_test.cc
@@ -0,0 +1,259 @@
+#include "runner/runner.h"
+
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "metrics/registry.h"
+
+namespace coltsfoot::runner {
+namespace {
+
+using core::milliseconds;
+
+constexpr auto kJob = "00000000000000aa";
+
+/// Target whose answers the test gives.
+class scripted_target final : public target_port {
+ public:
+  void SetAddress(const std::string& text) override { address = text; }
+  void Start(const start_call& call, std::function<void(order_reply)> done) override {
+    starts.push_back(call);
+    start_answers.push_back(std::move(done));
+  }
+  void Stop(const jobs::run_id& run, std::uint64_t, const std::string&,
+            std::function<void(order_reply)> done) override {
+    stops.push_back(run);
+    stop_answers.push_back(std::move(done));
+  }
+  void Pace(const jobs::run_id&, std::uint32_t, std::uint64_t, const std::string&,
+            std::function<void(order_reply)>) override {}
+  void Hold(const hold_call& call, const std::string&,
+            std::function<void(std::optional<target_lists>)> done) override {
+    holds.push_back(call);
+    hold_answers.push_back(std::move(done));
+  }
+
+  template <class Queue, class Answer>
+  static void Give(Queue& answers, Answer answer) {
+    REQUIRE_FALSE(answers.empty());
+    auto done = std::move(answers.front());
+    answers.pop_front();
+    done(std::move(answer));
+  }
+
+  std::string address;
+  std::vector<start_call> starts;
+  std::vector<jobs::run_id> stops;
+  std::vector<hold_call> holds;
+  std::deque<std::function<void(order_reply)>> start_answers;
+  std::deque<std::function<void(order_reply)>> stop_answers;
+  std::deque<std::function<void(std::optional<target_lists>)>> hold_answers;
+};
+
+class recorded_coordinator final : public coordinator_link {
+ public:
+  bool Send(const jobs::worker_report& report) override {
+    reports.push_back(report);
+    return true;
+  }
+  std::vector<jobs::worker_report> reports;
+};
+
+/// A runner in contact with a coordinator of term 5, with a target whose lists were read once.
+struct runner_fixture {
+  runner_fixture() {
+    agent.OnAnnouncement(announcement);
+    agent.OnHello(5);
+    agent.Tick();
+    Answer({});
+    Grant();
+    agent.Tick();
+  }
+
+  /// Answers a look at the target.
+  void Answer(std::vector<jobs::running_task> running, std::vector<jobs::ended_run> ended = {}) {
+    target_lists lists{.clock_ms = TargetClock(), .born_ms = 1};
+    lists.running = std::move(running);
+    lists.ended = std::move(ended);
+    scripted_target::Give(target.hold_answers, std::optional(lists));
+  }
+
+  /// The target's clock runs one second behind the agent's.
+  std::int64_t TargetClock() const { return core::ToMs(time.Now().time_since_epoch()) - 1000; }
+
+  void Grant() {
+    agent.OnGrant({.term = 5,
+                   .echo_ms = core::ToMs(time.Now().time_since_epoch()),
+                   .life = announcement.life,
+                   .stored_end = 0});
+  }
+
+  void Order(std::uint32_t run) {
+    jobs::worker_orders orders{.term = 5, .sequence = ++sequence, .life = announcement.life};
+    orders.starts.push_back({.facts = {.run = Run(run)}, .payload = "p"});
+    agent.OnOrders(orders);
+  }
+
+  static jobs::run_id Run(std::uint32_t run) { return {{kJob, 0, 0, 0}, run}; }
+
+  void Pass(milliseconds duration) {
+    for (milliseconds passed{0}; passed < duration; passed += milliseconds{50}) {
+      time.Advance(milliseconds{50});
+      agent.Tick();
+    }
+  }
+
+  core::manual_clock time;
+  metrics::registry metrics;
+  scripted_target target;
+  recorded_coordinator coordinator;
+  target_announcement announcement{.life = {"t", 1},
+                                   .service = "svc",
+                                   .zone = "z",
+                                   .labels = {},
+                                   .capacity = {16'000, 64'000, 0},
+                                   .draining = false,
+                                   .sequence = 1,
+                                   .address = "10.0.0.1:80"};
+  std::uint64_t sequence = 0;
+  runner agent{{.agent = "a", .agent_start = 1}, time, metrics, target, coordinator};
+};
+
+}  // namespace
+
+// Hunt, malolos-straw scale-1: the agent of a dead target extended the lease it believed the target
+// to hold with each unanswered look, so its runs never counted as lapsed and did not start
+// elsewhere.
+TEST_CASE("a target that does not answer is gone when its last lease has passed") {
+  runner_fixture fixture;
+  const std::size_t looks = fixture.target.holds.size();
+  milliseconds passed{0};
+  const auto gone = [&] {
+    return fixture.coordinator.reports.back().state == jobs::target_state::gone;
+  };
+  while (!gone() && passed < milliseconds{20'000}) {
+    while (!fixture.target.hold_answers.empty()) {
+      scripted_target::Give(fixture.target.hold_answers, std::optional<target_lists>());
+    }
+    fixture.Grant();
+    fixture.Pass(milliseconds{100});
+    passed += milliseconds{100};
+  }
+  CHECK(passed > milliseconds{4900});
+  CHECK(passed < milliseconds{6500});
+  REQUIRE(fixture.target.holds.size() > looks + 1);
+  CHECK_FALSE(fixture.target.holds.back().lease_until_ms);
+}
+
+// Guards against a second run where an order without an answer was carried out late: it is sent
+// again under the same run number, after a pause.
+TEST_CASE("an unanswered start is sent again under the same run") {
+  runner_fixture fixture;
+  fixture.Order(1);
+  REQUIRE(fixture.target.starts.size() == 1);
+  scripted_target::Give(fixture.target.start_answers, order_reply{});
+  fixture.agent.Tick();
+  CHECK(fixture.target.starts.size() == 1);
+  fixture.Pass(milliseconds{150});
+  REQUIRE(fixture.target.starts.size() == 2);
+  CHECK(fixture.target.starts[1].run == fixture.target.starts[0].run);
+}
+
+// Guards against a cancelled task that a late order still starts: only the target's answer to a
+// stop settles it.
+TEST_CASE("an unanswered start that is cancelled is stopped until the target confirms it") {
+  runner_fixture fixture;
+  fixture.Order(1);
+  scripted_target::Give(fixture.target.start_answers, order_reply{});
+  jobs::worker_orders orders{.term = 5, .sequence = 9, .life = fixture.announcement.life};
+  orders.stops.push_back(runner_fixture::Run(1));
+  fixture.agent.OnOrders(orders);
+  REQUIRE(fixture.target.stops.size() == 1);
+  scripted_target::Give(fixture.target.stop_answers, order_reply{});
+  fixture.Pass(milliseconds{150});
+  REQUIRE(fixture.target.stops.size() == 2);
+  scripted_target::Give(fixture.target.stop_answers, order_reply{.status = order_status::ok});
+  fixture.Pass(milliseconds{600});
+  CHECK(fixture.target.starts.size() == 1);
+  CHECK(fixture.coordinator.reports.back().starting.empty());
+}
+
+// Guards against starts on a target that leaves, and against starts without a lease.
+TEST_CASE("a draining target and a runner without a lease start nothing") {
+  runner_fixture fixture;
+  fixture.announcement.draining = true;
+  fixture.announcement.sequence = 2;
+  fixture.agent.OnAnnouncement(fixture.announcement);
+  fixture.Order(1);
+  CHECK(fixture.target.starts.empty());
+  fixture.agent.Tick();
+  REQUIRE_FALSE(fixture.coordinator.reports.empty());
+  bool refused = false;
+  for (const auto& report : fixture.coordinator.reports) refused |= !report.refused.empty();
+  CHECK(refused);
+
+  runner_fixture late;
+  late.Pass(milliseconds{5000});
+  late.Order(1);
+  late.Pass(milliseconds{100});
+  CHECK(late.target.starts.empty());
+}
+
+// Guards against orders of a coordinator that another one has followed.
+TEST_CASE("orders and hellos of earlier terms are refused") {
+  runner_fixture fixture;
+  CHECK_FALSE(fixture.agent.OnHello(4));
+  jobs::worker_orders old{.term = 4, .sequence = 1, .life = fixture.announcement.life};
+  old.starts.push_back({.facts = {.run = runner_fixture::Run(1)}, .payload = "p"});
+  fixture.agent.OnOrders(old);
+  CHECK(fixture.target.starts.empty());
+  CHECK(fixture.agent.OnHello(6));
+}
+
+// Guards against a delayed announcement of an earlier life that would replace the present one, and
+// against orders meant for it.
+TEST_CASE("announcements and orders of earlier lives are ignored") {
+  runner_fixture fixture;
+  target_announcement next = fixture.announcement;
+  next.life = {"t", 2};
+  fixture.agent.OnAnnouncement(next);
+  fixture.agent.OnAnnouncement(fixture.announcement);
+  fixture.Pass(milliseconds{600});
+  CHECK(fixture.coordinator.reports.back().life == next.life);
+  fixture.Order(1);
+  CHECK(fixture.target.starts.empty());
+}
+
+// Guards against a lease that outlives its grant: it is counted from the report that the grant
+// answers, on the target's clock.
+TEST_CASE("the lease at the target ends with the grant") {
+  runner_fixture fixture;
+  const std::int64_t granted_ms = fixture.TargetClock();
+  fixture.Order(1);
+  REQUIRE(fixture.target.starts.size() == 1);
+  CHECK(fixture.target.starts[0].lease_until_ms <= granted_ms + 5000);
+  CHECK(fixture.target.starts[0].lease_until_ms > granted_ms + 4000);
+}
+
+// Guards against a busy loop on a target that lists ends which wait to be stored.
+TEST_CASE("looks pause while ends wait to be stored") {
+  runner_fixture fixture;
+  const jobs::ended_run end{
+      .number = 1, .task = {kJob, 0, 0, 0}, .run = 1, .reason = jobs::end_reason::done};
+  fixture.Answer({}, {end});
+  const std::size_t looks = fixture.target.holds.size();
+  fixture.agent.Tick();
+  CHECK(fixture.target.holds.size() == looks);
+  fixture.Pass(milliseconds{100});
+  REQUIRE(fixture.target.holds.size() == looks + 1);
+  CHECK(fixture.target.holds.back().wait == milliseconds{0});
+  CHECK(fixture.target.holds.back().stored_end == 0);
+}
+
+}  // namespace coltsfoot::runner
