Store jobs through the coordinating entry; avoid workers on which tasks stand still

A worker on which tasks stand still got new ones after each move. Ruled out: readiness, which turns false after 0.7 s, but open connections stay. Change: a job or cancellation that an entry cannot store goes to the coordinating entry once, under the version of the configuration it was decided with; no answer from there means that the outcome is unknown.

--- a/libs/jobs/include/jobs/coordinator.h
+++ b/libs/jobs/include/jobs/coordinator.h
@@ -112,6 +112,8 @@
   void ResendOrders(worker_row& worker);
   void LoseCopies(const std::string& agent, std::string_view reason,
                   const std::optional<target_life>& keep);
+  /// Places nothing on the worker for a while, unless too many are avoided already.
+  void Avoid(worker_row& worker, std::string_view reason);
   void Blame(worker_row& worker, const ended_run& end);
   void Grant(worker_row& worker, const worker_report& report);
   void SettleTakeover();
--- a/libs/jobs/include/jobs/job_service.h
+++ b/libs/jobs/include/jobs/job_service.h
@@ -32,7 +32,7 @@
 class coordinator_client {
  public:
   virtual ~coordinator_client() = default;
-  /// The handler gets `not_coordinator` if no coordinator answers in time.
+  /// The handler gets `not_coordinator` if nothing was sent and `lost` if no answer came in time.
   virtual void Ask(job_query query, std::function<void(job_answer)> done) = 0;
 };
 
@@ -69,12 +69,18 @@
               handler done);
   /// Counts the queue's jobs of which no task has started.
   void CountWaiting(const std::string& queue, handler done);
+  /// Stores a job or a cancellation for another entry.
+  void StoreForPeer(const job_query& query, std::function<void(job_answer)> done);
 
  private:
   struct submission;
   void Store(const std::shared_ptr<submission>& job);
+  void Forward(const std::shared_ptr<submission>& job);
+  void ForwardCancel(const std::string& id, const std::string& queue, core::mono_time deadline,
+                     handler done);
+  void CancelHere(const std::string& id, core::mono_time deadline, handler done);
   void OnStored(const std::shared_ptr<submission>& job, const store::commit_result& result);
-  void Finish(const submission& job, job_reply reply);
+  void Finish(const submission& job, const job_reply& reply);
   void ShowStored(const std::string& id, handler done);
   void ShowUncancelled(const std::string& id, const std::optional<progress_record>& progress,
                        handler done);
--- a/libs/jobs/include/jobs/messages.h
+++ b/libs/jobs/include/jobs/messages.h
@@ -190,21 +190,39 @@
   }
 };
 
+/// What an entry asks of the coordinating entry.
+enum class query_kind : std::uint8_t {
+  show,           ///< state of a job
+  count_waiting,  ///< number of waiting jobs of a queue
+  store_job,      ///< store a job for an entry that cannot reach the store
+  store_cancel,   ///< store a cancellation for such an entry
+};
+
 /// Entry to the coordinating entry.
 struct job_query {
   static constexpr auto kType = wire::message_type::job_query;
   std::uint64_t number = 0;
+  query_kind kind = query_kind::show;
   std::string queue;
-  std::string job;  ///< empty: the number of waiting jobs of the queue
+  std::string job;
+  std::string record;                ///< encoded job to store
+  std::string config_key;            ///< key of the configuration that the job was decided under
+  std::uint64_t config_version = 0;  ///< its version
+  std::uint32_t time_left_ms = 0;    ///< until the caller stops waiting
   bool operator==(const job_query&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(number, queue, job);
+    archive(number, kind, queue, job, record, config_key, config_version, time_left_ms);
   }
 };
 
-/// Outcome of a query at the coordinator.
-enum class query_outcome : std::uint8_t { found, absent, not_coordinator };
+/// Outcome of a query.
+enum class query_outcome : std::uint8_t {
+  found,
+  absent,
+  not_coordinator,  ///< nothing was asked or done
+  lost,             ///< no answer; what was asked may have been done
+};
 
 struct job_answer {
   static constexpr auto kType = wire::message_type::job_answer;
@@ -212,10 +230,11 @@
   query_outcome outcome = query_outcome::not_coordinator;
   job_state state = job_state::queued;
   std::uint64_t waiting = 0;
+  core::result_code code = core::result_code::ok;  ///< of what was stored
   bool operator==(const job_answer&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(number, outcome, state, waiting);
+    archive(number, outcome, state, waiting, code);
   }
 };
 
--- a/libs/jobs/include/jobs/network.h
+++ b/libs/jobs/include/jobs/network.h
@@ -71,13 +71,14 @@
 /// Connections between entries: answers queries of others and asks the coordinating entry.
 class entry_peers final : public coordinator_client {
  public:
+  using query_handler = std::function<void(const job_query&, std::function<void(job_answer)>)>;
+
   /// @param local listens for other entries.
   /// @param leader gives the address of the coordinating entry, empty if there is none; the own
   /// address asks in this process.
-  /// @param answer answers a query in this process.
+  /// @param answer answers a query in this process, now or later.
   entry_peers(asio::io_context& context, const core::clock& time, const wire::endpoint& local,
-              std::function<std::string()> leader,
-              std::function<job_answer(const job_query&)> answer);
+              std::function<std::string()> leader, query_handler answer);
 
   void Ask(job_query query, std::function<void(job_answer)> done) override;
   /// Gives up on queries without an answer; call at least each 100 ms.
@@ -85,10 +86,11 @@
 
  private:
   struct waiting_query {
-    core::mono_time asked_at;
+    core::mono_time give_up_at;
     std::function<void(job_answer)> done;
   };
   void Accept(const std::shared_ptr<wire::tcp_connection>& connection);
+  void Serve(std::uint64_t connection, const wire::raw_message& message);
   bool Reach(const std::string& address);
   void Drop();
   void OnAnswer(const wire::raw_message& message);
@@ -98,7 +100,7 @@
   wire::tcp_listener listener_;
   std::string own_address_;
   std::function<std::string()> leader_;
-  std::function<job_answer(const job_query&)> answer_;
+  query_handler answer_;
   std::uint64_t next_connection_ = 1;
   std::map<std::uint64_t, std::shared_ptr<wire::tcp_connection>> accepted_;
   std::shared_ptr<wire::tcp_connection> connection_;
--- a/libs/jobs/src/coordinator.cc
+++ b/libs/jobs/src/coordinator.cc
@@ -19,6 +19,8 @@
 constexpr core::milliseconds kSummaryPeriod{2000};
 // A stop takes up to half a second to show in the lists.
 constexpr core::milliseconds kMovePeriod{500};
+// One stuck task may be its own fault; several at a time are the worker's.
+constexpr int kStuckToAvoid = 2;
 // Removing a job takes three entries of a transaction.
 constexpr std::size_t kJobsPerCleanup = 10;
 // An agent that was not reached for this long is taken off the list; it enters itself again when
@@ -277,8 +279,13 @@
   if (worker.last_failed_job == end.task.job) return;
   worker.last_failed_job = end.task.job;
   if (++worker.recent_failures < options_.failures_to_avoid) return;
-  std::size_t avoided = 0;
+  Avoid(worker, "tasks_failed");
+}
+
+void coordinator::Avoid(worker_row& worker, std::string_view reason) {
   const core::mono_time now = time_.Now();
+  if (worker.avoid_until > now) return;
+  std::size_t avoided = 0;
   for (const auto& [agent, other] : workers_) avoided += other.avoid_until > now ? 1 : 0;
   // Jobs that fail everywhere must not take the whole fleet away.
   if (3 * (avoided + 1) > workers_.size()) return;
@@ -287,9 +294,9 @@
                          : std::min(2 * worker.avoid_for, options_.avoid_longest);
   worker.avoid_until = now + worker.avoid_for;
   worker.recent_failures = options_.failures_to_avoid - 1;
-  metrics_.GetCounter("coltsfoot_workers_avoided_total").Add();
-  spdlog::warn("event=worker_avoided agent={} for_ms={} last_task={}", worker.agent,
-               worker.avoid_for.count(), ToString(end.task));
+  metrics_.GetCounter("coltsfoot_workers_avoided_total", {"reason", reason}).Add();
+  spdlog::warn("event=worker_avoided agent={} for_ms={} reason={}", worker.agent,
+               worker.avoid_for.count(), reason);
 }
 
 void coordinator::Reconcile(worker_row& worker, const worker_report& report) {
@@ -572,6 +579,7 @@
   const core::mono_time now = time_.Now();
   if (now < next_move_) return;
   next_move_ = now + kMovePeriod;
+  std::map<std::string, int> stuck;
   for (const planned_move& move : PlanMoves(jobs_, workers_, now, options_.planner)) {
     const auto place = jobs_.FindTask(move.run.task);
     if (!place) continue;
@@ -580,7 +588,10 @@
       copy.stopping = true;
       copy.stopped_at = now;
     }
-    if (move.reason == move_reason::stuck) place->task->failed_on = move.agent;
+    if (move.reason == move_reason::stuck) {
+      place->task->failed_on = move.agent;
+      if (++stuck[move.agent] == kStuckToAvoid) Avoid(workers_.at(move.agent), "tasks_stuck");
+    }
     OrdersFor(workers_.at(move.agent)).stops.push_back(move.run);
     metrics_.GetCounter("coltsfoot_moves_total", {"reason", ToString(move.reason)}).Add();
     spdlog::info("event=run_moved task={} run={} agent={} reason={}", ToString(move.run.task),
--- a/libs/jobs/src/job_service.cc
+++ b/libs/jobs/src/job_service.cc
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "wire/codec.h"
@@ -24,6 +25,7 @@
   core::mono_time begun;
   core::mono_time deadline;
   bool may_be_stored = false;  ///< a write had no answer
+  bool forwards = true;        ///< another entry may store it if this one cannot
   handler done;
 };
 
@@ -61,11 +63,65 @@
   job->begun = time_.Now();
   job->deadline = deadline;
   job->done = std::move(done);
-  if (!health_.reachable()) {
+  if (health_.reachable()) {
+    Store(job);
+  } else {
+    Forward(job);
+  }
+}
+
+void job_service::Forward(const std::shared_ptr<submission>& job) {
+  if (!job->forwards) {
     Finish(*job, StoreRefusal());
     return;
   }
-  Store(job);
+  job->forwards = false;
+  metrics_.CountRetry("submit_forwarded", core::result_code::store_unavailable);
+  const auto time_left = std::max<std::int64_t>(0, core::ToMs(job->deadline - time_.Now()));
+  coordinator_.Ask(
+      {.kind = query_kind::store_job,
+       .queue = job->queue,
+       .job = job->id,
+       .record = job->value,
+       .config_key = job->config.key,
+       .config_version = job->config.version,
+       .time_left_ms = static_cast<std::uint32_t>(time_left)},
+      [this, job](const job_answer& answer) {
+        if (answer.outcome == query_outcome::found) {
+          Finish(*job, {.code = answer.code,
+                        .state = std::nullopt,
+                        .retry_after_s = core::IsNotRun(answer.code) ? kOutageRetryAfterS : 0});
+        } else if (answer.outcome == query_outcome::lost || job->may_be_stored) {
+          Finish(*job, {.code = core::result_code::outcome_unknown, .state = std::nullopt});
+        } else {
+          Finish(*job, StoreRefusal());
+        }
+      });
+}
+
+void job_service::StoreForPeer(const job_query& query, std::function<void(job_answer)> done) {
+  const core::mono_time deadline = time_.Now() + core::milliseconds{query.time_left_ms};
+  const auto answer = [done](const job_reply& reply) {
+    done({.outcome = query_outcome::found, .code = reply.code});
+  };
+  if (query.kind == query_kind::store_cancel) {
+    CancelHere(query.job, deadline, answer);
+    return;
+  }
+  auto job = std::make_shared<submission>();
+  job->id = query.job;
+  job->queue = query.queue;
+  job->value = query.record;
+  job->config = {query.config_key, query.config_version};
+  job->begun = time_.Now();
+  job->deadline = deadline;
+  job->forwards = false;
+  job->done = answer;
+  if (health_.reachable()) {
+    Store(job);
+  } else {
+    Finish(*job, StoreRefusal());
+  }
 }
 
 void job_service::Store(const std::shared_ptr<submission>& job) {
@@ -105,12 +161,12 @@
       if (job->may_be_stored) {
         Finish(*job, {.code = core::result_code::outcome_unknown, .state = std::nullopt});
       } else {
-        Finish(*job, StoreRefusal());
+        Forward(job);
       }
   }
 }
 
-void job_service::Finish(const submission& job, job_reply reply) {
+void job_service::Finish(const submission& job, const job_reply& reply) {
   if (reply.code != core::result_code::ok) {
     metrics_.CountRefusal("submit", reply.code);
     spdlog::warn("event=submit_refused job={} queue={} code={} took_ms={}", job.id, job.queue,
@@ -119,11 +175,11 @@
     spdlog::info("event=submitted job={} queue={} took_ms={}", job.id, job.queue,
                  core::ToMs(time_.Now() - job.begun));
   }
-  job.done(std::move(reply));
+  job.done(reply);
 }
 
 void job_service::Show(const std::string& id, const std::string& queue, handler done) {
-  coordinator_.Ask({.number = 0, .queue = queue, .job = id},
+  coordinator_.Ask({.kind = query_kind::show, .queue = queue, .job = id},
                    [this, id, done = std::move(done)](const job_answer& answer) {
                      if (answer.outcome == query_outcome::found) {
                        done({.code = core::result_code::ok, .state = answer.state});
@@ -194,8 +250,47 @@
 void job_service::Cancel(const std::string& id, const std::string& queue, core::mono_time deadline,
                          handler done) {
   if (!health_.reachable()) {
-    metrics_.CountRefusal("cancel", core::result_code::store_unavailable);
-    spdlog::warn("event=cancel_refused job={} queue={} code=store_unavailable", id, queue);
+    ForwardCancel(id, queue, deadline, std::move(done));
+    return;
+  }
+  CancelHere(id, deadline,
+             [this, id, queue, deadline, done = std::move(done)](const job_reply& reply) {
+               if (core::IsNotRun(reply.code) && reply.code != core::result_code::not_found) {
+                 ForwardCancel(id, queue, deadline, done);
+               } else {
+                 done(reply);
+               }
+             });
+}
+
+void job_service::ForwardCancel(const std::string& id, const std::string& queue,
+                                core::mono_time deadline, handler done) {
+  metrics_.CountRetry("cancel_forwarded", core::result_code::store_unavailable);
+  const auto time_left = std::max<std::int64_t>(0, core::ToMs(deadline - time_.Now()));
+  coordinator_.Ask({.kind = query_kind::store_cancel,
+                    .queue = queue,
+                    .job = id,
+                    .time_left_ms = static_cast<std::uint32_t>(time_left)},
+                   [this, id, queue, done = std::move(done)](const job_answer& answer) {
+                     job_reply reply = StoreRefusal();
+                     if (answer.outcome == query_outcome::found) {
+                       reply = {.code = answer.code, .state = std::nullopt};
+                     } else if (answer.outcome == query_outcome::lost) {
+                       reply = {.code = core::result_code::outcome_unknown, .state = std::nullopt};
+                     }
+                     if (reply.code == core::result_code::ok) reply.state = job_state::cancelled;
+                     if (core::IsNotRun(reply.code)) reply.retry_after_s = kOutageRetryAfterS;
+                     if (reply.code != core::result_code::ok) {
+                       metrics_.CountRefusal("cancel", reply.code);
+                       spdlog::warn("event=cancel_refused job={} queue={} code={}", id, queue,
+                                    core::ToString(reply.code));
+                     }
+                     done(reply);
+                   });
+}
+
+void job_service::CancelHere(const std::string& id, core::mono_time deadline, handler done) {
+  if (!health_.reachable()) {
     done(StoreRefusal());
     return;
   }
--- a/libs/jobs/src/network.cc
+++ b/libs/jobs/src/network.cc
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <asio/ip/address.hpp>
 #include <asio/post.hpp>
 #include <charconv>
@@ -18,6 +19,8 @@
 constexpr core::milliseconds kDialLimit{1000};
 // A query beyond this is answered from the store instead.
 constexpr core::milliseconds kQueryLimit{300};
+// Writes to the store take longer, as long as a call to it may.
+constexpr core::milliseconds kStoreLimit{1500};
 
 template <class Message>
 std::optional<Message> Decode(const wire::raw_message& raw, std::string_view from) {
@@ -156,7 +159,7 @@
 
 entry_peers::entry_peers(asio::io_context& context, const core::clock& time,
                          const wire::endpoint& local, std::function<std::string()> leader,
-                         std::function<job_answer(const job_query&)> answer)
+                         query_handler answer)
     : context_(context),
       time_(time),
       listener_(context, local, [this](const auto& connection) { Accept(connection); }),
@@ -169,23 +172,26 @@
   accepted_.emplace(number, connection);
   connection->Start(
       {.on_open = [] {},
-       .on_message =
-           [this, number](const wire::raw_message& message) {
-             const auto query = Decode<job_query>(message, "entry");
-             const auto place = accepted_.find(number);
-             if (!query || place == accepted_.end()) return;
-             job_answer answer = answer_(*query);
-             answer.number = query->number;
-             place->second->Send(wire::ToFrame(answer));
-           },
+       .on_message = [this, number](const wire::raw_message& message) { Serve(number, message); },
        .on_close = [this, number](const core::error_reason&) { accepted_.erase(number); }});
 }
 
+void entry_peers::Serve(std::uint64_t connection, const wire::raw_message& message) {
+  const auto query = Decode<job_query>(message, "entry");
+  if (!query) return;
+  answer_(*query, [this, connection, number = query->number](job_answer answer) {
+    const auto place = accepted_.find(connection);
+    if (place == accepted_.end()) return;
+    answer.number = number;
+    place->second->Send(wire::ToFrame(answer));
+  });
+}
+
 void entry_peers::Ask(job_query query, std::function<void(job_answer)> done) {
   const std::string address = leader_();
   if (address == own_address_) {
     asio::post(context_,
-               [this, query = std::move(query), done = std::move(done)] { done(answer_(query)); });
+               [this, query = std::move(query), done = std::move(done)] { answer_(query, done); });
     return;
   }
   query.number = next_query_++;
@@ -193,7 +199,9 @@
     asio::post(context_, [done = std::move(done)] { done({}); });
     return;
   }
-  waiting_.emplace(query.number, waiting_query{time_.Now(), std::move(done)});
+  const bool stores = query.kind == query_kind::store_job || query.kind == query_kind::store_cancel;
+  waiting_.emplace(query.number, waiting_query{time_.Now() + (stores ? kStoreLimit : kQueryLimit),
+                                               std::move(done)});
 }
 
 bool entry_peers::Reach(const std::string& address) {
@@ -222,7 +230,8 @@
   connection_.reset();
   auto waiting = std::exchange(waiting_, {});
   for (auto& [number, query] : waiting) {
-    asio::post(context_, [done = std::move(query.done)] { done({}); });
+    asio::post(context_,
+               [done = std::move(query.done)] { done({.outcome = query_outcome::lost}); });
   }
 }
 
@@ -234,9 +243,11 @@
 }
 
 void entry_peers::Tick() {
-  if (waiting_.empty()) return;
-  // Queries are answered in order: if the oldest is late, the connection is dead.
-  if (time_.Now() - waiting_.begin()->second.asked_at > kQueryLimit) Drop();
+  const core::mono_time now = time_.Now();
+  const bool late = std::any_of(waiting_.begin(), waiting_.end(),
+                                [now](const auto& each) { return now >= each.second.give_up_at; });
+  // An answer that is late means a dead connection or a dead entry.
+  if (late) Drop();
 }
 
 }  // namespace coltsfoot::jobs
--- a/libs/jobs/src/pair_risk.cc
+++ b/libs/jobs/src/pair_risk.cc
@@ -32,6 +32,7 @@
   double suspicion = 0;
   for (const filling_use& use : beside) suspicion += suspicion_of(use);
   std::vector<double> shares;
+  shares.reserve(beside.size());
   for (const filling_use& use : beside) {
     shares.push_back(suspicion > 0 ? suspicion_of(use) / suspicion : 0);
   }
--- a/libs/jobs/tests/coordinator_test.cc
+++ b/libs/jobs/tests/coordinator_test.cc
@@ -315,6 +315,30 @@
   CHECK(fleet.control.workers().at("a").avoid_until > fleet.time.Now());
 }
 
+// Guards against a worker on which everything stands still and that gets ever more tasks.
+TEST_CASE("stuck tasks move and their worker is avoided") {
+  coordinator_fixture fleet;
+  fleet.Begin({"a", "b", "c", "d"});
+  fleet.Submit(kJob, {TestStep(12)});
+  fleet.Tick();
+  fleet.RunOrders();
+  const std::string stuck_at = "b";
+  REQUIRE(fleet.Worker(stuck_at).running.size() >= 2);
+  for (int step = 0; step < 30; ++step) {
+    fleet.Tick(milliseconds{100});
+    for (auto& [agent, report] : fleet.reports) {
+      if (agent != stuck_at) {
+        for (running_task& task : report.running) ++task.progress;
+      }
+      fleet.Report(agent);
+    }
+  }
+  CHECK(fleet.control.workers().at(stuck_at).avoid_until > fleet.time.Now());
+  fleet.RunOrders();
+  fleet.Tick();
+  for (const auto& [agent, start] : fleet.agents.TakeStarts()) CHECK(agent != stuck_at);
+}
+
 // Guards against duplicated or lost tasks whatever ends are reported in which order: at no time do
 // two runs of a task exist, nothing starts after `done`, and all jobs end.
 TEST_CASE("random ends and losses never run a task twice") {
--- a/libs/jobs/tests/job_service_test.cc
+++ b/libs/jobs/tests/job_service_test.cc
@@ -27,7 +27,11 @@
 
 class fixed_coordinator final : public coordinator_client {
  public:
-  void Ask(job_query, std::function<void(job_answer)> done) override { done(answer); }
+  void Ask(job_query query, std::function<void(job_answer)> done) override {
+    queries.push_back(std::move(query));
+    done(answer);
+  }
+  std::vector<job_query> queries;
   job_answer answer;
 };
 
@@ -117,6 +121,44 @@
   CHECK(entry.Submit().code == result_code::ok);
 }
 
+// Guards against refusals by an entry that alone cannot reach the store.
+TEST_CASE("without the store a job is stored through the coordinating entry") {
+  service_fixture entry;
+  entry.storage.mode = memory_store::write_mode::refused;
+  entry.coordinator.answer = {.outcome = query_outcome::found, .code = result_code::ok};
+  CHECK(entry.Submit().code == result_code::ok);
+  REQUIRE(entry.coordinator.queries.size() == 1);
+  const job_query query = entry.coordinator.queries[0];
+  CHECK(query.kind == query_kind::store_job);
+
+  service_fixture peer;
+  job_answer stored;
+  peer.service.StoreForPeer(query, [&](const job_answer& answer) { stored = answer; });
+  peer.storage.Pump();
+  CHECK(stored.code == result_code::ok);
+  CHECK(peer.storage.entries.count(JobKey(kJob)) == 1);
+}
+
+// Guards against "not run" when the coordinating entry may have stored the job.
+TEST_CASE("a forwarded job without an answer has an unknown outcome") {
+  service_fixture entry;
+  entry.storage.mode = memory_store::write_mode::refused;
+  entry.coordinator.answer = {.outcome = query_outcome::lost};
+  CHECK(entry.Submit().code == result_code::outcome_unknown);
+}
+
+// Guards against a job that two entries forward to each other.
+TEST_CASE("a job of another entry is not forwarded again") {
+  service_fixture peer;
+  peer.storage.mode = memory_store::write_mode::refused;
+  job_answer answer;
+  peer.service.StoreForPeer({.kind = query_kind::store_job, .job = kJob, .time_left_ms = 1000},
+                            [&](const job_answer& got) { answer = got; });
+  peer.storage.Pump();
+  CHECK(core::IsNotRun(answer.code));
+  CHECK(peer.coordinator.queries.empty());
+}
+
 // Guards against jobs that are accepted under a configuration that is no longer in force.
 TEST_CASE("a job decided under an older configuration is not stored") {
   service_fixture entry;
--- a/tools/coltsfoot-scheduler/main.cc
+++ b/tools/coltsfoot-scheduler/main.cc
@@ -96,7 +96,8 @@
         peers_(
             context, time_, options.peer,
             [this] { return leadership_.leader() ? leadership_.leader()->address : ""; },
-            [this](const jobs::job_query& query) { return Answer(query); }),
+            [this](const jobs::job_query& query,
+                   const std::function<void(jobs::job_answer)>& done) { Answer(query, done); }),
         service_(time_, metrics_, *storage_, health_, queues_, peers_),
         front_(context, time_, metrics_, service_, queues_) {
     agents_.SetHandlers(
@@ -181,21 +182,29 @@
     });
   }
 
-  jobs::job_answer Answer(const jobs::job_query& query) {
-    jobs::job_answer answer;
-    if (!leadership_.MayExtend()) return answer;
-    answer.outcome = jobs::query_outcome::found;
-    if (query.job.empty()) {
-      answer.waiting = coordinator_.CountWaiting(query.queue);
-      return answer;
+  void Answer(const jobs::job_query& query, const std::function<void(jobs::job_answer)>& done) {
+    if (!leadership_.MayExtend()) {
+      done({});
+      return;
     }
-    const auto state = coordinator_.StateOf(query.job);
-    if (state) {
-      answer.state = *state;
-    } else {
-      answer.outcome = jobs::query_outcome::absent;
+    jobs::job_answer answer{.outcome = jobs::query_outcome::found};
+    switch (query.kind) {
+      case jobs::query_kind::show:
+        if (const auto state = coordinator_.StateOf(query.job)) {
+          answer.state = *state;
+        } else {
+          answer.outcome = jobs::query_outcome::absent;
+        }
+        break;
+      case jobs::query_kind::count_waiting:
+        answer.waiting = coordinator_.CountWaiting(query.queue);
+        break;
+      case jobs::query_kind::store_job:
+      case jobs::query_kind::store_cancel:
+        service_.StoreForPeer(query, done);
+        return;
     }
-    return answer;
+    done(answer);
   }
 
   asio::io_context& context_;
