--- a/libs/http/tests/http_test.cc
+++ b/libs/http/tests/http_test.cc
@@ -134,6 +134,27 @@
   CHECK(refused.get_future().get() == core::result_code::body_too_large);
 }
 
+// Bench, cbha-recup trouble-2: requests that arrived while an entry was shutting down were never
+// answered, because what answers them had ended before the server.
+TEST_CASE("a server that accepts no more can still answer what it received") {
+  std::promise<responder> received;
+  server target({}, [&](request, responder respond) { received.set_value(std::move(respond)); });
+  CHECK(target.idle());
+  const auto client = MakeCurlClient();
+  std::promise<call_result> answered;
+  client->Send({.url = UrlOf(target, "/")},
+               [&](call_result result) { answered.set_value(std::move(result)); });
+  responder respond = received.get_future().get();
+  target.BeginClose();
+  target.StopAccepting();
+  CHECK_FALSE(target.idle());
+  respond({200, {}, "late"});
+  const call_result result = answered.get_future().get();
+  REQUIRE(result.answer.has_value());
+  CHECK(result.answer->body == "late");
+  CHECK(result.answer->FindHeader("Connection") == "close");
+}
+
 // Guards against a planned stop that cuts off a request in progress.
 TEST_CASE("a graceful shutdown answers the request in progress") {
   std::promise<responder> received;
--- a/libs/program/include/program/program.h
+++ b/libs/program/include/program/program.h
@@ -33,6 +33,9 @@
 /// Parses "IP:PORT". Adds an error to `source` for `key` if the text is something else.
 wire::endpoint ParseEndpoint(settings::reader& source, std::string_view key, std::string_view text);
 
+/// Reads the "IP:PORT" of a required key.
+wire::endpoint ReadEndpoint(settings::reader& source, std::string_view key);
+
 /// Logs `event=ready` with the endpoints of the program. Tests read the ports from this line.
 /// @param pairs text such as "http=127.0.0.1:8000 udp=127.0.0.1:8001".
 void LogReady(std::string_view pairs);
--- a/libs/program/src/program.cc
+++ b/libs/program/src/program.cc
@@ -84,6 +84,10 @@
   return out;
 }
 
+wire::endpoint ReadEndpoint(settings::reader& source, std::string_view key) {
+  return ParseEndpoint(source, key, source.Text(key));
+}
+
 void LogReady(std::string_view pairs) { spdlog::info("event=ready {}", pairs); }
 
 void RunUntilStopped(asio::io_context& context, core::milliseconds period,
--- a/tools/coltsfoot-runner/main.cc
+++ b/tools/coltsfoot-runner/main.cc
@@ -41,15 +41,12 @@
 };
 
 runner_settings ReadOptions(settings::reader& source) {
-  const auto endpoint = [&source](std::string_view key) {
-    return program::ParseEndpoint(source, key, source.Text(key));
-  };
   runner_settings options;
   options.id = source.Text("id");
-  options.announce = endpoint("announce");
+  options.announce = program::ReadEndpoint(source, "announce");
   options.target = source.Text("target");
-  options.peer = endpoint("peer");
-  options.metrics = endpoint("metrics");
+  options.peer = program::ReadEndpoint(source, "peer");
+  options.metrics = program::ReadEndpoint(source, "metrics");
   options.store = source.Text("store");
   options.task_lease = core::milliseconds{source.Number("task_lease_ms", {1000, 60'000}, 5000)};
   return options;
--- a/tools/coltsfoot-scheduler/main.cc
+++ b/tools/coltsfoot-scheduler/main.cc
@@ -47,15 +47,12 @@
 };
 
 scheduler_options ReadOptions(settings::reader& source) {
-  const auto endpoint = [&source](std::string_view key) {
-    return program::ParseEndpoint(source, key, source.Text(key));
-  };
   scheduler_options options;
   options.id = source.Text("id");
-  options.front = endpoint("front");
-  options.ready = endpoint("ready");
-  options.peer = endpoint("peer");
-  options.metrics = endpoint("metrics");
+  options.front = program::ReadEndpoint(source, "front");
+  options.ready = program::ReadEndpoint(source, "ready");
+  options.peer = program::ReadEndpoint(source, "peer");
+  options.metrics = program::ReadEndpoint(source, "metrics");
   options.store = source.Text("store");
   options.task_lease = core::milliseconds{source.Number("task_lease_ms", {1000, 60'000}, 5000)};
   options.drain = core::milliseconds{source.Number("drain_ms", {0, 60'000}, 3000)};
