--- a/libs/program/src/program.cc
+++ b/libs/program/src/program.cc
@@ -11,6 +11,7 @@
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 #include <charconv>
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <utility>
@@ -49,6 +50,8 @@
 }
 
 settings::reader OpenSettings(int argc, char** argv, std::string_view usage) {
+  // A reload that is asked for before the program handles signals must not end it.
+  std::signal(SIGHUP, SIG_IGN);
   RaiseOpenFileLimit();
   absl::SetProgramUsageMessage(absl::string_view(usage.data(), usage.size()));
   const auto rest = absl::ParseCommandLine(argc, argv);
