Index copies by agent and let a plan's cost not grow with the queue

Cause: on the grown deployments the coordinator on a host with 0.07 to 0.12 of a core could not answer its own store calls within a second: each report visited all tasks of all jobs, and each waiting filling task looked up the risk of every image on every worker.

Ruled out: the store (other entries got answers in 10 ms meanwhile), the load of the jobs at a takeover (0.36 to 0.6 s, once).

The table now keeps copies by agent, jobs that have not ended, jobs to store and jobs with superfluous copies; a plan keeps the risks it looked up and what it found to have no room.

--- a/libs/jobs/include/jobs/coordinator.h
+++ b/libs/jobs/include/jobs/coordinator.h
@@ -119,6 +119,8 @@
   void SettleTakeover();
   void LapseSilent();
   void StopSuperfluous();
+  /// @return false if no copy of the job is superfluous.
+  bool StopSuperfluousOf(job_row& job);
   void CountCommitted();
   void StartPlanned();
   void MovePlanned();
@@ -127,8 +129,6 @@
   void ForgetEnded();
   worker_orders& OrdersFor(worker_row& worker);
   start_order MakeStart(const job_row& job, const run_id& run, const task_row& task) const;
-  template <class Visit>
-  void ForEachCopy(const std::string& agent, Visit visit);
   core::mono_time LeaseBound(core::mono_time granted) const;
 
   coordinator_options options_;
--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -3,7 +3,10 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "core/clock.h"
@@ -59,7 +62,6 @@
   std::int64_t ended_wall_ms = 0;
   bool cancel_requested = false;
   bool held = false;         ///< its tasks may still run where nobody has looked yet
-  bool dirty = false;        ///< differs from what is stored
   std::uint32_t copies = 0;  ///< of all its tasks
   job_state stored_state = job_state::queued;
   store::key_version progress_version = 0;
@@ -84,17 +86,21 @@
   task_row* task = nullptr;
 };
 
-/// The jobs of one coordinator. Keeps the counts of steps and the states of jobs in order.
+/// The jobs of one coordinator. Keeps the counts of steps, the states of jobs and the indexes in
+/// order, so that the work of a tick depends on what changed and not on the size of the table.
 class job_table {
  public:
   using map = std::map<std::string, job_row, std::less<>>;
+  /// Jobs by id, as an index into the table.
+  using job_index = std::map<std::string_view, job_row*>;
 
-  void Clear() { jobs_.clear(); }
+  void Clear();
   /// Adds a job with what is stored of its progress. A job that exists stays as it is.
   job_row& Add(std::string id, job_record record, std::uint64_t revision, core::mono_time admitted);
   /// Takes over stored progress; call before any run is known.
   void Restore(job_row& job, const progress_record& stored, store::key_version version);
-  void Remove(const std::string& id) { jobs_.erase(id); }
+  /// Removes a job that has no copies.
+  void Remove(const std::string& id);
 
   job_row* Find(std::string_view id);
   const job_row* Find(std::string_view id) const;
@@ -102,6 +108,34 @@
   std::optional<task_place> FindTask(const task_id& task);
   map& jobs() noexcept { return jobs_; }
   const map& jobs() const noexcept { return jobs_; }
+  /// @return the jobs that have not ended.
+  const job_index& open() const noexcept { return open_; }
+  /// @return the jobs that differ from what is stored.
+  const job_index& dirty() const noexcept { return dirty_; }
+  void MarkDirty(job_row& job) { dirty_.emplace(job.id, &job); }
+  void ClearDirty(job_row& job) { dirty_.erase(job.id); }
+  /// @return the jobs of which copies may run that are not needed any more.
+  const job_index& suspects() const noexcept { return suspects_; }
+  void ClearSuspect(job_row& job) { suspects_.erase(job.id); }
+  /// @return the agents whose copies changed since the last call.
+  std::set<std::string> TakeChangedAgents() { return std::exchange(changed_agents_, {}); }
+  void MarkAgentChanged(const std::string& agent) { changed_agents_.insert(agent); }
+
+  /// Calls `visit(const task_place&, const task_id&, task_copy&)` for each copy at this agent. The
+  /// visitor must not add or remove copies.
+  template <class Visit>
+  void VisitCopies(std::string_view agent, Visit visit) {
+    const auto place = by_agent_.find(agent);
+    if (place == by_agent_.end()) return;
+    for (const copy_place& each : place->second) {
+      task_row& task = each.job->tasks[each.job->steps[each.step].first_task + each.index];
+      for (task_copy& copy : task.copies) {
+        if (copy.run != each.run || copy.agent != agent) continue;
+        visit(task_place{each.job, each.step, &task},
+              task_id{each.job->id, 0, each.step, each.index}, copy);
+      }
+    }
+  }
 
   /// Adds a copy.
   void AddCopy(const task_place& place, task_copy copy);
@@ -119,10 +153,24 @@
   static progress_record Progress(const job_row& job);
 
  private:
-  static void End(job_row& job, job_state state, std::int64_t wall_ms);
+  struct copy_place {
+    job_row* job = nullptr;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+    std::uint32_t run = 0;
+    bool operator==(const copy_place&) const = default;
+  };
+
+  void End(job_row& job, job_state state, std::int64_t wall_ms);
   static void CountSteps(job_row& job);
+  static copy_place PlaceOf(const task_place& place, std::uint32_t run);
 
   map jobs_;
+  job_index open_;
+  job_index dirty_;
+  job_index suspects_;
+  std::map<std::string, std::vector<copy_place>, std::less<>> by_agent_;
+  std::set<std::string> changed_agents_;
 };
 
 }  // namespace coltsfoot::jobs
--- a/libs/jobs/include/jobs/planner.h
+++ b/libs/jobs/include/jobs/planner.h
@@ -47,6 +47,13 @@
   bool operator==(const planned_start&) const = default;
 };
 
+/// Outcome of planning.
+struct start_plan {
+  std::vector<planned_start> starts;
+  std::uint64_t considered = 0;  ///< workers that were rated; what a plan costs
+  bool operator==(const start_plan&) const = default;
+};
+
 /// Order of a job's tasks among those of other jobs; smaller comes first.
 struct job_rank {
   std::uint32_t priority = 0;
@@ -66,9 +73,8 @@
 
 /// Plans starts for all released tasks without a copy, best rank first.
 /// @param workers is changed: planned starts are added to what is committed.
-std::vector<planned_start> Plan(const job_table& jobs, worker_table& workers,
-                                const pair_risk& risks, core::mono_time now,
-                                const planner_options& options);
+start_plan Plan(const job_table& jobs, worker_table& workers, const pair_risk& risks,
+                core::mono_time now, const planner_options& options);
 
 /// Why a running task is stopped to start again elsewhere.
 enum class move_reason : std::uint8_t {
--- a/libs/jobs/include/jobs/queue_catalogue.h
+++ b/libs/jobs/include/jobs/queue_catalogue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -51,6 +52,7 @@
   std::uint64_t version_ = 0;
   std::vector<queue_config> queues_;
   std::vector<service_config> services_;
+  std::map<std::string, std::size_t, std::less<>> by_name_;
 };
 
 }  // namespace coltsfoot::jobs
--- a/libs/jobs/src/coordinator.cc
+++ b/libs/jobs/src/coordinator.cc
@@ -98,9 +98,9 @@
 
 void coordinator::SetQueues(std::shared_ptr<const queue_catalogue> queues) {
   queues_ = std::move(queues);
-  for (auto& [id, job] : jobs_.jobs()) {
+  for (const auto& [id, job] : jobs_.open()) {
     // A queue that was removed keeps its last configuration for the jobs that it accepted.
-    if (const queue_config* queue = queues_->FindByName(job.record.queue)) job.queue = *queue;
+    if (const queue_config* queue = queues_->FindByName(job->record.queue)) job->queue = *queue;
   }
 }
 
@@ -159,6 +159,7 @@
     worker.agent = agent;
     worker.known_since = time_.Now();
     worker.last_report = time_.Now();
+    jobs_.MarkAgentChanged(agent);
     // A coordinator before this one may have extended leases until then.
     worker.lease_bound = LeaseBound(term_began_ + options_.grant_extension);
   }
@@ -301,6 +302,7 @@
 
 void coordinator::Reconcile(worker_row& worker, const worker_report& report) {
   worker.foreign = 0;
+  jobs_.MarkAgentChanged(worker.agent);
   for (const running_task& listed : report.running) AdoptRunning(worker, listed);
   LearnRisks(report);
   for (const run_id& listed : report.starting) AdoptStarting(worker, listed);
@@ -394,10 +396,12 @@
   std::vector<run_id> present = report.starting;
   for (const running_task& listed : report.running) present.push_back({listed.task, listed.run});
   std::vector<std::pair<task_place, std::uint32_t>> missing;
-  ForEachCopy(worker.agent, [&](const task_place& place, const task_id& id, task_copy& copy) {
-    const bool seen = copy.running || copy.order <= report.orders_seen;
-    if (seen && !Contains(present, {id, copy.run})) missing.emplace_back(place, copy.run);
-  });
+  jobs_.VisitCopies(worker.agent,
+                    [&](const task_place& place, const task_id& id, const task_copy& copy) {
+                      const bool seen = copy.running || copy.order <= report.orders_seen;
+                      if (seen && !Contains(present, {id, copy.run}))
+                        missing.emplace_back(place, copy.run);
+                    });
   for (const auto& [place, run] : missing) {
     spdlog::info("event=run_missing job={} step={} run={} agent={}", place.job->id, place.step, run,
                  worker.agent);
@@ -405,27 +409,11 @@
   }
 }
 
-template <class Visit>
-void coordinator::ForEachCopy(const std::string& agent, Visit visit) {
-  for (auto& [id, job] : jobs_.jobs()) {
-    if (job.copies == 0) continue;
-    for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
-      for (std::uint32_t index = 0; index < job.Spec(step).count; ++index) {
-        task_row& task = job.tasks[job.steps[step].first_task + index];
-        for (task_copy& copy : task.copies) {
-          if (!agent.empty() && copy.agent != agent) continue;
-          visit(task_place{&job, step, &task}, task_id{id, 0, step, index}, copy);
-        }
-      }
-    }
-  }
-}
-
 void coordinator::ResendOrders(worker_row& worker) {
   std::vector<start_order> starts;
   std::vector<task_facts> facts;
   worker_orders& orders = OrdersFor(worker);
-  ForEachCopy(worker.agent, [&](const task_place& place, const task_id& id, task_copy& copy) {
+  jobs_.VisitCopies(worker.agent, [&](const task_place& place, const task_id& id, task_copy& copy) {
     const run_id run{id, copy.run};
     copy.stopping = false;
     if (copy.running) {
@@ -442,7 +430,7 @@
 void coordinator::LoseCopies(const std::string& agent, std::string_view reason,
                              const std::optional<target_life>& keep) {
   std::vector<std::pair<task_place, std::uint32_t>> lost;
-  ForEachCopy(agent, [&](const task_place& place, const task_id&, const task_copy& copy) {
+  jobs_.VisitCopies(agent, [&](const task_place& place, const task_id&, const task_copy& copy) {
     if (!keep || copy.life != *keep) lost.emplace_back(place, copy.run);
   });
   for (const auto& [place, run] : lost) jobs_.RemoveCopy(place, agent, run);
@@ -506,55 +494,73 @@
 }
 
 void coordinator::StopSuperfluous() {
+  std::vector<job_row*> settled;
+  for (const auto& [id, job] : jobs_.suspects()) {
+    if (!StopSuperfluousOf(*job)) settled.push_back(job);
+  }
+  for (job_row* job : settled) jobs_.ClearSuspect(*job);
+}
+
+bool coordinator::StopSuperfluousOf(job_row& job) {
+  if (job.copies == 0) return false;
   const core::mono_time now = time_.Now();
-  ForEachCopy("", [&](const task_place& place, const task_id& id, task_copy& copy) {
-    const task_row& task = *place.task;
-    // Of two copies of a task that may run once, the one that started later goes on: the earlier
-    // one belongs to a coordinator that had lost contact.
-    const bool doubled = task.copies.size() > 1 && !place.job->Spec(place.step).speculative &&
-                         copy.run < task.progress.last_run;
-    if (!IsEnded(place.job->state) && !task.progress.done && !doubled) return;
-    if (copy.stopping && now - copy.stopped_at < kStopRepeat) return;
-    const auto worker = workers_.find(copy.agent);
-    if (worker == workers_.end() || !worker->second.connected) return;
-    copy.stopping = true;
-    copy.stopped_at = now;
-    OrdersFor(worker->second).stops.push_back({id, copy.run});
-  });
+  bool found = false;
+  for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+    for (std::uint32_t index = 0; index < job.Spec(step).count; ++index) {
+      task_row& task = job.tasks[job.steps[step].first_task + index];
+      for (task_copy& copy : task.copies) {
+        // Of two copies of a task that may run once, the one that started later goes on: the
+        // earlier one belongs to a coordinator that had lost contact.
+        const bool doubled = task.copies.size() > 1 && !job.Spec(step).speculative &&
+                             copy.run < task.progress.last_run;
+        if (!IsEnded(job.state) && !task.progress.done && !doubled) continue;
+        found = true;
+        if (copy.stopping && now - copy.stopped_at < kStopRepeat) continue;
+        const auto worker = workers_.find(copy.agent);
+        if (worker == workers_.end() || !worker->second.connected) continue;
+        copy.stopping = true;
+        copy.stopped_at = now;
+        OrdersFor(worker->second).stops.push_back({{job.id, 0, step, index}, copy.run});
+      }
+    }
+  }
+  return found;
 }
 
 void coordinator::CountCommitted() {
-  for (auto& [agent, worker] : workers_) {
+  for (const std::string& agent : jobs_.TakeChangedAgents()) {
+    worker_row& worker = WorkerOf(agent);
     worker.committed = {};
     worker.filling_cpu = 0;
     worker.serving = 0;
     worker.serving_cpu = 0;
     worker.slowed = 0;
     worker.serving_images.clear();
+    jobs_.VisitCopies(agent, [&](const task_place& place, const task_id&, const task_copy& copy) {
+      const step_spec& step = place.job->Spec(place.step);
+      worker.committed += Reserved(step);
+      if (step.fills) {
+        worker.filling_cpu += step.need.cpu_millis;
+        if (copy.slowed_since != core::mono_time{}) ++worker.slowed;
+      }
+      if (!step.lasting) return;
+      worker.serving_images.push_back(step.image);
+      ++worker.serving;
+      worker.serving_cpu += step.need.cpu_millis;
+    });
   }
-  ForEachCopy("", [&](const task_place& place, const task_id&, const task_copy& copy) {
-    worker_row& worker = WorkerOf(copy.agent);
-    const step_spec& step = place.job->Spec(place.step);
-    worker.committed += Reserved(step);
-    if (step.fills) {
-      worker.filling_cpu += step.need.cpu_millis;
-      if (copy.slowed_since != core::mono_time{}) ++worker.slowed;
-    }
-    if (!step.lasting) return;
-    worker.serving_images.push_back(step.image);
-    ++worker.serving;
-    worker.serving_cpu += step.need.cpu_millis;
-  });
 }
 
 void coordinator::StartPlanned() {
   CountCommitted();
   const core::mono_time now = time_.Now();
-  for (auto& [id, job] : jobs_.jobs()) {
-    job.held = !settled_ && job.admitted_revision < term_;
-    if (job.copies > 0) job.last_running = now;
+  for (const auto& [id, job] : jobs_.open()) {
+    job->held = !settled_ && job->admitted_revision < term_;
+    if (job->copies > 0) job->last_running = now;
   }
-  for (const planned_start& start : Plan(jobs_, workers_, risks_, now, options_.planner)) {
+  const start_plan plan = Plan(jobs_, workers_, risks_, now, options_.planner);
+  metrics_.GetCounter("coltsfoot_plan_workers_total").Add(plan.considered);
+  for (const planned_start& start : plan.starts) {
     const task_id id{start.job, 0, start.step, start.index};
     const auto place = jobs_.FindTask(id);
     worker_row& worker = workers_.at(start.agent);
--- a/libs/jobs/src/job_table.cc
+++ b/libs/jobs/src/job_table.cc
@@ -65,9 +65,26 @@
     first += step.count;
   }
   job.tasks.resize(first);
+  open_.emplace(job.id, &job);
   return job;
 }
 
+void job_table::Clear() {
+  open_.clear();
+  dirty_.clear();
+  suspects_.clear();
+  by_agent_.clear();
+  changed_agents_.clear();
+  jobs_.clear();
+}
+
+void job_table::Remove(const std::string& id) {
+  open_.erase(id);
+  dirty_.erase(id);
+  suspects_.erase(id);
+  jobs_.erase(id);
+}
+
 void job_table::Restore(job_row& job, const progress_record& stored, store::key_version version) {
   job.progress_version = version;
   job.state = stored.state;
@@ -78,6 +95,7 @@
     job.tasks[index].progress = stored.tasks[index];
   }
   CountSteps(job);
+  if (IsEnded(job.state)) open_.erase(job.id);
 }
 
 job_row* job_table::Find(std::string_view id) {
@@ -97,12 +115,22 @@
   return task_place{job, task.step, &job->tasks[job->steps[task.step].first_task + task.index]};
 }
 
+job_table::copy_place job_table::PlaceOf(const task_place& place, std::uint32_t run) {
+  const task_row* first = &place.job->tasks[place.job->steps[place.step].first_task];
+  return {place.job, place.step, static_cast<std::uint32_t>(place.task - first), run};
+}
+
 void job_table::AddCopy(const task_place& place, task_copy copy) {
   task_row& task = *place.task;
   if (task.copies.empty() && !task.progress.done) --place.job->steps[place.step].idle;
   task.progress.last_run = std::max(task.progress.last_run, copy.run);
+  by_agent_[copy.agent].push_back(PlaceOf(place, copy.run));
+  changed_agents_.insert(copy.agent);
   task.copies.push_back(std::move(copy));
   ++place.job->copies;
+  if (task.copies.size() > 1 || task.progress.done || IsEnded(place.job->state)) {
+    suspects_.emplace(place.job->id, place.job);
+  }
   if (place.job->state == job_state::queued) place.job->state = job_state::active;
 }
 
@@ -115,6 +143,8 @@
   if (copy == task.copies.end()) return std::nullopt;
   task_copy removed = std::move(*copy);
   task.copies.erase(copy);
+  std::erase(by_agent_[removed.agent], PlaceOf(place, run));
+  changed_agents_.insert(removed.agent);
   --place.job->copies;
   if (task.copies.empty() && !task.progress.done) ++place.job->steps[place.step].idle;
   return removed;
@@ -126,9 +156,13 @@
   job_row& job = *place.job;
   task.progress.done = true;
   task.progress.checkpoint.clear();
-  if (task.copies.empty()) --job.steps[place.step].idle;
+  if (task.copies.empty()) {
+    --job.steps[place.step].idle;
+  } else {
+    suspects_.emplace(job.id, &job);
+  }
   ++job.steps[place.step].done;
-  job.dirty = true;
+  MarkDirty(job);
   if (job.state == job_state::queued) job.state = job_state::active;
   for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
     if (job.steps[step].done != job.Spec(step).count) return;
@@ -142,7 +176,7 @@
   job_row& job = *place.job;
   if (job.Spec(place.step).lasting) return;
   failed.push_back(run);
-  job.dirty = true;
+  MarkDirty(job);
   if (job.state == job_state::queued) job.state = job_state::active;
   if (failed.size() >= job.queue.attempts && !place.task->progress.done && !IsEnded(job.state)) {
     End(job, job_state::failed, wall_ms);
@@ -166,7 +200,9 @@
 void job_table::End(job_row& job, job_state state, std::int64_t wall_ms) {
   job.state = state;
   job.ended_wall_ms = wall_ms;
-  job.dirty = true;
+  MarkDirty(job);
+  open_.erase(job.id);
+  if (job.copies > 0) suspects_.emplace(job.id, &job);
 }
 
 void job_table::CountSteps(job_row& job) {
--- a/libs/jobs/src/planner.cc
+++ b/libs/jobs/src/planner.cc
@@ -4,6 +4,7 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <tuple>
 #include <utility>
 
 namespace coltsfoot::jobs {
@@ -64,58 +65,108 @@
   return score;
 }
 
-/// @return the highest risk that the step's tasks make a serving task of the worker miss its goal.
-double HighestRisk(const worker_row& worker, const step_spec& step, const pair_risk& risks) {
-  double highest = 0;
-  for (const std::string& image : worker.serving_images) {
-    highest = std::max(highest, risks.Risk(image, step.image));
+/// What all steps of one plan share: the workers that take tasks, the risks of images beside them,
+/// and what was found to have no room, so that a long queue costs no more than a short one.
+class plan_pass {
+ public:
+  plan_pass(worker_table& workers, const pair_risk& risks, core::mono_time now,
+            const planner_options& options)
+      : risks_(risks), options_(options) {
+    for (auto& [agent, worker] : workers) {
+      if (TakesTasks(worker, worker.service, now)) by_service_[worker.service].push_back(&worker);
+    }
   }
-  return highest;
-}
 
-/// Filling tasks beyond the idle processors only slow each other down; a few late jobs are better
-/// than all jobs late.
-bool IsWorthFilling(const worker_row& worker, const step_spec& step, const pair_risk& risks,
-                    const planner_options& options) {
-  if (worker.serving > 0 &&
-      (worker.slowed > 0 || HighestRisk(worker, step, risks) > options.highest_risk)) {
-    return false;
+  const std::vector<worker_row*>& WorkersOf(const std::string& service) const {
+    static const std::vector<worker_row*> kNone;
+    const auto place = by_service_.find(service);
+    return place == by_service_.end() ? kNone : place->second;
   }
-  return worker.filling_cpu == 0 || 10 * IdleCpu(worker, options) >= 8 * step.need.cpu_millis;
-}
+
+  /// @return the highest risk that a filling image makes a serving task of the worker miss its
+  /// goal.
+  double HighestRisk(const worker_row& worker, const std::string& image) {
+    auto& known = highest_[image];
+    const auto [place, added] = known.try_emplace(&worker, 0.0);
+    if (!added) return place->second;
+    for (const std::string& serving : worker.serving_images) {
+      place->second = std::max(place->second, risks_.Risk(serving, image));
+    }
+    return place->second;
+  }
+
+  /// Notes that the serving images of a worker changed.
+  void ForgetRisks(const worker_row& worker) {
+    for (auto& [image, known] : highest_) known.erase(&worker);
+  }
+
+  /// Filling tasks beyond the idle processors only slow each other down; a few late jobs are
+  /// better than all jobs late.
+  bool IsWorthFilling(const worker_row& worker, const step_spec& step) {
+    if (worker.filling_cpu != 0 && 10 * IdleCpu(worker, options_) < 8 * step.need.cpu_millis) {
+      return false;
+    }
+    if (worker.serving == 0) return true;
+    return worker.slowed == 0 && HighestRisk(worker, step.image) <= options_.highest_risk;
+  }
+
+  /// @return true if a step that asks for no more was found to have no room.
+  bool IsFull(const job_row& job, const step_spec& step) const {
+    const auto place = full_.find(KindOf(job, step));
+    return place != full_.end() && place->second.FitsIn(step.need);
+  }
+
+  void NoteFull(const job_row& job, const step_spec& step) {
+    full_.insert_or_assign(KindOf(job, step), step.need);
+  }
+
+ private:
+  /// Service, label, filling image and urgency: what decides besides the need whether a task fits.
+  using step_kind = std::tuple<std::string, std::string, std::string, bool, bool>;
+
+  static step_kind KindOf(const job_row& job, const step_spec& step) {
+    return {job.queue.service, step.label, step.fills ? step.image : std::string(), step.fills,
+            job.queue.priority == 0};
+  }
+
+  const pair_risk& risks_;
+  const planner_options& options_;
+  std::map<std::string, std::vector<worker_row*>> by_service_;
+  std::map<std::string, std::map<const worker_row*, double>> highest_;
+  std::map<step_kind, core::resources> full_;
+};
 
 class step_placer {
  public:
-  step_placer(const open_step& open, worker_table& workers, const pair_risk& risks,
-              core::mono_time now, const planner_options& options)
+  step_placer(const open_step& open, plan_pass& pass, core::mono_time now,
+              const planner_options& options)
       : job_(*open.job),
         step_(open.step),
         spec_(open.job->Spec(open.step)),
         need_(Reserved(spec_)),
-        workers_(workers),
-        risks_(risks),
-        now_(now),
+        pass_(pass),
         options_(options) {
     const core::mono_time idle_since = std::max(job_.admitted_at, job_.last_running);
     starved_ = job_.copies == 0 && now - idle_since >= options.starved_after;
     if (spec_.max_per_worker > 0) counts_ = CountCopies(job_, step_);
   }
 
-  void Place(std::vector<planned_start>& out) {
+  void Place(start_plan& out) {
     const std::uint32_t first = job_.steps[step_].first_task;
     for (std::uint32_t index = 0; index < spec_.count; ++index) {
-      if (out.size() >= options_.max_starts) return;
+      if (out.starts.size() >= options_.max_starts) return;
       const task_row& task = job_.tasks[first + index];
       if (task.progress.done || !task.copies.empty()) continue;
+      if (!starved_ && pass_.IsFull(job_, spec_)) return;
       worker_row* worker = Choose(task.failed_on);
+      out.considered += pass_.WorkersOf(job_.queue.service).size();
       if (worker == nullptr) {
-        // A task that failed on the only worker with room may still find others; one that found
-        // no room means that its siblings find none either.
-        if (task.failed_on.empty()) return;
-        continue;
+        // A worker may have room but hold as many tasks of this step as it may.
+        if (!starved_ && spec_.max_per_worker == 0) pass_.NoteFull(job_, spec_);
+        return;
       }
       Commit(*worker);
-      out.push_back({job_.id, step_, index, worker->agent});
+      out.starts.push_back({job_.id, step_, index, worker->agent});
       starved_ = false;
     }
   }
@@ -124,16 +175,15 @@
   worker_row* Choose(const std::string& avoid) {
     worker_row* best = nullptr;
     std::int64_t best_score = std::numeric_limits<std::int64_t>::min();
-    for (auto& [agent, worker] : workers_) {
-      if (!TakesTasks(worker, job_.queue.service, now_)) continue;
-      if (!spec_.label.empty() && !worker.HasLabel(spec_.label)) continue;
-      if (!HasRoom(worker, need_, Headroom(worker))) continue;
-      if (spec_.fills && !starved_ && !IsWorthFilling(worker, spec_, risks_, options_)) continue;
-      if (spec_.max_per_worker > 0 && CountAt(agent) >= spec_.max_per_worker) continue;
-      std::int64_t score = Score(worker, spec_, options_);
-      if (agent == avoid) score -= kFailedHerePenalty;
+    for (worker_row* worker : pass_.WorkersOf(job_.queue.service)) {
+      if (!spec_.label.empty() && !worker->HasLabel(spec_.label)) continue;
+      if (!HasRoom(*worker, need_, Headroom(*worker))) continue;
+      if (spec_.fills && !starved_ && !pass_.IsWorthFilling(*worker, spec_)) continue;
+      if (spec_.max_per_worker > 0 && CountAt(worker->agent) >= spec_.max_per_worker) continue;
+      std::int64_t score = Score(*worker, spec_, options_);
+      if (worker->agent == avoid) score -= kFailedHerePenalty;
       if (score > best_score) {
-        best = &worker;
+        best = worker;
         best_score = score;
       }
     }
@@ -157,6 +207,7 @@
       ++worker.serving;
       worker.serving_images.push_back(spec_.image);
       worker.serving_cpu += spec_.need.cpu_millis;
+      pass_.ForgetRisks(worker);
     }
     if (spec_.max_per_worker > 0) ++counts_[worker.agent];
   }
@@ -169,9 +220,7 @@
   std::uint32_t step_;
   const step_spec& spec_;
   core::resources need_;
-  worker_table& workers_;
-  const pair_risk& risks_;
-  core::mono_time now_;
+  plan_pass& pass_;
   const planner_options& options_;
   copies_by_worker counts_;
   bool starved_ = false;  ///< the job's next task is placed wherever it has room
@@ -209,24 +258,25 @@
   return need;
 }
 
-std::vector<planned_start> Plan(const job_table& jobs, worker_table& workers,
-                                const pair_risk& risks, core::mono_time now,
-                                const planner_options& options) {
+start_plan Plan(const job_table& jobs, worker_table& workers, const pair_risk& risks,
+                core::mono_time now, const planner_options& options) {
   std::vector<open_step> open;
-  for (const auto& [id, job] : jobs.jobs()) {
-    if (IsEnded(job.state) || job.held) continue;
+  for (const auto& [id, job] : jobs.open()) {
+    if (job->held) continue;
     std::optional<job_rank> rank;
-    for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
-      if (job.steps[step].idle == 0 || !job.IsReleased(step)) continue;
-      if (!rank) rank = RankJob(job, now, options);
-      open.push_back({*rank, &job, step});
+    for (std::uint32_t step = 0; step < job->steps.size(); ++step) {
+      if (job->steps[step].idle == 0 || !job->IsReleased(step)) continue;
+      if (!rank) rank = RankJob(*job, now, options);
+      open.push_back({*rank, job, step});
     }
   }
   std::stable_sort(open.begin(), open.end(), [](const open_step& left, const open_step& right) {
     return left.rank < right.rank;
   });
-  std::vector<planned_start> out;
-  for (const open_step& each : open) step_placer(each, workers, risks, now, options).Place(out);
+  start_plan out;
+  if (open.empty()) return out;
+  plan_pass pass(workers, risks, now, options);
+  for (const open_step& each : open) step_placer(each, pass, now, options).Place(out);
   return out;
 }
 
@@ -294,9 +344,9 @@
 std::vector<planned_move> PlanMoves(const job_table& jobs, const worker_table& workers,
                                     core::mono_time now, const planner_options& options) {
   move_finder finder(workers, now, options);
-  for (const auto& [id, job] : jobs.jobs()) {
-    if (job.copies == 0 || IsEnded(job.state)) continue;
-    for (std::uint32_t step = 0; step < job.steps.size(); ++step) finder.Visit(job, step);
+  for (const auto& [id, job] : jobs.open()) {
+    if (job->copies == 0) continue;
+    for (std::uint32_t step = 0; step < job->steps.size(); ++step) finder.Visit(*job, step);
   }
   return finder.Take();
 }
--- a/libs/jobs/src/progress_writer.cc
+++ b/libs/jobs/src/progress_writer.cc
@@ -53,24 +53,18 @@
 }
 
 void progress_writer::Write(job_table& jobs, worker_table& workers) {
-  auto next = std::make_shared<batch>();
-  next->term = term_;
-  store::transaction writes;
-  writes.expect.push_back({std::string(kLeaderKey), term_});
+  std::vector<job_row*> due;
   bool whole = true;
   bool urgent = false;
-  for (auto& [id, job] : jobs.jobs()) {
-    if (!job.dirty) continue;
-    if (next->records.size() >= kMaxJobsPerBatch) {
+  for (const auto& [id, job] : jobs.dirty()) {
+    if (due.size() >= kMaxJobsPerBatch) {
       whole = false;
       break;
     }
-    urgent = urgent || (IsEnded(job.state) && job.stored_state != job.state);
-    next->records.push_back({id, job_table::Progress(job)});
-    writes.expect.push_back({ProgressKey(id), job.progress_version});
-    writes.puts.push_back({ProgressKey(id), wire::EncodeValue(next->records.back().progress), 0});
+    urgent = urgent || (IsEnded(job->state) && job->stored_state != job->state);
+    due.push_back(job);
   }
-  if (next->records.empty()) {
+  if (due.empty()) {
     dirty_since_set_ = false;
     for (auto& [agent, worker] : workers) {
       if (worker.stored_end == worker.processed_end) continue;
@@ -83,12 +77,22 @@
   if (!std::exchange(dirty_since_set_, true)) first_dirty_ = now;
   if (!urgent && whole && now - first_dirty_ < kBatchDelay) return;
   dirty_since_set_ = false;
+  auto next = std::make_shared<batch>();
+  next->term = term_;
+  store::transaction writes;
+  writes.expect.push_back({std::string(kLeaderKey), term_});
+  for (job_row* job : due) {
+    next->records.push_back({job->id, job_table::Progress(*job)});
+    writes.expect.push_back({ProgressKey(job->id), job->progress_version});
+    writes.puts.push_back(
+        {ProgressKey(job->id), wire::EncodeValue(next->records.back().progress), 0});
+    jobs.ClearDirty(*job);
+  }
   if (whole) {
     for (const auto& [agent, worker] : workers) {
       next->ends.emplace(agent, std::pair{worker.life, worker.processed_end});
     }
   }
-  for (const auto& record : next->records) jobs.Find(record.job)->dirty = false;
   in_flight_ = next;
   metrics_.GetCounter("coltsfoot_progress_writes_total").Add();
   storage_.Commit(std::move(writes),
@@ -118,7 +122,7 @@
     return;
   }
   for (const auto& record : written->records) {
-    if (job_row* job = jobs_->Find(record.job)) job->dirty = true;
+    if (job_row* job = jobs_->Find(record.job)) jobs_->MarkDirty(*job);
   }
   retry_at_ = time_.Now() + kRetryDelay;
   if (result.status == store::kv_status::conflict) {
--- /dev/null
+++ b/libs/jobs/tests/job_table_test.cc
@@ -0,0 +1,103 @@
+#include "jobs/job_table.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fixture.h"
+
+namespace coltsfoot::jobs {
+namespace {
+
+constexpr int kJobs = 3;
+constexpr std::uint32_t kTasks = 4;
+constexpr int kAgents = 3;
+
+std::string AgentName(int index) { return "w" + std::to_string(index); }
+
+job_row& AddJob(job_table& table, const std::string& id) {
+  job_record record;
+  record.queue = "q";
+  record.service = "svc";
+  record.spec.steps = {testing::TestStep(kTasks, 1000)};
+  return table.Add(id, std::move(record), 1, {});
+}
+
+using run_set = std::set<std::pair<std::string, std::uint32_t>>;
+
+run_set RunsAt(job_table& table, const std::string& agent) {
+  run_set found;
+  table.VisitCopies(agent, [&](const task_place& place, const task_id& id, const task_copy& copy) {
+    CHECK(&place.job->tasks[id.index] == place.task);
+    found.emplace(ToString(id), copy.run);
+  });
+  return found;
+}
+
+}  // namespace
+
+// Guards against capacity that is counted wrongly: what an agent has committed is summed over the
+// index.
+TEST_CASE("the index by agent agrees with the copies of all tasks") {
+  const bool holds = rc::check([] {
+    job_table table;
+    std::vector<std::string> ids;
+    for (int job = 0; job < kJobs; ++job) {
+      ids.push_back("j" + std::to_string(job));
+      AddJob(table, ids.back());
+    }
+    std::map<std::string, run_set> expected;
+    std::uint32_t next_run = 1;
+    for (int round = 0; round < 60; ++round) {
+      const task_id id{ids[static_cast<std::size_t>(*rc::gen::inRange(0, kJobs))], 0, 0,
+                       *rc::gen::inRange<std::uint32_t>(0, kTasks)};
+      const auto place = table.FindTask(id);
+      const std::string agent = AgentName(*rc::gen::inRange(0, kAgents));
+      if (*rc::gen::inRange(0, 2) == 0) {
+        table.AddCopy(*place, {.agent = agent, .run = next_run});
+        expected[agent].emplace(ToString(id), next_run++);
+      } else if (!place->task->copies.empty()) {
+        const task_copy copy = place->task->copies.front();
+        table.RemoveCopy(*place, copy.agent, copy.run);
+        expected[copy.agent].erase({ToString(id), copy.run});
+      }
+    }
+    for (int agent = 0; agent < kAgents; ++agent) {
+      RC_ASSERT(RunsAt(table, AgentName(agent)) == expected[AgentName(agent)]);
+    }
+  });
+  CHECK(holds);
+}
+
+// Guards against work that nobody needs any more and that runs on.
+TEST_CASE("a job whose copies are not needed any more is a suspect until they are gone") {
+  job_table table;
+  job_row& job = AddJob(table, "j");
+  const auto place = table.FindTask({"j", 0, 0, 0});
+  table.AddCopy(*place, {.agent = "w0", .run = 1});
+  CHECK(table.suspects().empty());
+  SUBCASE("the job ends") { table.Cancel(job, 5); }
+  SUBCASE("the task is done elsewhere") { table.MarkDone(*place, 5); }
+  SUBCASE("the task has two copies") { table.AddCopy(*place, {.agent = "w1", .run = 2}); }
+  CHECK(table.suspects().contains("j"));
+}
+
+TEST_CASE("ended jobs leave the open ones and changed jobs wait to be stored") {
+  job_table table;
+  job_row& job = AddJob(table, "j");
+  CHECK(table.open().contains("j"));
+  CHECK(table.dirty().empty());
+  table.Cancel(job, 5);
+  CHECK(table.open().empty());
+  CHECK(table.dirty().contains("j"));
+  table.ClearDirty(job);
+  CHECK(table.dirty().empty());
+}
+
+}  // namespace coltsfoot::jobs
--- a/libs/jobs/tests/planner_test.cc
+++ b/libs/jobs/tests/planner_test.cc
@@ -42,7 +42,8 @@
     return job;
   }
 
-  std::vector<planned_start> Run() { return Plan(jobs, workers, risks, time.Now(), options); }
+  std::vector<planned_start> Run() { return PlanOnce().starts; }
+  start_plan PlanOnce() { return Plan(jobs, workers, risks, time.Now(), options); }
 
   core::manual_clock time;
   job_table jobs;
@@ -293,4 +294,25 @@
   CHECK(risks.Risk("s", "harmless") < risks.Risk("s", "harmful") / 2);
 }
 
+// Guards against a coordinator that loses its lease because a long queue takes all its processor
+// time: a host with a tenth of a core plans hundreds of times a second.
+TEST_CASE("a plan for a full fleet costs the same for a long queue as for a short one") {
+  constexpr int kWorkers = 50;
+  tables fleet(kWorkers);
+  for (auto& [agent, worker] : fleet.workers) {
+    worker.committed.cpu_millis = 10'000;
+    worker.serving = 3;
+    worker.serving_cpu = 10'000;
+    worker.filling_cpu = 16'000;
+    worker.serving_images = {"s", "s", "s"};
+  }
+  for (int job = 0; job < 400; ++job) {
+    fleet.Add("filling" + std::to_string(job), {FillingStep(8, 1800)});
+    fleet.Add("wide" + std::to_string(job), {TestStep(8, 7000)});
+  }
+  const start_plan plan = fleet.PlanOnce();
+  CHECK(plan.starts.empty());
+  CHECK(plan.considered <= 4 * kWorkers);
+}
+
 }  // namespace coltsfoot::jobs
