Plan the pace of filling tasks from learned pressures and forecasts

Cause: filling tasks were stopped after a serving task had missed its goal and came back into the next miss. All tasks of a job see the same load, which swings within ten seconds.

Now jobs::headroom_model estimates the pressure of each pair and the base of each group with its slope. The coordinator learns from all workers, places filling tasks where they take least at the peak of the load, keeps serving tasks of one image together and tells agents the pressures; the pacer gives each image the share that fits the expected headroom. pair_risk is gone.

Also: entries register their host's processors, weaker hosts let stronger ones stand first and hand the leadership over to one that is much stronger.

Tests: two cases spoke of one probability for each pair, which does not exist any more. "one missed reading stops nothing" became "an image that takes nothing runs through peaks of the load", with higher peaks and both images at full pace throughout; "a harmless image is cleared" became a case that tells two images apart by value under a swinging load. "the image that is known to harm" shows the harmless image with and without readings beside it, because a constant use cannot be told from the base.

--- a/libs/jobs/include/jobs/coordinator.h
+++ b/libs/jobs/include/jobs/coordinator.h
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "core/clock.h"
+#include "jobs/headroom_model.h"
 #include "jobs/job_table.h"
 #include "jobs/messages.h"
-#include "jobs/pair_risk.h"
 #include "jobs/planner.h"
 #include "jobs/progress_writer.h"
 #include "jobs/queue_catalogue.h"
@@ -103,7 +103,10 @@
   void ApplyEnds(worker_row& worker, const worker_report& report);
   void ApplyEnd(worker_row& worker, const ended_run& end);
   void Reconcile(worker_row& worker, const worker_report& report);
-  void LearnRisks(const worker_report& report);
+  /// Learns from readings how filling and serving tasks get along.
+  void LearnPressures(worker_row& worker, const worker_report& report);
+  /// @return what changed of the pressures that the agent needs.
+  std::vector<pair_pressure> ChangedPressures(worker_row& worker) const;
   void AdoptRunning(worker_row& worker, const running_task& listed);
   void AdoptStarting(worker_row& worker, const run_id& listed);
   void Adopt(worker_row& worker, const task_place& place, const run_id& run, bool running);
@@ -142,7 +145,7 @@
   std::shared_ptr<const queue_catalogue> queues_;
   job_table jobs_;
   worker_table workers_;
-  pair_risk risks_;
+  headroom_model pressures_;
   progress_writer progress_;
   std::set<std::string> early_cancels_;  ///< cancellations that arrived before their job
   std::map<std::string, worker_orders> orders_;
--- a/libs/jobs/include/jobs/leadership.h
+++ b/libs/jobs/include/jobs/leadership.h
@@ -19,6 +19,15 @@
 struct leadership_options {
   std::string entry;    ///< id of this entry
   std::string address;  ///< IP:PORT for other entries
+  /// Processors of this host, in thousandths of one.
+  std::uint32_t processor_millis = 1000;
+  /// Share of another host's processors, in thousandths, below which this one is the weaker.
+  std::uint32_t weaker_permille = 600;
+  /// Time by which entries on weaker hosts let others stand first.
+  core::milliseconds weaker_delay{250};
+  /// Time for which a stronger entry follows a weaker one before it offers to coordinate, and for
+  /// which a coordinator declines.
+  core::milliseconds offer_after{3000};
   core::milliseconds lease_ttl{2000};
   core::milliseconds renew_period{500};
   /// How long after its lease a coordinator without contact to the store goes on extending leases.
@@ -40,6 +49,8 @@
     std::function<void(const term_start&)> on_elected;
     std::function<void()> on_deposed;
     std::function<void(const store::key_change&)> on_inbox_change;
+    /// The coordinating entry is on a weaker host; it should be offered to take over from.
+    std::function<void(std::uint32_t processor_millis)> on_offer;
   };
 
   leadership(leadership_options options, const core::clock& time, core::random_source& random,
@@ -54,6 +65,9 @@
   void Resign();
   /// Gives the leadership up because another coordinator exists.
   void Depose();
+  /// Hands the leadership over if the host that offers to lead is much stronger.
+  /// @return true if it was handed over.
+  bool Consider(std::uint32_t processor_millis);
 
   bool leading() const noexcept { return role_ == role::leading; }
   /// @return true while no other coordinator can exist.
@@ -70,7 +84,12 @@
   void Look();
   void OnLeaderEntry(const std::optional<store::kv_entry>& entry);
   void Watch();
+  void Register();
+  /// Stands for election, after entries on stronger hosts had the time to.
+  void StandInTurn();
   void Stand(store::key_version present);
+  void OfferToLead();
+  bool IsWeakerThan(std::uint32_t own, std::uint32_t other) const;
   void Claim(store::key_version present, store::lease_id lease, core::mono_time granted);
   void OnClaimed(const store::commit_result& result, store::lease_id lease,
                  core::mono_time granted);
@@ -97,6 +116,12 @@
   std::uint64_t leader_version_ = 0;
   std::uint64_t watched_from_ = 0;
   core::mono_time look_at_;
+  bool registered_ = false;
+  bool registering_ = false;
+  core::mono_time register_at_;
+  bool gave_way_ = false;     ///< others had the time to stand first
+  core::mono_time offer_at_;  ///< when to offer to lead; zero: the leader is no weaker
+  core::mono_time elected_at_;
   bool looking_ = false;
   std::uint64_t term_ = 0;
   store::lease_id lease_ = 0;
--- a/libs/jobs/include/jobs/messages.h
+++ b/libs/jobs/include/jobs/messages.h
@@ -133,6 +133,19 @@
   }
 };
 
+/// What filling tasks of an image take from serving tasks of another; see `headroom_model`.
+struct pair_pressure {
+  std::string victim;
+  std::string image;
+  float mean = 0;
+  float variance = 0;
+  bool operator==(const pair_pressure&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(victim, image, mean, variance);
+  }
+};
+
 /// Coordinator to agent: extends the lease of what the target runs, counted from `echo_ms`, and
 /// confirms ends that are stored.
 struct lease_grant {
@@ -140,11 +153,12 @@
   std::uint64_t term = 0;
   std::int64_t echo_ms = 0;
   target_life life;
-  std::uint64_t stored_end = 0;  ///< ends of `life` up to this number are stored
+  std::uint64_t stored_end = 0;          ///< ends of `life` up to this number are stored
+  std::vector<pair_pressure> pressures;  ///< that changed, of images at this worker
   bool operator==(const lease_grant&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(term, echo_ms, life, stored_end);
+    archive(term, echo_ms, life, stored_end, pressures);
   }
 };
 
@@ -196,6 +210,7 @@
   count_waiting,  ///< number of waiting jobs of a queue
   store_job,      ///< store a job for an entry that cannot reach the store
   store_cancel,   ///< store a cancellation for such an entry
+  offer_lead,     ///< an entry on a stronger host offers to coordinate
 };
 
 /// Entry to the coordinating entry.
@@ -205,14 +220,16 @@
   query_kind kind = query_kind::show;
   std::string queue;
   std::string job;
-  std::string record;                ///< encoded job to store
-  std::string config_key;            ///< key of the configuration that the job was decided under
-  std::uint64_t config_version = 0;  ///< its version
-  std::uint32_t time_left_ms = 0;    ///< until the caller stops waiting
+  std::string record;                  ///< encoded job to store
+  std::string config_key;              ///< key of the configuration that the job was decided under
+  std::uint64_t config_version = 0;    ///< its version
+  std::uint32_t time_left_ms = 0;      ///< until the caller stops waiting
+  std::uint32_t processor_millis = 0;  ///< of the entry that offers to coordinate
   bool operator==(const job_query&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(number, kind, queue, job, record, config_key, config_version, time_left_ms);
+    archive(number, kind, queue, job, record, config_key, config_version, time_left_ms,
+            processor_millis);
   }
 };
 
--- a/libs/jobs/include/jobs/planner.h
+++ b/libs/jobs/include/jobs/planner.h
@@ -2,11 +2,12 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/clock.h"
+#include "jobs/headroom_model.h"
 #include "jobs/job_table.h"
-#include "jobs/pair_risk.h"
 #include "jobs/worker_table.h"
 
 /// Decides which waiting tasks start where. Plain code over tables: no network, no wall clock.
@@ -23,14 +24,19 @@
   double worthless_factor = 3.0;
   /// Share of their processors, in thousandths, that lasting tasks use on average. Filling tasks
   /// get the rest.
-  std::int64_t serving_use_permille = 550;
+  std::int64_t serving_use_permille = 500;
   /// Time with nothing running after which a job gets one filling task placed, idle processors or
   /// not, so that a steady load does not shut late jobs out.
   core::milliseconds starved_after{6000};
-  /// Probability to make a serving task miss its goal above which a filling task goes elsewhere.
-  double highest_risk = 0.35;
+  /// Share of a serving task's headroom at its highest load that filling tasks beside it may take.
+  double highest_pressure = 1.0;
+  /// Time with nothing running after which a job's filling tasks may take headroom that the present
+  /// load leaves; agents slow them when the load rises.
+  core::milliseconds relaxed_after{1500};
+  /// Share of the headroom at the present load that they may take then.
+  double highest_present_pressure = 0.6;
   /// Pace of a filling task, in percent, below which it counts as slowed down.
-  std::uint32_t least_pace = 70;
+  std::uint32_t least_pace = 50;
   /// Time for which filling tasks are slowed down before they are moved to idle processors.
   core::milliseconds move_slowed_after{1000};
   /// Time without progress after which a task counts as stuck.
@@ -57,6 +63,7 @@
 /// Order of a job's tasks among those of other jobs; smaller comes first.
 struct job_rank {
   std::uint32_t priority = 0;
+  bool lasting = false;        ///< tasks that do not leave again wait for those that do
   std::uint32_t lateness = 0;  ///< 0: can meet its objective, 1: late but of use, 2: too late
   std::int64_t work_ms = 0;    ///< estimated processor time that is left
   auto operator<=>(const job_rank&) const = default;
@@ -68,12 +75,15 @@
 /// @return true if the worker takes new tasks of this service.
 bool TakesTasks(const worker_row& worker, std::string_view service, core::mono_time now);
 
+/// @return the name under which the load of a step's tasks is known.
+std::string GroupOf(std::string_view job, std::uint32_t step);
+
 /// What a task of this step takes of a worker's capacity.
 core::resources Reserved(const step_spec& step);
 
 /// Plans starts for all released tasks without a copy, best rank first.
 /// @param workers is changed: planned starts are added to what is committed.
-start_plan Plan(const job_table& jobs, worker_table& workers, const pair_risk& risks,
+start_plan Plan(const job_table& jobs, worker_table& workers, const headroom_model& model,
                 core::mono_time now, const planner_options& options);
 
 /// Why a running task is stopped to start again elsewhere.
@@ -96,8 +106,9 @@
 /// Plans moves of filling tasks that are slowed down while processors elsewhere are idle, and of
 /// tasks that stand still.
 /// @param workers with what is committed after `Plan`.
-std::vector<planned_move> PlanMoves(const job_table& jobs, const worker_table& workers,
-                                    core::mono_time now, const planner_options& options);
+std::vector<planned_move> PlanMoves(const job_table& jobs, worker_table& workers,
+                                    const headroom_model& model, core::mono_time now,
+                                    const planner_options& options);
 
 /// State of the fleet at one moment, for logs.
 struct fleet_summary {
--- a/libs/jobs/include/jobs/records.h
+++ b/libs/jobs/include/jobs/records.h
@@ -17,6 +17,7 @@
 inline constexpr std::string_view kJobPrefix = "coltsfoot/in/job/";
 inline constexpr std::string_view kCancelPrefix = "coltsfoot/in/cancel/";
 inline constexpr std::string_view kAgentPrefix = "coltsfoot/in/agent/";
+inline constexpr std::string_view kEntryPrefix = "coltsfoot/entry/";
 inline constexpr std::string_view kProgressPrefix = "coltsfoot/progress/";
 
 /// An accepted job. Never changes. The values of its queue are those at that time; they hold where
@@ -68,10 +69,21 @@
   std::string entry;        ///< id of the entry that coordinates
   std::string address;      ///< IP:PORT for other entries
   std::uint64_t nonce = 0;  ///< differs for each start of the entry
+  std::uint32_t processor_millis = 0;
   bool operator==(const leader_record&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(entry, address, nonce);
+    archive(entry, address, nonce, processor_millis);
+  }
+};
+
+/// What the entries know of each other before one of them stands for election.
+struct entry_record {
+  std::uint32_t processor_millis = 0;  ///< of the host, in thousandths of a processor
+  bool operator==(const entry_record&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(processor_millis);
   }
 };
 
@@ -79,6 +91,7 @@
 std::string CancelKey(std::string_view job);
 std::string ProgressKey(std::string_view job);
 std::string AgentKey(std::string_view agent);
+std::string EntryKey(std::string_view entry);
 
 /// @return the part of `key` after `prefix`, or nothing if it does not begin with it.
 std::optional<std::string> KeySuffix(std::string_view key, std::string_view prefix);
--- a/libs/jobs/include/jobs/worker_table.h
+++ b/libs/jobs/include/jobs/worker_table.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/clock.h"
@@ -31,8 +32,11 @@
   std::uint32_t serving = 0;     ///< lasting copies
   std::int64_t serving_cpu = 0;  ///< thousandths of a processor committed to lasting copies
   std::uint32_t slowed = 0;      ///< filling copies that the agent slows down
-  /// Images of the lasting copies, and of the filling ones with the processors that they use.
-  std::vector<std::string> serving_images;
+  std::map<std::string, std::string> serving_groups;  ///< of lasting copies: group to image
+  std::map<std::string, double> filling_cores;        ///< wanted by filling copies, by image
+  core::mono_time observed_at;                        ///< when its readings were last learned from
+  /// Pressures that the agent was told, by victim and image.
+  std::map<std::pair<std::string, std::string>, float> sent_pressures;
   core::mono_time lease_bound;  ///< all that runs here has lapsed by then
   std::uint64_t next_order = 1;
   std::uint64_t processed_end = 0;  ///< ends of `life` that are in the job table
--- a/libs/jobs/src/coordinator.cc
+++ b/libs/jobs/src/coordinator.cc
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "jobs/records.h"
@@ -19,6 +20,11 @@
 constexpr core::milliseconds kSummaryPeriod{2000};
 // A stop takes up to half a second to show in the lists.
 constexpr core::milliseconds kMovePeriod{500};
+constexpr core::milliseconds kReadingPeriod{300};
+// Progress in percent of a lasting task that is at work.
+constexpr std::uint32_t kAtWork = 100;
+// Change of a pressure that an agent is told.
+constexpr float kPressureChange = 0.04F;
 // One stuck task may be its own fault; several at a time are the worker's.
 constexpr int kStuckToAvoid = 2;
 // Removing a job takes three entries of a transaction.
@@ -91,7 +97,7 @@
   jobs_.Clear();
   workers_.clear();
   early_cancels_.clear();
-  risks_.Clear();
+  pressures_.Clear();
   orders_.clear();
   agents_.ForgetAll();
 }
@@ -169,6 +175,7 @@
 void coordinator::OnAgentConnected(const std::string& agent) {
   worker_row& worker = WorkerOf(agent);
   worker.connected = true;
+  worker.sent_pressures.clear();
   worker.next_order = 1;
   worker.resend = true;
 }
@@ -304,26 +311,52 @@
   worker.foreign = 0;
   jobs_.MarkAgentChanged(worker.agent);
   for (const running_task& listed : report.running) AdoptRunning(worker, listed);
-  LearnRisks(report);
+  LearnPressures(worker, report);
   for (const run_id& listed : report.starting) AdoptStarting(worker, listed);
   DropRefused(worker, report);
   DropMissing(worker, report);
 }
 
-void coordinator::LearnRisks(const worker_report& report) {
-  std::vector<filling_use> beside;
+void coordinator::LearnPressures(worker_row& worker, const worker_report& report) {
+  const core::mono_time now = time_.Now();
+  // Readings cover half a second; more reports in that time say the same again.
+  if (now - worker.observed_at < kReadingPeriod) return;
+  worker.observed_at = now;
+  std::map<std::string, double> cores;
   for (const running_task& listed : report.running) {
     const auto place = jobs_.FindTask(listed.task);
     if (!place || !place->job->Spec(place->step).fills) continue;
-    beside.push_back({place->job->Spec(place->step).image, listed.reading / 1000.0});
+    cores[place->job->Spec(place->step).image] += listed.reading / 1000.0;
   }
+  std::vector<filling_use> beside;
+  for (const auto& [image, used] : cores) beside.push_back({image, used});
   for (const running_task& listed : report.running) {
     const auto place = jobs_.FindTask(listed.task);
-    if (!place || place->job->Spec(place->step).goal_ms == 0) continue;
+    if (!place || listed.progress < kAtWork) continue;
     const step_spec& step = place->job->Spec(place->step);
-    risks_.Observe(step.image, static_cast<double>(listed.reading) / step.goal_ms, beside,
-                   time_.Now());
+    if (step.goal_ms == 0) continue;
+    pressures_.Observe({.group = GroupOf(listed.task.job, listed.task.step),
+                        .image = step.image,
+                        .tail_ms = listed.reading,
+                        .goal_ms = step.goal_ms},
+                       beside, now);
+  }
+}
+
+std::vector<pair_pressure> coordinator::ChangedPressures(worker_row& worker) const {
+  std::vector<pair_pressure> changed;
+  for (const auto& [group, victim] : worker.serving_groups) {
+    for (const auto& [image, cores] : worker.filling_cores) {
+      if (!pressures_.Knows(victim, image)) continue;
+      const pressure known = pressures_.PressureOf(victim, image);
+      const auto mean = static_cast<float>(known.mean);
+      const auto [sent, added] = worker.sent_pressures.try_emplace({victim, image}, mean);
+      if (!added && std::abs(sent->second - mean) < kPressureChange) continue;
+      sent->second = mean;
+      changed.push_back({victim, image, mean, static_cast<float>(known.variance)});
+    }
   }
+  return changed;
 }
 
 void coordinator::AdoptRunning(worker_row& worker, const running_task& listed) {
@@ -448,7 +481,8 @@
   agents_.Send(worker.agent, lease_grant{.term = term_,
                                          .echo_ms = report.sent_ms,
                                          .life = report.life,
-                                         .stored_end = worker.stored_end});
+                                         .stored_end = worker.stored_end,
+                                         .pressures = ChangedPressures(worker)});
 }
 
 void coordinator::Tick() {
@@ -535,19 +569,22 @@
     worker.serving = 0;
     worker.serving_cpu = 0;
     worker.slowed = 0;
-    worker.serving_images.clear();
-    jobs_.VisitCopies(agent, [&](const task_place& place, const task_id&, const task_copy& copy) {
-      const step_spec& step = place.job->Spec(place.step);
-      worker.committed += Reserved(step);
-      if (step.fills) {
-        worker.filling_cpu += step.need.cpu_millis;
-        if (copy.slowed_since != core::mono_time{}) ++worker.slowed;
-      }
-      if (!step.lasting) return;
-      worker.serving_images.push_back(step.image);
-      ++worker.serving;
-      worker.serving_cpu += step.need.cpu_millis;
-    });
+    worker.serving_groups.clear();
+    worker.filling_cores.clear();
+    jobs_.VisitCopies(
+        agent, [&](const task_place& place, const task_id& id, const task_copy& copy) {
+          const step_spec& step = place.job->Spec(place.step);
+          worker.committed += Reserved(step);
+          if (step.fills) {
+            worker.filling_cpu += step.need.cpu_millis;
+            worker.filling_cores[step.image] += static_cast<double>(step.need.cpu_millis) / 1000.0;
+            if (copy.slowed_since != core::mono_time{}) ++worker.slowed;
+          }
+          if (!step.lasting) return;
+          worker.serving_groups.emplace(GroupOf(id.job, id.step), step.image);
+          ++worker.serving;
+          worker.serving_cpu += step.need.cpu_millis;
+        });
   }
 }
 
@@ -558,7 +595,7 @@
     job->held = !settled_ && job->admitted_revision < term_;
     if (job->copies > 0) job->last_running = now;
   }
-  const start_plan plan = Plan(jobs_, workers_, risks_, now, options_.planner);
+  const start_plan plan = Plan(jobs_, workers_, pressures_, now, options_.planner);
   metrics_.GetCounter("coltsfoot_plan_workers_total").Add(plan.considered);
   for (const planned_start& start : plan.starts) {
     const task_id id{start.job, 0, start.step, start.index};
@@ -586,7 +623,7 @@
   if (now < next_move_) return;
   next_move_ = now + kMovePeriod;
   std::map<std::string, int> stuck;
-  for (const planned_move& move : PlanMoves(jobs_, workers_, now, options_.planner)) {
+  for (const planned_move& move : PlanMoves(jobs_, workers_, pressures_, now, options_.planner)) {
     const auto place = jobs_.FindTask(move.run.task);
     if (!place) continue;
     for (task_copy& copy : place->task->copies) {
@@ -643,6 +680,7 @@
   const core::mono_time now = time_.Now();
   if (now < next_cleanup_) return;
   next_cleanup_ = now + kCleanupPeriod;
+  pressures_.ForgetGroups(now);
   const std::int64_t wall_ms = time_.WallNow().time_since_epoch().count();
   std::vector<std::string> old;
   for (const auto& [id, job] : jobs_.jobs()) {
--- a/libs/jobs/src/leadership.cc
+++ b/libs/jobs/src/leadership.cc
@@ -15,6 +15,8 @@
 constexpr core::milliseconds kLeaderWatch{1500};
 constexpr core::milliseconds kInboxWatch{1000};
 constexpr core::milliseconds kRetryDelay{150};
+// Pause of an entry that handed the leadership over before it looks for a leader again.
+constexpr core::milliseconds kYieldPause{500};
 // The lease runs from the arrival of the renewal at the store, which is after it was sent; the
 // margin covers a clock that runs fast.
 constexpr core::milliseconds kLeaseMargin{100};
@@ -76,9 +78,11 @@
 void leadership::OnLeaderEntry(const std::optional<store::kv_entry>& entry) {
   if (!entry) {
     leader_.reset();
-    Stand(0);
+    offer_at_ = {};
+    StandInTurn();
     return;
   }
+  gave_way_ = false;
   core::last_error error;
   const auto record = wire::DecodeValue<leader_record>(entry->value, error);
   if (!record) {
@@ -95,6 +99,11 @@
   if (leader_ != record) {
     spdlog::info("event=leader_seen leader={} term={}", record->entry, entry->version);
   }
+  if (!IsWeakerThan(record->processor_millis, options_.processor_millis)) {
+    offer_at_ = {};
+  } else if (leader_ != record || offer_at_ == core::mono_time{}) {
+    offer_at_ = time_.Now() + options_.offer_after;
+  }
   leader_ = *record;
   leader_version_ = entry->version;
   watched_from_ = entry->version;
@@ -117,6 +126,71 @@
                         }));
 }
 
+bool leadership::IsWeakerThan(std::uint32_t own, std::uint32_t other) const {
+  return std::uint64_t{own} * 1000 < std::uint64_t{other} * options_.weaker_permille;
+}
+
+void leadership::Register() {
+  registering_ = true;
+  store::transaction writes;
+  writes.puts.push_back(
+      {EntryKey(options_.entry), wire::EncodeValue(entry_record{options_.processor_millis}), 0});
+  storage_.Commit(std::move(writes),
+                  [this, alive = std::weak_ptr<int>(alive_)](const store::commit_result& result) {
+                    if (alive.expired()) return;
+                    registering_ = false;
+                    registered_ = result.status == store::kv_status::ok;
+                    register_at_ = time_.Now() + kRetryDelay;
+                  });
+}
+
+void leadership::StandInTurn() {
+  if (std::exchange(gave_way_, true)) {
+    Stand(0);
+    return;
+  }
+  storage_.ReadAll(std::string(kEntryPrefix),
+                   Guard<store::range_result>([this](const store::range_result& entries) {
+                     std::uint32_t strongest = 0;
+                     for (const store::kv_entry& each : entries.entries) {
+                       core::last_error error;
+                       const auto known = wire::DecodeValue<entry_record>(each.value, error);
+                       if (known) strongest = std::max(strongest, known->processor_millis);
+                     }
+                     if (!IsWeakerThan(options_.processor_millis, strongest)) {
+                       Stand(0);
+                       return;
+                     }
+                     spdlog::info("event=election_left_to_stronger own={} strongest={}",
+                                  options_.processor_millis, strongest);
+                     LookAgainIn(options_.weaker_delay);
+                   }));
+}
+
+void leadership::OfferToLead() {
+  offer_at_ = time_.Now() + options_.offer_after;
+  if (callbacks_.on_offer) callbacks_.on_offer(options_.processor_millis);
+}
+
+bool leadership::Consider(std::uint32_t processor_millis) {
+  if (role_ != role::leading || !IsWeakerThan(options_.processor_millis, processor_millis)) {
+    return false;
+  }
+  // A fleet that was just taken over is not handed on at once.
+  if (time_.Now() < elected_at_ + options_.offer_after || !MayStart()) return false;
+  spdlog::info("event=leadership_handed_over term={} own={} stronger={}", term_,
+               options_.processor_millis, processor_millis);
+  const store::lease_id lease = std::exchange(lease_, 0);
+  role_ = role::following;
+  ++epoch_;
+  retry_inbox_from_ = 0;
+  leader_.reset();
+  callbacks_.on_deposed();
+  storage_.EndLease(lease, [](const store::lease_result&) {});
+  LookAgainIn(kYieldPause);
+  return true;
+}
+
 void leadership::Stand(store::key_version present) {
   role_ = role::standing;
   ++epoch_;
@@ -137,8 +211,10 @@
   writes.expect.push_back({std::string(kLeaderKey), present});
   writes.puts.push_back(
       {std::string(kLeaderKey),
-       wire::EncodeValue(
-           leader_record{.entry = options_.entry, .address = options_.address, .nonce = nonce_}),
+       wire::EncodeValue(leader_record{.entry = options_.entry,
+                                       .address = options_.address,
+                                       .nonce = nonce_,
+                                       .processor_millis = options_.processor_millis}),
        lease});
   storage_.Commit(std::move(writes),
                   Guard<store::commit_result>([this, lease, granted](store::commit_result result) {
@@ -161,7 +237,13 @@
   lease_ = lease;
   valid_until_ = granted + options_.lease_ttl - kLeaseMargin;
   renew_at_ = time_.Now() + options_.renew_period;
-  leader_ = leader_record{.entry = options_.entry, .address = options_.address, .nonce = nonce_};
+  leader_ = leader_record{.entry = options_.entry,
+                          .address = options_.address,
+                          .nonce = nonce_,
+                          .processor_millis = options_.processor_millis};
+  elected_at_ = time_.Now();
+  offer_at_ = {};
+  gave_way_ = false;
   leader_version_ = term;
   role_ = role::loading;
   load_at_.reset();
@@ -250,8 +332,10 @@
 
 void leadership::Tick() {
   const core::mono_time now = time_.Now();
+  if (!registered_ && !registering_ && now >= register_at_) Register();
   switch (role_) {
     case role::following:
+      if (leader_ && offer_at_ != core::mono_time{} && now >= offer_at_) OfferToLead();
       if (!looking_ && now >= look_at_) Look();
       return;
     case role::loading:
--- a/libs/jobs/src/records.cc
+++ b/libs/jobs/src/records.cc
@@ -15,6 +15,7 @@
 std::string CancelKey(std::string_view job) { return Join(kCancelPrefix, job); }
 std::string ProgressKey(std::string_view job) { return Join(kProgressPrefix, job); }
 std::string AgentKey(std::string_view agent) { return Join(kAgentPrefix, agent); }
+std::string EntryKey(std::string_view entry) { return Join(kEntryPrefix, entry); }
 
 std::optional<std::string> KeySuffix(std::string_view key, std::string_view prefix) {
   if (!key.starts_with(prefix)) return std::nullopt;
--- a/libs/runner/include/runner/pacer.h
+++ b/libs/runner/include/runner/pacer.h
@@ -7,26 +7,28 @@
 #include <vector>
 
 #include "core/clock.h"
+#include "jobs/headroom_model.h"
 #include "jobs/messages.h"
-#include "jobs/pair_risk.h"
 
 namespace coltsfoot::runner {
 
 /// Settings of the pacer.
 struct pacer_options {
-  /// Tail latency, as a share of its goal in percent, that counts as a miss.
-  std::uint32_t miss_at_percent = 100;
-  /// Share below which filling tasks get processors back.
-  std::uint32_t restore_below_percent = 90;
-  /// Time of misses after which filling tasks are slowed. Readings cover half a second, and a short
-  /// peak of the serving task's own load is none of theirs.
-  core::milliseconds slow_after{400};
-  /// Time between two further changes, longer than the readings' window.
-  core::milliseconds step_period{700};
-  /// Step by which filling tasks get their processors back, in percent points.
-  std::uint32_t restore_step = 35;
-  /// Images with at least this share of the highest risk beside a missed goal are slowed first.
-  double suspect_share = 0.6;
+  /// Headroom (goal / tail latency) that serving tasks keep.
+  double least_headroom = 1.12;
+  /// Time ahead for which headroom is planned: half the window of a reading, the time until the
+  /// next one, and the time until a change of pace takes effect.
+  core::milliseconds horizon{600};
+  /// Standard deviations by which an uncertain pressure is taken for higher.
+  double caution = 0.5;
+  /// Headroom that filling tasks may always take: less than the forecast is wrong by.
+  double least_budget = 0.22;
+  /// Most percent points by which a pace rises at a time.
+  std::uint32_t rise_step = 35;
+  /// Paces and rises below this, in percent points, are not worth an order.
+  std::uint32_t least_change = 10;
+  /// Time of missed goals after which all filling tasks stop, whatever the model says.
+  core::milliseconds stop_after{1200};
   bool operator==(const pacer_options&) const = default;
 };
 
@@ -37,8 +39,9 @@
   bool operator==(const pace_change&) const = default;
 };
 
-/// Stops filling tasks while a serving task beside them misses its goal: first those of the images
-/// that are suspect, then all. Gives their processors back in steps.
+/// Slows filling tasks so far that the serving tasks beside them keep their goals. Images that take
+/// the most headroom for each processor are slowed first. Answers services whose load swings within
+/// seconds: a pace follows the headroom that is expected, not the goal that was missed.
 class pacer {
  public:
   explicit pacer(pacer_options options) : options_(options) {}
@@ -48,6 +51,8 @@
   std::vector<pace_change> Update(const std::vector<jobs::running_task>& listed,
                                   const std::map<jobs::run_id, jobs::task_facts>& facts,
                                   core::mono_time now);
+  /// Takes over what the coordinator learned from all workers.
+  void Adopt(const std::vector<jobs::pair_pressure>& pressures);
   /// Records that a change was carried out.
   void Confirm(const pace_change& change);
   /// Forgets all runs, for another life of the target.
@@ -56,22 +61,27 @@
   std::uint32_t PaceOf(const jobs::run_id& run) const;
 
  private:
-  /// The serving task that is furthest over its goal.
-  struct worst_task {
-    std::uint32_t percent = 0;
-    std::string image;
+  /// Filling tasks of one image.
+  struct filling_image {
+    double used = 0;    ///< processors, by the last reading
+    double wanted = 0;  ///< processors at full pace
+    double share = 1;   ///< of full pace, planned
   };
+  using image_map = std::map<std::string, filling_image>;
 
-  worst_task Learn(const std::vector<jobs::running_task>& listed,
-                   const std::map<jobs::run_id, jobs::task_facts>& facts, core::mono_time now);
-  void Adjust(const worst_task& worst, core::mono_time now);
-  void Slow(const std::string& victim);
-  void Restore();
+  image_map GatherFilling(const std::vector<jobs::running_task>& listed,
+                          const std::map<jobs::run_id, jobs::task_facts>& facts) const;
+  /// Learns from the serving tasks and plans the shares that they leave.
+  /// @return true if a serving task missed its goal.
+  bool PlanShares(const std::vector<jobs::running_task>& listed,
+                  const std::map<jobs::run_id, jobs::task_facts>& facts, image_map& filling,
+                  core::mono_time now);
+  void Fit(const std::string& victim, double budget, image_map& filling) const;
+  std::uint32_t NextPace(const std::string& image, double share) const;
 
   pacer_options options_;
-  jobs::pair_risk risk_;
+  jobs::headroom_model model_;
   std::map<std::string, std::uint32_t> percent_;  ///< by image; only those that run here
-  core::mono_time changed_at_;
   std::optional<core::mono_time> missing_since_;
   std::map<jobs::run_id, std::uint32_t> confirmed_;
 };
--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -24,8 +24,8 @@
   core::milliseconds task_lease{5000};
   /// Longest wait of a look at the target; it bounds how long a lease can go without extension.
   core::milliseconds hold_wait{1000};
-  /// Wait while filling tasks run beside serving ones, whose readings are half a second old.
-  core::milliseconds hold_wait_pacing{400};
+  /// Wait while filling tasks run beside serving ones, whose readings cover half a second.
+  core::milliseconds hold_wait_pacing{250};
   /// Time after which a target that did not answer counts as silent.
   core::milliseconds silent_after{1500};
   /// Period of reports without news.
--- a/libs/runner/src/pacer.cc
+++ b/libs/runner/src/pacer.cc
@@ -1,6 +1,7 @@
 #include "runner/pacer.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace coltsfoot::runner {
@@ -8,74 +9,110 @@
 
 using facts_by_run = std::map<jobs::run_id, jobs::task_facts>;
 
+constexpr std::uint32_t kFullPace = 100;
+// Progress in percent of a lasting task that is at work.
+constexpr std::uint32_t kAtWork = 100;
+
 const jobs::task_facts* FindFacts(const facts_by_run& facts, const jobs::running_task& task) {
   const auto known = facts.find({task.task, task.run});
   return known == facts.end() ? nullptr : &known->second;
 }
 
+std::string GroupOf(const jobs::task_id& task) {
+  return task.job + "." + std::to_string(task.step);
+}
+
 }  // namespace
 
-pacer::worst_task pacer::Learn(const std::vector<jobs::running_task>& listed,
-                               const facts_by_run& facts, core::mono_time now) {
-  std::map<std::string, std::uint32_t> present;
-  std::vector<jobs::filling_use> beside;
+pacer::image_map pacer::GatherFilling(const std::vector<jobs::running_task>& listed,
+                                      const facts_by_run& facts) const {
+  image_map filling;
   for (const jobs::running_task& task : listed) {
     const jobs::task_facts* known = FindFacts(facts, task);
     if (known == nullptr || !known->fills) continue;
-    const auto paced = percent_.find(known->image);
-    present.emplace(known->image, paced == percent_.end() ? 100 : paced->second);
-    const auto use = std::find_if(beside.begin(), beside.end(),
-                                  [&](const auto& each) { return each.image == known->image; });
-    jobs::filling_use& row =
-        use == beside.end() ? beside.emplace_back(jobs::filling_use{known->image, 0}) : *use;
-    row.cores += task.reading / 1000.0;
+    filling_image& image = filling[known->image];
+    image.used += task.reading / 1000.0;
+    image.wanted += static_cast<double>(known->cpu_millis) / 1000.0;
   }
-  percent_ = std::move(present);
-  worst_task worst;
+  return filling;
+}
+
+bool pacer::PlanShares(const std::vector<jobs::running_task>& listed, const facts_by_run& facts,
+                       image_map& filling, core::mono_time now) {
+  std::vector<jobs::filling_use> beside;
+  for (const auto& [image, each] : filling) beside.push_back({image, each.used});
+  std::map<std::string, std::string> groups;
+  bool missed = false;
   for (const jobs::running_task& task : listed) {
     const jobs::task_facts* known = FindFacts(facts, task);
-    if (known == nullptr || known->goal_ms == 0) continue;
-    const std::uint32_t percent = 100 * task.reading / known->goal_ms;
-    risk_.Observe(known->image, percent / 100.0, beside, now);
-    if (percent > worst.percent) worst = {percent, known->image};
+    if (known == nullptr || known->goal_ms == 0 || task.progress < kAtWork) continue;
+    const std::string group = GroupOf(task.task);
+    model_.Observe({group, known->image, task.reading, known->goal_ms}, beside, now);
+    missed = missed || task.reading > known->goal_ms;
+    groups.emplace(group, known->image);
   }
-  return worst;
-}
-
-void pacer::Adjust(const worst_task& worst, core::mono_time now) {
-  const bool settled = now - changed_at_ >= options_.step_period;
-  if (worst.percent >= options_.miss_at_percent) {
-    if (!missing_since_) missing_since_ = now;
-    if (!settled || now - *missing_since_ < options_.slow_after) return;
-    Slow(worst.image);
-    changed_at_ = now;
-    return;
+  for (const auto& [group, victim] : groups) {
+    // A pace must suit the whole time until the next one: where the load falls, its beginning.
+    const double base =
+        std::min(model_.BaseAt(group, now), model_.BaseAt(group, now + options_.horizon));
+    Fit(victim, base - options_.least_headroom, filling);
   }
-  missing_since_.reset();
-  if (worst.percent >= options_.restore_below_percent || !settled) return;
-  Restore();
-  changed_at_ = now;
+  model_.ForgetGroups(now);
+  return missed;
 }
 
-void pacer::Slow(const std::string& victim) {
-  double highest = 0;
-  for (const auto& [image, percent] : percent_) {
-    if (percent > 0) highest = std::max(highest, risk_.Risk(victim, image));
+void pacer::Fit(const std::string& victim, double budget, image_map& filling) const {
+  struct cost {
+    filling_image* image = nullptr;
+    double per_core = 0;
+  };
+  std::vector<cost> costs;
+  double taken = 0;
+  for (auto& [name, image] : filling) {
+    const jobs::pressure known = model_.PressureOf(victim, name);
+    const double per_core = known.mean + options_.caution * std::sqrt(known.variance);
+    taken += per_core * image.wanted * image.share;
+    costs.push_back({&image, per_core});
   }
-  for (auto& [image, percent] : percent_) {
-    if (risk_.Risk(victim, image) >= options_.suspect_share * highest) percent = 0;
+  std::sort(costs.begin(), costs.end(),
+            [](const cost& left, const cost& right) { return left.per_core > right.per_core; });
+  for (const cost& each : costs) {
+    const double excess = taken - std::max(options_.least_budget, budget);
+    if (excess <= 0) return;
+    const double whole = each.per_core * each.image->wanted;
+    if (whole <= 0) return;
+    const double lowered = std::max(0.0, each.image->share - excess / whole);
+    taken -= (each.image->share - lowered) * whole;
+    each.image->share = lowered;
   }
 }
 
-void pacer::Restore() {
-  for (auto& [image, percent] : percent_) {
-    percent = std::min<std::uint32_t>(100, percent + options_.restore_step);
-  }
+std::uint32_t pacer::NextPace(const std::string& image, double share) const {
+  const auto place = percent_.find(image);
+  const std::uint32_t present = place == percent_.end() ? kFullPace : place->second;
+  std::uint32_t wanted = static_cast<std::uint32_t>(share * kFullPace);
+  wanted = std::min(wanted, present + options_.rise_step);
+  if (wanted < options_.least_change) wanted = 0;
+  // A pace that is a little too low costs little; one that is too high costs a goal.
+  const bool small_rise = wanted > present && wanted - present < options_.least_change;
+  return small_rise && wanted != kFullPace ? present : wanted;
 }
 
 std::vector<pace_change> pacer::Update(const std::vector<jobs::running_task>& listed,
                                        const facts_by_run& facts, core::mono_time now) {
-  Adjust(Learn(listed, facts, now), now);
+  image_map filling = GatherFilling(listed, facts);
+  const bool missed = PlanShares(listed, facts, filling, now);
+  if (!missed) {
+    missing_since_.reset();
+  } else if (!missing_since_) {
+    missing_since_ = now;
+  }
+  const bool stop = missing_since_ && now - *missing_since_ >= options_.stop_after;
+  std::map<std::string, std::uint32_t> next;
+  for (const auto& [image, each] : filling) {
+    next.emplace(image, stop ? 0 : NextPace(image, each.share));
+  }
+  percent_ = std::move(next);
   std::map<jobs::run_id, std::uint32_t> kept;
   std::vector<pace_change> changes;
   for (const jobs::running_task& task : listed) {
@@ -91,9 +128,15 @@
   return changes;
 }
 
+void pacer::Adopt(const std::vector<jobs::pair_pressure>& pressures) {
+  for (const jobs::pair_pressure& each : pressures) {
+    model_.Adopt(each.victim, each.image, {each.mean, each.variance});
+  }
+}
+
 std::uint32_t pacer::PaceOf(const jobs::run_id& run) const {
   const auto confirmed = confirmed_.find(run);
-  return confirmed == confirmed_.end() ? 100 : confirmed->second;
+  return confirmed == confirmed_.end() ? kFullPace : confirmed->second;
 }
 
 void pacer::Confirm(const pace_change& change) {
@@ -101,7 +144,7 @@
 }
 
 void pacer::Clear() {
-  risk_.Clear();
+  model_.Clear();
   percent_.clear();
   missing_since_.reset();
   confirmed_.clear();
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -116,6 +116,7 @@
 void runner::OnGrant(const jobs::lease_grant& grant) {
   if (grant.term != term_) return;
   last_contact_ = time_.Now();
+  pacer_.Adopt(grant.pressures);
   if (!announced_ || grant.life != announced_->life) return;
   if (grant.echo_ms > 0) {
     const core::mono_time sent{core::milliseconds{grant.echo_ms}};
@@ -177,8 +178,12 @@
   looking_ = true;
   const core::mono_time sent = time_.Now();
   const bool unstored = !ended_.empty();
-  const bool pacing =
-      std::any_of(facts_.begin(), facts_.end(), [](const auto& each) { return each.second.fills; });
+  const auto any = [this](auto holds) {
+    return std::any_of(facts_.begin(), facts_.end(),
+                       [&](const auto& each) { return holds(each.second); });
+  };
+  const bool pacing = any([](const jobs::task_facts& each) { return each.fills; }) &&
+                      any([](const jobs::task_facts& each) { return each.goal_ms > 0; });
   hold_call call{.fence = term_, .lease_until_ms = std::nullopt, .stored_end = stored_end_};
   if (!unstored && clock_offset_ms_) {
     call.wait = pacing ? options_.hold_wait_pacing : options_.hold_wait;
--- a/libs/settings/src/reader.cc
+++ b/libs/settings/src/reader.cc
@@ -149,6 +149,18 @@
   return state_->ParseNumber(key, node, allowed).value_or(fallback);
 }
 
+double reader::Fraction(std::string_view key, double fallback) {
+  const YAML::Node node = state_->Find(key);
+  if (!node) return fallback;
+  const std::string text = node.IsScalar() ? node.Scalar() : "";
+  double value = 0;
+  const char* end = text.data() + text.size();
+  const auto [parsed, failure] = std::from_chars(text.data(), end, value);
+  if (!text.empty() && failure == std::errc{} && parsed == end && value > 0) return value;
+  state_->Add(state::LineOf(node), fmt::format("key '{}' must be a positive number", key));
+  return fallback;
+}
+
 bool reader::Flag(std::string_view key, bool fallback) {
   const YAML::Node node = state_->Find(key);
   if (!node) return fallback;
--- a/tools/coltsfoot-scheduler/main.cc
+++ b/tools/coltsfoot-scheduler/main.cc
@@ -28,7 +28,7 @@
 constexpr std::string_view kUsage =
     "Entry of the job scheduler: admits, shows and cancels jobs; one of the entries places tasks.\n"
     "Settings: id, front, ready, peer, metrics (IP:PORT), store (IP:PORT), task_lease_ms (5000),\n"
-    "drain_ms (3000).";
+    "drain_ms (3000), processor_share and processor_speed of the host (1).";
 constexpr core::milliseconds kTick{40};
 // Longest time for requests in progress after no more are accepted.
 constexpr core::milliseconds kHttpShutdownLimit{1500};
@@ -44,6 +44,7 @@
   std::string store;
   core::milliseconds task_lease{0};
   core::milliseconds drain{0};
+  double processors = 1;  ///< of the host, in processors of usual speed
 };
 
 scheduler_options ReadOptions(settings::reader& source) {
@@ -56,6 +57,8 @@
   options.store = source.Text("store");
   options.task_lease = core::milliseconds{source.Number("task_lease_ms", {1000, 60'000}, 5000)};
   options.drain = core::milliseconds{source.Number("drain_ms", {0, 60'000}, 3000)};
+  options.processors =
+      source.Fraction("processor_share", 1) * source.Fraction("processor_speed", 1);
   return options;
 }
 
@@ -79,15 +82,18 @@
         agents_(context, time_, metrics_),
         coordinator_({.task_lease = options.task_lease}, time_, metrics_, agents_, *storage_,
                      *this),
-        leadership_({.entry = options.id, .address = Format(options.peer)}, time_, random_,
-                    metrics_, *storage_,
+        leadership_({.entry = options.id,
+                     .address = Format(options.peer),
+                     .processor_millis = static_cast<std::uint32_t>(1000 * options.processors)},
+                    time_, random_, metrics_, *storage_,
                     {.on_elected = [this](const jobs::term_start& start) { OnElected(start); },
                      .on_deposed = [this] { coordinator_.EndTerm(); },
                      .on_inbox_change =
                          [this](const store::key_change& change) {
                            coordinator_.OnInboxChange(change);
                            TickSoon();
-                         }}),
+                         },
+                     .on_offer = [this](std::uint32_t processors) { OfferToLead(processors); }}),
         queues_(time_, *storage_,
                 [this](const auto& catalogue) { coordinator_.SetQueues(catalogue); }),
         peers_(
@@ -170,6 +176,11 @@
     TickSoon();
   }
 
+  void OfferToLead(std::uint32_t processor_millis) {
+    peers_.Ask({.kind = jobs::query_kind::offer_lead, .processor_millis = processor_millis},
+               [](const jobs::job_answer&) {});
+  }
+
   /// Places tasks once after all events that have arrived.
   void TickSoon() {
     if (std::exchange(tick_posted_, true)) return;
@@ -200,6 +211,11 @@
       case jobs::query_kind::store_cancel:
         service_.StoreForPeer(query, done);
         return;
+      case jobs::query_kind::offer_lead:
+        // Not from within a handler of the connections that it closes.
+        asio::post(context_,
+                   [this, offered = query.processor_millis] { leadership_.Consider(offered); });
+        break;
     }
     done(answer);
   }
