--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -69,7 +69,8 @@
   struct pending_start {
     jobs::start_order order;
     bool in_flight = false;
-    bool sent = false;  ///< at least one call had no answer
+    bool sent = false;    ///< at least one call had no answer
+    bool lapsed = false;  ///< the lease ended before the target answered
     core::mono_time retry_at;
     std::optional<core::mono_time> started_at;  ///< when the target confirmed it
   };
@@ -88,6 +89,8 @@
   void SendOrders();
   void SendStart(const jobs::run_id& run, pending_start& start);
   void OnStarted(const jobs::run_id& run, const order_reply& reply);
+  /// Refuses orders that wait although the lease is over: their tasks may run elsewhere by now.
+  void DropLapsedStarts();
   void Refuse(const jobs::run_id& run, jobs::start_refusal reason);
   void SendStop(const jobs::run_id& run, pending_stop& stop);
   void OnStopped(const jobs::run_id& run, const order_reply& reply);
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -119,6 +119,8 @@
   pacer_.Adopt(grant.pressures);
   if (!announced_ || grant.life != announced_->life) return;
   if (grant.echo_ms > 0) {
+    // This process may have been paused past the end of the lease.
+    if (lease_end_ < time_.Now()) DropLapsedStarts();
     const core::mono_time sent{core::milliseconds{grant.echo_ms}};
     lease_end_ = std::max(lease_end_, sent + options_.task_lease);
   }
@@ -140,6 +142,11 @@
   }
   for (const jobs::task_facts& facts : orders.facts) facts_.insert_or_assign(facts.run, facts);
   for (const jobs::start_order& start : orders.starts) {
+    // Orders that a cut held back: the coordinator takes these runs for lapsed.
+    if (lease_end_ < time_.Now()) {
+      Refuse(start.facts.run, jobs::start_refusal::late);
+      continue;
+    }
     facts_.insert_or_assign(start.facts.run, start.facts);
     if (IsRunning(start.facts.run)) continue;
     starts_.try_emplace(start.facts.run, pending_start{.order = start});
@@ -170,6 +177,7 @@
   }
   const core::mono_time now = time_.Now();
   if (!looking_ && now >= next_look_ && term_ != 0) Look();
+  if (lease_end_ < now) DropLapsedStarts();
   SendOrders();
   if (report_due_ || now >= next_report_) Report(report_due_ || now >= next_listing_);
 }
@@ -316,6 +324,12 @@
   if (place == starts_.end()) return;
   pending_start& start = place->second;
   start.in_flight = false;
+  const bool unanswered =
+      reply.status == order_status::not_sent || reply.status == order_status::unknown;
+  if (start.lapsed && unanswered) {
+    Refuse(run, jobs::start_refusal::late);
+    return;
+  }
   switch (reply.status) {
     case order_status::ok:
       start.started_at = time_.Now();
@@ -344,6 +358,17 @@
   }
 }
 
+void runner::DropLapsedStarts() {
+  std::vector<jobs::run_id> lapsed;
+  for (auto& [run, start] : starts_) {
+    if (start.started_at) continue;
+    // A call that is in flight carries the lease that is over.
+    start.lapsed = true;
+    if (!start.in_flight) lapsed.push_back(run);
+  }
+  for (const jobs::run_id& run : lapsed) Refuse(run, jobs::start_refusal::late);
+}
+
 void runner::Refuse(const jobs::run_id& run, jobs::start_refusal reason) {
   starts_.erase(run);
   refused_.push_back({run, reason});
--- a/libs/runner/tests/runner_test.cc
+++ b/libs/runner/tests/runner_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <optional>
@@ -256,4 +257,56 @@
   CHECK(fixture.target.holds.back().stored_end == 0);
 }
 
+// Soak seed 3: orders that a cut held back arrived when their lease was over and its tasks ran
+// elsewhere; the next coordinator connection's grant then let them start.
+TEST_CASE("orders that arrive without a lease are refused and never start") {
+  runner_fixture fixture;
+  fixture.Pass(milliseconds{5100});
+  fixture.Order(1);
+  fixture.Pass(milliseconds{100});
+  REQUIRE_FALSE(fixture.coordinator.reports.empty());
+  const auto& refused = fixture.coordinator.reports.back().refused;
+  const bool told =
+      std::any_of(fixture.coordinator.reports.begin(), fixture.coordinator.reports.end(),
+                  [](const jobs::worker_report& report) { return !report.refused.empty(); });
+  CHECK((told || !refused.empty()));
+  fixture.Grant();
+  fixture.Pass(milliseconds{200});
+  CHECK(fixture.target.starts.empty());
+}
+
+// Guards against the same for orders that wait at the agent when the lease ends.
+TEST_CASE("orders that wait for the target end with the lease") {
+  runner_fixture fixture;
+  fixture.Order(1);
+  for (int step = 0; step < 60; ++step) {
+    // Looks are answered, starts find no connection.
+    if (!fixture.target.hold_answers.empty()) fixture.Answer({});
+    while (!fixture.target.start_answers.empty()) {
+      scripted_target::Give(fixture.target.start_answers,
+                            order_reply{.status = order_status::not_sent});
+    }
+    fixture.Pass(milliseconds{100});
+  }
+  const std::size_t tried = fixture.target.starts.size();
+  REQUIRE(tried > 1);
+  fixture.Grant();
+  fixture.Pass(milliseconds{300});
+  CHECK(fixture.target.starts.size() == tried);
+}
+
+// Guards against a start that is sent again under a later lease because its answer came after the
+// first one, and against a pause of this process that hides the end of a lease.
+TEST_CASE("an order without an answer is not sent again under a later lease") {
+  runner_fixture fixture;
+  fixture.Order(1);
+  REQUIRE(fixture.target.starts.size() == 1);
+  SUBCASE("the agent works on") { fixture.Pass(milliseconds{5100}); }
+  SUBCASE("the agent is paused") { fixture.time.Advance(milliseconds{5100}); }
+  fixture.Grant();
+  scripted_target::Give(fixture.target.start_answers, order_reply{.status = order_status::unknown});
+  fixture.Pass(milliseconds{300});
+  CHECK(fixture.target.starts.size() == 1);
+}
+
 }  // namespace coltsfoot::runner
--- a/tools/coltsfoot-runner/main.cc
+++ b/tools/coltsfoot-runner/main.cc
@@ -23,7 +23,8 @@
 constexpr std::string_view kUsage =
     "Agent of one worker for jobs: starts, stops and paces tasks at the target on its host.\n"
     "Settings: id, announce (IP:PORT for the target's announcements), target, peer, metrics "
-    "(IP:PORT),\nstore (IP:PORT), task_lease_ms (5000).";
+    "(IP:PORT),\nstore (IP:PORT), advertise (IP:PORT that entries dial, peer), task_lease_ms "
+    "(5000).";
 constexpr core::milliseconds kTick{40};
 // Time for the last lease extension to reach the target.
 constexpr core::milliseconds kStopDelay{60};
@@ -37,6 +38,7 @@
   wire::endpoint peer;
   wire::endpoint metrics;
   std::string store;
+  std::string advertise;  ///< IP:PORT that entries dial
   core::milliseconds task_lease{0};
 };
 
@@ -48,6 +50,8 @@
   options.peer = program::ReadEndpoint(source, "peer");
   options.metrics = program::ReadEndpoint(source, "metrics");
   options.store = source.Text("store");
+  options.advertise =
+      source.Text("advertise", fmt::format("{}:{}", options.peer.ip, options.peer.port));
   options.task_lease = core::milliseconds{source.Number("task_lease_ms", {1000, 60'000}, 5000)};
   return options;
 }
@@ -77,8 +81,7 @@
       {.agent = options.id, .agent_start = core::SystemSeed(), .task_lease = options.task_lease},
       time, metrics, *target, coordinator);
   coordinator.SetRunner(control);
-  runner::registration registration(time, *storage, options.id,
-                                    fmt::format("{}:{}", options.peer.ip, options.peer.port));
+  runner::registration registration(time, *storage, options.id, options.advertise);
   http::server announcements(
       ServerOptions(options.announce),
       platform::MakeAnnouncementHandler(
