Ask the store about ends in doubt; settle unanswered starts by a stop

Entries that read the store showed "complete", the coordinator still "active". While such a write has no answer, the coordinator now leaves the question to the store; after its lease it answers only ends, which stay true.

The coordinator sent it starts as soon as it was connected, before it had reported and been granted a lease; the agent refused them, among them one that its former process had sent and that ran, so that the target held more than it has room for. Starts now follow a report on the same connection, and a start without an answer whose lease is over is stopped and counted until the stop has settled it.

--- a/libs/jobs/include/jobs/coordinator.h
+++ b/libs/jobs/include/jobs/coordinator.h
@@ -87,7 +87,8 @@
   /// Places tasks and flushes progress; call after events and at least each 100 ms.
   void Tick();
 
-  /// @return the state of a job that callers may be shown, or nothing if it is unknown.
+  /// @return the state of a job that callers may be shown, or nothing if the job is unknown or only
+  /// the store can tell.
   std::optional<job_state> StateOf(std::string_view job) const;
   /// @return the number of jobs of a queue of which no task has started.
   std::uint64_t CountWaiting(std::string_view queue) const;
--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -64,6 +64,7 @@
   bool held = false;         ///< its tasks may still run where nobody has looked yet
   std::uint32_t copies = 0;  ///< of all its tasks
   job_state stored_state = job_state::queued;
+  bool end_in_doubt = false;  ///< its end may be stored: a write is in flight or had no answer
   store::key_version progress_version = 0;
   std::vector<step_row> steps;
   std::vector<task_row> tasks;
--- a/libs/jobs/include/jobs/planner.h
+++ b/libs/jobs/include/jobs/planner.h
@@ -30,8 +30,8 @@
   core::milliseconds starved_after{6000};
   /// Share of a serving task's headroom at its highest load that filling tasks beside it may take.
   double highest_pressure = 1.0;
-  /// Time with nothing running after which a job's filling tasks may take headroom that the present
-  /// load leaves; agents slow them when the load rises.
+  /// Age at which a job's filling tasks may take headroom that only the present load leaves; agents
+  /// slow them when the load rises.
   core::milliseconds relaxed_after{1500};
   /// Share of the headroom at the present load that they may take then.
   double highest_present_pressure = 0.6;
--- a/libs/jobs/include/jobs/worker_table.h
+++ b/libs/jobs/include/jobs/worker_table.h
@@ -17,6 +17,7 @@
   bool connected = false;
   std::uint64_t agent_start = 0;
   bool reported = false;  ///< in this term
+  bool heard = false;     ///< reported on its present connection
   bool resend = true;     ///< orders without an outcome have to be sent again
   bool listed = false;    ///< a whole list of this life arrived in this term
   core::mono_time last_report;
--- a/libs/jobs/src/coordinator.cc
+++ b/libs/jobs/src/coordinator.cc
@@ -175,6 +175,7 @@
 void coordinator::OnAgentConnected(const std::string& agent) {
   worker_row& worker = WorkerOf(agent);
   worker.connected = true;
+  worker.heard = false;
   worker.sent_pressures.clear();
   worker.next_order = 1;
   worker.resend = true;
@@ -197,6 +198,7 @@
   }
   worker_row& worker = WorkerOf(report.agent);
   worker.last_report = time_.Now();
+  worker.heard = true;
   if (!std::exchange(worker.reported, true)) {
     // The agent has seen this term, so no earlier coordinator can extend its leases any more.
     worker.lease_bound = LeaseBound(time_.Now());
@@ -705,6 +707,8 @@
   if (row == nullptr) return std::nullopt;
   // A cancellation was stored before anybody was told of it.
   if (row->state == job_state::cancelled || !IsEnded(row->state)) return row->state;
+  // Only the store knows whether the end is stored, and others may have read it there.
+  if (row->end_in_doubt) return std::nullopt;
   // An end that is not stored yet could still be lost with this process.
   return row->stored_state == row->state ? row->state : job_state::active;
 }
--- a/libs/jobs/src/planner.cc
+++ b/libs/jobs/src/planner.cc
@@ -75,7 +75,7 @@
         options_(options) {
     const core::mono_time idle_since = std::max(job_.admitted_at, job_.last_running);
     starved_ = job_.copies == 0 && now - idle_since >= options.starved_after;
-    relaxed_ = job_.copies == 0 && now - idle_since >= options.relaxed_after;
+    relaxed_ = now - job_.admitted_at >= options.relaxed_after;
     if (spec_.max_per_worker > 0) counts_ = CountCopies(job_, step_);
   }
 
@@ -185,7 +185,9 @@
   // Agents report at least every half second; one that has missed this many reports is probably
   // cut off.
   constexpr core::milliseconds kReportLimit{1600};
-  return worker.connected && worker.listed && worker.foreign == 0 &&
+  // Orders follow a grant, and a grant follows a report: an agent that was started again has no
+  // lease before.
+  return worker.connected && worker.heard && worker.listed && worker.foreign == 0 &&
          worker.state == target_state::ready && worker.service == service &&
          now - worker.last_report < kReportLimit && now >= worker.avoid_until;
 }
--- a/libs/jobs/src/progress_writer.cc
+++ b/libs/jobs/src/progress_writer.cc
@@ -25,6 +25,7 @@
   struct record {
     std::string job;
     progress_record progress;
+    bool was_in_doubt = false;  ///< before this write
   };
   std::uint64_t term = 0;
   std::vector<record> records;
@@ -82,7 +83,8 @@
   store::transaction writes;
   writes.expect.push_back({std::string(kLeaderKey), term_});
   for (job_row* job : due) {
-    next->records.push_back({job->id, job_table::Progress(*job)});
+    next->records.push_back({job->id, job_table::Progress(*job), job->end_in_doubt});
+    job->end_in_doubt = job->end_in_doubt || IsEnded(job->state);
     writes.expect.push_back({ProgressKey(job->id), job->progress_version});
     writes.puts.push_back(
         {ProgressKey(job->id), wire::EncodeValue(next->records.back().progress), 0});
@@ -111,6 +113,7 @@
       if (job == nullptr) continue;
       job->progress_version = result.revision;
       job->stored_state = record.progress.state;
+      job->end_in_doubt = false;
     }
     for (const auto& [agent, end] : written->ends) {
       const auto worker = workers_->find(agent);
@@ -122,7 +125,10 @@
     return;
   }
   for (const auto& record : written->records) {
-    if (job_row* job = jobs_->Find(record.job)) jobs_->MarkDirty(*job);
+    job_row* job = jobs_->Find(record.job);
+    if (job == nullptr) continue;
+    jobs_->MarkDirty(*job);
+    if (result.status != store::kv_status::unknown) job->end_in_doubt = record.was_in_doubt;
   }
   retry_at_ = time_.Now() + kRetryDelay;
   if (result.status == store::kv_status::conflict) {
--- a/libs/jobs/tests/coordinator_test.cc
+++ b/libs/jobs/tests/coordinator_test.cc
@@ -81,6 +81,8 @@
   fleet.End("a", starts[0].second.facts.run, end_reason::done);
   fleet.Report("a");
   fleet.Tick();
+  // Soak seed 106: callers had read the end in the store and were then shown "active".
+  CHECK(fleet.control.StateOf(kJob) != job_state::active);
   fleet.storage.mode = testing::memory_store::write_mode::normal;
   fleet.Tick(milliseconds{500});
   fleet.Tick(milliseconds{500});
@@ -395,4 +397,18 @@
   }));
 }
 
+// Soak seed 130: an agent that was started again got starts before it had a lease.
+TEST_CASE("an agent gets no starts before it reports on its connection") {
+  coordinator_fixture fleet;
+  fleet.Begin({"a"});
+  fleet.control.OnAgentDisconnected("a");
+  fleet.control.OnAgentConnected("a");
+  fleet.Submit(kJob, {TestStep(1)});
+  fleet.Tick();
+  CHECK(fleet.agents.TakeStarts().empty());
+  fleet.Report("a");
+  fleet.Tick();
+  CHECK(fleet.agents.TakeStarts().size() == 1);
+}
+
 }  // namespace coltsfoot::jobs
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -324,12 +324,11 @@
   if (place == starts_.end()) return;
   pending_start& start = place->second;
   start.in_flight = false;
-  const bool unanswered =
-      reply.status == order_status::not_sent || reply.status == order_status::unknown;
-  if (start.lapsed && unanswered) {
+  if (start.lapsed && reply.status == order_status::not_sent && !start.sent) {
     Refuse(run, jobs::start_refusal::late);
     return;
   }
+  if (start.lapsed && reply.status == order_status::unknown) stops_.try_emplace(run);
   switch (reply.status) {
     case order_status::ok:
       start.started_at = time_.Now();
@@ -364,7 +363,13 @@
     if (start.started_at) continue;
     // A call that is in flight carries the lease that is over.
     start.lapsed = true;
-    if (!start.in_flight) lapsed.push_back(run);
+    if (start.in_flight) continue;
+    if (start.sent) {
+      // It may run and hold room until the target's clock has passed the lease; a stop settles it.
+      stops_.try_emplace(run);
+    } else {
+      lapsed.push_back(run);
+    }
   }
   for (const jobs::run_id& run : lapsed) Refuse(run, jobs::start_refusal::late);
 }
--- a/libs/runner/tests/runner_test.cc
+++ b/libs/runner/tests/runner_test.cc
@@ -307,6 +307,13 @@
   scripted_target::Give(fixture.target.start_answers, order_reply{.status = order_status::unknown});
   fixture.Pass(milliseconds{300});
   CHECK(fixture.target.starts.size() == 1);
+  // Soak seed 130: the run was reported as refused and its room given away while it still ran.
+  REQUIRE(fixture.target.stops.size() == 1);
+  CHECK(fixture.target.stops[0] == fixture.Run(1));
+  REQUIRE_FALSE(fixture.coordinator.reports.empty());
+  for (const jobs::worker_report& report : fixture.coordinator.reports) {
+    CHECK(report.refused.empty());
+  }
 }
 
 }  // namespace coltsfoot::runner
--- a/tools/coltsfoot-scheduler/main.cc
+++ b/tools/coltsfoot-scheduler/main.cc
@@ -200,6 +200,8 @@
       case jobs::query_kind::show:
         if (const auto state = coordinator_.StateOf(query.job)) {
           answer.state = *state;
+          // After this one's lease another coordinator may have seen the job end.
+          if (!jobs::IsEnded(*state) && !leadership_.MayStart()) answer = {};
         } else {
           answer.outcome = jobs::query_outcome::absent;
         }
