--- a/libs/jobs/src/coordinator.cc
+++ b/libs/jobs/src/coordinator.cc
@@ -331,6 +331,7 @@
     cores[place->job->Spec(place->step).image] += listed.reading / 1000.0;
   }
   std::vector<filling_use> beside;
+  beside.reserve(cores.size());
   for (const auto& [image, used] : cores) beside.push_back({image, used});
   for (const running_task& listed : report.running) {
     const auto place = jobs_.FindTask(listed.task);
@@ -434,8 +435,8 @@
   jobs_.VisitCopies(worker.agent,
                     [&](const task_place& place, const task_id& id, const task_copy& copy) {
                       const bool seen = copy.running || copy.order <= report.orders_seen;
-                      if (seen && !Contains(present, {id, copy.run}))
-                        missing.emplace_back(place, copy.run);
+                      if (!seen || Contains(present, {id, copy.run})) return;
+                      missing.emplace_back(place, copy.run);
                     });
   for (const auto& [place, run] : missing) {
     spdlog::info("event=run_missing job={} step={} run={} agent={}", place.job->id, place.step, run,
--- a/libs/jobs/src/plan_pass.cc
+++ b/libs/jobs/src/plan_pass.cc
@@ -32,9 +32,9 @@
 }
 
 const std::vector<worker_row*>& plan_pass::WorkersOf(const std::string& service) const {
-  static const std::vector<worker_row*> kNone;
+  static const std::vector<worker_row*> none;
   const auto place = by_service_.find(service);
-  return place == by_service_.end() ? kNone : place->second;
+  return place == by_service_.end() ? none : place->second;
 }
 
 pressure_share plan_pass::PressureWith(const worker_row& worker, const step_spec& step) {
--- a/libs/jobs/src/planner.cc
+++ b/libs/jobs/src/planner.cc
@@ -109,8 +109,9 @@
       if (spec_.fills && !starved_ && !pass_.IsWorthFilling(*worker, spec_, relaxed_)) continue;
       if (spec_.max_per_worker > 0 && CountAt(worker->agent) >= spec_.max_per_worker) continue;
       std::int64_t score = Score(*worker, spec_, options_);
-      if (spec_.fills)
+      if (spec_.fills) {
         score -= std::llround(kWholePressure * pass_.PressureWith(*worker, spec_).at_peak);
+      }
       if (worker->agent == avoid) score -= kFailedHerePenalty;
       if (score > best_score) {
         best = worker;
