Put the leader key below the inbox

The next coordinator was elected and got a new job, which it places at once; the former one, which trusted its lease for up to two seconds, got the same job from its watch 2 ms before and started it too. One task ran twice under the same run number.

Ruled out: leases of tasks (both runs had one); the order of terms at an agent (the two starts went to different agents).

Events of a watch are ordered. With the leader key below the watched prefix a coordinator hears of its successor before it hears of any job that was accepted since, and of the loss of its key when it reads the inbox as a whole. Older jobs wait for the lists of all agents as before.

The new case of unit_jobs fails without the change: the watched prefix did not hold the key. Also: one copy of the name of a group.

--- a/libs/jobs/include/jobs/leadership.h
+++ b/libs/jobs/include/jobs/leadership.h
@@ -97,6 +97,9 @@
   void Load();
   void WatchInbox(std::uint64_t since);
   void ReloadInbox();
+  /// @return false, after giving the leadership up, if `entry` is not this process's claim.
+  bool StillLeads(const std::optional<store::kv_entry>& entry);
+  bool StillLeads(const std::vector<store::kv_entry>& inbox);
   void Renew();
   void LookAgainIn(core::milliseconds delay);
   template <class Result>
--- a/libs/jobs/include/jobs/records.h
+++ b/libs/jobs/include/jobs/records.h
@@ -12,8 +12,10 @@
 /// entry and agent and watched by the coordinator; progress is written by the coordinator alone.
 namespace coltsfoot::jobs {
 
-inline constexpr std::string_view kLeaderKey = "coltsfoot/leader";
 inline constexpr std::string_view kInboxPrefix = "coltsfoot/in/";
+/// Below the inbox, so that a coordinator that was followed by another learns of that before it
+/// learns of any job that was accepted since.
+inline constexpr std::string_view kLeaderKey = "coltsfoot/in/leader";
 inline constexpr std::string_view kJobPrefix = "coltsfoot/in/job/";
 inline constexpr std::string_view kCancelPrefix = "coltsfoot/in/cancel/";
 inline constexpr std::string_view kAgentPrefix = "coltsfoot/in/agent/";
--- a/libs/jobs/src/leadership.cc
+++ b/libs/jobs/src/leadership.cc
@@ -260,6 +260,7 @@
           load_at_ = time_.Now() + kRetryDelay;
           return;
         }
+        if (!StillLeads(inbox.entries)) return;
         storage_.ReadAll(
             std::string(kProgressPrefix),
             Guard<store::range_result>([this, inbox](const store::range_result& progress) {
@@ -288,6 +289,10 @@
                           }
                           const std::uint64_t epoch = epoch_;
                           for (const store::key_change& change : batch.changes) {
+                            if (change.key == kLeaderKey) {
+                              if (!StillLeads(change.entry)) return;
+                              continue;
+                            }
                             callbacks_.on_inbox_change(change);
                             if (epoch != epoch_) return;
                           }
@@ -305,13 +310,29 @@
                        retry_inbox_at_ = time_.Now() + kRetryDelay;
                        return;
                      }
+                     if (!StillLeads(inbox.entries)) return;
                      for (const store::kv_entry& entry : inbox.entries) {
+                       if (entry.key == kLeaderKey) continue;
                        callbacks_.on_inbox_change({entry.key, entry});
                      }
                      WatchInbox(inbox.revision);
                    }));
 }
 
+bool leadership::StillLeads(const std::optional<store::kv_entry>& entry) {
+  if (entry && entry->version == term_) return true;
+  spdlog::warn("event=deposed term={} by=leader_key newer_term={}", term_,
+               entry ? entry->version : 0);
+  Depose();
+  return false;
+}
+
+bool leadership::StillLeads(const std::vector<store::kv_entry>& inbox) {
+  const auto leader = std::find_if(inbox.begin(), inbox.end(),
+                                   [](const auto& entry) { return entry.key == kLeaderKey; });
+  return StillLeads(leader == inbox.end() ? std::nullopt : std::optional(*leader));
+}
+
 void leadership::Renew() {
   renewing_ = true;
   const core::mono_time sent = time_.Now();
--- a/libs/jobs/tests/leadership_test.cc
+++ b/libs/jobs/tests/leadership_test.cc
@@ -198,4 +198,28 @@
   CHECK(storage.ended_leases.size() == 1);
 }
 
+// Soak seed 130: the store had ended a lease early; the former coordinator, which still trusted it,
+// started a job that was accepted after the next one's election, and so did the next one.
+TEST_CASE("a coordinator that was followed hears of it before it hears of newer jobs") {
+  memory_store storage;
+  core::manual_clock time;
+  candidate entry(storage, time, "e1");
+  entry.election.Start();
+  storage.Pump();
+  REQUIRE(entry.term != 0);
+  REQUIRE(storage.watches.size() == 1);
+  CHECK(kLeaderKey.starts_with(storage.watches.front().prefix));
+  storage.Put(std::string(kLeaderKey), "another entry");
+  storage.Put(JobKey("00000000000000aa"), "x");
+  auto watch = std::move(storage.watches.front());
+  storage.watches.clear();
+  watch.done({store::kv_status::ok,
+              storage.revision,
+              {{std::string(kLeaderKey), storage.entries.at(std::string(kLeaderKey))},
+               {JobKey("00000000000000aa"), storage.entries.at(JobKey("00000000000000aa"))}}});
+  CHECK(entry.changes == 0);
+  CHECK(entry.term == 0);
+  CHECK_FALSE(entry.election.MayStart());
+}
+
 }  // namespace coltsfoot::jobs
--- a/libs/runner/src/pacer.cc
+++ b/libs/runner/src/pacer.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "jobs/planner.h"
+
 namespace coltsfoot::runner {
 namespace {
 
@@ -18,10 +20,6 @@
   return known == facts.end() ? nullptr : &known->second;
 }
 
-std::string GroupOf(const jobs::task_id& task) {
-  return task.job + "." + std::to_string(task.step);
-}
-
 }  // namespace
 
 pacer::image_map pacer::GatherFilling(const std::vector<jobs::running_task>& listed,
@@ -46,7 +44,7 @@
   for (const jobs::running_task& task : listed) {
     const jobs::task_facts* known = FindFacts(facts, task);
     if (known == nullptr || known->goal_ms == 0 || task.progress < kAtWork) continue;
-    const std::string group = GroupOf(task.task);
+    const std::string group = jobs::GroupOf(task.task.job, task.task.step);
     model_.Observe({group, known->image, task.reading, known->goal_ms}, beside, now);
     missed = missed || task.reading > known->goal_ms;
     groups.emplace(group, known->image);
