Ask the coordinator for the count of waiting jobs

Each count was 0 since counts exist. It shows only now because filling jobs may wait for seconds.

The query names its kind; only an answer is a count, anything else is refused as not available and logged. The new case of unit_jobs covers kind, value and the three other outcomes.

--- a/libs/jobs/src/job_service.cc
+++ b/libs/jobs/src/job_service.cc
@@ -335,14 +335,19 @@
 }
 
 void job_service::CountWaiting(const std::string& queue, handler done) {
-  coordinator_.Ask({.number = 0, .queue = queue, .job = ""}, [this, done = std::move(done)](
-                                                                 const job_answer& answer) {
-    if (answer.outcome == query_outcome::not_coordinator) {
-      done(StoreRefusal());
-      return;
-    }
-    done({.code = core::result_code::ok, .state = std::nullopt, .waiting = answer.waiting});
-  });
+  coordinator_.Ask(
+      {.kind = query_kind::count_waiting, .queue = queue},
+      [this, queue, done = std::move(done)](const job_answer& answer) {
+        // No answer is not the answer that nothing waits.
+        if (answer.outcome != query_outcome::found) {
+          metrics_.CountRefusal("count", core::result_code::store_unavailable);
+          spdlog::warn("event=count_refused queue={} outcome={}", queue,
+                       static_cast<int>(answer.outcome));
+          done(StoreRefusal());
+          return;
+        }
+        done({.code = core::result_code::ok, .state = std::nullopt, .waiting = answer.waiting});
+      });
 }
 
 }  // namespace coltsfoot::jobs
--- a/libs/jobs/tests/job_service_test.cc
+++ b/libs/jobs/tests/job_service_test.cc
@@ -203,4 +203,28 @@
   CHECK(reply.code == result_code::not_found);
 }
 
+// Hunt, malolos-straw mix seed 125854297285: a queue with five waiting jobs was said to have none.
+// The coordinator was asked for a job without a name, and its "absent" counted as zero.
+TEST_CASE("waiting jobs are counted by the coordinator and no answer is not zero") {
+  service_fixture entry;
+  job_reply reply;
+  const auto count = [&] {
+    entry.service.CountWaiting("q", [&](const job_reply& got) { reply = got; });
+  };
+  entry.coordinator.answer = {.outcome = query_outcome::found, .waiting = 5};
+  count();
+  REQUIRE(entry.coordinator.queries.size() == 1);
+  CHECK(entry.coordinator.queries[0].kind == query_kind::count_waiting);
+  CHECK(entry.coordinator.queries[0].queue == "q");
+  CHECK(reply.code == result_code::ok);
+  CHECK(reply.waiting == 5);
+  for (const query_outcome outcome :
+       {query_outcome::lost, query_outcome::absent, query_outcome::not_coordinator}) {
+    entry.coordinator.answer = {.outcome = outcome};
+    count();
+    CHECK(reply.code == result_code::store_unavailable);
+    CHECK(reply.retry_after_s > 0);
+  }
+}
+
 }  // namespace coltsfoot::jobs
--- a/tools/coltsfoot-scheduler/main.cc
+++ b/tools/coltsfoot-scheduler/main.cc
@@ -218,6 +218,8 @@
         break;
       case jobs::query_kind::count_waiting:
         answer.waiting = coordinator_.CountWaiting(query.queue);
+        // Without its lease it may miss jobs that others accepted.
+        if (!leadership_.MayStart()) answer = {};
         break;
       case jobs::query_kind::store_job:
       case jobs::query_kind::store_cancel:
