Do not wait at a takeover for agents that were lost before

Cause: a coordinator that takes over holds all older jobs until each agent has sent its list or its leases have surely passed. An agent that left or failed minutes ago is still on the list of agents, so each takeover waited 11.5 s for it (lease, and the time for which an earlier coordinator may have extended it). On a large fleet some host is always missing.

Ruled out: room on workers (the fleet was half empty), avoided workers (none in the logs), the planner (tasks of newer jobs started meanwhile).

Change: the coordinator enters agents whose leases have all passed into one key, fenced by the leader key; such an agent gets no lease before its removal is stored.

Tests: unit_jobs, absence_register_test; with the list not read at a takeover two cases fail, with leases granted regardless of it three fail. A random test checks that no order of refused, lost and late writes and takeovers leaves an absent agent with a lease.

--- a/libs/jobs/include/jobs/coordinator.h
+++ b/libs/jobs/include/jobs/coordinator.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/clock.h"
+#include "jobs/absence_register.h"
 #include "jobs/headroom_model.h"
 #include "jobs/job_table.h"
 #include "jobs/messages.h"
@@ -120,6 +121,10 @@
   void Avoid(worker_row& worker, std::string_view reason);
   void Blame(worker_row& worker, const ended_run& end);
   void Grant(worker_row& worker, const worker_report& report);
+  /// Enters the worker as one without a lease.
+  void NoteAbsent(worker_row& worker);
+  /// Workers that earlier coordinators entered as absent are not waited for.
+  void RestoreAbsences(const std::vector<store::kv_entry>& inbox);
   void SettleTakeover();
   void LapseSilent();
   void StopSuperfluous();
@@ -148,6 +153,7 @@
   worker_table workers_;
   headroom_model pressures_;
   progress_writer progress_;
+  absence_register absences_;
   std::set<std::string> early_cancels_;  ///< cancellations that arrived before their job
   std::map<std::string, worker_orders> orders_;
   core::mono_time next_cleanup_;
--- a/libs/jobs/include/jobs/records.h
+++ b/libs/jobs/include/jobs/records.h
@@ -19,6 +19,8 @@
 inline constexpr std::string_view kJobPrefix = "coltsfoot/in/job/";
 inline constexpr std::string_view kCancelPrefix = "coltsfoot/in/cancel/";
 inline constexpr std::string_view kAgentPrefix = "coltsfoot/in/agent/";
+/// Agents without a lease. Below the inbox, so that it is read with it when a term begins.
+inline constexpr std::string_view kAbsentKey = "coltsfoot/in/absent";
 inline constexpr std::string_view kEntryPrefix = "coltsfoot/entry/";
 inline constexpr std::string_view kProgressPrefix = "coltsfoot/progress/";
 
@@ -89,6 +91,16 @@
   }
 };
 
+/// Agents at whose targets nothing can run, because no lease holds there.
+struct absent_record {
+  std::vector<std::string> agents;  ///< in order
+  bool operator==(const absent_record&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(agents);
+  }
+};
+
 std::string JobKey(std::string_view job);
 std::string CancelKey(std::string_view job);
 std::string ProgressKey(std::string_view job);
--- a/libs/jobs/include/jobs/worker_table.h
+++ b/libs/jobs/include/jobs/worker_table.h
@@ -20,6 +20,7 @@
   bool heard = false;     ///< reported on its present connection
   bool resend = true;     ///< orders without an outcome have to be sent again
   bool listed = false;    ///< a whole list of this life arrived in this term
+  bool absent = false;    ///< entered as without a lease; gets none before it is removed
   core::mono_time last_report;
   core::mono_time known_since;
   target_state state = target_state::unknown;
--- a/libs/jobs/src/coordinator.cc
+++ b/libs/jobs/src/coordinator.cc
@@ -57,7 +57,8 @@
       agents_(agents),
       authority_(authority),
       queues_(std::make_shared<queue_catalogue>()),
-      progress_(time, metrics, storage, [this] { authority_.OnDeposed(); }) {}
+      progress_(time, metrics, storage, [this] { authority_.OnDeposed(); }),
+      absences_(time, metrics, storage, [this] { authority_.OnDeposed(); }) {}
 
 core::mono_time coordinator::LeaseBound(core::mono_time granted) const {
   return granted + options_.task_lease +
@@ -72,6 +73,7 @@
   settled_ = false;
   progress_.Reset(term);
   for (const store::kv_entry& entry : inbox) OnInboxChange({entry.key, entry});
+  RestoreAbsences(inbox);
   for (const store::kv_entry& entry : progress) {
     const auto id = KeySuffix(entry.key, kProgressPrefix);
     job_row* job = id ? jobs_.Find(*id) : nullptr;
@@ -90,10 +92,22 @@
                workers_.size());
 }
 
+void coordinator::RestoreAbsences(const std::vector<store::kv_entry>& inbox) {
+  const auto stored = std::find_if(inbox.begin(), inbox.end(),
+                                   [](const auto& entry) { return entry.key == kAbsentKey; });
+  absences_.Reset(term_, stored == inbox.end() ? std::nullopt : std::optional(*stored));
+  for (auto& [agent, worker] : workers_) {
+    if (!absences_.IsAbsent(agent)) continue;
+    worker.absent = true;
+    worker.lease_bound = time_.Now();
+  }
+}
+
 void coordinator::EndTerm() {
   if (term_ != 0) spdlog::info("event=term_ended term={}", term_);
   term_ = 0;
   progress_.Reset(0);
+  absences_.Reset(0, std::nullopt);
   jobs_.Clear();
   workers_.clear();
   early_cancels_.clear();
@@ -199,7 +213,7 @@
   worker_row& worker = WorkerOf(report.agent);
   worker.last_report = time_.Now();
   worker.heard = true;
-  if (!std::exchange(worker.reported, true)) {
+  if (!std::exchange(worker.reported, true) && !worker.absent) {
     // The agent has seen this term, so no earlier coordinator can extend its leases any more.
     worker.lease_bound = LeaseBound(time_.Now());
   }
@@ -239,7 +253,14 @@
     worker.avoid_until = {};
     worker.avoid_for = core::milliseconds{0};
   }
-  if (report.state == target_state::gone) LoseCopies(worker.agent, "target_gone", std::nullopt);
+  if (report.state != target_state::gone) return;
+  LoseCopies(worker.agent, "target_gone", std::nullopt);
+  NoteAbsent(worker);
+}
+
+void coordinator::NoteAbsent(worker_row& worker) {
+  worker.absent = true;
+  absences_.Enter(worker.agent);
 }
 
 void coordinator::ApplyEnds(worker_row& worker, const worker_report& report) {
@@ -477,6 +498,12 @@
 
 void coordinator::Grant(worker_row& worker, const worker_report& report) {
   if (!authority_.MayExtend()) return;
+  if (worker.absent) {
+    if (report.state != target_state::gone) absences_.Remove(worker.agent);
+    if (report.state == target_state::gone || !absences_.MayGrant(worker.agent)) return;
+    worker.absent = false;
+    spdlog::info("event=worker_present agent={} target={}", worker.agent, report.life.name);
+  }
   // An agent that does not know its target yet extends nothing; what ran there lapses.
   if (!report.life.name.empty()) {
     worker.lease_bound = std::max(worker.lease_bound, LeaseBound(time_.Now()));
@@ -506,6 +533,7 @@
         lease_grant{
             .term = term_, .echo_ms = 0, .life = worker.life, .stored_end = worker.stored_end});
   }
+  absences_.Flush();
   ForgetEnded();
   LogFleet();
 }
@@ -527,6 +555,7 @@
     if (time_.Now() < worker.lease_bound) continue;
     LoseCopies(agent, "lease_lapsed", std::nullopt);
     worker.listed = false;
+    if (!worker.absent) NoteAbsent(worker);
   }
 }
 
@@ -697,6 +726,7 @@
     if (worker.connected || now - worker.last_report < kForgetAgentAfter) continue;
     spdlog::info("event=agent_forgotten agent={}", agent);
     progress_.RemoveAgent(agent);
+    absences_.Remove(agent);
     agents_.Forget(agent);
     workers_.erase(agent);
     break;
