Trust a quiet watch for its whole wait; read the leader key less often; count store calls

Ruled out: registrations of agents (one read at the start), progress writes (under ten a second).

The leader key is read each 4 s beside watches of 2 s. coltsfoot_store_calls_total counts calls by kind.

--- a/libs/jobs/include/jobs/leadership.h
+++ b/libs/jobs/include/jobs/leadership.h
@@ -84,6 +84,7 @@
   void Look();
   void OnLeaderEntry(const std::optional<store::kv_entry>& entry);
   void Watch();
+  void OnWatched(const store::change_batch& batch, core::mono_time sent);
   void Register();
   /// Stands for election, after entries on stronger hosts had the time to.
   void StandInTurn();
@@ -119,6 +120,7 @@
   std::uint64_t leader_version_ = 0;
   std::uint64_t watched_from_ = 0;
   core::mono_time look_at_;
+  core::mono_time read_at_;  ///< when the leader key was last read
   bool registered_ = false;
   bool registering_ = false;
   core::mono_time register_at_;
--- a/libs/jobs/src/leadership.cc
+++ b/libs/jobs/src/leadership.cc
@@ -12,7 +12,9 @@
 
 // Waits of the watches: short, because a watch whose connection went silent is only noticed by its
 // timeout.
-constexpr core::milliseconds kLeaderWatch{1500};
+constexpr core::milliseconds kLeaderWatch{2000};
+// A quiet watch may be a dead one; the key itself cannot be wrong.
+constexpr core::milliseconds kLeaderReadPeriod{4000};
 constexpr core::milliseconds kInboxWatch{1000};
 constexpr core::milliseconds kRetryDelay{150};
 // Pause of an entry that handed the leadership over before it looks for a leader again.
@@ -64,6 +66,7 @@
 
 void leadership::Look() {
   looking_ = true;
+  read_at_ = time_.Now();
   storage_.Get(std::string(kLeaderKey), Guard<store::get_result>([this](store::get_result result) {
                  if (result.status == store::kv_status::ok) {
                    OnLeaderEntry(result.entry);
@@ -111,19 +114,24 @@
 }
 
 void leadership::Watch() {
+  const core::mono_time sent = time_.Now();
   storage_.WatchChanges(std::string(kLeaderKey), watched_from_, kLeaderWatch,
-                        Guard<store::change_batch>([this](store::change_batch batch) {
-                          if (batch.status != store::kv_status::ok) {
-                            LookAgainIn(kRetryDelay);
-                            return;
-                          }
-                          // A quiet watch may be a dead one; the key itself cannot be wrong.
-                          if (batch.changes.empty()) {
-                            LookAgainIn(core::milliseconds{0});
-                            return;
-                          }
-                          OnLeaderEntry(batch.changes.back().entry);
-                        }));
+                        Guard<store::change_batch>(
+                            [this, sent](store::change_batch batch) { OnWatched(batch, sent); }));
+}
+
+void leadership::OnWatched(const store::change_batch& batch, core::mono_time sent) {
+  const core::mono_time now = time_.Now();
+  if (batch.status != store::kv_status::ok) {
+    LookAgainIn(kRetryDelay);
+  } else if (!batch.changes.empty()) {
+    OnLeaderEntry(batch.changes.back().entry);
+  } else if (now - sent < kLeaderWatch || now - read_at_ >= kLeaderReadPeriod) {
+    LookAgainIn(core::milliseconds{0});
+  } else {
+    watched_from_ = std::max(watched_from_, batch.revision);
+    Watch();
+  }
 }
 
 bool leadership::IsWeakerThan(std::uint32_t own, std::uint32_t other) const {
--- a/tools/coltsfoot-runner/main.cc
+++ b/tools/coltsfoot-runner/main.cc
@@ -74,7 +74,7 @@
     asio::post(context, std::move(task));
   };
   const auto storage = platform::MakeStoreClient({.address = options.store}, *http_client, post,
-                                                 [](store::kv_status) {});
+                                                 metrics, [](store::kv_status) {});
   const auto target = platform::MakeTargetClient(*http_client, post, options.target);
   runner::coordinator_listener coordinator(context, options.peer);
   runner::runner control(
