Watch the leader key from the revision of its read; name what waiting steps lack

Cause: followers watched from the version of the leader key. The more stable the fleet, the more calls.

Change: the store's answer to a read carries its revision, and watches start there. Plans count why steps wait (coltsfoot_plan_waits_total, the line event=fleet); shares of filling tasks and paces are settings.

Tests: unit_jobs 'a follower watches from the revision...' fails before (since was the key's version), 'a follower reads the leader key each few seconds beside quiet watches'.

--- a/libs/jobs/include/jobs/coordinator.h
+++ b/libs/jobs/include/jobs/coordinator.h
@@ -159,6 +159,7 @@
   core::mono_time next_cleanup_;
   core::mono_time next_move_;
   core::mono_time next_summary_;
+  std::map<wait_reason, std::uint64_t> waits_;  ///< since the last summary
 };
 
 }  // namespace coltsfoot::jobs
--- a/libs/jobs/include/jobs/planner.h
+++ b/libs/jobs/include/jobs/planner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -53,10 +54,23 @@
   bool operator==(const planned_start&) const = default;
 };
 
+/// Why a step found no worker: the last of the conditions that some worker met.
+enum class wait_reason : std::uint8_t {
+  no_worker,   ///< none takes tasks of its service, with its label
+  room,        ///< processors or memory are committed
+  spread,      ///< workers with room hold as many tasks of the step as they may
+  processors,  ///< filling: serving and filling tasks use all processors
+  goals,       ///< filling: serving tasks would miss their goals
+};
+
+/// @return the reason's name in logs and metrics.
+const char* ToString(wait_reason reason) noexcept;
+
 /// Outcome of planning.
 struct start_plan {
   std::vector<planned_start> starts;
-  std::uint64_t considered = 0;  ///< workers that were rated; what a plan costs
+  std::map<wait_reason, std::uint64_t> waits;  ///< kinds of steps that found no worker
+  std::uint64_t considered = 0;                ///< workers that were rated; what a plan costs
   bool operator==(const start_plan&) const = default;
 };
 
--- a/libs/jobs/src/coordinator.cc
+++ b/libs/jobs/src/coordinator.cc
@@ -629,6 +629,10 @@
   }
   const start_plan plan = Plan(jobs_, workers_, pressures_, now, options_.planner);
   metrics_.GetCounter("coltsfoot_plan_workers_total").Add(plan.considered);
+  for (const auto& [reason, count] : plan.waits) {
+    metrics_.GetCounter("coltsfoot_plan_waits_total", {"reason", ToString(reason)}).Add(count);
+    waits_[reason] += count;
+  }
   for (const planned_start& start : plan.starts) {
     const task_id id{start.job, 0, start.step, start.index};
     const auto place = jobs_.FindTask(id);
@@ -678,12 +682,17 @@
   const core::mono_time now = time_.Now();
   if (now < next_summary_) return;
   next_summary_ = now + kSummaryPeriod;
+  std::string waits;
+  for (const auto& [reason, count] : std::exchange(waits_, {})) {
+    waits += std::string(waits.empty() ? "" : ",") + ToString(reason) + ":" + std::to_string(count);
+  }
   const fleet_summary sum = Summarize(jobs_, workers_, now);
   spdlog::info(
       "event=fleet workers={} usable={} avoided={} slowed={} cpu={} committed={} filling={} "
-      "jobs={} waiting_tasks={} waiting_filling={} running={}",
+      "jobs={} waiting_tasks={} waiting_filling={} running={} waits={}",
       workers_.size(), sum.usable, sum.avoided, sum.slowed, sum.cpu_millis, sum.committed_millis,
-      sum.filling_millis, sum.open_jobs, sum.waiting_tasks, sum.waiting_filling, sum.running);
+      sum.filling_millis, sum.open_jobs, sum.waiting_tasks, sum.waiting_filling, sum.running,
+      waits);
 }
 
 start_order coordinator::MakeStart(const job_row& job, const run_id& run,
--- a/libs/jobs/src/leadership.cc
+++ b/libs/jobs/src/leadership.cc
@@ -69,6 +69,8 @@
   read_at_ = time_.Now();
   storage_.Get(std::string(kLeaderKey), Guard<store::get_result>([this](store::get_result result) {
                  if (result.status == store::kv_status::ok) {
+                   // The history of the key's own version may be gone.
+                   watched_from_ = std::max(watched_from_, result.revision);
                    OnLeaderEntry(result.entry);
                  } else if (result.status == store::kv_status::not_found) {
                    OnLeaderEntry(std::nullopt);
@@ -109,7 +111,7 @@
   }
   leader_ = *record;
   leader_version_ = entry->version;
-  watched_from_ = entry->version;
+  watched_from_ = std::max(watched_from_, entry->version);
   Watch();
 }
 
--- a/libs/jobs/src/plan_pass.cc
+++ b/libs/jobs/src/plan_pass.cc
@@ -10,6 +10,8 @@
 // Lowest headroom above the goal that is believed of a peak: estimates at a saturated queue are
 // too low, and agents slow filling tasks that take too much.
 constexpr double kLeastPeakBudget = 0.35;
+// Share of its processors, in tenths, that a filling task has to find idle.
+constexpr std::int64_t kLeastIdleTenths = 8;
 
 }  // namespace
 
@@ -51,12 +53,12 @@
   return share;
 }
 
-bool plan_pass::IsWorthFilling(const worker_row& worker, const step_spec& step, bool relaxed) {
-  // Filling tasks beyond the idle processors only slow each other down; a few late jobs are better
-  // than all jobs late.
-  if (worker.filling_cpu != 0 && 10 * IdleCpu(worker, options_) < 8 * step.need.cpu_millis) {
-    return false;
-  }
+bool plan_pass::HasIdleProcessors(const worker_row& worker, const step_spec& step) const {
+  return worker.filling_cpu == 0 ||
+         10 * IdleCpu(worker, options_) >= kLeastIdleTenths * step.need.cpu_millis;
+}
+
+bool plan_pass::KeepsGoals(const worker_row& worker, const step_spec& step, bool relaxed) {
   const pressure_share share = PressureWith(worker, step);
   return share.at_peak <= options_.highest_pressure ||
          (relaxed && share.now <= options_.highest_present_pressure);
--- a/libs/jobs/src/plan_pass.h
+++ b/libs/jobs/src/plan_pass.h
@@ -37,9 +37,12 @@
   const std::vector<worker_row*>& WorkersOf(const std::string& service) const;
   /// @return the shares with one more filling task of this step.
   pressure_share PressureWith(const worker_row& worker, const step_spec& step);
+  /// @return true if a filling task of this step would get processors. Beyond the idle processors
+  /// filling tasks only slow each other down; a few late jobs are better than all jobs late.
+  bool HasIdleProcessors(const worker_row& worker, const step_spec& step) const;
   /// @param relaxed the present load decides, not the highest one.
-  /// @return true if a filling task of this step would get processors and do no harm.
-  bool IsWorthFilling(const worker_row& worker, const step_spec& step, bool relaxed);
+  /// @return true if serving tasks keep their goals beside a filling task of this step.
+  bool KeepsGoals(const worker_row& worker, const step_spec& step, bool relaxed);
   /// Notes that a task was added to a worker.
   void Forget(const worker_row& worker) { groups_.erase(&worker); }
 
--- a/libs/jobs/src/planner.cc
+++ b/libs/jobs/src/planner.cc
@@ -89,6 +89,7 @@
       worker_row* worker = Choose(task.failed_on);
       out.considered += pass_.WorkersOf(job_.queue.service).size();
       if (worker == nullptr) {
+        ++out.waits[reached_];
         // A worker may have room but hold as many tasks of this step as it may.
         if (!starved_ && spec_.max_per_worker == 0) pass_.NoteFull(job_, spec_, relaxed_);
         return;
@@ -103,11 +104,19 @@
   worker_row* Choose(const std::string& avoid) {
     worker_row* best = nullptr;
     std::int64_t best_score = std::numeric_limits<std::int64_t>::min();
+    reached_ = wait_reason::no_worker;
     for (worker_row* worker : pass_.WorkersOf(job_.queue.service)) {
       if (!spec_.label.empty() && !worker->HasLabel(spec_.label)) continue;
+      Reach(wait_reason::room);
       if (!HasRoom(*worker, need_, Headroom(*worker))) continue;
-      if (spec_.fills && !starved_ && !pass_.IsWorthFilling(*worker, spec_, relaxed_)) continue;
+      Reach(wait_reason::spread);
       if (spec_.max_per_worker > 0 && CountAt(worker->agent) >= spec_.max_per_worker) continue;
+      if (spec_.fills && !starved_) {
+        Reach(wait_reason::processors);
+        if (!pass_.HasIdleProcessors(*worker, spec_)) continue;
+        Reach(wait_reason::goals);
+        if (!pass_.KeepsGoals(*worker, spec_, relaxed_)) continue;
+      }
       std::int64_t score = Score(*worker, spec_, options_);
       if (spec_.fills) {
         score -= std::llround(kWholePressure * pass_.PressureWith(*worker, spec_).at_peak);
@@ -121,6 +130,8 @@
     return best;
   }
 
+  void Reach(wait_reason reason) { reached_ = std::max(reached_, reason); }
+
   std::int64_t Headroom(const worker_row& worker) const {
     if (job_.queue.priority == 0 || spec_.fills) return 0;
     return worker.capacity.cpu_millis * options_.urgent_headroom_permille / 1000;
@@ -159,6 +170,7 @@
   plan_pass& pass_;
   const planner_options& options_;
   copies_by_worker counts_;
+  wait_reason reached_ = wait_reason::no_worker;  ///< what no worker met when none was chosen
   bool relaxed_ = false;  ///< the present load decides where the job's tasks may fill
   bool starved_ = false;  ///< the job's next task is placed wherever it has room
 };
@@ -193,6 +205,22 @@
          now - worker.last_report < kReportLimit && now >= worker.avoid_until;
 }
 
+const char* ToString(wait_reason reason) noexcept {
+  switch (reason) {
+    case wait_reason::no_worker:
+      return "no_worker";
+    case wait_reason::room:
+      return "room";
+    case wait_reason::spread:
+      return "spread";
+    case wait_reason::processors:
+      return "processors";
+    case wait_reason::goals:
+      return "goals";
+  }
+  return "unknown";
+}
+
 std::string GroupOf(std::string_view job, std::uint32_t step) {
   return std::string(job) + "." + std::to_string(step);
 }
--- a/libs/jobs/tests/fixture.h
+++ b/libs/jobs/tests/fixture.h
@@ -29,8 +29,10 @@
     Later([this, key = std::move(key), done = std::move(done)] {
       if (down) return done({store::kv_status::unknown, std::nullopt});
       const auto place = entries.find(key);
-      if (place == entries.end()) return done({store::kv_status::not_found, std::nullopt});
-      done({store::kv_status::ok, place->second});
+      if (place == entries.end()) {
+        return done({store::kv_status::not_found, std::nullopt, revision});
+      }
+      done({store::kv_status::ok, place->second, revision});
     });
   }
   void ReadAll(std::string prefix, handler<store::range_result> done) override {
--- a/libs/jobs/tests/leadership_test.cc
+++ b/libs/jobs/tests/leadership_test.cc
@@ -55,6 +55,52 @@
   CHECK(follower.election.leader()->entry == (first.term != 0 ? "e1" : "e2"));
 }
 
+// malolos-straw, quiet day: from 20 s on each watch from the version of the leader key was refused,
+// since that history was gone, and each follower read the key and watched it six times a second.
+TEST_CASE("a follower watches from the revision at which it read the leader key") {
+  memory_store storage;
+  core::manual_clock time;
+  storage.Put(std::string(kLeaderKey),
+              wire::EncodeValue(leader_record{.entry = "e1", .address = "e1:1", .nonce = 1}));
+  storage.revision += 1000;
+  candidate follower(storage, time, "e2");
+  follower.election.Start();
+  storage.Pump();
+  REQUIRE(follower.election.leader());
+  REQUIRE(storage.watches.size() == 1);
+  CHECK(storage.watches.back().since == storage.revision);
+}
+
+// Guards against calls to the store that grow with each quiet watch, and against watches that are
+// trusted although they hear nothing for good.
+TEST_CASE("a follower reads the leader key each few seconds beside quiet watches") {
+  memory_store storage;
+  core::manual_clock time;
+  storage.Put(std::string(kLeaderKey),
+              wire::EncodeValue(leader_record{.entry = "e1", .address = "e1:1", .nonce = 1}));
+  candidate follower(storage, time, "e2");
+  follower.election.Start();
+  storage.Pump();
+  const auto pass_watch = [&] {
+    REQUIRE(storage.watches.size() == 1);
+    auto watch = std::move(storage.watches.back());
+    storage.watches.clear();
+    time.Advance(milliseconds{2000});
+    watch.done({store::kv_status::ok, storage.revision, {}});
+    time.Advance(milliseconds{60});
+    follower.election.Tick();
+  };
+  pass_watch();
+  CHECK(storage.watches.size() == 1);
+  pass_watch();
+  // The key is read before the next watch, which hears nothing of the new leader.
+  CHECK(storage.watches.empty());
+  storage.Put(std::string(kLeaderKey),
+              wire::EncodeValue(leader_record{.entry = "e3", .address = "e3:1", .nonce = 2}));
+  storage.Pump();
+  CHECK(follower.election.leader()->entry == "e3");
+}
+
 // Guards against a coordinator that starts tasks after its lease: the store may have elected
 // another. Leases of running tasks may still be extended for a while.
 TEST_CASE("without the store starts end with the lease, extensions later, leadership last") {
--- a/libs/store/include/store/kv_client.h
+++ b/libs/store/include/store/kv_client.h
@@ -44,6 +44,7 @@
 struct get_result {
   kv_status status = kv_status::unknown;
   std::optional<kv_entry> entry;
+  std::uint64_t revision = 0;  ///< of the store at the time of the answer; 0: not known
   bool operator==(const get_result&) const = default;
 };
 
--- a/tools/coltsfoot-runner/main.cc
+++ b/tools/coltsfoot-runner/main.cc
@@ -24,7 +24,8 @@
     "Agent of one worker for jobs: starts, stops and paces tasks at the target on its host.\n"
     "Settings: id, announce (IP:PORT for the target's announcements), target, peer, metrics "
     "(IP:PORT),\nstore (IP:PORT), advertise (IP:PORT that entries dial, peer), task_lease_ms "
-    "(5000).";
+    "(5000).\nPaces of filling tasks: pace_least_headroom_permille (1120), pace_horizon_ms (600), "
+    "pace_caution_permille\n(500), pace_least_budget_permille (220).";
 constexpr core::milliseconds kTick{40};
 // Time for the last lease extension to reach the target.
 constexpr core::milliseconds kStopDelay{60};
@@ -40,8 +41,28 @@
   std::string store;
   std::string advertise;  ///< IP:PORT that entries dial
   core::milliseconds task_lease{0};
+  runner::pacer_options pacing;
 };
 
+/// @return a share that the settings give in thousandths.
+double ReadShare(settings::reader& source, std::string_view key, double fallback) {
+  constexpr settings::range kPermille{0, 100'000};
+  return static_cast<double>(
+             source.Number(key, kPermille, static_cast<std::int64_t>(1000 * fallback))) /
+         1000.0;
+}
+
+runner::pacer_options ReadPacing(settings::reader& source) {
+  runner::pacer_options options;
+  options.least_headroom =
+      ReadShare(source, "pace_least_headroom_permille", options.least_headroom);
+  options.horizon =
+      core::milliseconds{source.Number("pace_horizon_ms", {0, 10'000}, options.horizon.count())};
+  options.caution = ReadShare(source, "pace_caution_permille", options.caution);
+  options.least_budget = ReadShare(source, "pace_least_budget_permille", options.least_budget);
+  return options;
+}
+
 runner_settings ReadOptions(settings::reader& source) {
   runner_settings options;
   options.id = source.Text("id");
@@ -53,6 +74,7 @@
   options.advertise =
       source.Text("advertise", fmt::format("{}:{}", options.peer.ip, options.peer.port));
   options.task_lease = core::milliseconds{source.Number("task_lease_ms", {1000, 60'000}, 5000)};
+  options.pacing = ReadPacing(source);
   return options;
 }
 
@@ -77,9 +99,11 @@
                                                  metrics, [](store::kv_status) {});
   const auto target = platform::MakeTargetClient(*http_client, post, options.target);
   runner::coordinator_listener coordinator(context, options.peer);
-  runner::runner control(
-      {.agent = options.id, .agent_start = core::SystemSeed(), .task_lease = options.task_lease},
-      time, metrics, *target, coordinator);
+  runner::runner control({.agent = options.id,
+                          .agent_start = core::SystemSeed(),
+                          .task_lease = options.task_lease,
+                          .pacing = options.pacing},
+                         time, metrics, *target, coordinator);
   coordinator.SetRunner(control);
   runner::registration registration(time, *storage, options.id, options.advertise);
   http::server announcements(
--- a/tools/coltsfoot-scheduler/main.cc
+++ b/tools/coltsfoot-scheduler/main.cc
@@ -32,7 +32,10 @@
     "Entry of the job scheduler: admits, shows and cancels jobs; one of the entries places tasks.\n"
     "Settings: id, front, ready, peer, metrics (IP:PORT), store (IP:PORT), task_lease_ms (5000),\n"
     "drain_ms (3000), config_bound_ms (2000: time in which a change of the configuration is in "
-    "force),\nprocessor_share and processor_speed of the host (1).";
+    "force),\nprocessor_share and processor_speed of the host (1). Filling tasks, in thousandths "
+    "of the headroom of\nthe serving tasks beside them: filling_peak_permille (1000), "
+    "filling_present_permille (600), after\nfilling_relaxed_after_ms (1500); serving_use_permille "
+    "(500).";
 constexpr core::milliseconds kTick{40};
 // Longest time for requests in progress after no more are accepted.
 constexpr core::milliseconds kHttpShutdownLimit{1500};
@@ -49,9 +52,30 @@
   core::milliseconds task_lease{0};
   core::milliseconds drain{0};
   core::milliseconds config_bound{0};
+  jobs::planner_options planner;
   double processors = 1;  ///< of the host, in processors of usual speed
 };
 
+/// @return a share that the settings give in thousandths.
+double ReadShare(settings::reader& source, std::string_view key, double fallback) {
+  constexpr settings::range kPermille{0, 100'000};
+  return static_cast<double>(
+             source.Number(key, kPermille, static_cast<std::int64_t>(1000 * fallback))) /
+         1000.0;
+}
+
+jobs::planner_options ReadPlannerOptions(settings::reader& source) {
+  jobs::planner_options options;
+  options.highest_pressure = ReadShare(source, "filling_peak_permille", options.highest_pressure);
+  options.highest_present_pressure =
+      ReadShare(source, "filling_present_permille", options.highest_present_pressure);
+  options.relaxed_after = core::milliseconds{
+      source.Number("filling_relaxed_after_ms", {0, 600'000}, options.relaxed_after.count())};
+  options.serving_use_permille =
+      source.Number("serving_use_permille", {0, 1000}, options.serving_use_permille);
+  return options;
+}
+
 scheduler_options ReadOptions(settings::reader& source) {
   scheduler_options options;
   options.id = source.Text("id");
@@ -63,6 +87,7 @@
   options.task_lease = core::milliseconds{source.Number("task_lease_ms", {1000, 60'000}, 5000)};
   options.drain = core::milliseconds{source.Number("drain_ms", {0, 60'000}, 3000)};
   options.config_bound = core::milliseconds{source.Number("config_bound_ms", {500, 60'000}, 2000)};
+  options.planner = ReadPlannerOptions(source);
   options.processors =
       source.Fraction("processor_share", 1) * source.Fraction("processor_speed", 1);
   return options;
@@ -86,8 +111,8 @@
             [&context](std::function<void()> task) { asio::post(context, std::move(task)); },
             metrics_, [this](store::kv_status status) { health_.Note(status); })),
         agents_(context, time_, metrics_),
-        coordinator_({.task_lease = options.task_lease}, time_, metrics_, agents_, *storage_,
-                     *this),
+        coordinator_({.planner = options.planner, .task_lease = options.task_lease}, time_,
+                     metrics_, agents_, *storage_, *this),
         leadership_({.entry = options.id,
                      .address = Format(options.peer),
                      .processor_millis = static_cast<std::uint32_t>(1000 * options.processors)},
