Confirm ends job by job; send reports as changes; pace plans alone

Orders that waited for a tick while their connection was replaced kept the old connection's numbers, so that later orders seemed to have been seen. 3.

An agent without its absence removed from the store is never granted a lease, whatever its row says. Reports go as changes with sequence and digest (report_stream); one that does not follow ends the connection, and the next begins whole.

Tests: progress_writer_test 'ends are confirmed although...' (before: nothing confirmed after 960 ends), runner_test 'a run that ended behind a full list...' (before: 0 running), coordinator_test 'orders that wait...' (before: sequence 6 of 1), report_stream_test (random changes, losses and replaced connections against whole reports, lost, repeated, old and damaged messages).

--- a/libs/jobs/include/jobs/coordinator.h
+++ b/libs/jobs/include/jobs/coordinator.h
@@ -13,6 +13,7 @@
 #include "jobs/headroom_model.h"
 #include "jobs/job_table.h"
 #include "jobs/messages.h"
+#include "jobs/plan_pacer.h"
 #include "jobs/planner.h"
 #include "jobs/progress_writer.h"
 #include "jobs/queue_catalogue.h"
@@ -131,6 +132,8 @@
   /// @return false if no copy of the job is superfluous.
   bool StopSuperfluousOf(job_row& job);
   void CountCommitted();
+  /// Plans, unless plans have taken enough time of late.
+  void PlanIfDue();
   void StartPlanned();
   void MovePlanned();
   void LogFleet();
@@ -154,6 +157,7 @@
   headroom_model pressures_;
   progress_writer progress_;
   absence_register absences_;
+  plan_pacer plan_pace_;
   std::set<std::string> early_cancels_;  ///< cancellations that arrived before their job
   std::map<std::string, worker_orders> orders_;
   core::mono_time next_cleanup_;
--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -66,6 +66,8 @@
   job_state stored_state = job_state::queued;
   bool end_in_doubt = false;  ///< its end may be stored: a write is in flight or had no answer
   store::key_version progress_version = 0;
+  std::uint64_t changes = 0;         ///< of its progress in this term
+  std::uint64_t stored_changes = 0;  ///< of these, in the store
   std::vector<step_row> steps;
   std::vector<task_row> tasks;
 
@@ -113,7 +115,12 @@
   const job_index& open() const noexcept { return open_; }
   /// @return the jobs that differ from what is stored.
   const job_index& dirty() const noexcept { return dirty_; }
-  void MarkDirty(job_row& job) { dirty_.emplace(job.id, &job); }
+  void MarkDirty(job_row& job) {
+    ++job.changes;
+    dirty_.emplace(job.id, &job);
+  }
+  /// Keeps a job dirty whose write did not succeed.
+  void KeepDirty(job_row& job) { dirty_.emplace(job.id, &job); }
   void ClearDirty(job_row& job) { dirty_.erase(job.id); }
   /// @return the jobs of which copies may run that are not needed any more.
   const job_index& suspects() const noexcept { return suspects_; }
--- a/libs/jobs/include/jobs/network.h
+++ b/libs/jobs/include/jobs/network.h
@@ -12,6 +12,7 @@
 #include "jobs/coordinator.h"
 #include "jobs/job_service.h"
 #include "jobs/messages.h"
+#include "jobs/report_stream.h"
 #include "metrics/registry.h"
 #include "wire/transport.h"
 
@@ -51,9 +52,12 @@
     core::mono_time dialled_at;
     core::mono_time heard_at;
     core::mono_time dial_at;
+    report_decoder reports;
   };
   void Dial(const std::string& agent, peer& to);
   void OnMessage(const std::string& agent, std::uint64_t serial, const wire::raw_message& message);
+  /// Takes changes; a report that does not follow from the last ends the connection.
+  void OnChanges(const std::string& agent, peer& from, const wire::raw_message& message);
   void Lose(const std::string& agent, peer& from);
   peer* Find(const std::string& agent, std::uint64_t serial);
   template <class Message>
--- a/libs/jobs/include/jobs/progress_writer.h
+++ b/libs/jobs/include/jobs/progress_writer.h
@@ -38,7 +38,12 @@
  private:
   struct batch;
   void CommitRemoval(store::transaction writes);
-  void Write(job_table& jobs, worker_table& workers);
+  void Write(job_table& jobs);
+  /// @return the jobs of the next write: those that have ended, then the others in turn.
+  std::vector<job_row*> ChooseJobs(job_table& jobs);
+  /// Advances `stored_end` of workers whose next ends are stored.
+  /// @return the agents of these workers.
+  static std::vector<std::string> ConfirmEnds(const job_table& jobs, worker_table& workers);
   void OnWritten(const std::shared_ptr<batch>& written, const store::commit_result& result);
   void Adopt(const std::shared_ptr<batch>& written, const store::commit_result& result);
 
@@ -48,13 +53,12 @@
   std::function<void()> on_deposed_;
   std::uint64_t term_ = 0;
   job_table* jobs_ = nullptr;
-  worker_table* workers_ = nullptr;
   std::shared_ptr<batch> in_flight_;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
   core::mono_time retry_at_;
   core::mono_time first_dirty_;
   bool dirty_since_set_ = false;
-  std::vector<std::string> advanced_;
+  std::string last_written_;  ///< job of the last write that had not ended
 };
 
 }  // namespace coltsfoot::jobs
--- a/libs/jobs/include/jobs/worker_table.h
+++ b/libs/jobs/include/jobs/worker_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <utility>
@@ -11,6 +12,13 @@
 
 namespace coltsfoot::jobs {
 
+/// An end at a target whose effect on its job may not be stored yet.
+struct unstored_end {
+  std::uint64_t number = 0;
+  std::string job;
+  std::uint64_t changes = 0;  ///< of the job with this end
+};
+
 /// What the coordinator knows of one agent and its target.
 struct worker_row {
   std::string agent;
@@ -41,9 +49,10 @@
   std::map<std::pair<std::string, std::string>, float> sent_pressures;
   core::mono_time lease_bound;  ///< all that runs here has lapsed by then
   std::uint64_t next_order = 1;
-  std::uint64_t processed_end = 0;  ///< ends of `life` that are in the job table
-  std::uint64_t stored_end = 0;     ///< ends of `life` that are in the store
-  std::uint32_t foreign = 0;        ///< runs of jobs that the coordinator does not know
+  std::uint64_t processed_end = 0;    ///< ends of `life` that are in the job table
+  std::uint64_t stored_end = 0;       ///< ends of `life` that are in the store
+  std::deque<unstored_end> unstored;  ///< ends after `stored_end`, by number
+  std::uint32_t foreign = 0;          ///< runs of jobs that the coordinator does not know
   std::uint32_t recent_failures = 0;
   std::string last_failed_job;
   core::mono_time avoid_until;      ///< no new tasks before; zero: none
--- a/libs/jobs/src/coordinator.cc
+++ b/libs/jobs/src/coordinator.cc
@@ -191,6 +191,8 @@
   worker.connected = true;
   worker.heard = false;
   worker.sent_pressures.clear();
+  // Orders that wait are numbered for the connection before; they are made again.
+  orders_.erase(agent);
   worker.next_order = 1;
   worker.resend = true;
 }
@@ -249,6 +251,7 @@
     worker.listed = false;
     worker.processed_end = 0;
     worker.stored_end = 0;
+    worker.unstored.clear();
     worker.recent_failures = 0;
     worker.avoid_until = {};
     worker.avoid_for = core::milliseconds{0};
@@ -268,6 +271,8 @@
     if (end.number <= worker.processed_end) continue;
     ApplyEnd(worker, end);
     worker.processed_end = end.number;
+    const job_row* job = jobs_.Find(end.task.job);
+    worker.unstored.push_back({end.number, end.task.job, job == nullptr ? 0 : job->changes});
   }
 }
 
@@ -498,10 +503,11 @@
 
 void coordinator::Grant(worker_row& worker, const worker_report& report) {
   if (!authority_.MayExtend()) return;
-  if (worker.absent) {
-    if (report.state != target_state::gone) absences_.Remove(worker.agent);
-    if (report.state == target_state::gone || !absences_.MayGrant(worker.agent)) return;
-    worker.absent = false;
+  if (report.state == target_state::gone) return;
+  if (worker.absent || !absences_.MayGrant(worker.agent)) {
+    absences_.Remove(worker.agent);
+    worker.absent = !absences_.MayGrant(worker.agent);
+    if (worker.absent) return;
     spdlog::info("event=worker_present agent={} target={}", worker.agent, report.life.name);
   }
   // An agent that does not know its target yet extends nothing; what ran there lapses.
@@ -520,10 +526,7 @@
   LapseSilent();
   SettleTakeover();
   StopSuperfluous();
-  if (authority_.MayStart()) {
-    StartPlanned();
-    MovePlanned();
-  }
+  PlanIfDue();
   SendOrders();
   for (const std::string& agent : progress_.Flush(jobs_, workers_)) {
     const worker_row& worker = workers_.at(agent);
@@ -538,6 +541,14 @@
   LogFleet();
 }
 
+void coordinator::PlanIfDue() {
+  const core::mono_time began = time_.Now();
+  if (!authority_.MayStart() || !plan_pace_.IsDue(began)) return;
+  StartPlanned();
+  MovePlanned();
+  plan_pace_.Note(began, time_.Now());
+}
+
 void coordinator::SettleTakeover() {
   if (settled_) return;
   for (const auto& [agent, worker] : workers_) {
--- a/libs/jobs/src/network.cc
+++ b/libs/jobs/src/network.cc
@@ -69,6 +69,7 @@
   const std::uint64_t serial = next_serial_++;
   to.serial = serial;
   to.open = false;
+  to.reports = {};
   to.dialled_at = time_.Now();
   to.connection = wire::ConnectTcp(context_, to.address);
   to.connection->Start(
@@ -99,7 +100,25 @@
   peer* from = Find(agent, serial);
   if (from == nullptr) return;
   from->heard_at = time_.Now();
-  if (const auto report = Decode<worker_report>(message, agent)) callbacks_.on_report(*report);
+  if (message.type == wire::message_type::worker_changes) {
+    OnChanges(agent, *from, message);
+  } else if (const auto report = Decode<worker_report>(message, agent)) {
+    callbacks_.on_report(*report);
+  }
+}
+
+void agent_connections::OnChanges(const std::string& agent, peer& from,
+                                  const wire::raw_message& message) {
+  core::last_error error;
+  const auto changes = wire::FromRaw<worker_changes>(message, error);
+  const auto report = changes ? from.reports.Decode(*changes, error) : std::nullopt;
+  if (report) {
+    callbacks_.on_report(*report);
+    return;
+  }
+  metrics_.GetCounter("coltsfoot_reports_out_of_step_total").Add();
+  spdlog::warn("event=report_out_of_step agent={} reason=\"{}\"", agent, error.reason().message);
+  Lose(agent, from);
 }
 
 void agent_connections::Lose(const std::string& agent, peer& from) {
--- a/libs/jobs/src/progress_writer.cc
+++ b/libs/jobs/src/progress_writer.cc
@@ -20,16 +20,16 @@
 
 }  // namespace
 
-/// Records of one write and what they confirm.
+/// Records of one write.
 struct progress_writer::batch {
   struct record {
     std::string job;
     progress_record progress;
+    std::uint64_t changes = 0;  ///< that the record holds
     bool was_in_doubt = false;  ///< before this write
   };
   std::uint64_t term = 0;
   std::vector<record> records;
-  std::map<std::string, std::pair<target_life, std::uint64_t>> ends;
 };
 
 progress_writer::progress_writer(const core::clock& time, metrics::registry& metrics,
@@ -41,60 +41,78 @@
 void progress_writer::Reset(std::uint64_t term) {
   term_ = term;
   in_flight_.reset();
-  advanced_.clear();
   dirty_since_set_ = false;
   retry_at_ = {};
 }
 
 std::vector<std::string> progress_writer::Flush(job_table& jobs, worker_table& workers) {
   jobs_ = &jobs;
-  workers_ = &workers;
-  if (!in_flight_ && time_.Now() >= retry_at_) Write(jobs, workers);
-  return std::exchange(advanced_, {});
+  if (!in_flight_ && time_.Now() >= retry_at_) Write(jobs);
+  return ConfirmEnds(jobs, workers);
 }
 
-void progress_writer::Write(job_table& jobs, worker_table& workers) {
-  std::vector<job_row*> due;
-  bool whole = true;
-  bool urgent = false;
-  for (const auto& [id, job] : jobs.dirty()) {
-    if (due.size() >= kMaxJobsPerBatch) {
-      whole = false;
-      break;
+std::vector<std::string> progress_writer::ConfirmEnds(const job_table& jobs,
+                                                      worker_table& workers) {
+  std::vector<std::string> advanced;
+  for (auto& [agent, worker] : workers) {
+    const std::uint64_t before = worker.stored_end;
+    while (!worker.unstored.empty()) {
+      const unstored_end& next = worker.unstored.front();
+      const job_row* job = jobs.Find(next.job);
+      if (job != nullptr && job->stored_changes < next.changes) break;
+      worker.stored_end = next.number;
+      worker.unstored.pop_front();
     }
-    urgent = urgent || (IsEnded(job->state) && job->stored_state != job->state);
+    if (worker.stored_end != before) advanced.push_back(agent);
+  }
+  return advanced;
+}
+
+std::vector<job_row*> progress_writer::ChooseJobs(job_table& jobs) {
+  std::vector<job_row*> due;
+  const auto& dirty = jobs.dirty();
+  for (const auto& [id, job] : dirty) {
+    if (due.size() >= kMaxJobsPerBatch) return due;
+    if (IsEnded(job->state) && job->stored_state != job->state) due.push_back(job);
+  }
+  // Beginning after the last one, so that none waits for ever behind smaller ids.
+  auto next = dirty.upper_bound(last_written_);
+  for (std::size_t seen = 0; seen < dirty.size() && due.size() < kMaxJobsPerBatch; ++seen) {
+    if (next == dirty.end()) next = dirty.begin();
+    job_row* job = next->second;
+    ++next;
+    if (IsEnded(job->state) && job->stored_state != job->state) continue;
     due.push_back(job);
+    last_written_ = job->id;
   }
-  if (due.empty()) {
+  return due;
+}
+
+void progress_writer::Write(job_table& jobs) {
+  if (jobs.dirty().empty()) {
     dirty_since_set_ = false;
-    for (auto& [agent, worker] : workers) {
-      if (worker.stored_end == worker.processed_end) continue;
-      worker.stored_end = worker.processed_end;
-      advanced_.push_back(agent);
-    }
     return;
   }
   const core::mono_time now = time_.Now();
   if (!std::exchange(dirty_since_set_, true)) first_dirty_ = now;
+  const bool urgent = std::any_of(jobs.dirty().begin(), jobs.dirty().end(), [](const auto& each) {
+    return IsEnded(each.second->state) && each.second->stored_state != each.second->state;
+  });
+  const bool whole = jobs.dirty().size() <= kMaxJobsPerBatch;
   if (!urgent && whole && now - first_dirty_ < kBatchDelay) return;
   dirty_since_set_ = false;
   auto next = std::make_shared<batch>();
   next->term = term_;
   store::transaction writes;
   writes.expect.push_back({std::string(kLeaderKey), term_});
-  for (job_row* job : due) {
-    next->records.push_back({job->id, job_table::Progress(*job), job->end_in_doubt});
+  for (job_row* job : ChooseJobs(jobs)) {
+    next->records.push_back({job->id, job_table::Progress(*job), job->changes, job->end_in_doubt});
     job->end_in_doubt = job->end_in_doubt || IsEnded(job->state);
     writes.expect.push_back({ProgressKey(job->id), job->progress_version});
     writes.puts.push_back(
         {ProgressKey(job->id), wire::EncodeValue(next->records.back().progress), 0});
     jobs.ClearDirty(*job);
   }
-  if (whole) {
-    for (const auto& [agent, worker] : workers) {
-      next->ends.emplace(agent, std::pair{worker.life, worker.processed_end});
-    }
-  }
   in_flight_ = next;
   metrics_.GetCounter("coltsfoot_progress_writes_total").Add();
   storage_.Commit(std::move(writes),
@@ -113,21 +131,15 @@
       if (job == nullptr) continue;
       job->progress_version = result.revision;
       job->stored_state = record.progress.state;
+      job->stored_changes = record.changes;
       job->end_in_doubt = false;
     }
-    for (const auto& [agent, end] : written->ends) {
-      const auto worker = workers_->find(agent);
-      if (worker == workers_->end() || worker->second.life != end.first) continue;
-      if (worker->second.stored_end >= end.second) continue;
-      worker->second.stored_end = end.second;
-      advanced_.push_back(agent);
-    }
     return;
   }
   for (const auto& record : written->records) {
     job_row* job = jobs_->Find(record.job);
     if (job == nullptr) continue;
-    jobs_->MarkDirty(*job);
+    jobs_->KeepDirty(*job);
     if (result.status != store::kv_status::unknown) job->end_in_doubt = record.was_in_doubt;
   }
   retry_at_ = time_.Now() + kRetryDelay;
--- a/libs/jobs/tests/coordinator_test.cc
+++ b/libs/jobs/tests/coordinator_test.cc
@@ -411,4 +411,31 @@
   CHECK(fleet.agents.TakeStarts().size() == 1);
 }
 
+// Guards against orders that waited while their connection was replaced: their numbers belong to
+// the old connection, and the agent would seem to have seen orders that are still on their way, so
+// that their runs counted as missing and started elsewhere.
+TEST_CASE("orders that wait while a connection is replaced are numbered anew") {
+  coordinator_fixture fleet;
+  fleet.Begin({"a"});
+  for (int job = 0; job < 5; ++job) {
+    fleet.Submit("00000000000000a" + std::to_string(job), {TestStep(1)});
+    fleet.Tick();
+    fleet.RunOrders();
+  }
+  // A run of a job that nobody knows is stopped by an order that waits for the next tick.
+  fleet.Worker("a").running.push_back({.task = {"00000000000000ff", 0, 0, 0}, .run = 1});
+  fleet.Report("a");
+  fleet.control.OnAgentDisconnected("a");
+  fleet.control.OnAgentConnected("a");
+  fleet.agents.orders.clear();
+  fleet.Worker("a").running.pop_back();
+  fleet.Report("a");
+  fleet.Tick();
+  fleet.Submit(kJob, {TestStep(1)});
+  fleet.Tick();
+  std::uint64_t expected = 0;
+  for (const auto& [agent, orders] : fleet.agents.orders) CHECK(orders.sequence == ++expected);
+  CHECK(expected > 0);
+}
+
 }  // namespace coltsfoot::jobs
--- /dev/null
+++ b/libs/jobs/tests/progress_writer_test.cc
@@ -0,0 +1,100 @@
+#include "jobs/progress_writer.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <string>
+#include <vector>
+
+#include "fixture.h"
+
+namespace coltsfoot::jobs {
+namespace {
+
+using core::milliseconds;
+using testing::coordinator_fixture;
+using testing::TestStep;
+
+constexpr int kJobs = 60;
+constexpr std::uint32_t kTasksPerJob = 60;
+
+/// A worker that runs tasks of many jobs, of which some end in each step.
+struct busy_worker : coordinator_fixture {
+  busy_worker() {
+    Begin({"a"});
+    Worker("a").capacity = {10'000'000, 10'000'000, 0};
+    Report("a");
+    for (int job = 0; job < kJobs; ++job) {
+      Submit(fmt::format("{:016x}", job), {TestStep(kTasksPerJob, 1)});
+    }
+    for (int round = 0; round < 30; ++round) {
+      Tick();
+      RunOrders();
+    }
+  }
+
+  /// One task of every second job ends.
+  void EndSome() {
+    std::vector<run_id> ending;
+    std::string last;
+    for (const running_task& task : Worker("a").running) {
+      if (task.task.job == last || (task.task.index + steps) % 2 != 0) continue;
+      last = task.task.job;
+      ending.push_back({task.task, task.run});
+    }
+    for (const run_id& run : ending) End("a", run, end_reason::done);
+    ++steps;
+  }
+
+  std::uint64_t stored_end() const { return control.workers().at("a").stored_end; }
+
+  std::uint32_t steps = 0;
+};
+
+}  // namespace
+
+// malolos-straw-large, trouble-2 and scale-2: ends were confirmed only by a write that held all
+// changed jobs. With more of them than a write holds none ever was; a target lists 500 ends at a
+// time, so that later ones stayed unseen and their tasks ran again.
+TEST_CASE("ends are confirmed although more jobs change than one write holds") {
+  busy_worker fleet;
+  std::vector<std::uint64_t> ends_at;
+  for (int step = 0; step < 60; ++step) {
+    fleet.EndSome();
+    fleet.Report("a");
+    fleet.Tick(milliseconds{20});
+    ends_at.push_back(fleet.last_end);
+    // Each end is confirmed within a second of its report.
+    if (step >= 50) CHECK(fleet.stored_end() >= ends_at[step - 50]);
+    CHECK(fleet.last_end - fleet.stored_end() < 500);
+  }
+  REQUIRE(fleet.last_end > 500);
+  for (int step = 0; step < 50; ++step) fleet.Tick(milliseconds{20});
+  CHECK(fleet.stored_end() == fleet.last_end);
+}
+
+// Guards against an end that is confirmed because another job of the same write was stored.
+TEST_CASE("an end is not confirmed before an earlier one of a job that is not stored") {
+  coordinator_fixture fleet;
+  fleet.Begin({"a"});
+  fleet.Submit("00000000000000aa", {TestStep(1)});
+  fleet.Submit("00000000000000bb", {TestStep(1)});
+  fleet.Tick();
+  fleet.RunOrders();
+  const std::vector<running_task> running = fleet.Worker("a").running;
+  REQUIRE(running.size() == 2);
+  fleet.storage.mode = testing::memory_store::write_mode::lost_not_done;
+  fleet.End("a", {running[0].task, running[0].run}, end_reason::done);
+  fleet.Report("a");
+  fleet.Tick();
+  fleet.End("a", {running[1].task, running[1].run}, end_reason::done);
+  fleet.Report("a");
+  fleet.Tick();
+  CHECK(fleet.control.workers().at("a").stored_end == 0);
+  fleet.storage.mode = testing::memory_store::write_mode::normal;
+  fleet.Tick(milliseconds{500});
+  fleet.Tick(milliseconds{500});
+  CHECK(fleet.control.workers().at("a").stored_end == 2);
+}
+
+}  // namespace coltsfoot::jobs
--- a/libs/runner/include/runner/network.h
+++ b/libs/runner/include/runner/network.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "core/clock.h"
+#include "jobs/report_stream.h"
 #include "runner/runner.h"
 #include "store/versioned_store.h"
 #include "wire/transport.h"
@@ -32,7 +33,8 @@
   runner* runner_ = nullptr;
   std::uint64_t next_ = 1;
   std::map<std::uint64_t, std::shared_ptr<wire::tcp_connection>> connections_;
-  std::uint64_t current_ = 0;  ///< number of the coordinator's connection; 0: none
+  std::uint64_t current_ = 0;     ///< number of the coordinator's connection; 0: none
+  jobs::report_encoder reports_;  ///< of the coordinator's connection
   wire::tcp_listener listener_;
 };
 
--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -84,6 +84,8 @@
   void Look();
   void OnLists(const std::optional<target_lists>& lists, core::mono_time sent);
   void TakeLists(const target_lists& lists, core::mono_time sent);
+  /// Keeps runs of the last list whose ends the target may not list yet.
+  void KeepUnlisted(const std::vector<jobs::running_task>& last);
   void NoteClock(std::int64_t clock_ms);
   std::optional<std::int64_t> LeaseOnTargetClock() const;
   void SendOrders();
--- a/libs/runner/include/runner/target_port.h
+++ b/libs/runner/include/runner/target_port.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -35,6 +36,9 @@
   bool operator==(const start_call&) const = default;
 };
 
+/// Most ends that a target lists at a time: the oldest ones that are not confirmed.
+inline constexpr std::size_t kMostListedEnds = 500;
+
 /// Outcome of an order.
 enum class order_status : std::uint8_t {
   ok,
--- a/libs/runner/src/network.cc
+++ b/libs/runner/src/network.cc
@@ -69,6 +69,7 @@
     place->second->Send(wire::ToFrame(jobs::worker_report{.term = runner_->term()}));
     return;
   }
+  if (current_ != number) reports_ = {};
   const auto before = connections_.find(std::exchange(current_, number));
   if (before == connections_.end() || before->first == number) return;
   before->second->Close();
@@ -77,7 +78,12 @@
 
 bool coordinator_listener::Send(const jobs::worker_report& report) {
   const auto place = connections_.find(current_);
-  return place != connections_.end() && place->second->Send(wire::ToFrame(report));
+  if (place == connections_.end()) return false;
+  jobs::report_encoder next = reports_;
+  // What was not sent must not count as known.
+  if (!place->second->Send(wire::ToFrame(next.Encode(report)))) return false;
+  reports_ = std::move(next);
+  return true;
 }
 
 std::size_t coordinator_listener::queued_bytes() const {
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -246,8 +246,9 @@
 void runner::TakeLists(const target_lists& lists, core::mono_time sent) {
   NoteClock(lists.clock_ms);
   const std::size_t before = running_.size();
-  running_ = lists.running;
+  const std::vector<jobs::running_task> last = std::exchange(running_, lists.running);
   ended_ = lists.ended;
+  if (lists.ended.size() >= kMostListedEnds) KeepUnlisted(last);
   std::erase_if(ended_, [this](const auto& end) { return end.number <= stored_end_; });
   std::sort(ended_.begin(), ended_.end(),
             [](const auto& left, const auto& right) { return left.number < right.number; });
@@ -260,7 +261,7 @@
     const auto& [run, start] = each;
     if (listed.contains(run) || over.contains(run)) return !start.in_flight;
     // Confirmed before this look and not listed: it has ended, and the end is stored.
-    return start.started_at && *start.started_at < sent;
+    return start.started_at && *start.started_at < sent && lists.ended.size() < kMostListedEnds;
   });
   std::erase_if(stops_, [&](const auto& each) {
     return !each.second.in_flight &&
@@ -272,6 +273,21 @@
   });
 }
 
+void runner::KeepUnlisted(const std::vector<jobs::running_task>& last) {
+  std::set<jobs::run_id> known;
+  for (const jobs::running_task& task : running_) known.insert({task.task, task.run});
+  for (const jobs::ended_run& end : ended_) known.insert({end.task, end.run});
+  std::size_t kept = 0;
+  for (const jobs::running_task& task : last) {
+    if (known.contains({task.task, task.run})) continue;
+    running_.push_back(task);
+    ++kept;
+  }
+  if (kept == 0) return;
+  metrics_.GetCounter("coltsfoot_ends_unlisted_total").Add(kept);
+  spdlog::warn("event=ends_unlisted target={} runs={}", announced_->life.name, kept);
+}
+
 void runner::SendOrders() {
   if (!announced_) return;
   const core::mono_time now = time_.Now();
--- a/libs/runner/tests/runner_test.cc
+++ b/libs/runner/tests/runner_test.cc
@@ -257,6 +257,37 @@
   CHECK(fixture.target.holds.back().stored_end == 0);
 }
 
+// malolos-straw-large, trouble-2: a target lists its 500 oldest ends; the end of a run that was not
+// among them was taken for a loss, and the task ran again.
+TEST_CASE("a run that ended behind a full list of ends still counts as running") {
+  runner_fixture fixture;
+  const jobs::running_task task{.task = {kJob, 0, 0, 0}, .run = 1};
+  std::vector<jobs::ended_run> ends;
+  for (std::uint32_t number = 1; number <= kMostListedEnds; ++number) {
+    ends.push_back({.number = number,
+                    .task = {kJob, 0, 1, number},
+                    .run = 1,
+                    .reason = jobs::end_reason::done});
+  }
+  ends.pop_back();
+  fixture.Answer({task}, ends);
+  fixture.Pass(milliseconds{200});
+  ends.push_back({.number = kMostListedEnds,
+                  .task = {kJob, 0, 1, 1000},
+                  .run = 1,
+                  .reason = jobs::end_reason::done});
+  fixture.Answer({}, ends);
+  REQUIRE(fixture.coordinator.reports.back().listed);
+  CHECK(fixture.coordinator.reports.back().running.size() == 1);
+  // The oldest were confirmed and the list has room for the end.
+  fixture.Pass(milliseconds{200});
+  ends.erase(ends.begin());
+  ends.back() = {
+      .number = kMostListedEnds + 1, .task = task.task, .run = 1, .reason = jobs::end_reason::done};
+  fixture.Answer({}, ends);
+  CHECK(fixture.coordinator.reports.back().running.empty());
+}
+
 // Soak seed 3: orders that a cut held back arrived when their lease was over and its tasks ran
 // elsewhere; the next coordinator connection's grant then let them start.
 TEST_CASE("orders that arrive without a lease are refused and never start") {
--- a/libs/wire/include/wire/messages.h
+++ b/libs/wire/include/wire/messages.h
@@ -51,6 +51,7 @@
   worker_orders = 43,
   job_query = 44,
   job_answer = 45,
+  worker_changes = 46,
 };
 
 /// @return `number` in the form in which an archive keeps its 8 bytes. For random numbers and
--- a/tools/coltsfoot-scheduler/main.cc
+++ b/tools/coltsfoot-scheduler/main.cc
@@ -19,7 +19,6 @@
 #include "jobs/leadership.h"
 #include "jobs/network.h"
 #include "jobs/store_health.h"
-#include "jobs/tick_pacer.h"
 #include "platform/configuration.h"
 #include "platform/job_front.h"
 #include "platform/store_client.h"
@@ -37,6 +36,9 @@
     "filling_present_permille (600), after\nfilling_relaxed_after_ms (1500); serving_use_permille "
     "(500).";
 constexpr core::milliseconds kTick{40};
+// Reports of many agents that arrive together are taken together. Far below the time that callers
+// notice.
+constexpr core::milliseconds kLeastTickPause{8};
 // Longest time for requests in progress after no more are accepted.
 constexpr core::milliseconds kHttpShutdownLimit{1500};
 constexpr core::milliseconds kFlushLimit{200};
@@ -155,7 +157,7 @@
     queues_.Tick();
     agents_.Tick();
     peers_.Tick();
-    if (pacer_.Wait(time_.Now()) <= core::nanoseconds{0}) TickCoordinator();
+    coordinator_.Tick();
     ready_ = !stopping_at_ && queues_.Current() && health_.reachable();
   }
 
@@ -215,19 +217,17 @@
   /// Places tasks once after all events that arrive within a short time.
   void TickSoon() {
     if (std::exchange(tick_posted_, true)) return;
-    soon_.expires_after(std::max(core::nanoseconds{0}, pacer_.Wait(time_.Now())));
+    const core::nanoseconds wait =
+        std::max(core::nanoseconds{0}, ticked_at_ + kLeastTickPause - time_.Now());
+    soon_.expires_after(wait);
     soon_.async_wait([this](asio::error_code stopped) {
       tick_posted_ = false;
-      if (!stopped) TickCoordinator();
+      if (stopped) return;
+      ticked_at_ = time_.Now();
+      coordinator_.Tick();
     });
   }
 
-  void TickCoordinator() {
-    const core::mono_time began = time_.Now();
-    coordinator_.Tick();
-    pacer_.Note(began, time_.Now());
-  }
-
   void Answer(const jobs::job_query& query, const std::function<void(jobs::job_answer)>& done) {
     if (!leadership_.MayExtend()) {
       done({});
@@ -282,7 +282,7 @@
   bool accepting_stopped_ = false;
   bool tick_posted_ = false;
   asio::steady_timer soon_{context_};
-  jobs::tick_pacer pacer_;
+  core::mono_time ticked_at_;
 };
 
 http::server_options ServerOptions(const wire::endpoint& at) {
