Send grants a few times a second instead of with each report

Change: without news (another life of the target, confirmed ends, pressures, a new connection) a grant follows the last one after 300 ms.

Test: coordinator_test 'grants follow reports a few times a second...'.

--- a/libs/jobs/include/jobs/worker_table.h
+++ b/libs/jobs/include/jobs/worker_table.h
@@ -47,7 +47,10 @@
   core::mono_time observed_at;                        ///< when its readings were last learned from
   /// Pressures that the agent was told, by victim and image.
   std::map<std::pair<std::string, std::string>, float> sent_pressures;
-  core::mono_time lease_bound;  ///< all that runs here has lapsed by then
+  core::mono_time lease_bound;    ///< all that runs here has lapsed by then
+  core::mono_time granted_at;     ///< of the last grant on this connection; zero: none
+  target_life granted_life;       ///< that it was for
+  std::uint64_t granted_end = 0;  ///< last confirmed end that it named
   std::uint64_t next_order = 1;
   std::uint64_t processed_end = 0;    ///< ends of `life` that are in the job table
   std::uint64_t stored_end = 0;       ///< ends of `life` that are in the store
--- a/libs/jobs/src/coordinator.cc
+++ b/libs/jobs/src/coordinator.cc
@@ -21,6 +21,8 @@
 // A stop takes up to half a second to show in the lists.
 constexpr core::milliseconds kMovePeriod{500};
 constexpr core::milliseconds kReadingPeriod{300};
+// Far below the lease of what a target runs.
+constexpr core::milliseconds kGrantPeriod{300};
 // Progress in percent of a lasting task that is at work.
 constexpr std::uint32_t kAtWork = 100;
 // Change of a pressure that an agent is told.
@@ -193,6 +195,7 @@
   worker.sent_pressures.clear();
   // Orders that wait are numbered for the connection before; they are made again.
   orders_.erase(agent);
+  worker.granted_at = {};
   worker.next_order = 1;
   worker.resend = true;
 }
@@ -510,15 +513,24 @@
     if (worker.absent) return;
     spdlog::info("event=worker_present agent={} target={}", worker.agent, report.life.name);
   }
+  const core::mono_time now = time_.Now();
+  std::vector<pair_pressure> pressures = ChangedPressures(worker);
+  const bool same = worker.granted_life == report.life && worker.granted_end == worker.stored_end &&
+                    pressures.empty();
+  // Agents report with each change; their lease needs far fewer grants.
+  if (same && now - worker.granted_at < kGrantPeriod) return;
+  worker.granted_at = now;
+  worker.granted_life = report.life;
+  worker.granted_end = worker.stored_end;
   // An agent that does not know its target yet extends nothing; what ran there lapses.
   if (!report.life.name.empty()) {
-    worker.lease_bound = std::max(worker.lease_bound, LeaseBound(time_.Now()));
+    worker.lease_bound = std::max(worker.lease_bound, LeaseBound(now));
   }
   agents_.Send(worker.agent, lease_grant{.term = term_,
                                          .echo_ms = report.sent_ms,
                                          .life = report.life,
                                          .stored_end = worker.stored_end,
-                                         .pressures = ChangedPressures(worker)});
+                                         .pressures = std::move(pressures)});
 }
 
 void coordinator::Tick() {
--- a/libs/jobs/tests/coordinator_test.cc
+++ b/libs/jobs/tests/coordinator_test.cc
@@ -438,4 +438,28 @@
   CHECK(expected > 0);
 }
 
+// Guards against grants that grow with the number of reports, and against leases that run out
+// because too few are sent.
+TEST_CASE("grants follow reports a few times a second, and at once when there is news") {
+  coordinator_fixture fleet;
+  fleet.Begin({"a"});
+  fleet.agents.grants.clear();
+  for (int report = 0; report < 100; ++report) {
+    fleet.Report("a");
+    fleet.Tick(milliseconds{20});
+  }
+  // 2 s with a report each 20 ms.
+  CHECK(fleet.agents.grants.size() >= 4);
+  CHECK(fleet.agents.grants.size() <= 10);
+  fleet.agents.grants.clear();
+  fleet.Worker("a").life.born_ms = 2;
+  fleet.Report("a");
+  REQUIRE(fleet.agents.grants.size() == 1);
+  CHECK(fleet.agents.grants.back().second.life.born_ms == 2);
+  fleet.control.OnAgentDisconnected("a");
+  fleet.control.OnAgentConnected("a");
+  fleet.Report("a");
+  CHECK(fleet.agents.grants.size() == 2);
+}
+
 }  // namespace coltsfoot::jobs
