Believe a target's life only after it has answered; refuse damaged job records

Two of the faults that operators of similar systems report: 1. A restarted agent knows no life of its target. A ping that a cut had held back names one that ended; the agent reported it, and the coordinator took all runs of the present life for lost. An agent now reports a life only after the target has answered as that life. 2. One byte changed in a stored job (a step that waits for one that does not exist) ended each coordinator that read it, one after the other (segmentation fault).

--- a/libs/jobs/benchmark/coordinator_benchmark.cc
+++ b/libs/jobs/benchmark/coordinator_benchmark.cc
@@ -41,13 +41,18 @@
           .image = fmt::format("filling-{}", image)};
 }
 
+std::vector<std::string> AgentNames(int count) {
+  std::vector<std::string> names;
+  names.reserve(static_cast<std::size_t>(count));
+  for (int worker = 0; worker < count; ++worker) names.push_back(fmt::format("w{}", worker));
+  return names;
+}
+
 /// A fleet whose workers run serving and filling tasks, with more filling jobs waiting.
 struct busy_fleet : coordinator_fixture {
   busy_fleet(int workers, int waiting_jobs) {
     spdlog::set_level(spdlog::level::off);
-    std::vector<std::string> agents;
-    for (int worker = 0; worker < workers; ++worker) agents.push_back(fmt::format("w{}", worker));
-    Begin(agents);
+    Begin(AgentNames(workers));
     int job = 0;
     const auto submit = [&](const step_spec& step) {
       Submit(fmt::format("{:016x}", ++job), {step});
@@ -128,9 +133,7 @@
     state.PauseTiming();
     coordinator_fixture fleet;
     spdlog::set_level(spdlog::level::off);
-    std::vector<std::string> agents;
-    for (int worker = 0; worker < workers; ++worker) agents.push_back(fmt::format("w{}", worker));
-    fleet.Begin(agents);
+    fleet.Begin(AgentNames(workers));
     fleet.Submit("00000000000000aa", {FillingStep(0)});
     state.ResumeTiming();
     fleet.control.Tick();
--- a/libs/jobs/include/jobs/records.h
+++ b/libs/jobs/include/jobs/records.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/error.h"
 #include "jobs/types.h"
 
 /// What is kept of jobs in the key-value service. The keys below `kInboxPrefix` are written by any
@@ -101,6 +102,11 @@
   }
 };
 
+/// Checks what no accepted job can have, such as a step that waits for a later one. A record that
+/// was damaged in the store must not end the processes that read it.
+/// @return false with `decode_error` if the job cannot be run.
+bool IsSound(const job_spec& spec, core::last_error& error);
+
 std::string JobKey(std::string_view job);
 std::string CancelKey(std::string_view job);
 std::string ProgressKey(std::string_view job);
--- a/libs/jobs/src/records.cc
+++ b/libs/jobs/src/records.cc
@@ -1,8 +1,13 @@
 #include "jobs/records.h"
 
+#include <algorithm>
+
 namespace coltsfoot::jobs {
 namespace {
 
+/// Above any worker's capacity, and far below what sums of it can hold.
+constexpr std::int64_t kLargestNeed = 1'000'000'000;
+
 std::string Join(std::string_view prefix, std::string_view name) {
   std::string key(prefix);
   key += name;
@@ -11,6 +16,26 @@
 
 }  // namespace
 
+bool IsSound(const job_spec& spec, core::last_error& error) {
+  const auto fail = [&error](const char* reason) {
+    error.Set(core::result_code::decode_error, reason);
+    return false;
+  };
+  if (spec.steps.empty() || spec.steps.size() > kMaxSteps) return fail("number of steps");
+  for (std::size_t position = 0; position < spec.steps.size(); ++position) {
+    const step_spec& step = spec.steps[position];
+    if (step.count == 0 || step.count > kMaxTasksPerStep) return fail("number of tasks of a step");
+    for (const std::int64_t amount :
+         {step.need.cpu_millis, step.need.memory_mb, step.need.accelerators}) {
+      if (amount < 0 || amount > kLargestNeed) return fail("need of a step");
+    }
+    const bool waits_for_later = std::any_of(step.after.begin(), step.after.end(),
+                                             [&](auto earlier) { return earlier >= position; });
+    if (waits_for_later) return fail("a step waits for one that is not earlier");
+  }
+  return true;
+}
+
 std::string JobKey(std::string_view job) { return Join(kJobPrefix, job); }
 std::string CancelKey(std::string_view job) { return Join(kCancelPrefix, job); }
 std::string ProgressKey(std::string_view job) { return Join(kProgressPrefix, job); }
--- /dev/null
+++ b/libs/jobs/tests/damaged_input_test.cc
@@ -0,0 +1,98 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <string>
+#include <vector>
+
+#include "fixture.h"
+#include "jobs/report_stream.h"
+
+namespace coltsfoot::jobs {
+namespace {
+
+using testing::coordinator_fixture;
+using testing::TestStep;
+
+constexpr auto kJob = "00000000000000aa";
+
+std::string Damage(std::string bytes) {
+  const int changes = *rc::gen::inRange(1, 3);
+  for (int change = 0; change < changes && !bytes.empty(); ++change) {
+    bytes[static_cast<std::size_t>(*rc::gen::inRange(0, static_cast<int>(bytes.size())))] =
+        static_cast<char>(*rc::gen::inRange(0, 256));
+  }
+  return bytes;
+}
+
+template <class Message>
+std::optional<Message> Damaged(const Message& message) {
+  core::last_error error;
+  return wire::DecodeValue<Message>(Damage(wire::EncodeValue(message)), error);
+}
+
+/// A coordinator with a job of two steps that runs on one of two workers.
+struct running_fleet : coordinator_fixture {
+  running_fleet() {
+    Begin({"a", "b"});
+    step_spec second = TestStep(2);
+    second.after = {0};
+    Submit(kJob, {TestStep(3), second});
+    Tick();
+    RunOrders();
+  }
+
+  /// The coordinator goes on serving: another job runs.
+  void CheckServes() {
+    const std::string later = "00000000000000bb";
+    Submit(later, {TestStep(1)});
+    for (int step = 0; step < 3; ++step) {
+      for (const auto& [agent, report] : reports) Report(agent);
+      Tick();
+    }
+    RC_ASSERT(control.FindJob(later) != nullptr);
+  }
+};
+
+}  // namespace
+
+// Guards against one damaged message of an agent that ends the coordinator or its work.
+TEST_CASE("a coordinator goes on serving after damaged reports") {
+  CHECK(rc::check([] {
+    running_fleet fleet;
+    worker_report report = fleet.Worker("a");
+    report.running.push_back({.task = {kJob, 0, 1, 1}, .run = 3, .checkpoint = "c"});
+    report.ended.push_back({.number = 9, .task = {kJob, 0, 0, 1}, .run = 1});
+    report.refused.push_back({{{kJob, 0, 0, 2}, 1}, start_refusal::late});
+    report.starting.push_back({{kJob, 0, 0, 0}, 2});
+    if (const auto damaged = Damaged(report)) fleet.control.OnReport(*damaged);
+    if (fleet.authority.deposed) return;  // it claims a newer term
+    fleet.CheckServes();
+  }));
+}
+
+// Guards against one damaged record in the store that ends each coordinator that reads it.
+TEST_CASE("a coordinator goes on serving with damaged records in the store") {
+  CHECK(rc::check([] {
+    running_fleet fleet;
+    const std::vector<std::string> keys{JobKey(kJob), ProgressKey(kJob), AgentKey("a"),
+                                        std::string(kAbsentKey), CancelKey(kJob)};
+    fleet.storage.Put(ProgressKey(kJob),
+                      wire::EncodeValue(progress_record{
+                          .state = job_state::active,
+                          .tasks = {{.done = true}, {.failed_runs = {1}}, {.checkpoint = "c"}}}));
+    fleet.storage.Put(std::string(kAbsentKey), wire::EncodeValue(absent_record{{"b"}}));
+    const std::string key =
+        keys[static_cast<std::size_t>(*rc::gen::inRange(0, static_cast<int>(keys.size())))];
+    const auto place = fleet.storage.entries.find(key);
+    fleet.storage.Put(key,
+                      Damage(place == fleet.storage.entries.end() ? "1" : place->second.value));
+    fleet.storage.Put(std::string(kLeaderKey), "successor");
+    fleet.term = fleet.storage.revision;
+    for (auto& [agent, report] : fleet.reports) report.term = fleet.term;
+    fleet.BeginFromStore();
+    for (const auto& [agent, report] : fleet.reports) fleet.control.OnAgentConnected(agent);
+    fleet.CheckServes();
+  }));
+}
+
+}  // namespace coltsfoot::jobs
--- a/libs/jobs/tests/report_stream_test.cc
+++ b/libs/jobs/tests/report_stream_test.cc
@@ -65,7 +65,7 @@
                            report.ended.begin() + Below(static_cast<int>(report.ended.size()) + 1));
         break;
       case 6:
-        report.capacity.cpu_millis = 1000 * Below(32);
+        report.capacity.cpu_millis = std::int64_t{1000} * Below(32);
         break;
       default:
         for (running_task& task : report.running) {
--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -101,6 +101,8 @@
   void ForgetRuns();
   void Report(bool listed);
   jobs::target_state State() const;
+  /// @return the state as far as the target has confirmed it.
+  jobs::target_state ReportedState() const;
   bool IsRunning(const jobs::run_id& run) const;
 
   runner_options options_;
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -451,6 +451,11 @@
   return announced_->draining ? jobs::target_state::draining : jobs::target_state::ready;
 }
 
+jobs::target_state runner::ReportedState() const {
+  const jobs::target_state state = State();
+  return listed_ || state == jobs::target_state::gone ? state : jobs::target_state::unknown;
+}
+
 void runner::ForgetRuns() {
   if (running_.empty() && starts_.empty()) return;
   spdlog::warn("event=target_gone target={} runs={} unanswered_for_ms={}", announced_->life.name,
@@ -469,8 +474,10 @@
                              .term = term_,
                              .sent_ms = core::ToMs(now.time_since_epoch()),
                              .orders_seen = orders_seen_,
-                             .state = State()};
-  if (announced_) {
+                             .state = ReportedState()};
+  // An announcement may be a delayed one of an earlier life: what the target lists proves that it
+  // lives. A coordinator would take runs of the present life for lost.
+  if (announced_ && listed_) {
     report.life = announced_->life;
     report.service = announced_->service;
     report.zone = announced_->zone;
--- a/libs/runner/tests/runner_test.cc
+++ b/libs/runner/tests/runner_test.cc
@@ -226,6 +226,15 @@
   fixture.agent.OnAnnouncement(next);
   fixture.agent.OnAnnouncement(fixture.announcement);
   fixture.Pass(milliseconds{600});
+  CHECK(fixture.coordinator.reports.back().life != fixture.announcement.life);
+  // The answer to the look at the first life comes late, then that of the present one.
+  while (fixture.target.hold_answers.size() > 1) {
+    scripted_target::Give(fixture.target.hold_answers,
+                          std::optional(target_lists{.clock_ms = 5, .born_ms = 1}));
+  }
+  scripted_target::Give(fixture.target.hold_answers,
+                        std::optional(target_lists{.clock_ms = 5, .born_ms = 2}));
+  fixture.Pass(milliseconds{600});
   CHECK(fixture.coordinator.reports.back().life == next.life);
   fixture.Order(1);
   CHECK(fixture.target.starts.empty());
@@ -257,6 +266,35 @@
   CHECK(fixture.target.holds.back().stored_end == 0);
 }
 
+// A restarted agent knows no life. A ping that a cut held back names one that ended long ago; the
+// coordinator would take all runs of the present life for lost and start them again.
+TEST_CASE("a restarted agent reports a target only after the target has answered") {
+  runner_fixture fixture;
+  runner restarted({.agent = "a", .agent_start = 2}, fixture.time, fixture.metrics, fixture.target,
+                   fixture.coordinator);
+  restarted.OnHello(1);
+  restarted.OnAnnouncement({.life = {"t", 1}, .service = "svc", .sequence = 9});
+  fixture.time.Advance(milliseconds{600});
+  restarted.Tick();
+  CHECK(fixture.coordinator.reports.back().life == jobs::target_life{});
+  CHECK(fixture.coordinator.reports.back().state == jobs::target_state::unknown);
+  // The lists come from a later life, which announces itself afterwards.
+  while (fixture.target.hold_answers.size() > 1) fixture.target.hold_answers.pop_front();
+  scripted_target::Give(fixture.target.hold_answers,
+                        std::optional(target_lists{.clock_ms = 5, .born_ms = 2}));
+  fixture.time.Advance(milliseconds{600});
+  restarted.Tick();
+  CHECK(fixture.coordinator.reports.back().life == jobs::target_life{});
+  restarted.OnAnnouncement({.life = {"t", 2}, .service = "svc", .sequence = 1});
+  restarted.Tick();
+  while (fixture.target.hold_answers.size() > 1) fixture.target.hold_answers.pop_front();
+  scripted_target::Give(fixture.target.hold_answers,
+                        std::optional(target_lists{.clock_ms = 5, .born_ms = 2}));
+  fixture.time.Advance(milliseconds{600});
+  restarted.Tick();
+  CHECK(fixture.coordinator.reports.back().life == jobs::target_life{"t", 2});
+}
+
 // malolos-straw-large, trouble-2: a target lists its 500 oldest ends; the end of a run that was not
 // among them was taken for a loss, and the task ran again.
 TEST_CASE("a run that ended behind a full list of ends still counts as running") {
