--- a/libs/jobs/include/jobs/planner.h
+++ b/libs/jobs/include/jobs/planner.h
@@ -29,6 +29,10 @@
   /// Time with nothing running after which a job gets one filling task placed, idle processors or
   /// not, so that a steady load does not shut late jobs out.
   core::milliseconds starved_after{6000};
+  /// The same while less than `free_fleet_permille` of the service's processors is committed: there
+  /// a job must not stand still for the sake of goals that agents protect by pacing.
+  core::milliseconds starved_after_on_free_fleet{1500};
+  std::int64_t free_fleet_permille = 600;
   /// Share of a serving task's headroom at its highest load that filling tasks beside it may take.
   double highest_pressure = 1.0;
   /// Age at which a job's filling tasks may take headroom that only the present load leaves; agents
--- a/libs/jobs/src/plan_pass.cc
+++ b/libs/jobs/src/plan_pass.cc
@@ -39,6 +39,19 @@
   return place == by_service_.end() ? none : place->second;
 }
 
+bool plan_pass::IsMostlyFree(const std::string& service) {
+  const auto [place, added] = mostly_free_.try_emplace(service, false);
+  if (!added) return place->second;
+  std::int64_t capacity = 0;
+  std::int64_t committed = 0;
+  for (const worker_row* worker : WorkersOf(service)) {
+    capacity += worker->capacity.cpu_millis;
+    committed += worker->committed.cpu_millis;
+  }
+  place->second = 1000 * committed < capacity * options_.free_fleet_permille;
+  return place->second;
+}
+
 pressure_share plan_pass::PressureWith(const worker_row& worker, const step_spec& step) {
   pressure_share share;
   const std::vector<serving_group>& groups = GroupsAt(worker);
--- a/libs/jobs/src/plan_pass.h
+++ b/libs/jobs/src/plan_pass.h
@@ -35,6 +35,8 @@
 
   /// @return the workers of a service that take tasks.
   const std::vector<worker_row*>& WorkersOf(const std::string& service) const;
+  /// @return true if little of the service's processors is committed.
+  bool IsMostlyFree(const std::string& service);
   /// @return the shares with one more filling task of this step.
   pressure_share PressureWith(const worker_row& worker, const step_spec& step);
   /// @return true if a filling task of this step would get processors. Beyond the idle processors
@@ -91,6 +93,7 @@
   std::vector<std::string_view> images_;        ///< by number
   std::vector<std::vector<double>> pressures_;  ///< by victim and image; negative: not read yet
   std::map<step_kind, core::resources> full_;
+  std::map<std::string, bool> mostly_free_;  ///< by service
 };
 
 }  // namespace coltsfoot::jobs
--- a/libs/jobs/src/planner.cc
+++ b/libs/jobs/src/planner.cc
@@ -74,7 +74,10 @@
         pass_(pass),
         options_(options) {
     const core::mono_time idle_since = std::max(job_.admitted_at, job_.last_running);
-    starved_ = job_.copies == 0 && now - idle_since >= options.starved_after;
+    const core::milliseconds starved_after = pass.IsMostlyFree(job_.queue.service)
+                                                 ? options.starved_after_on_free_fleet
+                                                 : options.starved_after;
+    starved_ = job_.copies == 0 && now - idle_since >= starved_after;
     relaxed_ = now - job_.admitted_at >= options.relaxed_after;
     if (spec_.max_per_worker > 0) counts_ = CountCopies(job_, step_);
   }
--- a/libs/jobs/tests/planner_test.cc
+++ b/libs/jobs/tests/planner_test.cc
@@ -209,6 +209,36 @@
   CHECK(fleet.Run().size() == 1);
 }
 
+// Hunt, cbha-recup trouble-1 seed 1063805821005: at the end of the day a filling job had nothing
+// running although half of the fleet was free, because serving tasks needed the headroom.
+TEST_CASE("on a mostly free fleet no job stands still for the goals of serving tasks") {
+  constexpr milliseconds kLongestStandstill{3000};
+  tables fleet(2);
+  for (auto& [agent, worker] : fleet.workers) {
+    worker.serving = 1;
+    worker.serving_cpu = 6000;
+    worker.committed = {6000, 6000, 0};
+    worker.serving_groups = {{"s.0", "s"}};
+    worker.filling_cpu = 2000;
+    worker.filling_cores = {{"g", 2.0}};
+  }
+  // Any filling task takes more than there is.
+  fleet.model.Adopt("s", "f", {5.0, 0.01});
+  fleet.model.Adopt("s", "g", {1.0, 0.01});
+  fleet.Add("a", {FillingStep(5, 2000)});
+  milliseconds waited{0};
+  const auto report = [&] {
+    for (auto& [agent, worker] : fleet.workers) worker.last_report = fleet.time.Now();
+  };
+  while (fleet.Run().empty() && waited < milliseconds{10'000}) {
+    fleet.time.Advance(milliseconds{100});
+    waited += milliseconds{100};
+    report();
+  }
+  CHECK(waited > milliseconds{1000});
+  CHECK(waited < kLongestStandstill);
+}
+
 // Guards against a task that returns to the worker on which it failed while others have room.
 TEST_CASE("a failed task goes to another worker if there is one") {
   tables fleet(2);
