jobs: let harmless images take no headroom

Cause: a pressure estimate was never below 0.05 of headroom per processor.

Change: the estimate is used as it is.

--- a/libs/jobs/src/headroom_model.cc
+++ b/libs/jobs/src/headroom_model.cc
@@ -9,8 +9,6 @@
 // Most images hardly interfere with each other; in about a quarter of the pairs each processor
 // takes half of the headroom at the goal.
 constexpr pressure kDefaultPressure{0.15, 0.09};
-// Every image takes some headroom; estimates of harmless pairs scatter around this value.
-constexpr double kMinPressure = 0.05;
 // Readings of the same state differ in proportion to their value and by the rounding to whole
 // milliseconds.
 constexpr double kRelativeNoise = 0.08;
@@ -134,8 +132,7 @@
 pressure headroom_model::PressureOf(const std::string& victim, const std::string& image) const {
   const auto place = pairs_.find({victim, image});
   if (place == pairs_.end()) return kDefaultPressure;
-  const pressure& known = place->second.known;
-  return {std::max(kMinPressure, known.mean), known.variance};
+  return place->second.known;
 }
 
 bool headroom_model::HasEstimate(const std::string& victim, const std::string& image) const {
