jobs: send agents a pressure again when its uncertainty changes

Cause: the coordinator sent the pressure of a pair of images again only when its mean had changed by 0.04. The pacer adds half a standard deviation to the mean, and the first value that an agent gets has one of 0.3. For a pair whose mean stays near the default of 0.15 the agent kept that forever and slowed a filling task of 3.5 processors by half of the headroom at the goal.

Change: what counts is the mean plus the standard deviation.

--- a/libs/jobs/include/jobs/worker_table.h
+++ b/libs/jobs/include/jobs/worker_table.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/clock.h"
+#include "jobs/headroom_model.h"
 #include "jobs/messages.h"
 
 namespace coltsfoot::jobs {
@@ -47,8 +48,8 @@
   /// Processors that filling copies ask for, by image.
   std::map<std::string, double> filling_cores;
   core::mono_time observed_at;  ///< when its readings last went into the headroom model
-  /// Mean pressures that were sent to the agent, by victim and image.
-  std::map<std::pair<std::string, std::string>, float> sent_pressures;
+  /// Pressures that were sent to the agent, by victim and image.
+  std::map<std::pair<std::string, std::string>, pressure> sent_pressures;
   core::mono_time lease_bound;  ///< by then the lease of everything that runs here has expired
   core::mono_time granted_at;   ///< time of the last grant on this connection; zero: none
   target_incarnation granted_incarnation;  ///< incarnation in that grant
--- a/libs/jobs/src/coordinator.cc
+++ b/libs/jobs/src/coordinator.cc
@@ -25,8 +25,8 @@
 constexpr core::milliseconds kGrantInterval{300};
 // Progress in percent from which a long-running task serves requests.
 constexpr std::uint32_t kServingProgress = 100;
-// Change of a mean pressure from which it is sent to the agent again.
-constexpr float kPressureChange = 0.04F;
+// Change of a pressure's upper bound from which it is sent to the agent again.
+constexpr double kPressureChange = 0.04;
 // A single stuck task may be at fault itself; several at once point to the worker.
 constexpr int kStuckLimit = 2;
 // Limits the size of the transaction: removing a job takes three of its entries.
@@ -39,6 +39,9 @@
   return std::find(runs.begin(), runs.end(), run) != runs.end();
 }
 
+/// @return the pressure plus its standard deviation. Agents plan paces with values up to this one.
+double UpperBound(const pressure& known) { return known.mean + std::sqrt(known.variance); }
+
 task_facts FactsOf(const run_id& run, const step_spec& step) {
   return {.run = run,
           .long_running = step.long_running,
@@ -385,11 +388,13 @@
     for (const auto& [image, cores] : worker.filling_cores) {
       if (!headroom_model_.HasEstimate(victim, image)) continue;
       const pressure known = headroom_model_.PressureOf(victim, image);
-      const auto mean = static_cast<float>(known.mean);
-      const auto [sent, added] = worker.sent_pressures.try_emplace({victim, image}, mean);
-      if (!added && std::abs(sent->second - mean) < kPressureChange) continue;
-      sent->second = mean;
-      changed.push_back({victim, image, mean, static_cast<float>(known.variance)});
+      const auto [sent, added] = worker.sent_pressures.try_emplace({victim, image}, known);
+      if (!added && std::abs(UpperBound(sent->second) - UpperBound(known)) < kPressureChange) {
+        continue;
+      }
+      sent->second = known;
+      changed.push_back(
+          {victim, image, static_cast<float>(known.mean), static_cast<float>(known.variance)});
     }
   }
   return changed;
