jobs: move the handling of reports out of coordinator.cc

What handles the reports of agents is now in coordinator_reports.cc; FactsOf, which both parts use, is a static member. No line of a function changed otherwise; the 83 unit tests of jobs pass.

--- a/libs/jobs/include/jobs/coordinator.h
+++ b/libs/jobs/include/jobs/coordinator.h
@@ -161,6 +161,7 @@
   void CleanUp();
   /// @return the commands for the worker that the next `SendCommands` sends.
   worker_commands& CommandsFor(worker_row& worker);
+  static task_facts FactsOf(const run_id& run, const step_spec& step);
   start_command MakeStart(const job_row& job, const run_id& run, const task_row& task) const;
   /// @return when a lease that is granted at `granted` has certainly expired at the target.
   core::mono_time LeaseBound(core::mono_time granted) const;
