--- a/libs/jobs/tests/filling_load_test.cc
+++ b/libs/jobs/tests/filling_load_test.cc
@@ -19,12 +19,16 @@
 constexpr int kWorkers = 4;
 constexpr std::int64_t kWorkerMillis = 32'000;
 constexpr std::int64_t kServingMillis = 16'000;  ///< of each worker
+constexpr std::uint32_t kTasksPerJob = 8;
+constexpr std::int64_t kTaskMillis = 3500;  ///< processors of a filling task, in thousandths
 constexpr std::uint32_t kGoalMs = 18;
 constexpr milliseconds kTick{50};
 constexpr milliseconds kReadingPeriod{500};
 constexpr milliseconds kTaskDuration{1700};
 constexpr milliseconds kObjective{4400};
 
+double Cores(std::int64_t cpu_millis) { return static_cast<double>(cpu_millis) / 1000.0; }
+
 /// Filling jobs arrive at a steady rate on workers whose serving tasks see a swinging load. Filling
 /// tasks take no headroom.
 class filling_load {
@@ -74,13 +78,13 @@
     const auto tail_ms = static_cast<std::uint32_t>(std::lround(kGoalMs / headroom));
     for (auto& [agent, worker] : workers_) {
       worker.last_report_at = time_.Now();
-      model_.Observe({"serving.0", "s", tail_ms, kGoalMs}, {{"f", worker.filling_cpu / 1000.0}},
+      model_.Observe({"serving.0", "s", tail_ms, kGoalMs}, {{"f", Cores(worker.filling_cpu)}},
                      time_.Now());
     }
   }
 
   void Submit() {
-    step_spec step = TestStep(8, 3500);
+    step_spec step = TestStep(kTasksPerJob, kTaskMillis);
     step.fills = true;
     step.image = "f";
     step.estimate_ms = static_cast<std::uint32_t>(kTaskDuration.count());
@@ -99,8 +103,8 @@
       jobs_.RemoveCopy(*ref, each.agent, 1);
       jobs_.MarkDone(*ref, 1);
       worker_row& worker = workers_.at(each.agent);
-      worker.filling_cpu -= 3500;
-      worker.filling_cores["f"] -= 3.5;
+      worker.filling_cpu -= kTaskMillis;
+      worker.filling_cores["f"] -= Cores(kTaskMillis);
       worker.committed.memory_mb -= ref->job->Spec(0).need.memory_mb;
       const bool met = time_.Now() - ref->job->accepted_at <= kObjective;
       if (ref->job->state == job_state::complete && met) ++met_;
