jobs, runner: log what is known of runs that disappear

`run_missing` named neither the task nor whether the target had ever listed the run, and a refusal did not say that an earlier call of the same start had no answer, so the logs could not tell the hypotheses about a task that ran twice apart.

`run_missing` now has the task, `listed_before` and `reconnected`; `unanswered_start_refused` and two counters are new. No decision changes.

--- a/libs/jobs/src/coordinator_reports.cc
+++ b/libs/jobs/src/coordinator_reports.cc
@@ -285,17 +285,28 @@
 void coordinator::DropMissing(worker_row& worker, const worker_report& report) {
   std::vector<run_id> present = report.starting;
   for (const running_task& listed : report.running) present.push_back({listed.task, listed.run});
-  std::vector<std::pair<task_ref, std::uint32_t>> missing;
+  struct missing_copy {
+    task_ref ref;
+    run_id run;
+    bool was_running = false;
+  };
+  std::vector<missing_copy> missing;
   jobs_.VisitCopies(worker.agent,
                     [&](const task_ref& ref, const task_id& id, const task_copy& copy) {
                       const bool seen = copy.running || copy.command <= report.commands_seen;
                       if (!seen || Contains(present, {id, copy.run})) return;
-                      missing.emplace_back(ref, copy.run);
+                      missing.push_back({ref, {id, copy.run}, copy.running});
                     });
-  for (const auto& [ref, run] : missing) {
-    spdlog::info("event=run_missing job={} step={} run={} agent={}", ref.job->id, ref.step, run,
-                 worker.agent);
-    jobs_.RemoveCopy(ref, worker.agent, run);
+  for (const auto& [ref, run, was_running] : missing) {
+    metrics_
+        .GetCounter("coltsfoot_runs_missing_total", {"listed_before", was_running ? "yes" : "no"})
+        .Add();
+    spdlog::info(
+        "event=run_missing task={} run={} agent={} listed_before={} commands_seen={} "
+        "reconnected={}",
+        ToString(run.task), run.run, worker.agent, was_running, report.commands_seen,
+        worker.resend_commands);
+    jobs_.RemoveCopy(ref, worker.agent, run.run);
   }
 }
 
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -396,6 +396,12 @@
 }
 
 void runner::Refuse(const jobs::run_id& run, jobs::start_refusal reason) {
+  const auto start = starts_.find(run);
+  if (start != starts_.end() && start->second.unanswered) {
+    metrics_.GetCounter("coltsfoot_unanswered_starts_refused_total").Add();
+    spdlog::warn("event=unanswered_start_refused task={} run={} reason={}",
+                 jobs::ToString(run.task), run.run, jobs::ToString(reason));
+  }
   starts_.erase(run);
   refused_.push_back({run, reason});
   report_due_ = true;
