--- /dev/null
+++ b/test/simulation/scenario.cc
@@ -0,0 +1,103 @@
+#include "scenario.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+#include <cstdlib>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "simulated_fleet.h"
+
+namespace coltsfoot::simulation {
+namespace {
+
+constexpr std::size_t kWorkers = 4;
+constexpr milliseconds kFaultPeriod{20'000};
+constexpr milliseconds kRecoveryLimit{60'000};
+
+void InjectFault(simulated_fleet& fleet, const fault_mix& mix) {
+  core::random_source& random = fleet.random();
+  const std::size_t index = random.Below(fleet.workers());
+  const milliseconds duration{random.Below(2000)};
+  switch (random.Below(6)) {
+    case 0:
+    case 1:
+      if (mix.agents_restart) fleet.RestartAgent(index, duration / 2);
+      return;
+    case 2:
+      if (mix.coordinator_is_replaced) fleet.ReplaceCoordinator(duration);
+      return;
+    case 3:
+      if (!mix.connections_fail) return;
+      if (random.Below(2) == 0) {
+        fleet.Disconnect(index);
+      } else {
+        fleet.Cut(index, 4 * duration);
+      }
+      return;
+    case 4:
+      if (mix.targets_crash) fleet.target(index).Crash(duration, mix.targets_keep_names);
+      return;
+    default:
+      if (mix.targets_drain) fleet.target(index).SetDraining(random.Below(2) == 0);
+      return;
+  }
+}
+
+/// Submits jobs while faults happen, then waits until all jobs that were not cancelled are
+/// complete.
+/// @return a line for each violation.
+std::vector<std::string> Simulate(const fault_mix& mix, std::uint64_t seed) {
+  simulated_fleet fleet(kWorkers, seed);
+  core::random_source& random = fleet.random();
+  std::set<std::string> jobs;
+  fleet.Pass(milliseconds{2000});
+  for (std::size_t index = 0; index < kWorkers; ++index) {
+    fleet.target(index).SetFaults(mix.commands);
+  }
+  const core::mono_time until = fleet.now() + kFaultPeriod;
+  for (int job = 1; fleet.now() < until; ++job) {
+    const std::string id = fmt::format("{:016x}", job);
+    fleet.Submit(id, 1 + static_cast<std::uint32_t>(random.Below(6)));
+    jobs.insert(id);
+    fleet.Pass(milliseconds{random.Below(500)});
+    if (random.Below(3) == 0) {
+      fleet.Cancel(id);
+      jobs.erase(id);
+    }
+    InjectFault(fleet, mix);
+  }
+  for (std::size_t index = 0; index < kWorkers; ++index) {
+    fleet.target(index).SetFaults({});
+    fleet.target(index).SetDraining(false);
+  }
+  const core::mono_time limit = fleet.now() + kRecoveryLimit;
+  while (!jobs.empty() && fleet.now() < limit) {
+    fleet.Pass(milliseconds{500});
+    std::erase_if(jobs, [&](const std::string& job) {
+      return fleet.StateOf(job) == jobs::job_state::complete;
+    });
+  }
+  std::vector<std::string> violations = FindRepeatedRuns(fleet.history());
+  for (const std::string& job : jobs) violations.push_back("job " + job + " is not complete");
+  return violations;
+}
+
+}  // namespace
+
+void CheckSeeds(const fault_mix& mix) {
+  // COLTSFOOT_SIMULATION_SEEDS sets the number of seeds outside CI.
+  const char* text = std::getenv("COLTSFOOT_SIMULATION_SEEDS");
+  const std::uint64_t seeds = text == nullptr ? 100 : std::stoull(text);
+  spdlog::set_level(spdlog::level::off);
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    for (const std::string& violation : Simulate(mix, seed)) {
+      FAIL_CHECK("seed ", seed, ": ", violation);
+    }
+  }
+}
+
+}  // namespace coltsfoot::simulation
--- /dev/null
+++ b/test/simulation/scenario.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "simulated_target.h"
+
+namespace coltsfoot::simulation {
+
+/// What may go wrong in a simulation.
+struct fault_mix {
+  command_faults commands;
+  bool agents_restart = false;
+  bool coordinator_is_replaced = false;
+  bool connections_fail = false;
+  bool targets_crash = false;
+  bool targets_keep_names = false;
+  bool targets_drain = false;
+};
+
+/// Half of the commands get no answer; most of these are executed seconds later.
+inline constexpr command_faults kLateCommands{.refused = 0, .unanswered = 0.1, .delayed = 0.4};
+
+/// Submits and cancels jobs while faults happen, once for each of many seeds. Checks that no task
+/// runs twice and that all jobs that were not cancelled complete.
+void CheckSeeds(const fault_mix& mix);
+
+}  // namespace coltsfoot::simulation
