jobs: keep runs that a restarted agent does not know

What callers saw: a task ran twice, the second time after its end as done had been confirmed.

Cause: a start without an answer may be executed seconds later. When its agent restarted meanwhile, the agent's first list had no such run. The coordinator compares the number of the commands that started a run with the last number that the agent has seen. These numbers begin anew with each connection, but copies kept the number of the earlier connection until their commands were sent again. If another command, such as a stop, reached the agent before its first list, the run counted as seen and missing, and its task started elsewhere.

Why it works: until commands are sent again on a connection, only runs that the target has listed as running can be missing. All other runs are then commanded again under the same run number, which the target executes at most once.

--- a/libs/jobs/src/coordinator_reports.cc
+++ b/libs/jobs/src/coordinator_reports.cc
@@ -291,12 +291,15 @@
     bool was_running = false;
   };
   std::vector<missing_copy> missing;
-  jobs_.VisitCopies(worker.agent,
-                    [&](const task_ref& ref, const task_id& id, const task_copy& copy) {
-                      const bool seen = copy.running || copy.command <= report.commands_seen;
-                      if (!seen || Contains(present, {id, copy.run})) return;
-                      missing.push_back({ref, {id, copy.run}, copy.running});
-                    });
+  jobs_.VisitCopies(
+      worker.agent, [&](const task_ref& ref, const task_id& id, const task_copy& copy) {
+        // Before commands are sent again on a new connection, `copy.command` has the
+        // numbering of an earlier one.
+        const bool seen =
+            copy.running || (!worker.resend_commands && copy.command <= report.commands_seen);
+        if (!seen || Contains(present, {id, copy.run})) return;
+        missing.push_back({ref, {id, copy.run}, copy.running});
+      });
   for (const auto& [ref, run, was_running] : missing) {
     metrics_
         .GetCounter("coltsfoot_runs_missing_total", {"listed_before", was_running ? "yes" : "no"})
