runner: stop an unanswered start whose retry is refused

What callers saw: a task ran twice, without any restart, while targets refused a part of the commands as unhealthy and executed others late.

Cause: the agent repeats a start without an answer. When the target refused the repetition, the agent reported the run as refused and the coordinator started the task elsewhere. The refusal was the outcome of that call only; the earlier one was executed seconds later.

The new test of the runner fails before: the run is neither listed as starting nor stopped.

Why it works: after a confirmed stop the target refuses the run, whatever call arrives. Until then the run stays in the agent's list and its task starts nowhere else.

--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -367,12 +367,18 @@
       Refuse(run, jobs::start_refusal::not_sent);
       return;
     case command_status::refused:
-      if (start.unanswered && reply.refusal == jobs::start_refusal::old_run) {
+      if (!start.unanswered) {
+        Refuse(run, reply.refusal);
+      } else if (reply.refusal == jobs::start_refusal::old_run) {
         // An earlier, unanswered call may have started the run; the lists show whether it ended.
         start.confirmed_at = time_.Now();
-        return;
+      } else {
+        // The refusal is the outcome of this call only: an earlier one may be executed later.
+        metrics_.GetCounter("coltsfoot_unanswered_starts_refused_total").Add();
+        spdlog::info("event=unanswered_start_refused task={} run={} reason={}",
+                     jobs::ToString(run.task), run.run, jobs::ToString(reply.refusal));
+        stops_.try_emplace(run);
       }
-      Refuse(run, reply.refusal);
       return;
   }
 }
@@ -396,12 +402,6 @@
 }
 
 void runner::Refuse(const jobs::run_id& run, jobs::start_refusal reason) {
-  const auto start = starts_.find(run);
-  if (start != starts_.end() && start->second.unanswered) {
-    metrics_.GetCounter("coltsfoot_unanswered_starts_refused_total").Add();
-    spdlog::warn("event=unanswered_start_refused task={} run={} reason={}",
-                 jobs::ToString(run.task), run.run, jobs::ToString(reason));
-  }
   starts_.erase(run);
   refused_.push_back({run, reason});
   report_due_ = true;
--- a/libs/runner/tests/runner_test.cc
+++ b/libs/runner/tests/runner_test.cc
@@ -104,6 +104,15 @@
 
   static jobs::run_id Run(std::uint32_t run) { return {{kJob, 0, 0, 0}, run}; }
 
+  /// @return the last report with lists.
+  const jobs::worker_report& LastListing() const {
+    const auto& reports = coordinator.reports;
+    const auto last = std::find_if(reports.rbegin(), reports.rend(),
+                                   [](const auto& each) { return each.listed; });
+    REQUIRE(last != reports.rend());
+    return *last;
+  }
+
   void Pass(milliseconds duration) {
     for (milliseconds passed{0}; passed < duration; passed += milliseconds{50}) {
       time.Advance(milliseconds{50});
@@ -188,6 +197,27 @@
   CHECK(fixture.coordinator.reports.back().starting.empty());
 }
 
+// Guards against a refusal that is taken for the outcome of an earlier call without an answer.
+TEST_CASE("an unanswered start whose retry is refused is stopped before it counts as refused") {
+  runner_fixture fixture;
+  fixture.IssueCommand(1);
+  scripted_target::AnswerNext(fixture.target.start_answers, command_reply{});
+  fixture.Pass(milliseconds{150});
+  scripted_target::AnswerNext(
+      fixture.target.start_answers,
+      command_reply{.status = command_status::refused, .refusal = jobs::start_refusal::unhealthy});
+  fixture.Pass(milliseconds{1100});
+  const jobs::worker_report& report = fixture.LastListing();
+  CHECK(report.starting == std::vector{runner_fixture::Run(1)});
+  CHECK(report.refused.empty());
+  CHECK(fixture.target.starts.size() == 2);
+  REQUIRE(fixture.target.stops == std::vector{runner_fixture::Run(1)});
+  scripted_target::AnswerNext(fixture.target.stop_answers,
+                              command_reply{.status = command_status::ok});
+  fixture.Pass(milliseconds{1100});
+  CHECK(fixture.LastListing().starting.empty());
+}
+
 // Guards against starts on a target that shuts down, and against starts without a lease.
 TEST_CASE("a draining target and a runner without a lease start nothing") {
   runner_fixture fixture;
