--- a/libs/runner/tests/runner_test.cc
+++ b/libs/runner/tests/runner_test.cc
@@ -102,6 +102,13 @@
     agent.OnCommands(commands);
   }
 
+  void IssueStop(std::uint32_t run) {
+    jobs::worker_commands commands{
+        .term = 5, .sequence = ++sequence, .incarnation = announcement.incarnation};
+    commands.stops.push_back(Run(run));
+    agent.OnCommands(commands);
+  }
+
   static jobs::run_id Run(std::uint32_t run) { return {{kJob, 0, 0, 0}, run}; }
 
   /// @return the last report with lists.
@@ -218,6 +225,21 @@
   CHECK(fixture.LastListing().starting.empty());
 }
 
+// Guards against a stop that a target refused and that counts as executed.
+TEST_CASE("a stop that an unhealthy target refuses is repeated") {
+  runner_fixture fixture;
+  fixture.IssueCommand(1);
+  scripted_target::AnswerNext(fixture.target.start_answers, command_reply{});
+  fixture.IssueStop(1);
+  REQUIRE(fixture.target.stops.size() == 1);
+  scripted_target::AnswerNext(
+      fixture.target.stop_answers,
+      command_reply{.status = command_status::refused, .refusal = jobs::start_refusal::unhealthy});
+  fixture.Pass(milliseconds{1100});
+  CHECK(fixture.target.stops.size() == 2);
+  CHECK(fixture.LastListing().starting == std::vector{runner_fixture::Run(1)});
+}
+
 // Guards against starts on a target that shuts down, and against starts without a lease.
 TEST_CASE("a draining target and a runner without a lease start nothing") {
   runner_fixture fixture;
