runner: keep a stopped start in the list until a later poll

What callers saw: a task ran again after its run had ended as done, while targets executed commands late and left polls unanswered.

Cause: the answer to a stop took the run of an unanswered start off the agent's list at once. The answer rules out that the run begins later, not that it has begun: a late start had begun it before, the agent's polls had no answer meanwhile, and the coordinator started the task elsewhere beside the run, or after its end that had not been reported yet.

The new test fails before: the run leaves the list without a poll.

Why it works: a run leaves the list when a poll that was sent after the stop does not list it, as with a start that the target has confirmed. An earlier test of a refused retry now answers these polls; its checks are unchanged.

--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -75,7 +75,9 @@
     bool unanswered = false;  ///< a call had no answer, so the run may have started
     bool expired = false;     ///< the lease expired before the target answered
     core::mono_time retry_at;
-    std::optional<core::mono_time> confirmed_at;  ///< when the target confirmed it
+    /// When the target executed the start or a stop of the run. A poll sent later lists the run
+    /// unless it does not run any more.
+    std::optional<core::mono_time> settled_at;
   };
   /// Stop command whose run the target has not listed as ended yet.
   struct pending_stop {
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -156,7 +156,7 @@
   for (const jobs::run_id& stop : commands.stops) {
     const auto start = starts_.find(stop);
     if (start != starts_.end() && !start->second.unanswered && !start->second.in_flight &&
-        !start->second.confirmed_at) {
+        !start->second.settled_at) {
       starts_.erase(start);
       continue;
     }
@@ -264,8 +264,8 @@
   std::erase_if(starts_, [&](const auto& each) {
     const auto& [run, start] = each;
     if (listed.contains(run) || ended.contains(run)) return !start.in_flight;
-    // Confirmed before this poll and not listed: the run has ended and its end is stored.
-    return start.confirmed_at && *start.confirmed_at < sent && lists.ended.size() < kMaxListedEnds;
+    // Not listed although settled before this poll: it never ran, or its end is stored.
+    return start.settled_at && *start.settled_at < sent && lists.ended.size() < kMaxListedEnds;
   });
   std::erase_if(stops_, [&](const auto& each) {
     return !each.second.in_flight &&
@@ -302,7 +302,7 @@
   std::vector<jobs::run_id> refused;
   for (auto& [run, start] : starts_) {
     if (calls_in_flight_ >= kMaxCallsInFlight) break;
-    if (start.in_flight || start.confirmed_at || now < start.retry_at) continue;
+    if (start.in_flight || start.settled_at || now < start.retry_at) continue;
     if (stops_.contains(run)) continue;
     if (announced_->draining || target_left_) {
       // An unanswered start may still take effect; a stop makes sure that it does not.
@@ -351,7 +351,7 @@
   if (start.expired && reply.status == command_status::unknown) stops_.try_emplace(run);
   switch (reply.status) {
     case command_status::ok:
-      start.confirmed_at = time_.Now();
+      start.settled_at = time_.Now();
       return;
     case command_status::not_sent:
       start.retry_at = time_.Now() + kCommandRetryDelay;
@@ -371,7 +371,7 @@
         Refuse(run, reply.refusal);
       } else if (reply.refusal == jobs::start_refusal::old_run) {
         // An earlier, unanswered call may have started the run; the lists show whether it ended.
-        start.confirmed_at = time_.Now();
+        start.settled_at = time_.Now();
       } else {
         // The refusal is the outcome of this call only: an earlier one may be executed later.
         metrics_.GetCounter("coltsfoot_unanswered_starts_refused_total").Add();
@@ -386,7 +386,7 @@
 void runner::DropExpiredStarts() {
   std::vector<jobs::run_id> expired;
   for (auto& [run, start] : starts_) {
-    if (start.confirmed_at) continue;
+    if (start.settled_at) continue;
     // A call in flight carries the expired lease.
     start.expired = true;
     if (start.in_flight) continue;
@@ -434,11 +434,9 @@
     return;
   }
   stop.done = true;
-  // From now on the target refuses to start this run.
+  // From now on the target refuses to start this run, but a call may have started it before.
   const auto start = starts_.find(run);
-  if (start == starts_.end() || start->second.in_flight || start->second.confirmed_at) return;
-  starts_.erase(start);
-  report_due_ = true;
+  if (start != starts_.end() && !start->second.settled_at) start->second.settled_at = time_.Now();
 }
 
 void runner::PaceFilling() {
--- a/libs/runner/tests/runner_test.cc
+++ b/libs/runner/tests/runner_test.cc
@@ -221,6 +221,9 @@
   REQUIRE(fixture.target.stops == std::vector{runner_fixture::Run(1)});
   scripted_target::AnswerNext(fixture.target.stop_answers,
                               command_reply{.status = command_status::ok});
+  fixture.Answer({});
+  fixture.Pass(milliseconds{100});
+  fixture.Answer({});
   fixture.Pass(milliseconds{1100});
   CHECK(fixture.LastListing().starting.empty());
 }
@@ -240,6 +243,26 @@
   CHECK(fixture.LastListing().starting == std::vector{runner_fixture::Run(1)});
 }
 
+// Guards against a run that a late start began before the stop and that counts as ended although it
+// runs.
+TEST_CASE("a stopped start leaves the list only with a poll sent after the stop") {
+  runner_fixture fixture;
+  fixture.IssueCommand(1);
+  scripted_target::AnswerNext(fixture.target.start_answers, command_reply{});
+  fixture.IssueStop(1);
+  fixture.Pass(milliseconds{50});
+  scripted_target::AnswerNext(fixture.target.stop_answers,
+                              command_reply{.status = command_status::ok});
+  fixture.Pass(milliseconds{1100});
+  CHECK(fixture.LastListing().starting == std::vector{runner_fixture::Run(1)});
+  fixture.Answer({});
+  fixture.Pass(milliseconds{1100});
+  CHECK(fixture.LastListing().starting == std::vector{runner_fixture::Run(1)});
+  fixture.Answer({});
+  fixture.Pass(milliseconds{1100});
+  CHECK(fixture.LastListing().starting.empty());
+}
+
 // Guards against starts on a target that shuts down, and against starts without a lease.
 TEST_CASE("a draining target and a runner without a lease start nothing") {
   runner_fixture fixture;
