runner: give up unanswered starts in one way

What callers may see: a task runs twice for a moment around the end of a lease.

Cause: an agent that got the command of an unanswered start again, for example after its connection was replaced, while it had no lease, dropped the start and reported it as refused. An earlier call may have begun the run, which goes on until the lease expires on the target's clock. Starts were given up in five places, and this one did not consider unanswered calls.

Evidence: the new test fails before: no stop is sent, and the run is reported as refused at once.

Why it works: `Abandon` is the only place that gives up a start. If an unanswered call may still be executed, the run is stopped and stays in the list until a poll shows that it does not run; the reason is reported then, so that a worker whose target is unhealthy is avoided as after any other refusal.

--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -73,7 +73,7 @@
     jobs::start_command command;
     bool in_flight = false;
     bool unanswered = false;  ///< a call had no answer, so the run may have started
-    bool expired = false;     ///< the lease expired before the target answered
+    std::optional<jobs::start_refusal> abandoned;  ///< why it must not start any more
     core::mono_time retry_at;
     /// When the target executed the start or a stop of the run. A poll sent later lists the run
     /// unless it does not run any more.
@@ -98,8 +98,11 @@
   void SendCommands();
   void SendStart(const jobs::run_id& run, pending_start& start);
   void OnStarted(const jobs::run_id& run, const command_reply& reply);
-  /// Refuses waiting starts after the lease has expired: their tasks may already run elsewhere.
+  /// Abandons waiting starts after the lease has expired: their tasks may already run elsewhere.
   void DropExpiredStarts();
+  /// Gives up a start. If an unanswered call may still be executed, the target is told to stop the
+  /// run first, and the run is reported as starting until a list shows that it does not run.
+  void Abandon(const jobs::run_id& run, pending_start& start, jobs::start_refusal reason);
   void Refuse(const jobs::run_id& run, jobs::start_refusal reason);
   void SendStop(const jobs::run_id& run, pending_stop& stop);
   void OnStopped(const jobs::run_id& run, const command_reply& reply);
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -144,14 +144,12 @@
   }
   for (const jobs::task_facts& facts : commands.facts) facts_.insert_or_assign(facts.run, facts);
   for (const jobs::start_command& start : commands.starts) {
+    const jobs::run_id& run = start.facts.run;
+    facts_.insert_or_assign(run, start.facts);
+    if (IsRunning(run)) continue;
+    const auto place = starts_.try_emplace(run, pending_start{.command = start}).first;
     // Commands delayed by a network partition: for the coordinator these runs have expired.
-    if (lease_end_ < time_.Now()) {
-      Refuse(start.facts.run, jobs::start_refusal::late);
-      continue;
-    }
-    facts_.insert_or_assign(start.facts.run, start.facts);
-    if (IsRunning(start.facts.run)) continue;
-    starts_.try_emplace(start.facts.run, pending_start{.command = start});
+    if (lease_end_ < time_.Now()) Abandon(run, place->second, jobs::start_refusal::late);
   }
   for (const jobs::run_id& stop : commands.stops) {
     const auto start = starts_.find(stop);
@@ -265,7 +263,10 @@
     const auto& [run, start] = each;
     if (listed.contains(run) || ended.contains(run)) return !start.in_flight;
     // Not listed although settled before this poll: it never ran, or its end is stored.
-    return start.settled_at && *start.settled_at < sent && lists.ended.size() < kMaxListedEnds;
+    const bool gone =
+        start.settled_at && *start.settled_at < sent && lists.ended.size() < kMaxListedEnds;
+    if (gone && start.abandoned) refused_.push_back({run, *start.abandoned});
+    return gone;
   });
   std::erase_if(stops_, [&](const auto& each) {
     return !each.second.in_flight &&
@@ -299,25 +300,22 @@
     if (calls_in_flight_ >= kMaxCallsInFlight) return;
     if (!stop.in_flight && !stop.done && now >= stop.retry_at) SendStop(run, stop);
   }
-  std::vector<jobs::run_id> refused;
+  std::vector<jobs::run_id> abandoned;
   for (auto& [run, start] : starts_) {
     if (calls_in_flight_ >= kMaxCallsInFlight) break;
     if (start.in_flight || start.settled_at || now < start.retry_at) continue;
     if (stops_.contains(run)) continue;
     if (announced_->draining || target_left_) {
-      // An unanswered start may still take effect; a stop makes sure that it does not.
-      if (start.unanswered) {
-        stops_.try_emplace(run);
-      } else {
-        refused.push_back(run);
-      }
+      abandoned.push_back(run);
       continue;
     }
     if (failed_polls_ > 0 || !clock_offset_ms_) continue;
     if (lease_end_ - now < kMinLease) continue;
     SendStart(run, start);
   }
-  for (const jobs::run_id& run : refused) Refuse(run, jobs::start_refusal::not_sent);
+  for (const jobs::run_id& run : abandoned) {
+    Abandon(run, starts_.at(run), jobs::start_refusal::not_sent);
+  }
 }
 
 void runner::SendStart(const jobs::run_id& run, pending_start& start) {
@@ -344,66 +342,63 @@
   if (place == starts_.end()) return;
   pending_start& start = place->second;
   start.in_flight = false;
-  if (start.expired && reply.status == command_status::not_sent && !start.unanswered) {
-    Refuse(run, jobs::start_refusal::late);
-    return;
-  }
-  if (start.expired && reply.status == command_status::unknown) stops_.try_emplace(run);
   switch (reply.status) {
     case command_status::ok:
       start.settled_at = time_.Now();
       return;
     case command_status::not_sent:
       start.retry_at = time_.Now() + kCommandRetryDelay;
-      return;
+      break;
     case command_status::unknown:
       start.retry_at = time_.Now() + kCommandRetryDelay;
       // The retry uses the same run number, so the run starts at most once.
       start.unanswered = true;
       metrics_.GetCounter("coltsfoot_orders_unanswered_total", {"order", "start"}).Add();
       spdlog::info("event=start_unanswered task={} run={}", jobs::ToString(run.task), run.run);
-      return;
+      break;
     case command_status::other_incarnation:
       Refuse(run, jobs::start_refusal::not_sent);
       return;
     case command_status::refused:
-      if (!start.unanswered) {
-        Refuse(run, reply.refusal);
-      } else if (reply.refusal == jobs::start_refusal::old_run) {
+      if (start.unanswered && reply.refusal == jobs::start_refusal::old_run) {
         // An earlier, unanswered call may have started the run; the lists show whether it ended.
         start.settled_at = time_.Now();
-      } else {
-        // The refusal is the outcome of this call only: an earlier one may be executed later.
+        return;
+      }
+      if (start.unanswered) {
         metrics_.GetCounter("coltsfoot_unanswered_starts_refused_total").Add();
         spdlog::info("event=unanswered_start_refused task={} run={} reason={}",
                      jobs::ToString(run.task), run.run, jobs::ToString(reply.refusal));
-        stops_.try_emplace(run);
       }
-      return;
+      start.abandoned = reply.refusal;
+      break;
   }
+  if (start.abandoned) Abandon(run, start, *start.abandoned);
 }
 
 void runner::DropExpiredStarts() {
   std::vector<jobs::run_id> expired;
-  for (auto& [run, start] : starts_) {
-    if (start.settled_at) continue;
-    // A call in flight carries the expired lease.
-    start.expired = true;
-    if (start.in_flight) continue;
-    if (start.unanswered) {
-      // The task may run and hold resources until the lease expires on the target's clock; a stop
-      // ends it.
-      stops_.try_emplace(run);
-    } else {
-      expired.push_back(run);
-    }
+  for (const auto& [run, start] : starts_) expired.push_back(run);
+  for (const jobs::run_id& run : expired) {
+    Abandon(run, starts_.at(run), jobs::start_refusal::late);
+  }
+}
+
+void runner::Abandon(const jobs::run_id& run, pending_start& start, jobs::start_refusal reason) {
+  if (start.settled_at) return;
+  if (!start.abandoned) start.abandoned = reason;
+  // The answer to a call in flight decides how to go on.
+  if (start.in_flight) return;
+  if (start.unanswered) {
+    stops_.try_emplace(run);
+  } else {
+    Refuse(run, *start.abandoned);
   }
-  for (const jobs::run_id& run : expired) Refuse(run, jobs::start_refusal::late);
 }
 
 void runner::Refuse(const jobs::run_id& run, jobs::start_refusal reason) {
-  starts_.erase(run);
   refused_.push_back({run, reason});
+  starts_.erase(run);
   report_due_ = true;
 }
 
--- a/libs/runner/tests/runner_test.cc
+++ b/libs/runner/tests/runner_test.cc
@@ -263,6 +263,19 @@
   CHECK(fixture.LastListing().starting.empty());
 }
 
+// Guards against a run that counts as refused although an earlier call for it may have begun it.
+TEST_CASE("an unanswered start that is commanded again without a lease is stopped") {
+  runner_fixture fixture;
+  fixture.IssueCommand(1);
+  scripted_target::AnswerNext(fixture.target.start_answers, command_reply{});
+  fixture.time.Advance(milliseconds{5100});
+  fixture.IssueCommand(1);
+  CHECK(fixture.target.stops == std::vector{runner_fixture::Run(1)});
+  fixture.Pass(milliseconds{100});
+  CHECK(fixture.LastListing().starting == std::vector{runner_fixture::Run(1)});
+  CHECK(fixture.LastListing().refused.empty());
+}
+
 // Guards against starts on a target that shuts down, and against starts without a lease.
 TEST_CASE("a draining target and a runner without a lease start nothing") {
   runner_fixture fixture;
