jobs, runner: mark starts that an earlier process may have sent

What callers may see: a task runs twice after an agent restarted while its target drains and executes commands late.

Cause: the coordinator sends starts without an outcome again to a restarted agent. The new process did not know that the earlier one may have called the target, so it treated them as never sent: for a draining target, or without a lease, it refused them at once, and the task started elsewhere.

The new test of the runner fails before.

Why it works: `start_command::repeated` tells the agent that a call without an answer may exist. It then stops the run at the target before it gives it up.

The field changes the encoding of start commands. While entries and agents of both revisions run side by side, starts between them cannot be read and wait for the upgrade; leases and running tasks are not affected.

--- a/libs/jobs/include/jobs/messages.h
+++ b/libs/jobs/include/jobs/messages.h
@@ -184,10 +184,11 @@
   task_facts facts;
   std::string payload;
   std::string checkpoint;
+  bool repeated = false;  ///< an earlier process of the agent may have sent it to the target
   bool operator==(const start_command&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(facts, payload, checkpoint);
+    archive(facts, payload, checkpoint, repeated);
   }
 };
 
--- a/libs/jobs/src/coordinator_reports.cc
+++ b/libs/jobs/src/coordinator_reports.cc
@@ -324,6 +324,7 @@
       facts.push_back(FactsOf(run, ref.job->Spec(ref.step)));
     } else {
       starts.push_back(MakeStart(*ref.job, run, *ref.task));
+      starts.back().repeated = true;
       copy.command = commands.sequence;
     }
   });
--- a/libs/jobs/tests/coordinator_test.cc
+++ b/libs/jobs/tests/coordinator_test.cc
@@ -296,6 +296,8 @@
   const auto again = fleet.agents.TakeStarts();
   REQUIRE(again.size() == 1);
   CHECK(again[0].second.facts.run == starts[0].second.facts.run);
+  CHECK_FALSE(starts[0].second.repeated);
+  CHECK(again[0].second.repeated);
 }
 
 // Guards against starts by a coordinator whose leader lease has expired: another one may exist.
@@ -467,6 +469,8 @@
   REQUIRE(again.size() == 1);
   CHECK(again[0].first == agent);
   CHECK(again[0].second.facts.run == starts[0].second.facts.run);
+  CHECK_FALSE(starts[0].second.repeated);
+  CHECK(again[0].second.repeated);
 }
 
 // Guards against a grant for each report, and against leases that expire because of too few grants.
--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -72,7 +72,7 @@
   struct pending_start {
     jobs::start_command command;
     bool in_flight = false;
-    bool unanswered = false;  ///< a call had no answer, so the run may have started
+    bool unanswered = false;  ///< a call, also of an earlier process, may have had no answer
     std::optional<jobs::start_refusal> abandoned;  ///< why it must not start any more
     core::mono_time retry_at;
     /// When the target executed the start or a stop of the run. A poll sent later lists the run
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -138,7 +138,8 @@
   report_due_ = true;
   if (!announced_ || commands.incarnation != announced_->incarnation) {
     for (const jobs::start_command& start : commands.starts) {
-      Refuse(start.facts.run, jobs::start_refusal::not_sent);
+      // A repeated one may be on its way to the incarnation that the coordinator knows.
+      if (!start.repeated) Refuse(start.facts.run, jobs::start_refusal::not_sent);
     }
     return;
   }
@@ -147,7 +148,9 @@
     const jobs::run_id& run = start.facts.run;
     facts_.insert_or_assign(run, start.facts);
     if (IsRunning(run)) continue;
-    const auto place = starts_.try_emplace(run, pending_start{.command = start}).first;
+    const auto place =
+        starts_.try_emplace(run, pending_start{.command = start, .unanswered = start.repeated})
+            .first;
     // Commands delayed by a network partition: for the coordinator these runs have expired.
     if (lease_end_ < time_.Now()) Abandon(run, place->second, jobs::start_refusal::late);
   }
--- a/libs/runner/tests/runner_test.cc
+++ b/libs/runner/tests/runner_test.cc
@@ -95,10 +95,10 @@
                    .stored_end = 0});
   }
 
-  void IssueCommand(std::uint32_t run) {
+  void IssueCommand(std::uint32_t run, bool repeated = false) {
     jobs::worker_commands commands{
         .term = 5, .sequence = ++sequence, .incarnation = announcement.incarnation};
-    commands.starts.push_back({.facts = {.run = Run(run)}, .payload = "p"});
+    commands.starts.push_back({.facts = {.run = Run(run)}, .payload = "p", .repeated = repeated});
     agent.OnCommands(commands);
   }
 
@@ -276,6 +276,20 @@
   CHECK(fixture.LastListing().refused.empty());
 }
 
+// Guards against a start of an agent's earlier process that counts as never sent.
+TEST_CASE("a repeated start is stopped before it counts as refused by a draining target") {
+  runner_fixture fixture;
+  fixture.announcement.draining = true;
+  fixture.announcement.sequence = 2;
+  fixture.agent.OnAnnouncement(fixture.announcement);
+  fixture.IssueCommand(1, true);
+  fixture.Pass(milliseconds{1100});
+  CHECK(fixture.target.starts.empty());
+  CHECK(fixture.target.stops == std::vector{runner_fixture::Run(1)});
+  CHECK(fixture.LastListing().starting == std::vector{runner_fixture::Run(1)});
+  CHECK(fixture.LastListing().refused.empty());
+}
+
 // Guards against starts on a target that shuts down, and against starts without a lease.
 TEST_CASE("a draining target and a runner without a lease start nothing") {
   runner_fixture fixture;
