runner: list runs to a new coordinator only after a poll in its term

What callers may see: a task runs twice after an agent and the coordinator were replaced within a second while commands are executed late.

Cause: an agent reported the lists of its last poll to a new coordinator at once. Starts of the agent's earlier process are in no list, and until the target has seen the new term's fencing token it still executes them. The new coordinator took the takeover as settled and could start their tasks elsewhere.

Evidence: found by reading the code for the third hypothesis; the new test fails before (lists under term 6 before any poll in term 6).

Why it works: the poll in the new term passes on its fencing token, after which the target refuses starts of earlier terms. Once all leases that an earlier process may have passed on have expired, an earlier list is enough, so that a takeover does not wait for targets that fail at the same time.

--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -114,6 +114,8 @@
   /// @return the state to report: unknown until the target has answered a poll, unless it is gone.
   jobs::target_state ReportedState() const;
   bool IsRunning(const jobs::run_id& run) const;
+  /// @return true if the lists account for all runs that the target may still start.
+  bool HasCompleteLists() const;
 
   runner_options options_;
   const core::clock& time_;
@@ -140,6 +142,7 @@
   std::uint32_t failed_polls_ = 0;  ///< since the last answered poll
   core::mono_time last_answer_;
   bool has_lists_ = false;
+  std::uint64_t listed_term_ = 0;  ///< term of the last answered poll
   std::vector<jobs::running_task> running_;
   std::vector<jobs::ended_run> ended_;
   std::uint64_t last_end_seen_ = 0;
@@ -150,6 +153,8 @@
   std::vector<jobs::refused_run> refused_;
   std::size_t calls_in_flight_ = 0;
   pacer pacer_;
+  core::mono_time
+      earlier_calls_expire_at_;  ///< end of all leases that an earlier process passed on
   std::set<jobs::run_id> pace_calls_in_flight_;
 
   bool report_due_ = false;
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -33,7 +33,9 @@
       metrics_(metrics),
       target_(target),
       coordinator_(coordinator),
-      pacer_(options_.pacing) {}
+      pacer_(options_.pacing),
+      earlier_calls_expire_at_(time.Now() + options_.task_lease +
+                               options_.task_lease * kClockDriftPermille / 1000 + kExpiryMargin) {}
 
 void runner::OnAnnouncement(const target_announcement& received) {
   if (announced_) {
@@ -203,11 +205,13 @@
   // runs have certainly expired.
   if (failed_polls_ == 0) call.lease_until_ms = LeaseOnTargetClock();
   if (call.lease_until_ms) sent_lease_end_ = std::max(sent_lease_end_, lease_end_);
-  target_.Poll(
-      call, announced_->incarnation.name,
-      [this, sent, incarnation = incarnation_count_](const std::optional<target_lists>& lists) {
-        if (incarnation == incarnation_count_) OnLists(lists, sent);
-      });
+  target_.Poll(call, announced_->incarnation.name,
+               [this, sent, term = term_,
+                incarnation = incarnation_count_](const std::optional<target_lists>& lists) {
+                 if (incarnation != incarnation_count_) return;
+                 if (lists && std::exchange(listed_term_, term) != term) report_due_ = true;
+                 OnLists(lists, sent);
+               });
 }
 
 std::optional<std::int64_t> runner::LeaseOnTargetClock() const {
@@ -468,6 +472,12 @@
   return has_lists_ || state == jobs::target_state::gone ? state : jobs::target_state::unknown;
 }
 
+bool runner::HasCompleteLists() const {
+  // Until the target has seen the fencing token of this term, it may execute a start that an
+  // earlier process of this agent sent under another term and that nobody knows of.
+  return has_lists_ && (listed_term_ == term_ || time_.Now() >= earlier_calls_expire_at_);
+}
+
 void runner::ForgetRuns() {
   if (running_.empty() && starts_.empty()) return;
   spdlog::warn("event=target_gone target={} runs={} unanswered_for_ms={}",
@@ -498,7 +508,7 @@
     report.labels = announced_->labels;
     report.capacity = announced_->capacity;
   }
-  if (with_lists && has_lists_) {
+  if (with_lists && HasCompleteLists()) {
     report.listed = true;
     report.running = running_;
     for (jobs::running_task& task : report.running) {
--- a/libs/runner/tests/runner_test.cc
+++ b/libs/runner/tests/runner_test.cc
@@ -290,6 +290,25 @@
   CHECK(fixture.LastListing().refused.empty());
 }
 
+// Guards against a list of an earlier term that lacks a start which the target still accepts.
+TEST_CASE("a restarted agent lists runs to a new coordinator only after a poll in its term") {
+  runner_fixture fixture;
+  const auto listed = [&] {
+    return std::any_of(fixture.coordinator.reports.begin(), fixture.coordinator.reports.end(),
+                       [](const auto& report) { return report.term == 6 && report.listed; });
+  };
+  fixture.agent.OnHello(6);
+  fixture.Pass(milliseconds{600});
+  CHECK_FALSE(listed());
+  fixture.Answer({});
+  fixture.Pass(milliseconds{100});
+  CHECK_FALSE(listed());
+  REQUIRE(fixture.target.polls_sent.back().fence == 6);
+  fixture.Answer({});
+  fixture.Pass(milliseconds{100});
+  CHECK(listed());
+}
+
 // Guards against starts on a target that shuts down, and against starts without a lease.
 TEST_CASE("a draining target and a runner without a lease start nothing") {
   runner_fixture fixture;
