simulation: let targets announce themselves when they start

Simulated targets announced a new incarnation up to 1.5 s after its start, in which late commands could reach it before its agent knew of it. Real ones announce themselves at once.

--- a/test/simulation/simulated_fleet.cc
+++ b/test/simulation/simulated_fleet.cc
@@ -213,7 +213,9 @@
   for (const auto& each : workers_) {
     each->target->Step();
     Dial(*each);
-    if (!each->agent || now < each->next_announcement_at) continue;
+    const bool booted = std::exchange(each->announced_incarnation, each->target->incarnation()) !=
+                        each->target->incarnation();
+    if (!each->agent || (now < each->next_announcement_at && !booted)) continue;
     each->next_announcement_at = now + kAnnouncementPeriod;
     if (const auto next = each->target->Announce()) each->agent->control().OnAnnouncement(*next);
   }
--- a/test/simulation/simulated_fleet.h
+++ b/test/simulation/simulated_fleet.h
@@ -55,6 +55,7 @@
     core::mono_time next_dial_at;
     core::mono_time cut_until;
     core::mono_time next_announcement_at;
+    std::uint64_t announced_incarnation = 0;
   };
   class connections;
 
--- a/test/simulation/simulated_target.h
+++ b/test/simulation/simulated_target.h
@@ -63,6 +63,8 @@
   void Crash(milliseconds downtime, bool keeps_name);
   /// Lets runs end and leases expire. Call every few milliseconds.
   void Step();
+  /// @return the number of the running incarnation; 0 while the target is down.
+  std::uint64_t incarnation() const noexcept { return up_ ? incarnation_ : 0; }
   /// @return the next announcement, or nothing while the target is down.
   std::optional<runner::target_announcement> Announce();
 
