--- /dev/null
+++ b/test/simulation/deadly_task_test.cc
@@ -0,0 +1,94 @@
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+#include <map>
+#include <set>
+#include <string>
+
+#include "simulated_fleet.h"
+
+namespace coltsfoot::simulation {
+namespace {
+
+constexpr std::size_t kWorkers = 11;
+constexpr std::uint64_t kSeeds = 20;
+constexpr milliseconds kLoadPeriod{10'000};
+constexpr milliseconds kEndLimit{60'000};
+// A task may be started twice more after it has crashed three targets.
+constexpr std::uint32_t kMaxStarts = 5;
+
+struct outcome {
+  std::set<std::string> open;                    ///< jobs that have not ended
+  std::set<std::string> wrongly_failed;          ///< harmless jobs shown as failed
+  std::map<std::string, std::uint32_t> crashes;  ///< by deadly job
+  std::size_t lost_runs = 0;                     ///< runs of harmless jobs lost in crashes
+};
+
+/// Submits harmless jobs and, as a tenth of all, jobs with a task that crashes its target.
+outcome Simulate(std::uint64_t seed, bool replace_coordinator) {
+  simulated_fleet fleet(kWorkers, seed);
+  core::random_source& random = fleet.random();
+  outcome out;
+  std::set<std::string> deadly;
+  fleet.Pass(milliseconds{2000});
+  const core::mono_time until = fleet.now() + kLoadPeriod;
+  for (int job = 1; fleet.now() < until; ++job) {
+    const std::string id = fmt::format("{:016x}", job);
+    if (random.Below(10) == 0) {
+      deadly.insert(id);
+      for (std::size_t index = 0; index < kWorkers; ++index) fleet.target(index).AddDeadlyJob(id);
+    }
+    fleet.Submit(id, 1 + static_cast<std::uint32_t>(random.Below(6)));
+    out.open.insert(id);
+    fleet.Pass(milliseconds{random.Below(300)});
+    if (replace_coordinator && random.Below(20) == 0) fleet.ReplaceCoordinator(milliseconds{500});
+  }
+  const core::mono_time limit = fleet.now() + kEndLimit;
+  while (!out.open.empty() && fleet.now() < limit) {
+    fleet.Pass(milliseconds{500});
+    std::erase_if(out.open, [&](const std::string& job) {
+      const auto state = fleet.StateOf(job);
+      if (state == jobs::job_state::failed && !deadly.contains(job)) out.wrongly_failed.insert(job);
+      return state == jobs::job_state::failed || state == jobs::job_state::complete;
+    });
+  }
+  for (const run_record& run : fleet.history()) {
+    if (!run.crashed) continue;
+    if (!deadly.contains(run.run.task.job)) {
+      ++out.lost_runs;
+    } else if (run.run.task.index == 0) {
+      ++out.crashes[run.run.task.job];
+    }
+  }
+  return out;
+}
+
+void CheckSeeds(bool replace_coordinator) {
+  spdlog::set_level(spdlog::level::off);
+  std::size_t lost_runs = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    const outcome out = Simulate(seed, replace_coordinator);
+    for (const auto& [job, crashes] : out.crashes) {
+      CHECK_MESSAGE(crashes <= kMaxStarts, "seed ", seed, " job ", job, ": ", crashes, " crashes");
+    }
+    CHECK_MESSAGE(out.open.empty(), "seed ", seed, ": ", out.open.size(), " jobs have not ended");
+    CHECK_MESSAGE(out.wrongly_failed.empty(), "seed ", seed,
+                  ": harmless jobs failed: ", out.wrongly_failed.size());
+    lost_runs += out.lost_runs;
+  }
+  MESSAGE(lost_runs, " runs of other jobs were lost in crashes");
+}
+
+}  // namespace
+
+TEST_CASE("a task that crashes its targets is given up and other jobs complete") {
+  CheckSeeds(false);
+}
+
+// Guards against evidence of crashes that is lost with the coordinator.
+TEST_CASE("a task that crashes its targets is given up although coordinators are replaced") {
+  CheckSeeds(true);
+}
+
+}  // namespace coltsfoot::simulation
--- a/test/simulation/simulated_target.cc
+++ b/test/simulation/simulated_target.cc
@@ -16,6 +16,8 @@
 constexpr milliseconds kPollGrace{500};
 constexpr milliseconds kPollStep{10};
 constexpr milliseconds kStopTime{300};
+constexpr milliseconds kDeadlyTaskTime{10};
+constexpr milliseconds kCrashDowntime{3300};
 constexpr milliseconds kMinTaskTime{200};
 constexpr std::uint64_t kTaskTimeSpread = 1500;
 
@@ -189,6 +191,11 @@
          .incarnation = incarnation_,
          .started_at = now,
          .done_at = now + kMinTaskTime + milliseconds{random_.Below(kTaskTimeSpread)}});
+    if (call.run.task.index == 0 && deadly_jobs_.contains(call.run.task.job)) {
+      events_.After(kDeadlyTaskTime, [this, incarnation = incarnation_] {
+        if (incarnation == incarnation_) Crash(kCrashDowntime, false);
+      });
+    }
   }
   return Reply(command_status::ok);
 }
--- a/test/simulation/simulated_target.h
+++ b/test/simulation/simulated_target.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,8 @@
 
   void SetFaults(const command_faults& faults) { faults_ = faults; }
   void SetDraining(bool draining) { draining_ = draining; }
+  /// From now on the first task of this job crashes the target shortly after each start.
+  void AddDeadlyJob(const std::string& job) { deadly_jobs_.insert(job); }
   /// Ends all runs. The next incarnation starts after `downtime`, under a new name unless
   /// `keeps_name` is set.
   void Crash(milliseconds downtime, bool keeps_name);
@@ -104,6 +107,7 @@
   std::int64_t lease_until_ms_ = 0;
   std::uint64_t last_end_ = 0;
   std::uint64_t sequence_ = 0;
+  std::set<std::string> deadly_jobs_;
   std::map<jobs::task_id, std::uint32_t> closed_runs_;  ///< highest stopped or ended run of a task
 };
 
