runner: log which tasks began before a target crashed

The logs named how many runs were lost with a target, but neither which of them had begun last nor whether several crashes had a task in common.

`target_crashed` names the tasks whose start the agent had sent within 250 ms before the target's last answer, or after it. No decision changes.

--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -109,6 +109,10 @@
   void PaceFilling();
   /// Drops the runs of a target that is gone.
   void ForgetRuns();
+  /// @return the runs that began so shortly before the target's last answer, or after it, that they
+  /// may have crashed the target.
+  std::vector<jobs::run_id> RecentRuns() const;
+  void LogLostRuns() const;
   void Report(bool with_lists);
   jobs::target_state State() const;
   /// @return the state to report: unknown until the target has answered a poll, unless it is gone.
@@ -150,6 +154,8 @@
   std::map<jobs::run_id, pending_start> starts_;
   std::map<jobs::run_id, pending_stop> stops_;
   std::map<jobs::run_id, jobs::task_facts> facts_;
+  std::map<jobs::run_id, core::mono_time> first_calls_;  ///< first call that starts each run
+  core::mono_time last_reply_;  ///< last answer to any call but stops and paces
   std::vector<jobs::refused_run> refused_;
   std::size_t calls_in_flight_ = 0;
   pacer pacer_;
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -20,6 +20,8 @@
 constexpr core::milliseconds kCommandRetryDelay{100};
 // Complete lists are reported on each change, and at this interval without changes.
 constexpr core::milliseconds kListingPeriod{1000};
+// A task that crashes its target does so within this time after its start.
+constexpr core::milliseconds kCrashDelay{250};
 // The target's clock may run 2 % slow, so its lease may last longer by as much.
 constexpr std::int64_t kClockDriftPermille = 20;
 constexpr core::milliseconds kExpiryMargin{200};
@@ -66,6 +68,7 @@
                announcement.incarnation.name, announcement.incarnation.started_ms,
                announcement.service, announcement.capacity.cpu_millis,
                announcement.capacity.memory_mb);
+  if (announced_ && !announced_->draining && !target_left_) LogLostRuns();
   announced_ = announcement;
   ++incarnation_count_;
   target_left_ = false;
@@ -85,6 +88,7 @@
   starts_.clear();
   stops_.clear();
   facts_.clear();
+  first_calls_.clear();
   refused_.clear();
   calls_in_flight_ = 0;
   pacer_.Clear();
@@ -240,6 +244,7 @@
     return;
   }
   last_answer_ = now;
+  last_reply_ = now;
   failed_polls_ = 0;
   ApplyLists(*lists, sent);
   PaceFilling();
@@ -280,9 +285,11 @@
            (ended.contains(each.first) ||
             (each.second.done && !listed.contains(each.first) && !starts_.contains(each.first)));
   });
-  std::erase_if(facts_, [&](const auto& each) {
+  const auto is_over = [&](const auto& each) {
     return !listed.contains(each.first) && !starts_.contains(each.first);
-  });
+  };
+  std::erase_if(facts_, is_over);
+  std::erase_if(first_calls_, is_over);
 }
 
 void runner::KeepRunsWithUnlistedEnd(const std::vector<jobs::running_task>& last) {
@@ -327,6 +334,7 @@
 
 void runner::SendStart(const jobs::run_id& run, pending_start& start) {
   start.in_flight = true;
+  first_calls_.try_emplace(run, time_.Now());
   ++calls_in_flight_;
   sent_lease_end_ = std::max(sent_lease_end_, lease_end_);
   target_.Start({.run = run,
@@ -344,7 +352,10 @@
 }
 
 void runner::OnStarted(const jobs::run_id& run, const command_reply& reply) {
-  if (reply.clock_ms) UpdateClockOffset(*reply.clock_ms);
+  if (reply.clock_ms) {
+    UpdateClockOffset(*reply.clock_ms);
+    last_reply_ = time_.Now();
+  }
   const auto place = starts_.find(run);
   if (place == starts_.end()) return;
   pending_start& start = place->second;
@@ -478,15 +489,36 @@
   return has_lists_ && (listed_term_ == term_ || time_.Now() >= earlier_calls_expire_at_);
 }
 
+std::vector<jobs::run_id> runner::RecentRuns() const {
+  std::vector<jobs::run_id> recent;
+  for (const auto& [run, called_at] : first_calls_) {
+    if (called_at > last_reply_ - kCrashDelay) recent.push_back(run);
+  }
+  return recent;
+}
+
+void runner::LogLostRuns() const {
+  if (first_calls_.empty()) return;
+  std::string recent;
+  for (const jobs::run_id& run : RecentRuns()) {
+    if (!recent.empty()) recent += ',';
+    recent += jobs::ToString(run.task);
+  }
+  spdlog::warn("event=target_crashed target={} runs={} recent={}", announced_->incarnation.name,
+               first_calls_.size(), recent);
+}
+
 void runner::ForgetRuns() {
   if (running_.empty() && starts_.empty()) return;
   spdlog::warn("event=target_gone target={} runs={} unanswered_for_ms={}",
                announced_->incarnation.name, running_.size(),
                core::ToMs(time_.Now() - last_answer_));
+  if (!announced_->draining && !target_left_) LogLostRuns();
   running_.clear();
   starts_.clear();
   stops_.clear();
   facts_.clear();
+  first_calls_.clear();
 }
 
 void runner::Report(bool with_lists) {
