runner: repeat a start in a new term only when it is commanded again

What callers may see: a task runs twice after the coordinator is replaced and an agent restarts while commands are late.

Cause: after the hello of a new coordinator the agent repeated unanswered starts with the new fencing token before the new coordinator knew of them. If the agent then restarted before a list that names the run had arrived, nobody knew of the start, and the target accepted it.

New test of the runner: fails before.

Why it works: a start goes out under the term of the coordinator that commanded it. A new one commands it again after the list that names it, and until then only calls with an earlier fencing token exist.

--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -71,6 +71,7 @@
   /// Start command whose run the target does not list yet.
   struct pending_start {
     jobs::start_command command;
+    std::uint64_t term = 0;  ///< of the coordinator that last commanded it
     bool in_flight = false;
     bool unanswered = false;  ///< a call, also of an earlier process, may have had no answer
     std::optional<jobs::start_refusal> abandoned;  ///< why it must not start any more
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -157,6 +157,7 @@
     const auto place =
         starts_.try_emplace(run, pending_start{.command = start, .unanswered = start.repeated})
             .first;
+    place->second.term = commands.term;
     // Commands delayed by a network partition: for the coordinator these runs have expired.
     if (lease_end_ < time_.Now()) Abandon(run, place->second, jobs::start_refusal::late);
   }
@@ -323,6 +324,9 @@
       abandoned.push_back(run);
       continue;
     }
+    // With the new fencing token the target would execute it after this process is gone, while the
+    // new coordinator need not know of it yet.
+    if (start.term != term_) continue;
     if (failed_polls_ > 0 || !clock_offset_ms_) continue;
     if (lease_end_ - now < kMinLease) continue;
     SendStart(run, start);
--- a/libs/runner/tests/runner_test.cc
+++ b/libs/runner/tests/runner_test.cc
@@ -309,6 +309,22 @@
   CHECK(listed());
 }
 
+// Guards against a start with a new fencing token that the new coordinator does not know of.
+TEST_CASE("a start is repeated in a new term only after its coordinator has commanded it") {
+  runner_fixture fixture;
+  fixture.IssueCommand(1);
+  scripted_target::AnswerNext(fixture.target.start_answers, command_reply{});
+  fixture.agent.OnHello(6);
+  fixture.Pass(milliseconds{300});
+  CHECK(fixture.target.starts.size() == 1);
+  jobs::worker_commands commands{
+      .term = 6, .sequence = 1, .incarnation = fixture.announcement.incarnation};
+  commands.starts.push_back({.facts = {.run = runner_fixture::Run(1)}, .payload = "p"});
+  fixture.agent.OnCommands(commands);
+  REQUIRE(fixture.target.starts.size() == 2);
+  CHECK(fixture.target.starts[1].fence == 6);
+}
+
 // Guards against starts on a target that shuts down, and against starts without a lease.
 TEST_CASE("a draining target and a runner without a lease start nothing") {
   runner_fixture fixture;
