runner: wait for an earlier process's lease before a target is gone

What callers may see: a task runs twice when a target falls silent just after its agent has restarted.

Cause: a restarted agent knows only the lease that it has passed on itself. If the target fell silent before the first grant, the agent took the lease as over after 2.5 s and reported the target as gone, while the runs went on under the lease of the earlier process.

The new test fails before: gone after 3,000 ms.

Why it works: the end of all leases that an earlier process may have passed on is counted from the start of this process.

--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -477,7 +477,9 @@
     const core::nanoseconds lease = sent_lease_end_ - last_answer_;
     const core::mono_time expired =
         sent_lease_end_ + lease * kClockDriftPermille / 1000 + kExpiryMargin;
-    return now > expired ? jobs::target_state::gone : jobs::target_state::silent;
+    // An earlier process may have extended the lease beyond what this one knows.
+    return now > std::max(expired, earlier_calls_expire_at_) ? jobs::target_state::gone
+                                                             : jobs::target_state::silent;
   }
   return announced_->draining ? jobs::target_state::draining : jobs::target_state::ready;
 }
--- a/libs/runner/tests/runner_test.cc
+++ b/libs/runner/tests/runner_test.cc
@@ -325,6 +325,36 @@
   CHECK(fixture.target.starts[1].fence == 6);
 }
 
+// Guards against a silent target that counts as gone under the lease of an agent's earlier process.
+TEST_CASE("a restarted agent waits for its earlier process's lease before its target is gone") {
+  runner_fixture fixture;
+  runner agent({.agent = "a", .agent_incarnation = 2}, fixture.time, fixture.metrics,
+               fixture.target, fixture.coordinator);
+  fixture.coordinator.reports.clear();
+  fixture.target.poll_answers.clear();
+  agent.OnAnnouncement(fixture.announcement);
+  agent.OnHello(5);
+  agent.Tick();
+  fixture.Answer({{.task = runner_fixture::Run(1).task, .run = 1}});
+  agent.Tick();
+  const auto gone = [&] {
+    return std::any_of(fixture.coordinator.reports.begin(), fixture.coordinator.reports.end(),
+                       [](const auto& each) { return each.state == jobs::target_state::gone; });
+  };
+  milliseconds passed{0};
+  for (; !gone() && passed < milliseconds{20'000}; passed += milliseconds{50}) {
+    fixture.time.Advance(milliseconds{50});
+    if (passed % milliseconds{1500} == milliseconds{0}) {
+      while (!fixture.target.poll_answers.empty()) {
+        scripted_target::AnswerNext(fixture.target.poll_answers, std::optional<target_lists>{});
+      }
+    }
+    agent.Tick();
+  }
+  CHECK(passed > milliseconds{5000});
+  CHECK(passed < milliseconds{7000});
+}
+
 // Guards against starts on a target that shuts down, and against starts without a lease.
 TEST_CASE("a draining target and a runner without a lease start nothing") {
   runner_fixture fixture;
