runner: settle a start whose stop is already done

What callers may see: a task that never starts again although its worker is well.

Cause: when a start was commanded again after its stop had been executed and before the next list, the agent did not send it, because a stop existed, and never settled it, because the stop was done already. It stayed in the list for as long as its target lived.

Why it works: the executed stop settles the start at once, and the next poll takes it off the list. A second test covers that repeated starts for another incarnation are not refused, which no test did.

--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -158,6 +158,8 @@
         starts_.try_emplace(run, pending_start{.command = start, .unanswered = start.repeated})
             .first;
     place->second.term = commands.term;
+    const auto stop = stops_.find(run);
+    if (stop != stops_.end() && stop->second.done) place->second.settled_at = time_.Now();
     // Commands delayed by a network partition: for the coordinator these runs have expired.
     if (lease_end_ < time_.Now()) Abandon(run, place->second, jobs::start_refusal::late);
   }
--- a/libs/runner/tests/runner_test.cc
+++ b/libs/runner/tests/runner_test.cc
@@ -355,6 +355,35 @@
   CHECK(passed < milliseconds{7000});
 }
 
+// Guards against a start that stays in the list for ever because its stop is done.
+TEST_CASE("a start that is commanded again after its stop leaves the list") {
+  runner_fixture fixture;
+  fixture.IssueStop(1);
+  scripted_target::AnswerNext(fixture.target.stop_answers,
+                              command_reply{.status = command_status::ok});
+  fixture.IssueCommand(1, true);
+  for (int poll = 0; poll < 4; ++poll) {
+    fixture.Grant();
+    if (!fixture.target.poll_answers.empty()) fixture.Answer({});
+    fixture.Pass(milliseconds{1000});
+  }
+  CHECK(fixture.LastListing().starting.empty());
+}
+
+// Guards against a repeated start that counts as refused by a target that has not seen it.
+TEST_CASE("a repeated start for another incarnation is not refused") {
+  runner_fixture fixture;
+  jobs::worker_commands commands{.term = 5, .sequence = 1, .incarnation = {"other", 7}};
+  commands.starts.push_back(
+      {.facts = {.run = runner_fixture::Run(1)}, .payload = "p", .repeated = true});
+  commands.starts.push_back({.facts = {.run = runner_fixture::Run(2)}, .payload = "p"});
+  fixture.agent.OnCommands(commands);
+  fixture.Pass(milliseconds{100});
+  const std::vector<jobs::refused_run> expected{
+      {runner_fixture::Run(2), jobs::start_refusal::not_sent}};
+  CHECK(fixture.LastListing().refused == expected);
+}
+
 // Guards against starts on a target that shuts down, and against starts without a lease.
 TEST_CASE("a draining target and a runner without a lease start nothing") {
   runner_fixture fixture;
