runner: report a settled start at once

When a poll settled an abandoned start, the agent reported it with its next list, up to a second later, for which the task waited to start elsewhere. It is reported at once now, with the reason. The new test fails before (no list within 100 ms); it also covers that the reason is reported, which no test did.

--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -281,6 +281,7 @@
     const bool gone =
         start.settled_at && *start.settled_at < sent && lists.ended.size() < kMaxListedEnds;
     if (gone && start.abandoned) refused_.push_back({run, *start.abandoned});
+    report_due_ = report_due_ || gone;
     return gone;
   });
   std::erase_if(stops_, [&](const auto& each) {
--- a/libs/runner/tests/runner_test.cc
+++ b/libs/runner/tests/runner_test.cc
@@ -370,6 +370,27 @@
   CHECK(fixture.LastListing().starting.empty());
 }
 
+// Guards against an abandoned start that disappears without a reason.
+TEST_CASE("an unanswered start that was abandoned is reported as refused when it has settled") {
+  runner_fixture fixture;
+  fixture.IssueCommand(1);
+  scripted_target::AnswerNext(fixture.target.start_answers, command_reply{});
+  fixture.Pass(milliseconds{150});
+  scripted_target::AnswerNext(
+      fixture.target.start_answers,
+      command_reply{.status = command_status::refused, .refusal = jobs::start_refusal::unhealthy});
+  scripted_target::AnswerNext(fixture.target.stop_answers,
+                              command_reply{.status = command_status::ok});
+  fixture.Answer({});
+  fixture.Pass(milliseconds{100});
+  fixture.coordinator.reports.clear();
+  fixture.Answer({});
+  fixture.Pass(milliseconds{100});
+  const std::vector<jobs::refused_run> expected{
+      {runner_fixture::Run(1), jobs::start_refusal::unhealthy}};
+  CHECK(fixture.LastListing().refused == expected);
+}
+
 // Guards against a repeated start that counts as refused by a target that has not seen it.
 TEST_CASE("a repeated start for another incarnation is not refused") {
   runner_fixture fixture;
