jobs, runner: keep runs whose ends a restarted agent cannot list

What callers may see: a task runs again after it is done, on a worker with more than 500 unconfirmed ends whose agent restarts.

Cause: a target lists its 500 oldest unconfirmed ends. An agent keeps later ones as running because it knows them from its previous list. A restarted agent has none, so a run that had ended as done was in no list, and the coordinator took the run as missing and started its task again.

Why it works: the coordinator takes nothing as missing from the first, full list after a reconnect and tells the agent of the runs that it takes as running, as it does already. The agent lists these as running until its list of ends has room for theirs.

--- a/libs/jobs/include/jobs/messages.h
+++ b/libs/jobs/include/jobs/messages.h
@@ -61,6 +61,9 @@
   }
 };
 
+/// Maximum number of ended runs in a target's list. It holds the oldest unconfirmed ones.
+inline constexpr std::size_t kMaxListedEnds = 500;
+
 /// Identifies a run of a task.
 struct run_id {
   task_id task;
--- a/libs/jobs/src/coordinator_reports.cc
+++ b/libs/jobs/src/coordinator_reports.cc
@@ -283,6 +283,9 @@
 }
 
 void coordinator::DropMissing(worker_row& worker, const worker_report& report) {
+  // A restarted agent does not know which runs a full list of ends leaves out. It lists them as
+  // running once it has been told of them.
+  if (worker.resend_commands && report.ended.size() >= kMaxListedEnds) return;
   std::vector<run_id> present = report.starting;
   for (const running_task& listed : report.running) present.push_back({listed.task, listed.run});
   struct missing_copy {
--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -91,8 +91,8 @@
   void Poll();
   void OnLists(const std::optional<target_lists>& lists, core::mono_time sent);
   void ApplyLists(const target_lists& lists, core::mono_time sent);
-  /// Keeps counting runs of the previous list as running if they are in neither list now: a full
-  /// list of ends may omit theirs.
+  /// Keeps counting runs of the previous list, and those that the coordinator takes as running, as
+  /// running if they are in neither list now: a full list of ends may omit theirs.
   void KeepRunsWithUnlistedEnd(const std::vector<jobs::running_task>& last);
   void UpdateClockOffset(std::int64_t clock_ms);
   std::optional<std::int64_t> LeaseOnTargetClock() const;
--- a/libs/runner/include/runner/target_client.h
+++ b/libs/runner/include/runner/target_client.h
@@ -38,9 +38,6 @@
   bool operator==(const start_call&) const = default;
 };
 
-/// Maximum number of ended runs in a target's list. It holds the oldest unconfirmed ones.
-inline constexpr std::size_t kMaxListedEnds = 500;
-
 /// Result of a command.
 enum class command_status : std::uint8_t {
   ok,
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -150,6 +150,8 @@
     return;
   }
   for (const jobs::task_facts& facts : commands.facts) facts_.insert_or_assign(facts.run, facts);
+  // The runs that a full list of ends leaves out are known now.
+  if (ended_.size() >= jobs::kMaxListedEnds) KeepRunsWithUnlistedEnd(running_);
   for (const jobs::start_command& start : commands.starts) {
     const jobs::run_id& run = start.facts.run;
     facts_.insert_or_assign(run, start.facts);
@@ -265,7 +267,7 @@
   const std::size_t before = running_.size();
   const std::vector<jobs::running_task> last = std::exchange(running_, lists.running);
   ended_ = lists.ended;
-  if (lists.ended.size() >= kMaxListedEnds) KeepRunsWithUnlistedEnd(last);
+  if (lists.ended.size() >= jobs::kMaxListedEnds) KeepRunsWithUnlistedEnd(last);
   std::erase_if(ended_, [this](const auto& end) { return end.number <= stored_end_; });
   std::sort(ended_.begin(), ended_.end(),
             [](const auto& left, const auto& right) { return left.number < right.number; });
@@ -279,7 +281,7 @@
     if (listed.contains(run) || ended.contains(run)) return !start.in_flight;
     // Not listed although settled before this poll: it never ran, or its end is stored.
     const bool gone =
-        start.settled_at && *start.settled_at < sent && lists.ended.size() < kMaxListedEnds;
+        start.settled_at && *start.settled_at < sent && lists.ended.size() < jobs::kMaxListedEnds;
     if (gone && start.abandoned) refused_.push_back({run, *start.abandoned});
     report_due_ = report_due_ || gone;
     return gone;
@@ -302,10 +304,15 @@
   for (const jobs::ended_run& end : ended_) known.insert({end.task, end.run});
   std::size_t kept = 0;
   for (const jobs::running_task& task : last) {
-    if (known.contains({task.task, task.run})) continue;
+    if (!known.insert({task.task, task.run}).second) continue;
     running_.push_back(task);
     ++kept;
   }
+  for (const auto& [run, facts] : facts_) {
+    if (starts_.contains(run) || !known.insert(run).second) continue;
+    running_.push_back({.task = run.task, .run = run.run});
+    ++kept;
+  }
   if (kept == 0) return;
   metrics_.GetCounter("coltsfoot_ends_unlisted_total").Add(kept);
   spdlog::warn("event=ends_unlisted target={} runs={}", announced_->incarnation.name, kept);
--- a/libs/runner/tests/runner_test.cc
+++ b/libs/runner/tests/runner_test.cc
@@ -391,6 +391,30 @@
   CHECK(fixture.LastListing().refused == expected);
 }
 
+// Guards against a run of an earlier process that is forgotten because a full list of ends leaves
+// its end out.
+TEST_CASE("a restarted agent lists runs that it is told of while its list of ends is full") {
+  runner_fixture fixture;
+  std::vector<jobs::ended_run> ends;
+  for (std::uint32_t number = 1; number <= jobs::kMaxListedEnds; ++number) {
+    ends.push_back({.number = number, .task = {kJob, 0, 1, number}, .run = 1});
+  }
+  fixture.Answer({}, ends);
+  jobs::worker_commands commands{
+      .term = 5, .sequence = 1, .incarnation = fixture.announcement.incarnation};
+  commands.facts.push_back({.run = runner_fixture::Run(1)});
+  fixture.agent.OnCommands(commands);
+  fixture.Pass(milliseconds{100});
+  REQUIRE(fixture.LastListing().running.size() == 1);
+  CHECK(fixture.LastListing().running[0].run == 1);
+  ends.erase(ends.begin(), ends.begin() + 100);
+  ends.push_back({.number = jobs::kMaxListedEnds + 1, .task = {kJob, 0, 0, 0}, .run = 1});
+  fixture.Answer({}, ends);
+  fixture.Pass(milliseconds{100});
+  CHECK(fixture.LastListing().running.empty());
+  CHECK(fixture.LastListing().ended.back().number == jobs::kMaxListedEnds + 1);
+}
+
 // Guards against a repeated start that counts as refused by a target that has not seen it.
 TEST_CASE("a repeated start for another incarnation is not refused") {
   runner_fixture fixture;
@@ -524,7 +548,7 @@
   runner_fixture fixture;
   const jobs::running_task task{.task = {kJob, 0, 0, 0}, .run = 1};
   std::vector<jobs::ended_run> ends;
-  for (std::uint32_t number = 1; number <= kMaxListedEnds; ++number) {
+  for (std::uint32_t number = 1; number <= jobs::kMaxListedEnds; ++number) {
     ends.push_back({.number = number,
                     .task = {kJob, 0, 1, number},
                     .run = 1,
@@ -533,7 +557,7 @@
   ends.pop_back();
   fixture.Answer({task}, ends);
   fixture.Pass(milliseconds{200});
-  ends.push_back({.number = kMaxListedEnds,
+  ends.push_back({.number = jobs::kMaxListedEnds,
                   .task = {kJob, 0, 1, 1000},
                   .run = 1,
                   .reason = jobs::end_reason::done});
@@ -543,8 +567,10 @@
   // The oldest end has been confirmed, so the list has room for the run's end.
   fixture.Pass(milliseconds{200});
   ends.erase(ends.begin());
-  ends.back() = {
-      .number = kMaxListedEnds + 1, .task = task.task, .run = 1, .reason = jobs::end_reason::done};
+  ends.back() = {.number = jobs::kMaxListedEnds + 1,
+                 .task = task.task,
+                 .run = 1,
+                 .reason = jobs::end_reason::done};
   fixture.Answer({}, ends);
   CHECK(fixture.coordinator.reports.back().running.empty());
 }
