jobs, runner: isolate and give up tasks that crash their targets

Cause: a run that is lost with its target was nobody's failure. The task started again without end, together with all others that had been lost, so that no crash told which task had caused it.

Why it works: agents name the tasks that began within 100 ms before the crash. Such suspects start alone on isolated workers, which run nothing else that is new. A task is given up when it was alone in two crashes, in up to four if targets often crash by themselves, and after five crashes in any case. The evidence is stored, so that a new coordinator goes on with it.

The new unit tests cover a step of the way each.

--- a/libs/jobs/include/jobs/coordinator.h
+++ b/libs/jobs/include/jobs/coordinator.h
@@ -10,6 +10,7 @@
 
 #include "core/clock.h"
 #include "jobs/absence_register.h"
+#include "jobs/crash_isolation.h"
 #include "jobs/headroom_model.h"
 #include "jobs/job_table.h"
 #include "jobs/messages.h"
@@ -127,6 +128,8 @@
   /// Removes copies that the report should list and does not.
   void DropMissing(worker_row& worker, const worker_report& report);
   void DropRefused(worker_row& worker, const worker_report& report);
+  /// Records that a target crashed after starts which the report names.
+  void MarkSuspects(const worker_row& worker, const worker_report& report);
   void ResendCommands(worker_row& worker);
   /// Removes the copies at an agent whose runs have ended with their lease or their target.
   /// @param keep incarnation of the target whose copies stay, if any.
@@ -142,6 +145,8 @@
   void MarkAbsent(worker_row& worker);
   /// Loads the stored register of absent workers, so that the takeover does not wait for them.
   void RestoreAbsences(const std::vector<store::kv_entry>& inbox);
+  /// Loads the stored evidence against tasks that may crash their targets.
+  void RestoreCrashes(const std::vector<store::kv_entry>& progress);
   /// Ends the takeover when every worker has listed its runs or its lease has expired.
   void SettleTakeover();
   /// Removes the copies at workers whose lease has expired.
@@ -178,6 +183,7 @@
   job_table jobs_;
   worker_table workers_;
   headroom_model headroom_model_;
+  crash_isolation isolation_;
   progress_writer progress_;
   absence_register absences_;
   plan_pacer plan_pacer_;
--- /dev/null
+++ b/libs/jobs/include/jobs/crash_isolation.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+
+#include "core/clock.h"
+#include "jobs/job_table.h"
+#include "jobs/worker_table.h"
+
+/// Finds out which task crashes its targets. A task that began shortly before a crash is a suspect.
+/// Suspects start one at a time on isolated workers, so that a further crash has a single suspect
+/// and takes little other work down.
+namespace coltsfoot::jobs {
+
+/// Time after which a started suspect no longer comes into question for a crash. Longer than the
+/// time within which agents report a task as a suspect.
+inline constexpr core::milliseconds kProbation{300};
+
+/// @param crashes_alone number of crashes without another suspect that rule out a coincidence.
+/// @return true if the task is to be given up.
+bool IsCulprit(const crash_evidence& evidence, std::uint32_t crashes_alone) noexcept;
+
+/// Settings of the isolation.
+struct isolation_options {
+  /// Share of a service's workers, in thousandths, that may be isolated at a time; at least one.
+  std::size_t max_isolated_permille = 250;
+  bool operator==(const isolation_options&) const = default;
+};
+
+/// Decides which workers are isolated. Uses neither the network nor the wall clock.
+class crash_isolation {
+ public:
+  explicit crash_isolation(isolation_options options = {}) : options_(options) {}
+
+  /// Isolates workers while suspects wait or are on probation and releases the others. Sets
+  /// `isolated` and `accepts_suspect` of all workers.
+  void Update(const job_table& jobs, worker_table& workers, core::mono_time now);
+  void Clear();
+  /// Records that a target crashed.
+  void RecordCrash(const worker_row& worker, core::mono_time now);
+  /// @return the number of crashes without another suspect after which a task is the culprit. The
+  /// more targets crash without an isolated suspect, the more are needed.
+  std::uint32_t CrashesAloneOfCulprit(std::size_t workers, core::mono_time now) const;
+
+ private:
+  using counts_by_service = std::map<std::string, std::size_t, std::less<>>;
+
+  static counts_by_service CountWaitingSuspects(const job_table& jobs);
+  /// Releases workers that have left or that are not needed.
+  void Release(const job_table& jobs, const worker_table& workers, const counts_by_service& waiting,
+               core::mono_time now);
+  /// Isolates further workers of a service, those with the least work first.
+  void Isolate(const std::string& service, std::size_t waiting, const worker_table& workers,
+               core::mono_time now);
+
+  isolation_options options_;
+  std::set<std::string> isolated_;                  ///< agents
+  std::deque<core::mono_time> background_crashes_;  ///< of workers that were not isolated
+};
+
+}  // namespace coltsfoot::jobs
--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -39,7 +39,8 @@
 struct task_row {
   task_progress progress;
   std::vector<task_copy> copies;
-  std::string failed_on;  ///< agent on which it last failed or got stuck
+  std::string failed_on;   ///< agent on which it last failed or got stuck
+  crash_evidence crashes;  ///< it is a suspect if there are any
 };
 
 /// Task counts of a step. They let the planner skip steps without pending tasks.
@@ -68,6 +69,8 @@
   store::key_version progress_version = 0;
   std::uint64_t changes = 0;         ///< number of changes to its progress in this term
   std::uint64_t stored_changes = 0;  ///< how many of `changes` are in the store
+  bool crashes_changed = false;      ///< evidence of crashes that no write contains yet
+  bool crashes_stored = false;       ///< the store may hold a `crash_record`
   std::vector<step_row> steps;
   std::vector<task_row> tasks;
 
@@ -125,6 +128,8 @@
   /// Makes a job dirty again after its write failed.
   void KeepDirty(job_row& job) { dirty_.emplace(job.id, &job); }
   void ClearDirty(job_row& job) { dirty_.erase(job.id); }
+  /// @return the jobs that have not ended and have suspects.
+  const job_index& suspects() const noexcept { return suspects_; }
   /// @return the jobs that may have redundant copies, which must be stopped.
   const job_index& stop_candidates() const noexcept { return stop_candidates_; }
   void ClearStopCandidate(job_row& job) { stop_candidates_.erase(job.id); }
@@ -135,7 +140,7 @@
   /// Calls `visit(const task_ref&, const task_id&, task_copy&)` for each copy at this agent.
   /// `visit` must not add or remove copies.
   template <class Visit>
-  void VisitCopies(std::string_view agent, Visit visit) {
+  void VisitCopies(std::string_view agent, Visit visit) const {
     const auto it = by_agent_.find(agent);
     if (it == by_agent_.end()) return;
     for (const copy_ref& each : it->second) {
@@ -160,10 +165,21 @@
   /// Records that a run failed. The job fails when the task has used up the attempts that its queue
   /// allows. Idempotent by run. Ignored for long-running tasks.
   void MarkFailed(const task_ref& ref, std::uint32_t run, std::int64_t wall_ms);
+  /// Records that the task's target crashed shortly after it had started the task. The job fails
+  /// when the task is found to be the culprit.
+  /// @param alone no other task comes into question.
+  /// @param crashes_alone see `IsCulprit`.
+  void MarkCrashed(const task_ref& ref, bool alone, std::uint32_t crashes_alone,
+                   std::int64_t wall_ms);
+  /// Drops the evidence against a task that has run without crashing its target.
+  void ClearCrashes(const task_ref& ref);
+  void RestoreCrashes(job_row& job, const crash_record& stored);
   /// Cancels the job, unless it has ended.
   void Cancel(job_row& job, std::int64_t wall_ms);
   /// @return the record of the job's progress for the store.
   static progress_record Progress(const job_row& job);
+  /// @return the evidence against the job's tasks, for the store.
+  static crash_record Crashes(const job_row& job);
 
  private:
   struct copy_ref {
@@ -183,6 +199,7 @@
   job_index open_;
   job_index dirty_;
   job_index stop_candidates_;
+  job_index suspects_;
   std::map<std::string, std::vector<copy_ref>, std::less<>> by_agent_;
   std::set<std::string> changed_agents_;
 };
--- a/libs/jobs/include/jobs/messages.h
+++ b/libs/jobs/include/jobs/messages.h
@@ -83,7 +83,8 @@
   no_room,
   unhealthy,
   malformed,
-  not_sent,  ///< the agent refused: target draining or of another incarnation, or no lease
+  not_sent,        ///< the agent refused: target draining or of another incarnation, or no lease
+  target_crashed,  ///< the target crashed at the start or shortly after it
 };
 
 /// @return the reason's name in logs and metrics.
--- a/libs/jobs/include/jobs/planner.h
+++ b/libs/jobs/include/jobs/planner.h
@@ -73,6 +73,7 @@
   spread,      ///< workers with room are at the step's limit of tasks per worker
   processors,  ///< filling tasks: no idle processors
   goals,       ///< filling tasks: serving tasks would miss their goals
+  isolation,   ///< suspects of crashes: no isolated worker is free
 };
 
 /// @return the reason's name in logs and metrics.
--- a/libs/jobs/include/jobs/records.h
+++ b/libs/jobs/include/jobs/records.h
@@ -58,6 +58,28 @@
   }
 };
 
+/// Crashes of targets shortly after they had started a task.
+struct crash_evidence {
+  std::uint32_t crashes = 0;
+  std::uint32_t alone = 0;  ///< those for which no other task comes into question
+  auto operator<=>(const crash_evidence&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(crashes, alone);
+  }
+};
+
+/// Evidence against the tasks of a job, in the order of `progress_record::tasks`. It has a key of
+/// its own, so that the encoding of progress stays as it is.
+struct crash_record {
+  std::vector<crash_evidence> tasks;
+  bool operator==(const crash_record&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(tasks);
+  }
+};
+
 /// Progress of a job; `tasks` is ordered by step, then by index within the step.
 struct progress_record {
   job_state state = job_state::queued;
@@ -111,9 +133,14 @@
 std::string JobKey(std::string_view job);
 std::string CancelKey(std::string_view job);
 std::string ProgressKey(std::string_view job);
+/// @return the key of a job's `crash_record`, under `kProgressPrefix`.
+std::string CrashKey(std::string_view job);
 std::string AgentKey(std::string_view agent);
 std::string EntryKey(std::string_view entry);
 
+/// @return the job whose `crash_record` has this key, or nothing if it is another key.
+std::optional<std::string> JobOfCrashKey(std::string_view key);
+
 /// @return the part of `key` after `prefix`, or nothing if it does not begin with it.
 std::optional<std::string> KeySuffix(std::string_view key, std::string_view prefix);
 
--- a/libs/jobs/include/jobs/worker_table.h
+++ b/libs/jobs/include/jobs/worker_table.h
@@ -67,6 +67,10 @@
   /// Length of the last quarantine; zero after a task was done or the target restarted.
   core::milliseconds quarantine_duration{0};
 
+  core::mono_time last_start_at;  ///< when a start was last commanded in this term
+  bool isolated = false;          ///< starts suspects only; see `crash_isolation`
+  bool accepts_suspect = false;   ///< is isolated and has no run that may crash it
+
   bool HasLabel(std::string_view label) const;
 };
 
--- a/libs/jobs/src/coordinator.cc
+++ b/libs/jobs/src/coordinator.cc
@@ -21,8 +21,8 @@
 constexpr core::milliseconds kMoveInterval{500};
 // A single stuck task may be at fault itself; several at once point to the worker.
 constexpr int kStuckLimit = 2;
-// Limits the size of the transaction: removing a job takes three of its entries.
-constexpr std::size_t kJobsPerCleanup = 10;
+// Limits the size of the transaction: removing a job takes four of its entries.
+constexpr std::size_t kJobsPerCleanup = 7;
 // An agent that could not be reached for this long is removed from the store. It writes its key
 // again when no coordinator connects to it.
 constexpr core::milliseconds kAgentRemovalDelay{30'000};
@@ -56,6 +56,7 @@
   for (const store::kv_entry& entry : inbox) OnInboxChange({entry.key, entry});
   RestoreAbsences(inbox);
   for (const store::kv_entry& entry : progress) {
+    if (JobOfCrashKey(entry.key)) continue;
     const auto id = KeySuffix(entry.key, kProgressPrefix);
     job_row* job = id ? jobs_.Find(*id) : nullptr;
     if (job == nullptr) continue;
@@ -69,6 +70,7 @@
     // The job may have been cancelled after its progress was last stored.
     if (job->cancel_requested) CancelJob(*id);
   }
+  RestoreCrashes(progress);
   spdlog::info("event=term_began term={} jobs={} agents={}", term, jobs_.jobs().size(),
                workers_.size());
 }
@@ -84,6 +86,20 @@
   }
 }
 
+void coordinator::RestoreCrashes(const std::vector<store::kv_entry>& progress) {
+  for (const store::kv_entry& entry : progress) {
+    const auto id = JobOfCrashKey(entry.key);
+    job_row* job = id ? jobs_.Find(*id) : nullptr;
+    if (job == nullptr) continue;
+    core::last_error error;
+    if (const auto stored = wire::DecodeValue<crash_record>(entry.value, error)) {
+      jobs_.RestoreCrashes(*job, *stored);
+    } else {
+      spdlog::error("event=crashes_unreadable job={} reason=\"{}\"", *id, error.reason().message);
+    }
+  }
+}
+
 void coordinator::EndTerm() {
   if (term_ != 0) spdlog::info("event=term_ended term={}", term_);
   term_ = 0;
@@ -92,6 +108,7 @@
   jobs_.Clear();
   workers_.clear();
   early_cancels_.clear();
+  isolation_.Clear();
   headroom_model_.Clear();
   commands_.clear();
   agents_.ForgetAll();
@@ -303,6 +320,7 @@
     job->held = !takeover_settled_ && job->accepted_revision < term_;
     if (job->copy_count > 0) job->last_running_at = now;
   }
+  isolation_.Update(jobs_, workers_, now);
   const start_plan plan = Plan(jobs_, workers_, headroom_model_, now, options_.planner);
   metrics_.GetCounter("coltsfoot_plan_workers_total").Add(plan.workers_examined);
   for (const auto& [reason, count] : plan.waits) {
@@ -313,6 +331,7 @@
     const task_id id{start.job, 0, start.step, start.index};
     const auto ref = jobs_.FindTask(id);
     worker_row& worker = workers_.at(start.agent);
+    worker.last_start_at = now;
     worker_commands& commands = CommandsFor(worker);
     const std::uint32_t run = std::max(ref->task->progress.last_run, ref->job->run_base) + 1;
     if (ref->job->state == job_state::queued) {
--- a/libs/jobs/src/coordinator_reports.cc
+++ b/libs/jobs/src/coordinator_reports.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr core::milliseconds kReadingInterval{300};
+// A task that has run for this long is no suspect any more.
+constexpr core::milliseconds kCrashEvidenceLifetime{10'000};
 // Must stay far below `coordinator_options::task_lease`.
 constexpr core::milliseconds kGrantInterval{300};
 // Progress in percent from which a long-running task serves requests.
@@ -45,6 +47,8 @@
   worker.resend_commands =
       worker.resend_commands || worker.agent_incarnation != report.agent_incarnation;
   worker.agent_incarnation = report.agent_incarnation;
+  // Before the runs of an incarnation that has ended are dropped: the refusals say more of them.
+  if (report.listed) DropRefused(worker, report);
   ChangeIncarnation(worker, report);
   if (report.listed && worker.incarnation == report.incarnation) {
     ApplyEnds(worker, report);
@@ -67,6 +71,7 @@
   worker.capacity = report.capacity;
   if (worker.incarnation != report.incarnation) {
     if (!worker.incarnation.name.empty()) {
+      isolation_.RecordCrash(worker, time_.Now());
       spdlog::info("event=target_restarted agent={} target={} before={}", worker.agent,
                    report.incarnation.name, worker.incarnation.name);
     }
@@ -116,10 +121,12 @@
     ref->task->progress.checkpoint = end.checkpoint;
   }
   if (end.reason == end_reason::done && !ref->job->Spec(ref->step).long_running) {
+    jobs_.ClearCrashes(*ref);
     jobs_.MarkDone(*ref, wall_ms);
     worker.recent_failures = 0;
     worker.quarantine_duration = core::milliseconds{0};
   } else if (end.reason == end_reason::failed) {
+    jobs_.ClearCrashes(*ref);
     ref->task->failed_on = worker.agent;
     jobs_.MarkFailed(*ref, end.run, wall_ms);
     CountFailure(worker, end);
@@ -167,7 +174,6 @@
   for (const running_task& listed : report.running) AdoptRunning(worker, listed);
   LearnPressures(worker, report);
   for (const run_id& listed : report.starting) AdoptStarting(worker, listed);
-  DropRefused(worker, report);
   DropMissing(worker, report);
 }
 
@@ -228,6 +234,7 @@
     if (copy.agent != worker.agent || copy.run != listed.run) continue;
     if (copy.progress != listed.progress) copy.progress_changed_at = time_.Now();
     copy.progress = listed.progress;
+    if (time_.Now() - copy.issued_at >= kCrashEvidenceLifetime) jobs_.ClearCrashes(*ref);
     copy.pace = listed.pace;
     if (listed.pace >= options_.planner.min_pace) {
       copy.slowed_since = {};
@@ -268,6 +275,7 @@
 }
 
 void coordinator::DropRefused(worker_row& worker, const worker_report& report) {
+  MarkSuspects(worker, report);
   for (const refused_run& refused : report.refused) {
     metrics_.GetCounter("coltsfoot_starts_refused_total", {"reason", ToString(refused.reason)})
         .Add();
@@ -282,6 +290,31 @@
   }
 }
 
+void coordinator::MarkSuspects(const worker_row& worker, const worker_report& report) {
+  const auto suspects =
+      std::count_if(report.refused.begin(), report.refused.end(),
+                    [](const auto& each) { return each.reason == start_refusal::target_crashed; });
+  if (suspects == 0) return;
+  metrics_
+      .GetCounter("coltsfoot_target_crashes_total", {"suspects", suspects == 1 ? "one" : "many"})
+      .Add();
+  const std::uint32_t crashes_alone =
+      isolation_.CrashesAloneOfCulprit(workers_.size(), time_.Now());
+  const std::int64_t wall_ms = time_.WallNow().time_since_epoch().count();
+  for (const refused_run& refused : report.refused) {
+    if (refused.reason != start_refusal::target_crashed) continue;
+    const auto ref = jobs_.FindTask(refused.run.task);
+    if (!ref) continue;
+    jobs_.MarkCrashed(*ref, suspects == 1, crashes_alone, wall_ms);
+    spdlog::warn("event=task_suspected task={} run={} agent={} suspects={} crashes={} alone={}",
+                 ToString(refused.run.task), refused.run.run, worker.agent, suspects,
+                 ref->task->crashes.crashes, ref->task->crashes.alone);
+    if (ref->job->state != job_state::failed) continue;
+    spdlog::info("event=job_ended job={} state=failed reason=target_crashes age_ms={}",
+                 ref->job->id, core::ToMs(time_.Now() - ref->job->accepted_at));
+  }
+}
+
 void coordinator::DropMissing(worker_row& worker, const worker_report& report) {
   // A restarted agent does not know which runs a full list of ends leaves out. It lists them as
   // running once it has been told of them.
--- a/libs/jobs/src/job_table.cc
+++ b/libs/jobs/src/job_table.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "jobs/crash_isolation.h"
+
 namespace coltsfoot::jobs {
 namespace {
 
@@ -74,6 +76,7 @@
   open_.clear();
   dirty_.clear();
   stop_candidates_.clear();
+  suspects_.clear();
   by_agent_.clear();
   changed_agents_.clear();
   jobs_.clear();
@@ -83,6 +86,7 @@
   open_.erase(id);
   dirty_.erase(id);
   stop_candidates_.erase(id);
+  suspects_.erase(id);
   jobs_.erase(id);
 }
 
@@ -184,6 +188,41 @@
   }
 }
 
+void job_table::MarkCrashed(const task_ref& ref, bool alone, std::uint32_t crashes_alone,
+                            std::int64_t wall_ms) {
+  job_row& job = *ref.job;
+  if (IsEnded(job.state) || ref.task->progress.done) return;
+  crash_evidence& evidence = ref.task->crashes;
+  ++evidence.crashes;
+  if (alone) ++evidence.alone;
+  suspects_.emplace(job.id, &job);
+  job.crashes_changed = true;
+  MarkDirty(job);
+  if (IsCulprit(evidence, crashes_alone)) End(job, job_state::failed, wall_ms);
+}
+
+void job_table::ClearCrashes(const task_ref& ref) {
+  if (ref.task->crashes == crash_evidence{}) return;
+  job_row& job = *ref.job;
+  ref.task->crashes = {};
+  job.crashes_changed = true;
+  MarkDirty(job);
+  const bool others = std::any_of(job.tasks.begin(), job.tasks.end(),
+                                  [](const task_row& task) { return task.crashes.crashes > 0; });
+  if (!others) suspects_.erase(job.id);
+}
+
+void job_table::RestoreCrashes(job_row& job, const crash_record& stored) {
+  job.crashes_stored = true;
+  const std::size_t count = std::min(job.tasks.size(), stored.tasks.size());
+  bool found = false;
+  for (std::size_t index = 0; index < count; ++index) {
+    job.tasks[index].crashes = stored.tasks[index];
+    found = found || stored.tasks[index].crashes > 0;
+  }
+  if (found && !IsEnded(job.state)) suspects_.emplace(job.id, &job);
+}
+
 void job_table::Cancel(job_row& job, std::int64_t wall_ms) {
   job.cancel_requested = true;
   if (IsEnded(job.state)) return;
@@ -198,11 +237,19 @@
   return out;
 }
 
+crash_record job_table::Crashes(const job_row& job) {
+  crash_record out;
+  out.tasks.reserve(job.tasks.size());
+  for (const task_row& task : job.tasks) out.tasks.push_back(task.crashes);
+  return out;
+}
+
 void job_table::End(job_row& job, job_state state, std::int64_t wall_ms) {
   job.state = state;
   job.ended_wall_ms = wall_ms;
   MarkDirty(job);
   open_.erase(job.id);
+  suspects_.erase(job.id);
   if (job.copy_count > 0) stop_candidates_.emplace(job.id, &job);
 }
 
--- a/libs/jobs/src/plan_pass.cc
+++ b/libs/jobs/src/plan_pass.cc
@@ -14,6 +14,13 @@
 // Share of a filling task's processors, in tenths, that has to be idle.
 constexpr std::int64_t kMinIdleTenths = 8;
 
+const std::vector<worker_row*>& Find(
+    const std::map<std::string, std::vector<worker_row*>>& by_service, const std::string& service) {
+  static const std::vector<worker_row*> none;
+  const auto place = by_service.find(service);
+  return place == by_service.end() ? none : place->second;
+}
+
 }  // namespace
 
 std::int64_t FreeCpu(const worker_row& worker) {
@@ -30,14 +37,17 @@
                      const planner_options& options)
     : model_(model), options_(options), now_(now) {
   for (auto& [agent, worker] : workers) {
-    if (TakesTasks(worker, worker.service, now)) by_service_[worker.service].push_back(&worker);
+    if (!TakesTasks(worker, worker.service, now)) continue;
+    (worker.isolated ? isolated_by_service_ : by_service_)[worker.service].push_back(&worker);
   }
 }
 
 const std::vector<worker_row*>& plan_pass::WorkersOf(const std::string& service) const {
-  static const std::vector<worker_row*> none;
-  const auto place = by_service_.find(service);
-  return place == by_service_.end() ? none : place->second;
+  return Find(by_service_, service);
+}
+
+const std::vector<worker_row*>& plan_pass::IsolatedWorkersOf(const std::string& service) const {
+  return Find(isolated_by_service_, service);
 }
 
 bool plan_pass::IsMostlyFree(const std::string& service) {
--- a/libs/jobs/src/plan_pass.h
+++ b/libs/jobs/src/plan_pass.h
@@ -34,8 +34,10 @@
   plan_pass(worker_table& workers, const headroom_model& model, core::mono_time now,
             const planner_options& options);
 
-  /// @return the workers of a service that accept tasks.
+  /// @return the workers of a service that accept tasks and are not isolated.
   const std::vector<worker_row*>& WorkersOf(const std::string& service) const;
+  /// @return the isolated workers of a service that accept tasks.
+  const std::vector<worker_row*>& IsolatedWorkersOf(const std::string& service) const;
   /// @return true if less than `free_fleet_permille` of the service's processors is committed.
   bool IsMostlyFree(const std::string& service);
   /// @return the shares with one additional filling task of this step.
@@ -91,6 +93,7 @@
   const planner_options& options_;
   core::mono_time now_;
   std::map<std::string, std::vector<worker_row*>> by_service_;
+  std::map<std::string, std::vector<worker_row*>> isolated_by_service_;
   std::unordered_map<const worker_row*, std::vector<serving_group>> groups_;
   std::unordered_map<std::string_view, group_budget> budgets_;  ///< by group
   std::unordered_map<std::string_view, std::uint32_t> image_indices_;
--- a/libs/jobs/src/planner.cc
+++ b/libs/jobs/src/planner.cc
@@ -86,10 +86,11 @@
 
   void Place(start_plan& out) {
     const std::uint32_t first = job_.steps[step_].first_task;
+    PlaceSuspects(out);
     for (std::uint32_t index = 0; index < spec_.count; ++index) {
       if (out.starts.size() >= options_.max_starts) return;
       const task_row& task = job_.tasks[first + index];
-      if (task.progress.done || !task.copies.empty()) continue;
+      if (task.progress.done || !task.copies.empty() || task.crashes.crashes > 0) continue;
       if (!starved_ && pass_.IsFull(job_, spec_, relaxed_)) return;
       worker_row* worker = ChooseWorker(task.failed_on);
       out.workers_examined += pass_.WorkersOf(job_.queue.service).size();
@@ -106,6 +107,28 @@
   }
 
  private:
+  /// Places each task that may crash its target alone on an isolated worker.
+  void PlaceSuspects(start_plan& out) {
+    const std::uint32_t first = job_.steps[step_].first_task;
+    for (std::uint32_t index = 0; index < spec_.count; ++index) {
+      const task_row& task = job_.tasks[first + index];
+      if (task.crashes.crashes == 0 || task.progress.done || !task.copies.empty()) continue;
+      const auto& workers = pass_.IsolatedWorkersOf(job_.queue.service);
+      const auto free = std::find_if(workers.begin(), workers.end(), [&](const auto* worker) {
+        return worker->accepts_suspect && HasRoom(*worker, need_, 0) &&
+               (spec_.label.empty() || worker->HasLabel(spec_.label)) &&
+               (spec_.max_per_worker == 0 || CountAt(worker->agent) < spec_.max_per_worker);
+      });
+      if (free == workers.end()) {
+        ++out.waits[wait_reason::isolation];
+        return;
+      }
+      Commit(**free);
+      (*free)->accepts_suspect = false;
+      out.starts.push_back({job_.id, step_, index, (*free)->agent});
+    }
+  }
+
   worker_row* ChooseWorker(const std::string& failed_on) {
     worker_row* best = nullptr;
     std::int64_t best_score = std::numeric_limits<std::int64_t>::min();
@@ -223,6 +246,8 @@
       return "processors";
     case wait_reason::goals:
       return "goals";
+    case wait_reason::isolation:
+      return "isolation";
   }
   return "unknown";
 }
--- a/libs/jobs/src/progress_writer.cc
+++ b/libs/jobs/src/progress_writer.cc
@@ -31,6 +31,7 @@
   };
   std::uint64_t term = 0;
   std::vector<record> records;
+  std::vector<std::string> crash_records;  ///< jobs whose `crash_record` is in the write
 };
 
 progress_writer::progress_writer(const core::clock& time, metrics::registry& metrics,
@@ -115,6 +116,18 @@
         {ProgressKey(job->id), wire::EncodeValue(next->records.back().progress), 0});
     jobs.ClearDirty(*job);
   }
+  for (const auto& record : next->records) {
+    job_row* job = jobs.Find(record.job);
+    if (!job->crashes_changed) continue;
+    if (writes.expect.size() + writes.puts.size() >= store::kMaxTransactionEntries) {
+      jobs.KeepDirty(*job);
+      continue;
+    }
+    job->crashes_changed = false;
+    job->crashes_stored = true;
+    writes.puts.push_back({CrashKey(job->id), wire::EncodeValue(job_table::Crashes(*job)), 0});
+    next->crash_records.push_back(job->id);
+  }
   in_flight_ = next;
   metrics_.GetCounter("coltsfoot_progress_writes_total").Add();
   storage_.Commit(std::move(writes),
@@ -144,6 +157,9 @@
     jobs_->KeepDirty(*job);
     if (result.status != store::kv_status::unknown) job->end_in_doubt = record.was_in_doubt;
   }
+  for (const std::string& id : written->crash_records) {
+    if (job_row* job = jobs_->Find(id)) job->crashes_changed = true;
+  }
   retry_at_ = time_.Now() + kRetryDelay;
   if (result.status == store::kv_status::conflict) {
     AdoptStoredVersions(written, result);
@@ -181,6 +197,7 @@
     writes.deletes.push_back(JobKey(id));
     writes.deletes.push_back(CancelKey(id));
     writes.deletes.push_back(ProgressKey(id));
+    writes.deletes.push_back(CrashKey(id));
   }
   CommitRemoval(std::move(writes));
 }
--- a/libs/jobs/src/records.cc
+++ b/libs/jobs/src/records.cc
@@ -9,6 +9,8 @@
 /// overflow.
 constexpr std::int64_t kMaxResourceAmount = 1'000'000'000;
 
+constexpr std::string_view kCrashSuffix = "/crashes";
+
 std::string Join(std::string_view prefix, std::string_view name) {
   std::string key(prefix);
   key += name;
@@ -40,9 +42,17 @@
 std::string JobKey(std::string_view job) { return Join(kJobPrefix, job); }
 std::string CancelKey(std::string_view job) { return Join(kCancelPrefix, job); }
 std::string ProgressKey(std::string_view job) { return Join(kProgressPrefix, job); }
+std::string CrashKey(std::string_view job) { return Join(kProgressPrefix, job) += kCrashSuffix; }
 std::string AgentKey(std::string_view agent) { return Join(kAgentPrefix, agent); }
 std::string EntryKey(std::string_view entry) { return Join(kEntryPrefix, entry); }
 
+std::optional<std::string> JobOfCrashKey(std::string_view key) {
+  if (!key.starts_with(kProgressPrefix) || !key.ends_with(kCrashSuffix)) return std::nullopt;
+  key.remove_prefix(kProgressPrefix.size());
+  key.remove_suffix(kCrashSuffix.size());
+  return std::string(key);
+}
+
 std::optional<std::string> KeySuffix(std::string_view key, std::string_view prefix) {
   if (!key.starts_with(prefix)) return std::nullopt;
   return std::string(key.substr(prefix.size()));
--- /dev/null
+++ b/libs/jobs/tests/crash_isolation_test.cc
@@ -0,0 +1,156 @@
+#include "jobs/crash_isolation.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "fixture.h"
+
+namespace coltsfoot::jobs {
+namespace {
+
+using core::milliseconds;
+using testing::coordinator_fixture;
+using testing::TestStep;
+
+constexpr auto kJob = "00000000000000aa";
+constexpr auto kOtherJob = "00000000000000bb";
+const std::vector<std::string> kAgents{"a", "b", "c", "d", "e", "f", "g", "h"};
+
+struct crash_fixture : coordinator_fixture {
+  crash_fixture() { Begin(kAgents); }
+
+  /// The target of `agent` crashes under these runs and comes back as another incarnation.
+  void Crash(const std::string& agent, const std::vector<run_id>& suspects) {
+    worker_report& report = Worker(agent);
+    report.running.clear();
+    report.ended.clear();
+    ++report.incarnation.started_ms;
+    for (const run_id& run : suspects) {
+      report.refused.push_back({run, start_refusal::target_crashed});
+    }
+    Report(agent);
+    report.refused.clear();
+  }
+
+  /// Advances the time while all agents report, and executes the commands.
+  void Pass(milliseconds duration) {
+    for (milliseconds passed{0}; passed < duration; passed += milliseconds{100}) {
+      Tick(milliseconds{100});
+      RunCommands();
+    }
+  }
+
+  /// @return the agent that runs the task, and the run.
+  std::pair<std::string, run_id> Find(const task_id& task) {
+    for (const auto& [agent, report] : reports) {
+      for (const running_task& each : report.running) {
+        if (each.task == task) return {agent, {each.task, each.run}};
+      }
+    }
+    return {};
+  }
+};
+
+}  // namespace
+
+// Guards against one task that crashes target after target.
+TEST_CASE(
+    "a job fails when two targets crash under a task of it and no other comes into question") {
+  crash_fixture fleet;
+  fleet.Submit(kJob, {TestStep(1)});
+  for (int crash = 0; crash < 2; ++crash) {
+    CHECK(fleet.control.StateOf(kJob) != job_state::failed);
+    fleet.Pass(milliseconds{1000});
+    const auto [agent, run] = fleet.Find({kJob, 0, 0, 0});
+    REQUIRE_FALSE(agent.empty());
+    fleet.Crash(agent, {run});
+  }
+  fleet.Pass(milliseconds{1000});
+  CHECK(fleet.control.StateOf(kJob) == job_state::failed);
+  CHECK(fleet.Find({kJob, 0, 0, 0}).first.empty());
+}
+
+// Guards against evidence that is lost with the coordinator.
+TEST_CASE("a new coordinator knows the crashes under a task") {
+  crash_fixture fleet;
+  fleet.Submit(kJob, {TestStep(1)});
+  fleet.Pass(milliseconds{1000});
+  const auto [first, run] = fleet.Find({kJob, 0, 0, 0});
+  fleet.Crash(first, {run});
+  fleet.Tick();
+  fleet.Tick(milliseconds{200});
+  REQUIRE(fleet.storage.entries.count(CrashKey(kJob)) == 1);
+  fleet.agents.commands.clear();
+  fleet.BeginFromStore();
+  for (const std::string& agent : kAgents) {
+    fleet.control.OnAgentConnected(agent);
+    fleet.Report(agent);
+  }
+  fleet.Pass(milliseconds{2000});
+  const auto [second, again] = fleet.Find({kJob, 0, 0, 0});
+  REQUIRE_FALSE(second.empty());
+  fleet.Crash(second, {again});
+  fleet.Pass(milliseconds{1000});
+  CHECK(fleet.control.StateOf(kJob) == job_state::failed);
+}
+
+// Guards against bystanders that a suspect takes down, and against crashes with several suspects.
+TEST_CASE("suspects start one at a time on isolated workers that get no other tasks") {
+  crash_fixture fleet;
+  fleet.Submit(kJob, {TestStep(4)});
+  fleet.Pass(milliseconds{1000});
+  std::vector<run_id> suspects;
+  for (std::uint32_t index = 0; index < 4; ++index) {
+    const auto [agent, run] = fleet.Find({kJob, 0, 0, index});
+    fleet.Crash(agent, {});
+    suspects.push_back(run);
+  }
+  fleet.Crash("a", suspects);
+  fleet.Submit(kOtherJob, {TestStep(40)});
+  fleet.agents.commands.clear();
+  std::vector<std::string> isolated;
+  for (int step = 0; step < 3; ++step) {
+    fleet.Tick(milliseconds{100});
+    isolated.clear();
+    for (const auto& [agent, worker] : fleet.control.workers()) {
+      if (worker.isolated) isolated.push_back(agent);
+    }
+    // A quarter of eight workers.
+    CHECK(isolated.size() == 2);
+    for (const auto& [agent, start] : fleet.agents.TakeStarts()) {
+      const bool is_isolated = std::find(isolated.begin(), isolated.end(), agent) != isolated.end();
+      CHECK(is_isolated == (start.facts.run.task.job == kJob));
+      fleet.Worker(agent).running.push_back({start.facts.run.task, start.facts.run.run});
+    }
+    for (const std::string& agent : isolated) CHECK(fleet.Worker(agent).running.size() <= 1);
+  }
+  fleet.Pass(milliseconds{1800});
+  for (std::uint32_t index = 0; index < 4; ++index) {
+    CHECK_FALSE(fleet.Find({kJob, 0, 0, index}).first.empty());
+  }
+  for (const auto& [agent, worker] : fleet.control.workers()) CHECK_FALSE(worker.isolated);
+}
+
+// Guards against innocent tasks that fail on a fleet whose targets often crash by themselves.
+TEST_CASE("more crashes rule out a coincidence when targets crash often") {
+  core::manual_clock time;
+  crash_isolation isolation;
+  worker_row worker;
+  CHECK(isolation.CrashesAloneOfCulprit(10, time.Now()) == 2);
+  for (int crash = 0; crash < 40; ++crash) {
+    time.Advance(milliseconds{500});
+    isolation.RecordCrash(worker, time.Now());
+  }
+  CHECK(isolation.CrashesAloneOfCulprit(10, time.Now()) >= 3);
+  worker.isolated = true;
+  crash_isolation quiet;
+  for (int crash = 0; crash < 40; ++crash) quiet.RecordCrash(worker, time.Now());
+  CHECK(quiet.CrashesAloneOfCulprit(10, time.Now()) == 2);
+  CHECK(IsCulprit({.crashes = 5, .alone = 0}, 4));
+  CHECK_FALSE(IsCulprit({.crashes = 4, .alone = 1}, 2));
+}
+
+}  // namespace coltsfoot::jobs
--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -76,6 +76,7 @@
     bool unanswered = false;  ///< a call, also of an earlier process, may have had no answer
     std::optional<jobs::start_refusal> abandoned;  ///< why it must not start any more
     core::mono_time retry_at;
+    core::mono_time failed_at;  ///< when the last call ended without an answer; zero: never
     /// When the target executed the start or a stop of the run. A poll sent later lists the run
     /// unless it does not run any more.
     std::optional<core::mono_time> settled_at;
@@ -113,7 +114,12 @@
   /// @return the runs that began so shortly before the target's last answer, or after it, that they
   /// may have crashed the target.
   std::vector<jobs::run_id> RecentRuns() const;
-  void LogLostRuns() const;
+  /// @return false if the target seems not to have executed a start of this run: its call is in
+  /// flight, or went unanswered although the target still ran.
+  bool MayHaveBegun(const jobs::run_id& run) const;
+  /// @return refusals for the runs of a target that is lost: of those that may have crashed it, and
+  /// of those that were never sent to it.
+  std::vector<jobs::refused_run> RefusalsOfLostRuns() const;
   void Report(bool with_lists);
   jobs::target_state State() const;
   /// @return the state to report: unknown until the target has answered a poll, unless it is gone.
@@ -157,6 +163,8 @@
   std::map<jobs::run_id, jobs::task_facts> facts_;
   std::map<jobs::run_id, core::mono_time> first_calls_;  ///< first call that starts each run
   core::mono_time last_reply_;  ///< last answer to any call but stops and paces
+  /// When the connection of a waiting poll broke; zero: not since the last answered poll.
+  core::mono_time broken_at_;
   std::vector<jobs::refused_run> refused_;
   std::size_t calls_in_flight_ = 0;
   pacer pacer_;
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -21,7 +21,7 @@
 // Complete lists are reported on each change, and at this interval without changes.
 constexpr core::milliseconds kListingPeriod{1000};
 // A task that crashes its target does so within this time after its start.
-constexpr core::milliseconds kCrashDelay{250};
+constexpr core::milliseconds kCrashDelay{100};
 // The target's clock may run 2 % slow, so its lease may last longer by as much.
 constexpr std::int64_t kClockDriftPermille = 20;
 constexpr core::milliseconds kExpiryMargin{200};
@@ -68,7 +68,7 @@
                announcement.incarnation.name, announcement.incarnation.started_ms,
                announcement.service, announcement.capacity.cpu_millis,
                announcement.capacity.memory_mb);
-  if (announced_ && !announced_->draining && !target_left_) LogLostRuns();
+  std::vector<jobs::refused_run> lost = RefusalsOfLostRuns();
   announced_ = announcement;
   ++incarnation_count_;
   target_left_ = false;
@@ -89,7 +89,8 @@
   stops_.clear();
   facts_.clear();
   first_calls_.clear();
-  refused_.clear();
+  broken_at_ = {};
+  refused_ = std::move(lost);
   calls_in_flight_ = 0;
   pacer_.Clear();
   pace_calls_in_flight_.clear();
@@ -215,10 +216,13 @@
   if (failed_polls_ == 0) call.lease_until_ms = LeaseOnTargetClock();
   if (call.lease_until_ms) sent_lease_end_ = std::max(sent_lease_end_, lease_end_);
   target_.Poll(call, announced_->incarnation.name,
-               [this, sent, term = term_,
+               [this, sent, wait = call.wait, term = term_,
                 incarnation = incarnation_count_](const std::optional<target_lists>& lists) {
                  if (incarnation != incarnation_count_) return;
                  if (lists && std::exchange(listed_term_, term) != term) report_due_ = true;
+                 if (!lists && failed_polls_ == 0 && time_.Now() - sent < wait) {
+                   broken_at_ = time_.Now();
+                 }
                  OnLists(lists, sent);
                });
 }
@@ -250,6 +254,7 @@
   }
   last_answer_ = now;
   last_reply_ = now;
+  broken_at_ = {};
   failed_polls_ = 0;
   ApplyLists(*lists, sent);
   PaceFilling();
@@ -385,6 +390,7 @@
       start.retry_at = time_.Now() + kCommandRetryDelay;
       // The retry uses the same run number, so the run starts at most once.
       start.unanswered = true;
+      start.failed_at = time_.Now();
       metrics_.GetCounter("coltsfoot_orders_unanswered_total", {"order", "start"}).Add();
       spdlog::info("event=start_unanswered task={} run={}", jobs::ToString(run.task), run.run);
       break;
@@ -506,22 +512,44 @@
 }
 
 std::vector<jobs::run_id> runner::RecentRuns() const {
+  // A target that crashes breaks its connections, unless its host is lost as well.
+  const core::mono_time crashed_after = std::max(last_reply_, broken_at_) - kCrashDelay;
   std::vector<jobs::run_id> recent;
   for (const auto& [run, called_at] : first_calls_) {
-    if (called_at > last_reply_ - kCrashDelay) recent.push_back(run);
+    if (called_at > crashed_after && MayHaveBegun(run)) recent.push_back(run);
   }
   return recent;
 }
 
-void runner::LogLostRuns() const {
-  if (first_calls_.empty()) return;
+bool runner::MayHaveBegun(const jobs::run_id& run) const {
+  const auto start = starts_.find(run);
+  if (start == starts_.end() || start->second.settled_at) return true;
+  if (start->second.in_flight) return false;
+  if (broken_at_ == core::mono_time{}) return true;
+  // All connections to a target that crashes break together.
+  const core::nanoseconds apart = start->second.failed_at - broken_at_;
+  return std::chrono::abs(apart) <= kCrashDelay;
+}
+
+std::vector<jobs::refused_run> runner::RefusalsOfLostRuns() const {
+  std::vector<jobs::refused_run> refused;
+  // A target that announced its end has not crashed.
+  if (!announced_ || announced_->draining || target_left_) return refused;
+  for (const auto& [run, start] : starts_) {
+    if (!first_calls_.contains(run) && !start.unanswered) {
+      refused.push_back({run, jobs::start_refusal::not_sent});
+    }
+  }
+  if (first_calls_.empty()) return refused;
   std::string recent;
   for (const jobs::run_id& run : RecentRuns()) {
+    refused.push_back({run, jobs::start_refusal::target_crashed});
     if (!recent.empty()) recent += ',';
     recent += jobs::ToString(run.task);
   }
   spdlog::warn("event=target_crashed target={} runs={} recent={}", announced_->incarnation.name,
                first_calls_.size(), recent);
+  return refused;
 }
 
 void runner::ForgetRuns() {
@@ -529,7 +557,8 @@
   spdlog::warn("event=target_gone target={} runs={} unanswered_for_ms={}",
                announced_->incarnation.name, running_.size(),
                core::ToMs(time_.Now() - last_answer_));
-  if (!announced_->draining && !target_left_) LogLostRuns();
+  const std::vector<jobs::refused_run> lost = RefusalsOfLostRuns();
+  refused_.insert(refused_.end(), lost.begin(), lost.end());
   running_.clear();
   starts_.clear();
   stops_.clear();
@@ -540,6 +569,7 @@
 void runner::Report(bool with_lists) {
   const core::mono_time now = time_.Now();
   if (State() == jobs::target_state::gone) ForgetRuns();
+  with_lists = with_lists || !refused_.empty();
   jobs::worker_report report{.agent = options_.agent,
                              .agent_incarnation = options_.agent_incarnation,
                              .term = term_,
--- a/libs/runner/tests/runner_test.cc
+++ b/libs/runner/tests/runner_test.cc
@@ -429,6 +429,51 @@
   CHECK(fixture.LastListing().refused == expected);
 }
 
+// Guards against suspects that did not begin shortly before the crash, or were never sent.
+TEST_CASE("after a crash the tasks that began last are reported as suspects") {
+  runner_fixture fixture;
+  fixture.IssueCommand(1);
+  scripted_target::AnswerNext(fixture.target.start_answers,
+                              command_reply{.status = command_status::ok, .clock_ms = 1});
+  fixture.Answer({{.task = runner_fixture::Run(1).task, .run = 1}});
+  fixture.Pass(milliseconds{500});
+  for (const std::uint32_t run : {2, 3, 4}) fixture.IssueCommand(run);
+  REQUIRE(fixture.target.starts.size() == 3);
+  scripted_target::AnswerNext(
+      fixture.target.start_answers,
+      command_reply{.status = command_status::ok, .clock_ms = fixture.TargetClock()});
+  REQUIRE(fixture.target.starts.size() == 4);
+  for (int call = 0; call < 2; ++call) {
+    scripted_target::AnswerNext(fixture.target.start_answers, command_reply{});
+  }
+  scripted_target::AnswerNext(fixture.target.poll_answers, std::optional<target_lists>{});
+  fixture.IssueCommand(5);
+  bool drains = false;
+  SUBCASE("the target crashes") {}
+  SUBCASE("the target drains before it ends") {
+    drains = true;
+    fixture.announcement.draining = true;
+    ++fixture.announcement.sequence;
+    fixture.agent.OnAnnouncement(fixture.announcement);
+  }
+  fixture.announcement.incarnation = {"t-2", 2};
+  fixture.announcement.draining = false;
+  fixture.agent.OnAnnouncement(fixture.announcement);
+  fixture.Pass(milliseconds{50});
+  scripted_target::AnswerNext(
+      fixture.target.poll_answers,
+      std::optional(target_lists{.clock_ms = 5, .started_ms = 2, .running = {}, .ended = {}}));
+  fixture.Pass(milliseconds{50});
+  std::vector<jobs::refused_run> expected;
+  if (!drains) {
+    expected.push_back({runner_fixture::Run(5), jobs::start_refusal::not_sent});
+    for (const std::uint32_t run : {2, 3, 4}) {
+      expected.push_back({runner_fixture::Run(run), jobs::start_refusal::target_crashed});
+    }
+  }
+  CHECK(fixture.LastListing().refused == expected);
+}
+
 // Guards against starts on a target that shuts down, and against starts without a lease.
 TEST_CASE("a draining target and a runner without a lease start nothing") {
   runner_fixture fixture;
