runner, jobs: split the runner and its tests by what they do

Judging the target's state and reporting moves to runner_reports.cc; the tests of starts without an answer, and their fixture, to files of their own. The two places that compute by when a lease has expired share `MaxDuration`.

--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -121,6 +121,8 @@
   /// of those that were never sent to it.
   std::vector<jobs::refused_run> RefusalsOfLostRuns() const;
   void Report(bool with_lists);
+  /// @return the time after which a lease of this length has certainly expired at the target.
+  static core::nanoseconds MaxDuration(core::nanoseconds lease);
   jobs::target_state State() const;
   /// @return the state to report: unknown until the target has answered a poll, unless it is gone.
   jobs::target_state ReportedState() const;
--- /dev/null
+++ b/libs/runner/src/runner_reports.cc
@@ -0,0 +1,146 @@
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+
+#include "runner/runner.h"
+
+// Part of the runner that judges its target's state and reports to the coordinator.
+namespace coltsfoot::runner {
+namespace {
+
+// Complete lists are reported on each change, and at this interval without changes.
+constexpr core::milliseconds kListingPeriod{1000};
+// A task that crashes its target does so within this time after its start.
+constexpr core::milliseconds kCrashDelay{100};
+// The target's clock may run 2 % slow, so its lease may last longer by as much.
+constexpr std::int64_t kClockDriftPermille = 20;
+constexpr core::milliseconds kExpiryMargin{200};
+
+}  // namespace
+
+core::nanoseconds runner::MaxDuration(core::nanoseconds lease) {
+  return lease + lease * kClockDriftPermille / 1000 + kExpiryMargin;
+}
+
+jobs::target_state runner::State() const {
+  if (!announced_) return jobs::target_state::unknown;
+  if (target_left_) return jobs::target_state::gone;
+  const core::mono_time now = time_.Now();
+  if (has_lists_ && now - last_answer_ > options_.silent_after + options_.poll_wait) {
+    const core::mono_time expired = last_answer_ + MaxDuration(sent_lease_end_ - last_answer_);
+    // An earlier process may have extended the lease beyond what this one knows.
+    return now > std::max(expired, earlier_calls_expire_at_) ? jobs::target_state::gone
+                                                             : jobs::target_state::silent;
+  }
+  return announced_->draining ? jobs::target_state::draining : jobs::target_state::ready;
+}
+
+jobs::target_state runner::ReportedState() const {
+  const jobs::target_state state = State();
+  return has_lists_ || state == jobs::target_state::gone ? state : jobs::target_state::unknown;
+}
+
+bool runner::HasCompleteLists() const {
+  // Until the target has seen the fencing token of this term, it may execute a start that an
+  // earlier process of this agent sent under another term and that nobody knows of.
+  return has_lists_ && (listed_term_ == term_ || time_.Now() >= earlier_calls_expire_at_);
+}
+
+std::vector<jobs::run_id> runner::RecentRuns() const {
+  // A target that crashes breaks its connections, unless its host is lost as well.
+  const core::mono_time crashed_after = std::max(last_reply_, broken_at_) - kCrashDelay;
+  std::vector<jobs::run_id> recent;
+  for (const auto& [run, called_at] : first_calls_) {
+    if (called_at > crashed_after && MayHaveBegun(run)) recent.push_back(run);
+  }
+  return recent;
+}
+
+bool runner::MayHaveBegun(const jobs::run_id& run) const {
+  const auto start = starts_.find(run);
+  if (start == starts_.end() || start->second.settled_at) return true;
+  if (start->second.in_flight) return false;
+  if (broken_at_ == core::mono_time{}) return true;
+  // All connections to a target that crashes break together.
+  const core::nanoseconds apart = start->second.failed_at - broken_at_;
+  return std::chrono::abs(apart) <= kCrashDelay;
+}
+
+std::vector<jobs::refused_run> runner::RefusalsOfLostRuns() const {
+  std::vector<jobs::refused_run> refused;
+  // A target that announced its end has not crashed.
+  if (!announced_ || announced_->draining || target_left_) return refused;
+  for (const auto& [run, start] : starts_) {
+    if (!first_calls_.contains(run) && !start.unanswered) {
+      refused.push_back({run, jobs::start_refusal::not_sent});
+    }
+  }
+  if (first_calls_.empty()) return refused;
+  std::string recent;
+  for (const jobs::run_id& run : RecentRuns()) {
+    refused.push_back({run, jobs::start_refusal::target_crashed});
+    if (!recent.empty()) recent += ',';
+    recent += jobs::ToString(run.task);
+  }
+  spdlog::warn("event=target_crashed target={} runs={} recent={}", announced_->incarnation.name,
+               first_calls_.size(), recent);
+  return refused;
+}
+
+void runner::ForgetRuns() {
+  if (running_.empty() && starts_.empty()) return;
+  spdlog::warn("event=target_gone target={} runs={} unanswered_for_ms={}",
+               announced_->incarnation.name, running_.size(),
+               core::ToMs(time_.Now() - last_answer_));
+  const std::vector<jobs::refused_run> lost = RefusalsOfLostRuns();
+  refused_.insert(refused_.end(), lost.begin(), lost.end());
+  running_.clear();
+  starts_.clear();
+  stops_.clear();
+  facts_.clear();
+  first_calls_.clear();
+}
+
+void runner::Report(bool with_lists) {
+  const core::mono_time now = time_.Now();
+  if (State() == jobs::target_state::gone) ForgetRuns();
+  with_lists = with_lists || !refused_.empty();
+  jobs::worker_report report{.agent = options_.agent,
+                             .agent_incarnation = options_.agent_incarnation,
+                             .term = term_,
+                             .sent_ms = core::ToMs(now.time_since_epoch()),
+                             .commands_seen = commands_seen_,
+                             .state = ReportedState()};
+  // An announcement may be a delayed one of an earlier incarnation, and reporting it would make the
+  // coordinator count the runs of the current incarnation as lost. Only an answered poll proves
+  // which incarnation runs.
+  if (announced_ && has_lists_) {
+    report.incarnation = announced_->incarnation;
+    report.service = announced_->service;
+    report.zone = announced_->zone;
+    report.labels = announced_->labels;
+    report.capacity = announced_->capacity;
+  }
+  if (with_lists && HasCompleteLists()) {
+    report.listed = true;
+    report.running = running_;
+    for (jobs::running_task& task : report.running) {
+      task.pace = pacer_.PaceOf({task.task, task.run});
+    }
+    for (const auto& [run, start] : starts_) {
+      if (!IsRunning(run)) report.starting.push_back(run);
+    }
+    report.ended = ended_;
+    report.refused = refused_;
+  }
+  next_report_ = now + options_.report_period;
+  if (!coordinator_.Send(report)) return;
+  report_due_ = false;
+  if (!report.listed) return;
+  refused_.clear();
+  next_listing_ = now + kListingPeriod;
+}
+
+}  // namespace coltsfoot::runner
