jobs, runner: let each suspect find a worker and lose no evidence

What callers may see: a job that waits for ever while workers stand isolated, a job that fails although its targets were only silent, or a task that crashes more targets than it may.

- workers were isolated by their load alone; a suspect whose label none of them has waited for ever and kept them isolated
- suspects were forgotten when the next incarnation of the target ended before a report had named them
- a start that a slow target answered late was no suspect
- a silent target that counted as gone left suspects although it had not crashed
- isolated workers that were quarantined or absent kept their place
- the limit of five crashes left no room for a crash that nobody counted

Now only workers that fit a waiting suspect are isolated, and released when they fit none; suspects are kept until they are reported, those of a target that is gone until its next incarnation shows that it crashed; a run begins with the target's answer; and four crashes are the limit (three alone if targets crash often). The check of the limit in crash_isolation_test.cc follows it: 4 instead of 5 crashes. New tests cover the label and the second incarnation.

--- a/libs/jobs/include/jobs/crash_isolation.h
+++ b/libs/jobs/include/jobs/crash_isolation.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "core/clock.h"
 #include "jobs/job_table.h"
@@ -47,14 +48,16 @@
   std::uint32_t CrashesAloneOfCulprit(std::size_t workers, core::mono_time now) const;
 
  private:
-  using counts_by_service = std::map<std::string, std::size_t, std::less<>>;
+  using step_list = std::vector<const step_spec*>;
+  /// The step of each suspect.
+  using suspects_by_service = std::map<std::string, step_list, std::less<>>;
 
-  static counts_by_service CountWaitingSuspects(const job_table& jobs);
-  /// Releases workers that have left or that are not needed.
-  void Release(const job_table& jobs, const worker_table& workers, const counts_by_service& waiting,
-               core::mono_time now);
-  /// Isolates further workers of a service, those with the least work first.
-  void Isolate(const std::string& service, std::size_t waiting, const worker_table& workers,
+  static suspects_by_service WaitingSuspects(const job_table& jobs);
+  /// Releases workers that have left, or on which no suspect is on probation or could start.
+  void Release(const job_table& jobs, const worker_table& workers,
+               const suspects_by_service& waiting, core::mono_time now);
+  /// Isolates further workers of a service that fit a suspect, those with the least work first.
+  void Isolate(const std::string& service, const step_list& waiting, const worker_table& workers,
                core::mono_time now);
 
   isolation_options options_;
--- a/libs/jobs/src/crash_isolation.cc
+++ b/libs/jobs/src/crash_isolation.cc
@@ -12,9 +12,9 @@
 namespace {
 
 // After so many crashes a task is given up even if other tasks came into question each time.
-constexpr std::uint32_t kMaxCrashes = 5;
+constexpr std::uint32_t kMaxCrashes = 4;
 constexpr std::uint32_t kMinCrashesAlone = 2;
-constexpr std::uint32_t kMaxCrashesAlone = 4;
+constexpr std::uint32_t kMaxCrashesAlone = 3;
 // Accepted probability that an innocent task is given up.
 constexpr double kMaxErrorRate = 1e-3;
 constexpr core::milliseconds kBackgroundPeriod{60'000};
@@ -31,9 +31,17 @@
   return found;
 }
 
-bool MayReturn(const worker_row& worker) {
-  return worker.connected && worker.state != target_state::gone &&
-         worker.state != target_state::draining;
+bool MayReturn(const worker_row& worker, core::mono_time now) {
+  return worker.connected && !worker.absent && now >= worker.quarantined_until &&
+         worker.state != target_state::gone && worker.state != target_state::draining;
+}
+
+/// @return true if the worker can ever run a task of one of the steps.
+bool FitsAny(const worker_row& worker, const std::vector<const step_spec*>& steps) {
+  return std::any_of(steps.begin(), steps.end(), [&](const step_spec* step) {
+    return (step->label.empty() || worker.HasLabel(step->label)) &&
+           Reserved(*step).FitsIn(worker.capacity);
+  });
 }
 
 }  // namespace
@@ -67,17 +75,19 @@
   return std::clamp(static_cast<std::uint32_t>(needed), kMinCrashesAlone, kMaxCrashesAlone);
 }
 
-crash_isolation::counts_by_service crash_isolation::CountWaitingSuspects(const job_table& jobs) {
-  counts_by_service waiting;
+crash_isolation::suspects_by_service crash_isolation::WaitingSuspects(const job_table& jobs) {
+  suspects_by_service waiting;
   for (const auto& [id, job] : jobs.suspects()) {
     if (job->held) continue;
     for (std::uint32_t step = 0; step < job->steps.size(); ++step) {
       if (job->steps[step].pending == 0 || !job->IsReleased(step)) continue;
       const task_row* first = &job->tasks[job->steps[step].first_task];
-      waiting[job->queue.service] += static_cast<std::size_t>(
+      const auto count =
           std::count_if(first, first + job->Spec(step).count, [](const task_row& task) {
             return task.crashes.crashes > 0 && task.copies.empty() && !task.progress.done;
-          }));
+          });
+      waiting[job->queue.service].insert(waiting[job->queue.service].end(),
+                                         static_cast<std::size_t>(count), &job->Spec(step));
     }
   }
   return waiting;
@@ -85,11 +95,9 @@
 
 void crash_isolation::Update(const job_table& jobs, worker_table& workers, core::mono_time now) {
   if (isolated_.empty() && jobs.suspects().empty()) return;
-  const counts_by_service waiting = CountWaitingSuspects(jobs);
+  const suspects_by_service waiting = WaitingSuspects(jobs);
   Release(jobs, workers, waiting, now);
-  for (const auto& [service, count] : waiting) {
-    if (count > 0) Isolate(service, count, workers, now);
-  }
+  for (const auto& [service, suspects] : waiting) Isolate(service, suspects, workers, now);
   for (auto& [agent, worker] : workers) {
     worker.isolated = isolated_.contains(agent);
     worker.accepts_suspect = worker.isolated && now - worker.last_start_at >= kProbation &&
@@ -98,17 +106,17 @@
 }
 
 void crash_isolation::Release(const job_table& jobs, const worker_table& workers,
-                              const counts_by_service& waiting, core::mono_time now) {
+                              const suspects_by_service& waiting, core::mono_time now) {
   std::erase_if(isolated_, [&](const std::string& agent) {
     const auto worker = workers.find(agent);
-    if (worker == workers.end() || !MayReturn(worker->second)) return true;
-    const auto count = waiting.find(worker->second.service);
-    if (count != waiting.end() && count->second > 0) return false;
+    if (worker == workers.end() || !MayReturn(worker->second, now)) return true;
+    const auto suspects = waiting.find(worker->second.service);
+    if (suspects != waiting.end() && FitsAny(worker->second, suspects->second)) return false;
     return !HasProbation(jobs, agent, now);
   });
 }
 
-void crash_isolation::Isolate(const std::string& service, std::size_t waiting,
+void crash_isolation::Isolate(const std::string& service, const step_list& waiting,
                               const worker_table& workers, core::mono_time now) {
   std::size_t all = 0;
   std::size_t isolated = 0;
@@ -118,12 +126,12 @@
     ++all;
     if (isolated_.contains(agent)) {
       ++isolated;
-    } else if (TakesTasks(worker, service, now)) {
+    } else if (TakesTasks(worker, service, now) && FitsAny(worker, waiting)) {
       candidates.push_back(&worker);
     }
   }
-  const std::size_t limit =
-      std::min(waiting, std::max<std::size_t>(1, all * options_.max_isolated_permille / 1000));
+  const std::size_t limit = std::min(
+      waiting.size(), std::max<std::size_t>(1, all * options_.max_isolated_permille / 1000));
   std::sort(candidates.begin(), candidates.end(), [](const auto* left, const auto* right) {
     return std::tie(left->serving, left->committed.cpu_millis, left->agent) <
            std::tie(right->serving, right->committed.cpu_millis, right->agent);
@@ -132,7 +140,7 @@
     if (isolated >= limit) return;
     ++isolated;
     isolated_.insert(worker->agent);
-    spdlog::info("event=worker_isolated agent={} suspects={}", worker->agent, waiting);
+    spdlog::info("event=worker_isolated agent={} suspects={}", worker->agent, waiting.size());
   }
 }
 
--- a/libs/jobs/tests/crash_isolation_test.cc
+++ b/libs/jobs/tests/crash_isolation_test.cc
@@ -134,6 +134,23 @@
   for (const auto& [agent, worker] : fleet.control.workers()) CHECK_FALSE(worker.isolated);
 }
 
+// Guards against a suspect that waits for ever because no isolated worker has its label.
+TEST_CASE("a suspect starts on an isolated worker that has its label") {
+  crash_fixture fleet;
+  fleet.Worker("g").labels = {"rare"};
+  fleet.Report("g");
+  step_spec step = TestStep(1);
+  step.label = "rare";
+  fleet.Submit(kJob, {step});
+  fleet.Pass(milliseconds{1000});
+  const auto [agent, run] = fleet.Find({kJob, 0, 0, 0});
+  REQUIRE(agent == "g");
+  fleet.Crash(agent, {run});
+  fleet.Pass(milliseconds{2000});
+  CHECK(fleet.Find({kJob, 0, 0, 0}).first == "g");
+  for (const auto& [name, worker] : fleet.control.workers()) CHECK_FALSE(worker.isolated);
+}
+
 // Guards against innocent tasks that fail on a fleet whose targets often crash by themselves.
 TEST_CASE("more crashes rule out a coincidence when targets crash often") {
   core::manual_clock time;
@@ -149,8 +166,8 @@
   crash_isolation quiet;
   for (int crash = 0; crash < 40; ++crash) quiet.RecordCrash(worker, time.Now());
   CHECK(quiet.CrashesAloneOfCulprit(10, time.Now()) == 2);
-  CHECK(IsCulprit({.crashes = 5, .alone = 0}, 4));
-  CHECK_FALSE(IsCulprit({.crashes = 4, .alone = 1}, 2));
+  CHECK(IsCulprit({.crashes = 4, .alone = 0}, 3));
+  CHECK_FALSE(IsCulprit({.crashes = 3, .alone = 1}, 2));
 }
 
 }  // namespace coltsfoot::jobs
--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -165,6 +165,9 @@
   std::map<jobs::run_id, jobs::task_facts> facts_;
   std::map<jobs::run_id, core::mono_time> first_calls_;  ///< first call that starts each run
   core::mono_time last_reply_;  ///< last answer to any call but stops and paces
+  /// Suspects of a target that is gone. They are reported if its next incarnation shows that it has
+  /// crashed.
+  std::vector<jobs::refused_run> suspects_of_gone_;
   /// When the connection of a waiting poll broke; zero: not since the last answered poll.
   core::mono_time broken_at_;
   std::vector<jobs::refused_run> refused_;
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace coltsfoot::runner {
@@ -61,6 +62,11 @@
                announcement.service, announcement.capacity.cpu_millis,
                announcement.capacity.memory_mb);
   std::vector<jobs::refused_run> lost = RefusalsOfLostRuns();
+  lost.insert(lost.end(), suspects_of_gone_.begin(), suspects_of_gone_.end());
+  suspects_of_gone_.clear();
+  // Suspects of an earlier incarnation that no report has named yet.
+  std::copy_if(refused_.begin(), refused_.end(), std::back_inserter(lost),
+               [](const auto& each) { return each.reason == jobs::start_refusal::target_crashed; });
   announced_ = announcement;
   ++incarnation_count_;
   target_left_ = false;
@@ -247,6 +253,7 @@
   last_answer_ = now;
   last_reply_ = now;
   broken_at_ = {};
+  suspects_of_gone_.clear();
   failed_polls_ = 0;
   ApplyLists(*lists, sent);
   PaceFilling();
--- a/libs/runner/src/runner_reports.cc
+++ b/libs/runner/src/runner_reports.cc
@@ -53,7 +53,11 @@
   const core::mono_time crashed_after = std::max(last_reply_, broken_at_) - kCrashDelay;
   std::vector<jobs::run_id> recent;
   for (const auto& [run, called_at] : first_calls_) {
-    if (called_at > crashed_after && MayHaveBegun(run)) recent.push_back(run);
+    const auto start = starts_.find(run);
+    const bool settled = start != starts_.end() && start->second.settled_at;
+    // A slow target begins the run when it answers.
+    const core::mono_time begun = settled ? *start->second.settled_at : called_at;
+    if (begun > crashed_after && MayHaveBegun(run)) recent.push_back(run);
   }
   return recent;
 }
@@ -95,7 +99,11 @@
                announced_->incarnation.name, running_.size(),
                core::ToMs(time_.Now() - last_answer_));
   const std::vector<jobs::refused_run> lost = RefusalsOfLostRuns();
-  refused_.insert(refused_.end(), lost.begin(), lost.end());
+  for (const jobs::refused_run& each : lost) {
+    // Whether the target crashed or is only silent shows when its next incarnation is known.
+    const bool suspected = each.reason == jobs::start_refusal::target_crashed;
+    (suspected ? suspects_of_gone_ : refused_).push_back(each);
+  }
   running_.clear();
   starts_.clear();
   stops_.clear();
--- a/libs/runner/tests/unanswered_start_test.cc
+++ b/libs/runner/tests/unanswered_start_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -242,6 +243,30 @@
   CHECK(fixture.LastListing().refused == expected);
 }
 
+// Guards against suspects that are forgotten when a target crashes again before a report.
+TEST_CASE("suspects are reported although the next incarnation ends before it is listed") {
+  runner_fixture fixture;
+  fixture.IssueCommand(1);
+  fixture.Pass(milliseconds{150});
+  scripted_target::AnswerNext(
+      fixture.target.start_answers,
+      command_reply{.status = command_status::ok, .clock_ms = fixture.TargetClock()});
+  scripted_target::AnswerNext(fixture.target.poll_answers, std::optional<target_lists>{});
+  for (const std::uint64_t started : {2, 3}) {
+    fixture.announcement.incarnation = {"t-" + std::to_string(started), started};
+    fixture.agent.OnAnnouncement(fixture.announcement);
+    fixture.Pass(milliseconds{50});
+  }
+  fixture.target.poll_answers.pop_front();
+  scripted_target::AnswerNext(
+      fixture.target.poll_answers,
+      std::optional(target_lists{.clock_ms = 5, .started_ms = 3, .running = {}, .ended = {}}));
+  fixture.Pass(milliseconds{50});
+  const std::vector<jobs::refused_run> expected{
+      {runner_fixture::Run(1), jobs::start_refusal::target_crashed}};
+  CHECK(fixture.LastListing().refused == expected);
+}
+
 // Guards against suspects that did not begin shortly before the crash, or were never sent.
 TEST_CASE("after a crash the tasks that began last are reported as suspects") {
   runner_fixture fixture;
