--- a/libs/jobs/tests/crash_isolation_test.cc
+++ b/libs/jobs/tests/crash_isolation_test.cc
@@ -17,10 +17,10 @@
 
 constexpr auto kJob = "00000000000000aa";
 constexpr auto kOtherJob = "00000000000000bb";
-const std::vector<std::string> kAgents{"a", "b", "c", "d", "e", "f", "g", "h"};
+std::vector<std::string> Agents() { return {"a", "b", "c", "d", "e", "f", "g", "h"}; }
 
 struct crash_fixture : coordinator_fixture {
-  crash_fixture() { Begin(kAgents); }
+  crash_fixture() { Begin(Agents()); }
 
   /// The target of `agent` crashes under these runs and comes back as another incarnation.
   void Crash(const std::string& agent, const std::vector<run_id>& suspects) {
@@ -85,7 +85,7 @@
   REQUIRE(fleet.storage.entries.count(CrashKey(kJob)) == 1);
   fleet.agents.commands.clear();
   fleet.BeginFromStore();
-  for (const std::string& agent : kAgents) {
+  for (const std::string& agent : Agents()) {
     fleet.control.OnAgentConnected(agent);
     fleet.Report(agent);
   }
--- a/test/simulation/deadly_task_test.cc
+++ b/test/simulation/deadly_task_test.cc
@@ -69,8 +69,8 @@
   std::size_t lost_runs = 0;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     const outcome out = Simulate(seed, replace_coordinator);
-    for (const auto& [job, crashes] : out.crashes) {
-      CHECK_MESSAGE(crashes <= kMaxStarts, "seed ", seed, " job ", job, ": ", crashes, " crashes");
+    for (const auto& job : out.crashes) {
+      CHECK_MESSAGE(job.second <= kMaxStarts, "seed ", seed, " job ", job.first);
     }
     CHECK_MESSAGE(out.open.empty(), "seed ", seed, ": ", out.open.size(), " jobs have not ended");
     CHECK_MESSAGE(out.wrongly_failed.empty(), "seed ", seed,
--- a/test/simulation/simulated_fleet.cc
+++ b/test/simulation/simulated_fleet.cc
@@ -201,7 +201,7 @@
   if (!coordinator_ || !each.wanted || !each.agent || each.connection != 0) return;
   if (now < each.next_dial_at || now < each.cut_until) return;
   each.connection = next_connection_++;
-  Deliver(each, [this, &each, term = term_] {
+  Deliver(each, [&each, term = term_] {
     if (!each.agent->control().OnHello(term)) each.connection = 0;
   });
   coordinator_->OnAgentConnected(each.name);
