--- a/review/3/script.cc
+++ b/review/3/script.cc
@@ -1,128 +1,98 @@
-// Jobs that ended long ago run again: their removal from the store fails in an outage, and the
-// coordinator reads their records once more when the store has discarded its history.
-#include <cstring>
-#include <fstream>
-#include <iostream>
-#include <set>
+// The open connections between agents and minions go silent. An agent has as many idle ones as it
+// once made calls at the same time, and each costs it the timeout of a poll before it opens a new
+// one; meanwhile the lease lapses and the minion stays out of use.
+#include <algorithm>
+#include <string>
+#include <vector>
 
 #include "../support/stand_ins.h"
 
 namespace coltsfoot::review {
 namespace {
 
-using nlohmann::json;
+// Bounds of RULES.md, LOST: a task that lasts counts as missing from 6 s after its last run, if it
+// does not run for 3 s that are calm, as the 4 s before them.
+constexpr std::int64_t kRestartMs = 6000;
+constexpr std::int64_t kIdleMs = 3000;
+constexpr std::int64_t kCalmMs = 4000;
+constexpr std::int64_t kFillMs = 12'000;
+constexpr std::int64_t kSilenceMs = 26'000;  ///< after the filling tasks were accepted
+constexpr std::int64_t kObservedMs = 25'000;
+constexpr const char* kLasting = "00000000000000a0";
+constexpr const char* kFilling = "00000000000000f0";
 
-constexpr int kJobs = 40;
-constexpr const char* kJob =
-    R"({"spec":"ms=500","steps":[{"count":2,"cpu":1000,"memMb":100,"estMs":500},)"
-    R"({"count":2,"cpu":1000,"memMb":100,"estMs":500,"after":[0]}]})";
-
-std::string Id(int index) {
-  std::string digits = std::to_string(index);
-  return std::string(16 - digits.size(), '0') + digits;
-}
-
-/// Runs the jobs and writes what the store then holds to a file, for a later run of the script.
-int WriteSnapshot(const std::string& folder) {
-  record log(folder + "/record-before.txt");
-  store platform;
-  platform.Put("op/config", Configuration());
-  std::vector<std::unique_ptr<minion>> minions;
-  std::vector<minion*> views;
-  for (const char* name : {"a", "b", "c", "d"}) {
-    minions.push_back(std::make_unique<minion>(log, name, 16'000, 62'500));
-    views.push_back(minions.back().get());
-  }
-  json kept = json::array();
-  {
-    fleet programs(log, platform, views, 2);
-    if (!programs.Ready()) return 2;
-    for (int index = 0; index < kJobs; ++index) {
-      if (!programs.Submit(Id(index), kJob)) return 2;
-    }
-    for (int index = 0; index < kJobs; ++index) {
-      for (int tries = 0; tries < 200; ++tries) {
-        if (programs.Call(0, "GET", "/q/" + Id(index)).body.find("complete") != std::string::npos) {
-          break;
-        }
-        Sleep(50);
-      }
-    }
-    Sleep(1000);
-    // Without what names the addresses of machines: the later fleet has other ports.
-    for (const json& each : platform.Dump()) {
-      const auto key = each.at("key").get<std::string>();
-      if (key.starts_with("coltsfoot/in/job/") || key.starts_with("coltsfoot/progress/")) {
-        kept.push_back(each);
-      }
-    }
-  }
-  std::ofstream(folder + "/store-before.json") << kept.dump(1) << "\n";
-  return 0;
-}
-
-int Run(const std::string& folder) {
-  std::ifstream in(folder + "/store-before.json");
-  const json before = json::parse(in, nullptr, false);
-  if (before.is_discarded()) return 2;
+int Main(int argc, char** argv) {
+  SetTimeLimit(110);
+  const std::string folder = argc > 1 ? argv[1] : ".";
   record log(folder + "/record.txt");
   store platform;
-  platform.Load(before);
   platform.Put("op/config", Configuration());
   std::vector<std::unique_ptr<minion>> minions;
   std::vector<minion*> views;
   for (const char* name : {"a", "b", "c", "d"}) {
     minions.push_back(std::make_unique<minion>(log, name, 16'000, 62'500));
+    minions.back()->LinkAgent();
     views.push_back(minions.back().get());
   }
-  std::set<std::string> complete;
+  std::int64_t silent_at = 0;
+  std::int64_t until = 0;
   {
-    fleet programs(log, platform, views, 2);
+    fleet programs(log, platform, views, 3);
     if (!programs.Ready()) return 2;
-    Sleep(500);
-    for (int index = 0; index < kJobs; ++index) {
-      const auto answer = programs.Call(0, "GET", "/q/" + Id(index));
-      if (answer.body.find("complete") != std::string::npos) complete.insert(Id(index));
-    }
-    Sleep(2500);
-    const bool trouble = WithTrouble();
-    if (trouble) log.Add("the store is down; its leases pause");
-    platform.SetDown(trouble);
-    Sleep(4500);
-    if (trouble) {
-      log.Add("the store is back and has discarded its history");
-      platform.SetDown(false);
-      platform.DropHistory();
+    Sleep(4000);
+    // One lasting task on each worker, and ten tasks on each that fill, as the planner spreads
+    // them.
+    if (!programs.Submit(kLasting,
+                         R"({"spec":"lasting","steps":[{"count":4,"cpu":3200,"memMb":6400,)"
+                         R"("longRunning":true,"maxPerServer":1,"goalMs":60,"image":"x"}]})")) {
+      return 2;
     }
-    // A job of this run shows that the fleet works.
-    if (!programs.Submit("00000000000000ff", kJob)) return 2;
-    Sleep(12'000);
-    const auto answer = programs.Call(0, "GET", "/q/00000000000000ff");
-    if (answer.body.find("complete") == std::string::npos) {
-      log.Add("the new job is not complete");
+    Sleep(4000);
+    if (!programs.Submit(kFilling, R"({"spec":"fill ms=)" + std::to_string(kFillMs) +
+                                       R"(","steps":[{"count":40,"cpu":1000,"memMb":500,)"
+                                       R"("estMs":12000,"fills":true,"checkpoint":true,)"
+                                       R"("image":"y"}]})")) {
       return 2;
     }
+    Sleep(kSilenceMs);
+    silent_at = log.Now();
+    if (WithTrouble()) {
+      for (const auto& each : minions) {
+        log.Add("silent: " + std::to_string(each->link().SilenceOpen()) +
+                " connections between side-" + each->name() + " and minion " + each->name());
+      }
+    }
+    Sleep(kObservedMs);
+    until = log.Now();
   }
-  int again = 0;
+  std::vector<std::vector<seen_run>> tasks(4);
   for (const auto& each : minions) {
     for (const seen_run& run : each->Runs()) {
-      if (!complete.contains(run.task.substr(0, 16))) continue;
-      ++again;
-      log.Add("BROKEN: TWICE: start at " + std::to_string(run.started_ms) + " ms of " + run.task +
-              " run " + std::to_string(run.run) + " on " + run.minion +
-              "; its job was shown as complete at the beginning");
+      if (run.task.starts_with(kLasting) && run.started_ms <= until) {
+        tasks.at(static_cast<std::size_t>(run.task.back() - '0')).push_back(run);
+      }
     }
   }
-  log.Add(std::to_string(complete.size()) + " jobs were shown as complete at the beginning; " +
-          std::to_string(again) + " of their tasks started again");
-  return again > 0 ? 1 : 0;
-}
-
-int Main(int argc, char** argv) {
-  SetTimeLimit(110);
-  const std::string folder = argc > 1 ? argv[1] : ".";
-  if (argc > 2 && std::strcmp(argv[2], "snapshot") == 0) return WriteSnapshot(folder);
-  return Run(folder);
+  int code = 0;
+  for (std::vector<seen_run>& runs : tasks) {
+    if (runs.empty()) return 2;
+    std::sort(runs.begin(), runs.end(), [](const auto& left, const auto& right) {
+      return left.started_ms < right.started_ms;
+    });
+    for (std::size_t index = 0; index < runs.size(); ++index) {
+      const std::int64_t ended = runs[index].ended_ms;
+      if (ended < 0 || ended > until) continue;
+      const std::int64_t next = index + 1 < runs.size() ? runs[index + 1].started_ms : until;
+      const std::int64_t missing_from = std::max(ended + kRestartMs, silent_at + kCalmMs);
+      const bool lost = next - missing_from >= kIdleMs;
+      log.Add((lost ? "BROKEN: LOST: " : "") + runs[index].task + " did not run from " +
+              std::to_string(ended) + " to " + std::to_string(next) + " ms; its run ended as " +
+              runs[index].reason + "; calm since " + std::to_string(silent_at) + " ms");
+      if (lost) code = 1;
+    }
+  }
+  if (code == 0) log.Add("the rule held");
+  return code;
 }
 
 }  // namespace
--- a/review/support/stand_ins.cc
+++ b/review/support/stand_ins.cc
@@ -26,11 +26,15 @@
 constexpr milliseconds kHeartbeat{1500};
 constexpr std::int64_t kHoldMaxMs = 10'000;
 constexpr std::size_t kMaxListedEnds = 500;
+// Load of the lasting tasks: their tail latency without other tasks changes between the two values.
+// Each task that fills adds this much at full pace.
+constexpr std::int64_t kSwingMs = 4000;
+constexpr std::int64_t kLowTailMs = 20;
+constexpr std::int64_t kHighTailMs = 44;
+constexpr std::int64_t kPressurePermille = 30;
 constexpr std::size_t kPageItems = 500;
 constexpr std::size_t kMaxPrograms = 64;
 constexpr int kCannotRun = 2;
-// Time from the start of a deadly task to the crash of its minion.
-constexpr std::int64_t kDeadlyMs = 60;
 
 std::array<std::atomic<pid_t>, kMaxPrograms> started;
 
@@ -351,39 +355,9 @@
   return out;
 }
 
-void minion::Crash(milliseconds downtime) {
-  const std::lock_guard lock(mutex_);
-  CrashLocked(downtime);
-}
-
-void minion::CrashLocked(milliseconds downtime) {
-  log_.Add("minion " + name_ + " crashes for " + std::to_string(downtime.count()) + " ms");
-  for (task_state& each : tasks_) {
-    if (each.seen.reason.empty()) End(each, "gone");
-  }
-  ++boot_;
-  id_ = name_ + "-" + std::to_string(boot_);
-  fence_ = 0;
-  lease_until_ = 0;
-  last_end_ = 0;
-  sequence_ = 0;
-  closed_.clear();
-  back_at_ = steady::now() + downtime;
-  // Breaks the connections of the waiting polls, as the end of the process does.
-  for (const poll& each : polls_) {
-    each.respond({.status = 500, .headers = {{"Connection", "close"}}, .body = ""});
-  }
-  polls_.clear();
-  answers_.clear();
-}
-
 void minion::Handle(const http::request& request, const http::responder& respond) {
   const json body = json::parse(request.body, nullptr, false);
   const std::lock_guard lock(mutex_);
-  if (back_at_) {
-    respond({.status = 500, .headers = {{"Connection", "close"}}, .body = ""});
-    return;
-  }
   if (body.is_discarded()) {
     respond(Answer(400, {{"clockMs", Clock()}}));
     return;
@@ -422,6 +396,7 @@
 http::response minion::Execute(const std::string& path, const json& body) {
   if (path == "/-/run-start") return Start(body);
   if (path == "/-/run-stop") return Stop(body);
+  if (path == "/-/pace") return Pace(body);
   return Answer(200, {{"clockMs", Clock()}});
 }
 
@@ -463,6 +438,28 @@
   return Answer(200, {{"clockMs", Clock()}});
 }
 
+http::response minion::Pace(const json& body) {
+  for (task_state& each : tasks_) {
+    if (each.boot == boot_ && each.seen.reason.empty() &&
+        each.seen.task == body.at("task").get<std::string>() &&
+        each.seen.run == body.at("run").get<std::uint32_t>()) {
+      each.pace = body.value("percent", std::int64_t{100});
+    }
+  }
+  return Answer(200, {{"clockMs", Clock()}});
+}
+
+std::int64_t minion::TailMs() const {
+  std::int64_t filling = 0;
+  for (const task_state& each : tasks_) {
+    if (each.boot == boot_ && each.seen.reason.empty() && each.payload.starts_with("fill")) {
+      filling += each.pace;
+    }
+  }
+  const std::int64_t base = Clock() / kSwingMs % 2 == 0 ? kLowTailMs : kHighTailMs;
+  return base + base * filling * kPressurePermille / 100 / 1000;
+}
+
 void minion::End(task_state& state, const std::string& reason) {
   state.seen.reason = reason;
   state.seen.ended_ms = log_.Now();
@@ -487,8 +484,10 @@
       const auto ms =
           std::chrono::duration_cast<milliseconds>(steady::now() - each.started).count();
       // Each look shows progress, so that no task seems to stand still.
-      const std::int64_t percent = each.payload == "lasting" ? 100 : ms / 500 % 100;
-      running.push_back({each.seen.task, each.seen.run, "", percent, 5});
+      const bool lasting = each.payload == "lasting";
+      const std::int64_t percent = lasting ? 100 : ms / 500 % 100;
+      const std::int64_t reading = lasting ? TailMs() : 10 * each.pace;
+      running.push_back({each.seen.task, each.seen.run, "", percent, reading});
     } else if (each.end_number > last_seen) {
       ends.push_back(&each);
     }
@@ -506,19 +505,10 @@
 
 void minion::Step() {
   const auto now = steady::now();
-  if (back_at_) {
-    if (now < *back_at_) return;
-    back_at_.reset();
-    booted_ = now;
-    born_ = UnixMs();
-    next_beat_ = now;
-    log_.Add("minion " + name_ + " is back");
-  }
   while (!answers_.empty() && answers_.front().due <= now) {
     answers_.front().respond(answers_.front().answer);
     answers_.pop_front();
   }
-  bool deadly = false;
   for (task_state& each : tasks_) {
     if (each.boot != boot_) continue;
     if (Clock() > lease_until_ && !each.seen.noted) each.lapsed = true;
@@ -526,16 +516,11 @@
     const auto worked = std::chrono::duration_cast<milliseconds>(now - each.started).count();
     if (Clock() > lease_until_) {
       End(each, "lapsed");
-    } else if (each.payload == "deadly") {
-      deadly = deadly || worked >= kDeadlyMs;
-    } else if (each.payload.starts_with("ms=") && worked >= std::stoll(each.payload.substr(3))) {
+    } else if (const auto at = each.payload.find("ms=");
+               at != std::string::npos && worked >= std::stoll(each.payload.substr(at + 3))) {
       End(each, "done");
     }
   }
-  if (deadly) {
-    CrashLocked(downtime_);
-    return;
-  }
   std::erase_if(polls_, [&](const poll& each) {
     if (now < each.until && !HasEnds(each.last_seen)) return false;
     each.respond(Answer(200, Lists(each.last_seen)));
--- a/review/support/stand_ins.h
+++ b/review/support/stand_ins.h
@@ -127,19 +127,20 @@
   bool noted = false;
 };
 
-/// A minion. The payload of a task says how long it works: "ms=500", "lasting", or "deadly" for a
-/// task that crashes the minion 60 ms after its start.
+/// A minion. The payload of a task says how long it works: "ms=500" or "lasting". "fill ms=500" is
+/// a task that fills: it disturbs the lasting ones by its pace, and their load swings.
 class minion {
  public:
   minion(record& log, std::string name, int cpu_millis, int memory_mb);
   ~minion();
-  std::string address() const { return "127.0.0.1:" + std::to_string(server_->port()); }
+  std::string address() const {
+    return link_ ? link_->address() : "127.0.0.1:" + std::to_string(server_->port());
+  }
+  /// Puts a proxy between the minion and its agent; call it first.
+  void LinkAgent() { link_ = std::make_unique<proxy>(address()); }
+  proxy& link() { return *link_; }
   const std::string& name() const { return name_; }
   void AnnounceTo(const std::string& control);
-  /// Ends all runs at once; a new boot starts after `downtime`.
-  void Crash(milliseconds downtime);
-  /// Sets how long a crash by a deadly task lasts.
-  void SetDowntime(milliseconds downtime) { downtime_ = downtime; }
   /// Sets how long a start takes until it is answered.
   void SetStartTime(milliseconds time) { start_time_ = time; }
   std::vector<seen_run> Runs();
@@ -148,6 +149,7 @@
   struct task_state {
     seen_run seen;
     std::string payload;
+    std::int64_t pace = 100;
     std::uint64_t boot = 0;
     std::uint64_t end_number = 0;
     bool lapsed = false;  ///< the lease lapsed before the end was taken note of
@@ -168,10 +170,12 @@
   http::response Execute(const std::string& path, const nlohmann::json& body);
   http::response Start(const nlohmann::json& body);
   http::response Stop(const nlohmann::json& body);
+  http::response Pace(const nlohmann::json& body);
+  /// @return the tail latency of the lasting tasks, in ms.
+  std::int64_t TailMs() const;
   nlohmann::json Lists(std::uint64_t last_seen);
   bool HasEnds(std::uint64_t last_seen) const;
   void End(task_state& state, const std::string& reason);
-  void CrashLocked(milliseconds downtime);
   void Step();
   void Announce();
   std::int64_t Clock() const;
@@ -180,14 +184,12 @@
   std::string name_;
   int cpu_millis_;
   int memory_mb_;
-  milliseconds downtime_{4500};
   milliseconds start_time_{0};
   std::mutex mutex_;
   std::uint64_t boot_ = 1;
   std::int64_t born_ = 0;
   std::string id_;
   steady::time_point booted_;
-  std::optional<steady::time_point> back_at_;
   std::uint64_t fence_ = 0;
   std::int64_t lease_until_ = 0;
   std::uint64_t last_end_ = 0;
@@ -203,6 +205,7 @@
   std::condition_variable stopped_;
   std::unique_ptr<http::client> client_ = http::MakeCurlClient();
   std::unique_ptr<http::server> server_;
+  std::unique_ptr<proxy> link_;
   std::thread timer_;
 };
 
