--- a/review/3/script.cc
+++ b/review/3/script.cc
@@ -15,7 +15,7 @@
 constexpr std::int64_t kRestartMs = 6000;
 constexpr std::int64_t kIdleMs = 3000;
 constexpr std::int64_t kCalmMs = 4000;
-constexpr std::int64_t kFillMs = 12'000;
+constexpr std::int64_t kFillMs = 16'000;
 constexpr std::int64_t kSilenceMs = 26'000;  ///< after the filling tasks were accepted
 constexpr std::int64_t kObservedMs = 25'000;
 constexpr const char* kLasting = "00000000000000a0";
@@ -40,7 +40,7 @@
     fleet programs(log, platform, views, 3);
     if (!programs.Ready()) return 2;
     Sleep(4000);
-    // One lasting task on each worker, and ten tasks on each that fill, as the planner spreads
+    // One lasting task on each worker, and twelve tasks on each that fill, as the planner spreads
     // them.
     if (!programs.Submit(kLasting,
                          R"({"spec":"lasting","steps":[{"count":4,"cpu":3200,"memMb":6400,)"
@@ -49,8 +49,8 @@
     }
     Sleep(4000);
     if (!programs.Submit(kFilling, R"({"spec":"fill ms=)" + std::to_string(kFillMs) +
-                                       R"(","steps":[{"count":40,"cpu":1000,"memMb":500,)"
-                                       R"("estMs":12000,"fills":true,"checkpoint":true,)"
+                                       R"(","steps":[{"count":48,"cpu":1000,"memMb":500,)"
+                                       R"("estMs":16000,"fills":true,"checkpoint":true,)"
                                        R"("image":"y"}]})")) {
       return 2;
     }
