jobs, runner: wait for the ends that a full list leaves out

Cause: a target lists its 500 oldest unconfirmed ends. After both agent and coordinator had been restarted nobody remembered the runs whose ends were left out, and the first, full list counted as the whole truth.

A report now says whether ends may be left out. The coordinator takes no run as missing from such a report and does not count the worker's lists as complete, so that a takeover waits and nothing is planned there. It still records and confirms the ends, after which the target lists the next ones. Two related paths are closed by the same flag: a list that looked complete because some of its ends had been confirmed, and a report that a restarted agent sent before it received the commands that name its runs.

The new tests and the last check of `a run whose end a restarted agent cannot list yet is not started again` failed before the change.

--- a/libs/jobs/include/jobs/coordinator.h
+++ b/libs/jobs/include/jobs/coordinator.h
@@ -125,7 +125,7 @@
   void AdoptStarting(worker_row& worker, const run_id& listed);
   /// Adds a copy for a run that the worker lists, unless the job table has it.
   void AdoptRun(worker_row& worker, const task_ref& ref, const run_id& run, bool running);
-  /// Removes copies that the report should list and does not.
+  /// Removes copies that the report should list and does not, if its lists are complete.
   void DropMissing(worker_row& worker, const worker_report& report);
   void DropRefused(worker_row& worker, const worker_report& report);
   /// Records that a target crashed after starts which the report names.
--- a/libs/jobs/include/jobs/messages.h
+++ b/libs/jobs/include/jobs/messages.h
@@ -112,7 +112,7 @@
 };
 
 /// Agent to coordinator. If `listed` is set, `running`, `starting` and `ended` are complete
-/// lists; otherwise they are omitted.
+/// lists, except as `ends_omitted` tells; otherwise they are omitted.
 struct worker_report {
   static constexpr auto kType = wire::message_type::worker_report;
   std::string agent;
@@ -127,6 +127,7 @@
   std::vector<std::string> labels;
   core::resources capacity;
   bool listed = false;
+  bool ends_omitted = false;  ///< the target may have ended more runs than it lists at a time
   std::vector<running_task> running;
   std::vector<run_id> starting;      ///< start was commanded, outcome not known yet
   std::vector<ended_run> ended;      ///< not yet confirmed by the coordinator
@@ -135,7 +136,7 @@
   template <class Archive>
   void serialize(Archive& archive) {
     archive(agent, agent_incarnation, term, sent_ms, commands_seen, state, incarnation, service,
-            zone, labels, capacity, listed, running, starting, ended, refused);
+            zone, labels, capacity, listed, ends_omitted, running, starting, ended, refused);
   }
 };
 
--- a/libs/jobs/include/jobs/report_stream.h
+++ b/libs/jobs/include/jobs/report_stream.h
@@ -53,6 +53,7 @@
   std::uint64_t commands_seen = 0;
   target_state state = target_state::unknown;
   bool listed = false;
+  bool ends_omitted = false;
   std::vector<std::uint32_t> removed;  ///< rows of the previous list, ascending
   std::vector<running_change> changed;
   std::vector<running_task> added;  ///< appended after those that remain
@@ -64,8 +65,8 @@
   bool operator==(const worker_changes&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(sequence, identity, term, sent_ms, commands_seen, state, listed, removed, changed,
-            added, digest, starting, first_unstored, ended, refused);
+    archive(sequence, identity, term, sent_ms, commands_seen, state, listed, ends_omitted, removed,
+            changed, added, digest, starting, first_unstored, ended, refused);
   }
 };
 
--- a/libs/jobs/include/jobs/worker_table.h
+++ b/libs/jobs/include/jobs/worker_table.h
@@ -28,7 +28,8 @@
   bool reported = false;                ///< has reported in this term
   bool reported_on_connection = false;  ///< has reported on its current connection
   bool resend_commands = true;          ///< commands without a known outcome must be sent again
-  bool listed = false;  ///< this target incarnation has sent its full lists in this term
+  /// This target incarnation has listed all its runs and all ends in this term.
+  bool listed = false;
   bool absent = false;  ///< in the absence register; gets no lease before its removal is stored
   core::mono_time last_report_at;
   core::mono_time known_since;
--- a/libs/jobs/src/coordinator_reports.cc
+++ b/libs/jobs/src/coordinator_reports.cc
@@ -53,7 +53,11 @@
   if (report.listed && worker.incarnation == report.incarnation) {
     ApplyEnds(worker, report);
     if (report.state != target_state::gone) Reconcile(worker, report);
-    if (!std::exchange(worker.listed, true)) {
+    // Further ends follow once the coordinator has confirmed those in the list.
+    if (report.ends_omitted && !worker.listed) {
+      spdlog::info("event=worker_list_incomplete agent={} target={} ended={}", worker.agent,
+                   worker.incarnation.name, report.ended.size());
+    } else if (!std::exchange(worker.listed, true)) {
       spdlog::info("event=worker_listed agent={} target={} running={} ended={}", worker.agent,
                    worker.incarnation.name, report.running.size(), report.ended.size());
     }
@@ -316,9 +320,8 @@
 }
 
 void coordinator::DropMissing(worker_row& worker, const worker_report& report) {
-  // A restarted agent does not know which runs a full list of ends leaves out. It lists them as
-  // running once it has been told of them.
-  if (worker.resend_commands && report.ended.size() >= kMaxListedEnds) return;
+  // A missing run may be one whose end the target does not list yet.
+  if (report.ends_omitted) return;
   std::vector<run_id> present = report.starting;
   for (const running_task& listed : report.running) present.push_back({listed.task, listed.run});
   struct missing_copy {
--- a/libs/jobs/src/report_stream.cc
+++ b/libs/jobs/src/report_stream.cc
@@ -64,7 +64,8 @@
                      .sent_ms = report.sent_ms,
                      .commands_seen = report.commands_seen,
                      .state = report.state,
-                     .listed = report.listed};
+                     .listed = report.listed,
+                     .ends_omitted = report.ends_omitted};
   worker_identity identity = IdentityOf(report);
   if (sequence_ == 1 || identity != identity_) {
     // Ended runs are numbered per incarnation of the target.
@@ -137,7 +138,8 @@
                     .zone = identity_.zone,
                     .labels = identity_.labels,
                     .capacity = identity_.capacity,
-                    .listed = changes.listed};
+                    .listed = changes.listed,
+                    .ends_omitted = changes.ends_omitted};
   if (!changes.listed) return out;
   if (!DecodeRunning(changes)) {
     return error.Set(core::result_code::decode_error, "changes do not apply to the last report");
--- a/libs/jobs/tests/agent_restart_test.cc
+++ b/libs/jobs/tests/agent_restart_test.cc
@@ -12,6 +12,18 @@
 
 constexpr auto kJob = "00000000000000aa";
 
+/// Adds ends of another job until the target's list is full.
+void FillEndList(worker_report& worker) {
+  for (std::uint32_t number = 1; number <= kMaxListedEnds; ++number) {
+    worker.ended.push_back({.number = number,
+                            .task = {"00000000000000ab", 0, 0, number},
+                            .run = 1,
+                            .reason = end_reason::done,
+                            .checkpoint = ""});
+  }
+  worker.ends_omitted = true;
+}
+
 }  // namespace
 
 // Guards against absence from a restarted agent's first list that is taken for the end of a run.
@@ -57,18 +69,50 @@
   fleet.control.OnAgentConnected(agent);
   fleet.Worker(agent).agent_incarnation = 2;
   fleet.Worker(agent).running.clear();
-  for (std::uint32_t number = 1; number <= kMaxListedEnds; ++number) {
-    fleet.Worker(agent).ended.push_back({.number = number,
-                                         .task = {"00000000000000ab", 0, 0, number},
-                                         .run = 1,
-                                         .reason = end_reason::done,
-                                         .checkpoint = ""});
-  }
+  FillEndList(fleet.Worker(agent));
   fleet.Report(agent);
   fleet.Tick();
   REQUIRE_FALSE(fleet.agents.commands.empty());
   CHECK(fleet.agents.commands.back().second.facts.size() == 1);
   CHECK(fleet.agents.TakeStarts().empty());
+  // This report was sent before the agent received the commands that name its runs.
+  fleet.Report(agent);
+  fleet.Tick();
+  CHECK(fleet.agents.TakeStarts().empty());
+}
+
+// Guards against a takeover that starts tasks again whose ends a full list leaves out.
+TEST_CASE("a new coordinator starts no known task before a worker has listed all its ends") {
+  coordinator_fixture fleet;
+  fleet.storage.Put(AgentKey("a"), "10.0.0.1:7000");
+  fleet.Submit(kJob, {TestStep(1)});
+  // The job is older than the term, so an earlier coordinator may have started it.
+  fleet.storage.Put(std::string(kLeaderKey), "leader");
+  fleet.term = fleet.storage.revision;
+  fleet.BeginFromStore();
+  fleet.control.OnAgentConnected("a");
+  FillEndList(fleet.Worker("a"));
+  fleet.Report("a");
+  fleet.Tick();
+  CHECK(fleet.agents.TakeStarts().empty());
+  REQUIRE_FALSE(fleet.agents.grants.empty());
+  CHECK(fleet.agents.grants.back().second.stored_end == kMaxListedEnds);
+  // A confirmed end leaves the agent's list before the target lists the next ones.
+  worker_report& worker = fleet.Worker("a");
+  worker.ended.erase(worker.ended.begin(), worker.ended.begin() + 300);
+  fleet.Report("a");
+  fleet.Tick();
+  CHECK(fleet.agents.TakeStarts().empty());
+  worker.ended = {{.number = kMaxListedEnds + 1,
+                   .task = {kJob, 0, 0, 0},
+                   .run = 1,
+                   .reason = end_reason::done,
+                   .checkpoint = ""}};
+  worker.ends_omitted = false;
+  fleet.Report("a");
+  fleet.Tick();
+  CHECK(fleet.agents.TakeStarts().empty());
+  CHECK(fleet.control.StateOf(kJob) == job_state::complete);
 }
 
 }  // namespace coltsfoot::jobs
--- a/libs/jobs/tests/report_stream_test.cc
+++ b/libs/jobs/tests/report_stream_test.cc
@@ -77,6 +77,7 @@
     }
     ++report.sent_ms;
     report.listed = Below(3) != 0;
+    report.ends_omitted = Below(4) == 0;
   }
 
   void End() {
--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -158,6 +158,7 @@
   std::uint64_t listed_term_ = 0;  ///< term of the last answered poll
   std::vector<jobs::running_task> running_;
   std::vector<jobs::ended_run> ended_;
+  bool ends_omitted_ = false;  ///< the last answered poll listed as many ends as a target lists
   std::uint64_t last_end_seen_ = 0;
 
   std::map<jobs::run_id, pending_start> starts_;
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -81,6 +81,7 @@
   next_poll_ = time_.Now();
   last_answer_ = time_.Now();
   has_lists_ = false;
+  ends_omitted_ = false;
   running_.clear();
   ended_.clear();
   starts_.clear();
@@ -150,7 +151,7 @@
   }
   for (const jobs::task_facts& facts : commands.facts) facts_.insert_or_assign(facts.run, facts);
   // The runs that a full list of ends leaves out are known now.
-  if (ended_.size() >= jobs::kMaxListedEnds) KeepRunsWithUnlistedEnd(running_);
+  if (ends_omitted_) KeepRunsWithUnlistedEnd(running_);
   for (const jobs::start_command& start : commands.starts) {
     const jobs::run_id& run = start.facts.run;
     facts_.insert_or_assign(run, start.facts);
@@ -271,7 +272,9 @@
   const std::size_t before = running_.size();
   const std::vector<jobs::running_task> last = std::exchange(running_, lists.running);
   ended_ = lists.ended;
-  if (lists.ended.size() >= jobs::kMaxListedEnds) KeepRunsWithUnlistedEnd(last);
+  // Stays set when ends of this list are confirmed: the target has not listed the next ones then.
+  ends_omitted_ = lists.ended.size() >= jobs::kMaxListedEnds;
+  if (ends_omitted_) KeepRunsWithUnlistedEnd(last);
   std::erase_if(ended_, [this](const auto& end) { return end.number <= stored_end_; });
   std::sort(ended_.begin(), ended_.end(),
             [](const auto& left, const auto& right) { return left.number < right.number; });
@@ -284,8 +287,7 @@
     const auto& [run, start] = each;
     if (listed.contains(run) || ended.contains(run)) return !start.in_flight;
     // Not listed although settled before this poll: it never ran, or its end is stored.
-    const bool gone =
-        start.settled_at && *start.settled_at < sent && lists.ended.size() < jobs::kMaxListedEnds;
+    const bool gone = start.settled_at && *start.settled_at < sent && !ends_omitted_;
     if (gone && start.abandoned) refused_.push_back({run, *start.abandoned});
     report_due_ = report_due_ || gone;
     return gone;
--- a/libs/runner/src/runner_reports.cc
+++ b/libs/runner/src/runner_reports.cc
@@ -133,6 +133,7 @@
   }
   if (with_lists && HasCompleteLists()) {
     report.listed = true;
+    report.ends_omitted = ends_omitted_;
     report.running = running_;
     for (jobs::running_task& task : report.running) {
       task.pace = pacer_.PaceOf({task.task, task.run});
--- a/libs/runner/tests/unanswered_start_test.cc
+++ b/libs/runner/tests/unanswered_start_test.cc
@@ -229,6 +229,32 @@
   CHECK(fixture.LastListing().ended.back().number == jobs::kMaxListedEnds + 1);
 }
 
+// Guards against a list of ends that seems complete because some of its ends were confirmed.
+TEST_CASE("a full list of ends counts as incomplete until the target has listed the next ones") {
+  runner_fixture fixture;
+  std::vector<jobs::ended_run> ends;
+  for (std::uint32_t number = 1; number <= jobs::kMaxListedEnds; ++number) {
+    ends.push_back({.number = number, .task = {kJob, 0, 1, number}, .run = 1});
+  }
+  fixture.Answer({}, ends);
+  CHECK(fixture.LastListing().ends_omitted);
+  fixture.agent.OnGrant({.term = 5,
+                         .echo_ms = core::ToMs(fixture.time.Now().time_since_epoch()),
+                         .incarnation = fixture.announcement.incarnation,
+                         .stored_end = 300});
+  jobs::worker_commands commands{
+      .term = 5, .sequence = 1, .incarnation = fixture.announcement.incarnation};
+  commands.facts.push_back({.run = runner_fixture::Run(1)});
+  fixture.agent.OnCommands(commands);
+  fixture.Pass(milliseconds{100});
+  CHECK(fixture.LastListing().ended.size() == jobs::kMaxListedEnds - 300);
+  CHECK(fixture.LastListing().ends_omitted);
+  CHECK(fixture.LastListing().running.size() == 1);
+  fixture.Answer({}, {{.number = jobs::kMaxListedEnds + 1, .task = {kJob, 0, 0, 0}, .run = 1}});
+  CHECK_FALSE(fixture.LastListing().ends_omitted);
+  CHECK(fixture.LastListing().running.empty());
+}
+
 // Guards against a repeated start that counts as refused by a target that has not seen it.
 TEST_CASE("a repeated start for another incarnation is not refused") {
   runner_fixture fixture;
