http, runner: discard idle connections to a server that has gone silent

Callers saw lasting tasks stand still for 16 s on an idle fleet of sound targets (LOST), after the open connections between agents and targets went silent without a reset.

Cause: a timeout closed only the connection of its own call. Each further idle connection cost another timeout, up to 1.5 s for a poll, so with three or more of them the lease of 5 s expired and all runs lapsed. After a failure the poll also waited for news although only the answer matters.

The client now keeps a pool of connections for each server and discards it when a call on a reused connection runs into its timeout, so the next call opens a new connection. After a failed poll the next one asks for an immediate answer. One timeout and one short poll stay far below the lease, however many connections there are.

--- a/libs/http/include/http/client.h
+++ b/libs/http/include/http/client.h
@@ -44,7 +44,8 @@
   virtual void Send(call request, call_handler handler) = 0;
 };
 
-/// Client based on libcurl, with one traffic thread and kept-alive connections. The destructor does
+/// Client based on libcurl, with one traffic thread and kept-alive connections. After a timeout on
+/// a kept-alive connection, later calls to the same server use new connections. The destructor does
 /// not wait for calls: those in progress end with `connection_lost`, those not yet started with
 /// `connect_failed`.
 std::unique_ptr<client> MakeCurlClient();
--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -1,9 +1,11 @@
 #include "http/client.h"
 
 #include <curl/curl.h>
+#include <spdlog/spdlog.h>
 
 #include <atomic>
 #include <cctype>
+#include <chrono>
 #include <deque>
 #include <future>
 #include <mutex>
@@ -12,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "connection_pool.h"
 #include "core/result_code.h"
 
 namespace coltsfoot::http {
@@ -24,6 +27,7 @@
 struct transfer {
   call request;
   call_handler handler;
+  std::shared_ptr<connection_pool> pool;
   response answer;
   curl_slist* header_list = nullptr;
   bool sent = false;  ///< libcurl had a connection and started to send the request
@@ -89,6 +93,7 @@
     curl_multi_wakeup(multi_);
     thread_.join();
     for (CURL* handle : idle_handles_) curl_easy_cleanup(handle);
+    pools_ = {};
     curl_multi_cleanup(multi_);
   }
 
@@ -127,6 +132,8 @@
   void Start(std::unique_ptr<transfer> item) {
     CURL* handle = AcquireHandle();
     const call& request = item->request;
+    item->pool = pools_.For(request.url, std::chrono::steady_clock::now());
+    curl_easy_setopt(handle, CURLOPT_SHARE, item->pool->handle());
     curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
     curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
@@ -171,13 +178,27 @@
       auto node = active_.extract(handle);
       long status = 0;  // NOLINT(google-runtime-int): libcurl's type
       curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+      DiscardSilentConnections(*node.mapped(), handle, failure);
       curl_multi_remove_handle(multi_, handle);
       ReleaseHandle(handle);
       Deliver(*node.mapped(), failure, static_cast<int>(status));
     }
   }
 
+  // A host can lose its connections without a reset, for example to a restarted firewall. Without
+  // an answer in time on a reused connection, the other idle ones to that server may be as dead,
+  // and each would cost a further timeout.
+  void DiscardSilentConnections(const transfer& item, CURL* handle, CURLcode failure) {
+    if (failure != CURLE_OPERATION_TIMEDOUT || !item.sent) return;
+    long opened = 0;  // NOLINT(google-runtime-int): libcurl's type
+    curl_easy_getinfo(handle, CURLINFO_NUM_CONNECTS, &opened);
+    if (opened > 0 || !pools_.Discard(item.request.url, item.pool)) return;
+    spdlog::info("event=connections_discarded url={} timeout_ms={}", item.request.url,
+                 item.request.timeout.count());
+  }
+
   void ReleaseHandle(CURL* handle) {
+    curl_easy_setopt(handle, CURLOPT_SHARE, nullptr);
     if (idle_handles_.size() >= kMaxIdleHandles) {
       curl_easy_cleanup(handle);
       return;
@@ -218,6 +239,7 @@
   std::deque<std::unique_ptr<transfer>> pending_;
   std::unordered_map<CURL*, std::unique_ptr<transfer>> active_;
   std::vector<CURL*> idle_handles_;
+  connection_pools pools_;  ///< of the traffic thread
   std::thread thread_;
 };
 
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -207,7 +207,8 @@
   const bool pacing = any([](const jobs::task_facts& each) { return each.fills; }) &&
                       any([](const jobs::task_facts& each) { return each.goal_ms > 0; });
   poll_call call{.fence = term_, .lease_until_ms = std::nullopt, .stored_end = stored_end_};
-  if (!unstored && clock_offset_ms_) {
+  // After a failure an answer is needed at once: the lease is extended only when one has arrived.
+  if (!unstored && clock_offset_ms_ && failed_polls_ == 0) {
     call.wait = pacing ? options_.poll_wait_pacing : options_.poll_wait;
   }
   // While a target does not answer, each further extension would postpone the time at which its
--- a/libs/runner/tests/runner_test.cc
+++ b/libs/runner/tests/runner_test.cc
@@ -189,6 +189,20 @@
   CHECK(fixture.coordinator.reports.back().incarnation == jobs::target_incarnation{"t", 2});
 }
 
+// Guards against a lease that expires while polls wait for news from a target that answers again.
+TEST_CASE("after a failed poll the next one asks for an immediate answer and extends no lease") {
+  runner_fixture fixture;
+  CHECK(fixture.target.polls_sent.back().wait > milliseconds{0});
+  scripted_target::AnswerNext(fixture.target.poll_answers, std::optional<target_lists>());
+  fixture.Pass(milliseconds{200});
+  CHECK(fixture.target.polls_sent.back().wait == milliseconds{0});
+  CHECK_FALSE(fixture.target.polls_sent.back().lease_until_ms);
+  fixture.Answer({});
+  fixture.Pass(milliseconds{50});
+  CHECK(fixture.target.polls_sent.back().wait > milliseconds{0});
+  CHECK(fixture.target.polls_sent.back().lease_until_ms);
+}
+
 // Guards against running a task again whose end is not listed: a target lists only its 500 oldest
 // ends, and a run that is in neither list counted as lost (scenario malolos-straw-large trouble-2).
 TEST_CASE("a run whose end is omitted from a full list of ends still counts as running") {
