platform, agent: refuse deeply nested and large messages before parsing

Operators of similar systems saw processes end again and again on one odd entry among those of the targets. It could happen here: one announcement of 4 MiB took `coltsfoot-runner` to 148 to 334 MB, on hosts with 128 MB, and a deeply nested answer of a target ended `coltsfoot-agent` with SIGSEGV.

Cause: messages were checked only after parsing. A parsed value takes up to 80 times the memory of its text, and copying or writing it out recurses into each level.

JSON of other programs is now refused if it is nested more than 32 levels deep, by a scan that allocates nothing, and the runner accepts announcements of up to 64 KiB, so that neither memory nor stack grows with the message.

--- a/libs/agent/src/target_json.cc
+++ b/libs/agent/src/target_json.cc
@@ -9,6 +9,8 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "core/json_nesting.h"
+
 namespace coltsfoot::agent {
 namespace {
 
@@ -117,13 +119,20 @@
   return out;
 }
 
+/// @return the parsed text, or a discarded value if it is nested too deeply.
+/// @throws json::parse_error if it is not valid JSON.
+json ParseJson(std::string_view text) {
+  if (core::IsNestedDeeperThan(text, core::kMaxJsonNesting)) return json(json::value_t::discarded);
+  return json::parse(text);
+}
+
 /// Runs `parse` on the JSON object in `body` and reports exceptions as errors. Exceptions of
 /// `parse` become `code`.
 template <class Parse>
 auto ParseObject(std::string_view body, result_code code, core::last_error& error, Parse parse)
     -> std::optional<decltype(parse(json{}))> {
   try {
-    const json root = json::parse(body);
+    const json root = ParseJson(body);
     if (!root.is_object()) return error.Set(result_code::malformed_request, "expected an object");
     return parse(root);
   } catch (const json::parse_error& failure) {
@@ -268,7 +277,7 @@
 std::optional<target_announcement> ParseAnnouncement(std::string_view body,
                                                      core::last_error& error) {
   try {
-    const json root = json::parse(body);
+    const json root = ParseJson(body);
     if (!root.is_object()) return error.Set(result_code::malformed_request, "expected an object");
     return ToAnnouncement(root);
   } catch (const json::parse_error& failure) {
--- a/libs/agent/tests/network_test.cc
+++ b/libs/agent/tests/network_test.cc
@@ -127,6 +127,19 @@
         start_outcome::unknown);
 }
 
+// Guards against a response whose nesting exhausts the stack when a part of it is written out.
+TEST_CASE("a deeply nested response of a target is refused") {
+  constexpr std::size_t kLevels = 200'000;
+  const std::string nested = std::string(kLevels, '[') + std::string(kLevels, ']');
+  core::last_error error;
+  CHECK_FALSE(ParseListing(R"({"instance":)" + nested + R"(,"tasks":[]})", error).has_value());
+  CHECK_FALSE(ParseEvents(R"({"instance":"a","next":1,"events":[{"type":"usage","samples":)" +
+                              nested + "}]}",
+                          error)
+                  .has_value());
+  CHECK_FALSE(ParseAnnouncement(R"({"target":)" + nested + "}", error).has_value());
+}
+
 // Guards against a corrupt response that crashes the agent or loses a lease deadline.
 TEST_CASE("lists and events are parsed completely or not at all") {
   core::last_error error;
--- a/libs/core/tests/core_test.cc
+++ b/libs/core/tests/core_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "core/ids.h"
+#include "core/json_nesting.h"
 #include "core/resources.h"
 #include "core/result_code.h"
 
@@ -50,6 +51,18 @@
   CHECK_FALSE(ShardOfTask("").has_value());
 }
 
+// Guards against JSON that passes the limit because of what its strings contain.
+TEST_CASE("the nesting of JSON counts open arrays and objects outside strings") {
+  CHECK(IsNestedDeeperThan("[[]]", 1));
+  CHECK_FALSE(IsNestedDeeperThan("[[]]", 2));
+  CHECK_FALSE(IsNestedDeeperThan(R"([{},{},{"a":[]}])", 3));
+  CHECK(IsNestedDeeperThan(R"([{},{},{"a":[]}])", 2));
+  CHECK_FALSE(IsNestedDeeperThan(R"(["[[[\"[[[\\"])", 1));
+  CHECK(IsNestedDeeperThan(R"(["\\",[]])", 1));
+  CHECK_FALSE(IsNestedDeeperThan("]]]]", 0));
+  CHECK_FALSE(IsNestedDeeperThan("\"\\", 0));
+}
+
 TEST_CASE("resources fit only if each component fits") {
   const resources worker{.cpu_millis = 16000, .memory_mb = 60000, .accelerators = 1};
   CHECK(resources{16000, 60000, 1}.FitsIn(worker));
--- a/tools/coltsfoot-runner/main.cc
+++ b/tools/coltsfoot-runner/main.cc
@@ -31,7 +31,8 @@
 // Time for the last extension of the lease to reach the target before the process exits.
 constexpr core::milliseconds kStopDelay{60};
 constexpr core::milliseconds kHttpShutdownLimit{100};
-constexpr std::size_t kBodyLimitBytes = 4U << 20U;
+// An announcement has some hundred bytes. Parsing takes many times the size of the text in memory.
+constexpr std::size_t kBodyLimitBytes = 64U << 10U;
 
 struct runner_settings {
   std::string id;
