--- a/libs/jobs/include/jobs/types.h
+++ b/libs/jobs/include/jobs/types.h
@@ -17,6 +17,9 @@
 inline constexpr std::size_t kMaxSteps = 64;
 inline constexpr std::uint32_t kMaxTasksPerStep = 1000;
 inline constexpr std::size_t kMaxSpecBytes = 4000;
+/// Exceeds the capacity of any worker, yet is small enough that sums over all tasks and workers do
+/// not overflow.
+inline constexpr std::int64_t kMaxResourceAmount = 1'000'000'000;
 
 /// Identifies a task.
 struct task_id {
--- a/libs/jobs/src/records.cc
+++ b/libs/jobs/src/records.cc
@@ -5,10 +5,6 @@
 namespace coltsfoot::jobs {
 namespace {
 
-/// Exceeds the capacity of any worker, yet is small enough that sums over all tasks do not
-/// overflow.
-constexpr std::int64_t kMaxResourceAmount = 1'000'000'000;
-
 constexpr std::string_view kCrashSuffix = "/crashes";
 
 std::string Join(std::string_view prefix, std::string_view name) {
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <chrono>
 #include <iterator>
 #include <utility>
 
@@ -19,6 +20,9 @@
 constexpr core::milliseconds kFailedPollDelay{150};
 // Delay before a command without a known outcome is sent again.
 constexpr core::milliseconds kCommandRetryDelay{100};
+// Far more than clocks of a fleet differ. A target that seems to start later than this would make
+// the runner ignore all later incarnations.
+constexpr std::chrono::hours kMaxStartAhead{24};
 
 }  // namespace
 
@@ -33,6 +37,12 @@
       earlier_calls_expire_at_(time.Now() + MaxDuration(options_.task_lease)) {}
 
 void runner::OnAnnouncement(const target_announcement& received) {
+  const std::chrono::milliseconds latest = time_.WallNow().time_since_epoch() + kMaxStartAhead;
+  if (received.incarnation.started_ms > static_cast<std::uint64_t>(latest.count())) {
+    spdlog::warn("event=announcement_refused target={} born={}", received.incarnation.name,
+                 received.incarnation.started_ms);
+    return;
+  }
   if (announced_) {
     const target_announcement& known = *announced_;
     // Delayed announcement of an earlier incarnation, or one that arrived out of order.
--- a/libs/runner/tests/runner_test.cc
+++ b/libs/runner/tests/runner_test.cc
@@ -189,6 +189,21 @@
   CHECK(fixture.coordinator.reports.back().incarnation == jobs::target_incarnation{"t", 2});
 }
 
+// Guards against an odd announcement that hides all later incarnations of the target.
+TEST_CASE("an announcement of a target that starts in the far future is ignored") {
+  runner_fixture fixture;
+  target_announcement odd = fixture.announcement;
+  odd.incarnation = {"odd", 9'007'199'254'740'991};
+  odd.address = "10.0.0.9:1";
+  fixture.agent.OnAnnouncement(odd);
+  CHECK(fixture.target.address == fixture.announcement.address);
+  target_announcement next = fixture.announcement;
+  next.incarnation = {"t-2", 2};
+  next.address = "10.0.0.2:80";
+  fixture.agent.OnAnnouncement(next);
+  CHECK(fixture.target.address == next.address);
+}
+
 // Guards against a lease that expires while polls wait for news from a target that answers again.
 TEST_CASE("after a failed poll the next one asks for an immediate answer and extends no lease") {
   runner_fixture fixture;
