jobs: check the ranges of stored numbers before they are used

A record that another writer changed could hold numbers that overflow in the coordinator: the run after 2^32 - 1 became run 0, which a target may carry out beside a numbered one, and the age and the objective of a job overflowed (undefined behaviour, reported by the sanitizer for a time of acceptance of -2^63).

--- a/libs/jobs/include/jobs/records.h
+++ b/libs/jobs/include/jobs/records.h
@@ -128,7 +128,7 @@
 /// Checks the invariants of an accepted job, such as that a step depends on earlier steps only. A
 /// record that was damaged in the store must not crash the processes that read it.
 /// @return false with `decode_error` in `error` if the job cannot be run.
-bool IsValid(const job_spec& spec, core::last_error& error);
+bool IsValid(const job_record& record, core::last_error& error);
 
 std::string JobKey(std::string_view job);
 std::string CancelKey(std::string_view job);
--- a/libs/jobs/src/coordinator.cc
+++ b/libs/jobs/src/coordinator.cc
@@ -138,7 +138,7 @@
   if (jobs_.Find(id) != nullptr) return;
   core::last_error error;
   auto record = wire::DecodeValue<job_record>(entry.value, error);
-  if (!record || !IsValid(record->spec, error)) {
+  if (!record || !IsValid(*record, error)) {
     spdlog::error("event=job_unreadable job={} reason=\"{}\"", id, error.reason().message);
     return;
   }
--- a/libs/jobs/src/job_table.cc
+++ b/libs/jobs/src/job_table.cc
@@ -97,7 +97,9 @@
   job.ended_wall_ms = stored.ended_wall_ms;
   const std::size_t count = std::min(job.tasks.size(), stored.tasks.size());
   for (std::size_t index = 0; index < count; ++index) {
-    job.tasks[index].progress = stored.tasks[index];
+    task_progress& progress = job.tasks[index].progress;
+    progress = stored.tasks[index];
+    progress.last_run = std::min(progress.last_run, kMaxRun);
   }
   CountSteps(job);
   if (IsEnded(job.state)) open_.erase(job.id);
--- a/libs/jobs/src/records.cc
+++ b/libs/jobs/src/records.cc
@@ -5,6 +5,8 @@
 namespace coltsfoot::jobs {
 namespace {
 
+constexpr std::int64_t kMaxWallMs = 253'402'300'799'999;  // end of the year 9999
+
 constexpr std::string_view kCrashSuffix = "/crashes";
 
 std::string Join(std::string_view prefix, std::string_view name) {
@@ -15,11 +17,17 @@
 
 }  // namespace
 
-bool IsValid(const job_spec& spec, core::last_error& error) {
+bool IsValid(const job_record& record, core::last_error& error) {
   const auto fail = [&error](const char* reason) {
     error.Set(core::result_code::decode_error, reason);
     return false;
   };
+  if (record.accepted_wall_ms < 0 || record.accepted_wall_ms > kMaxWallMs) {
+    return fail("time of acceptance out of range");
+  }
+  // Also refuses a value that is not a number.
+  if (!(record.stretch >= 0 && record.stretch <= kMaxStretch)) return fail("stretch out of range");
+  const job_spec& spec = record.spec;
   if (spec.steps.empty() || spec.steps.size() > kMaxSteps) return fail("step count out of range");
   for (std::size_t position = 0; position < spec.steps.size(); ++position) {
     const step_spec& step = spec.steps[position];
--- a/libs/jobs/tests/damaged_input_test.cc
+++ b/libs/jobs/tests/damaged_input_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -95,4 +96,41 @@
   }));
 }
 
+// Guards against a record of another writer whose numbers overflow in the coordinator.
+TEST_CASE("a coordinator keeps working with records whose numbers are too large") {
+  constexpr auto kMin64 = std::numeric_limits<std::int64_t>::min();
+  constexpr auto kMax64 = std::numeric_limits<std::int64_t>::max();
+  constexpr auto kMax32 = std::numeric_limits<std::uint32_t>::max();
+  running_fleet fleet;
+  const job_record usual{.queue = "q", .service = "svc", .spec = {"payload", {TestStep(1)}}};
+  int count = 0;
+  const auto put_job = [&](const job_record& record, const progress_record& progress) {
+    const std::string id = "00000000000000d" + std::to_string(count++);
+    fleet.storage.Put(JobKey(id), wire::EncodeValue(record));
+    fleet.storage.Put(ProgressKey(id), wire::EncodeValue(progress));
+    fleet.control.OnInboxChange({JobKey(id), fleet.storage.entries.at(JobKey(id))});
+  };
+  for (const std::int64_t wall_ms : {kMin64, kMax64}) {
+    job_record record = usual;
+    record.accepted_wall_ms = wall_ms;
+    put_job(record, {.state = job_state::failed, .ended_wall_ms = wall_ms, .tasks = {}});
+  }
+  for (const double stretch : {std::numeric_limits<double>::infinity(),
+                               std::numeric_limits<double>::quiet_NaN(), -1e300, 1e300}) {
+    job_record record = usual;
+    record.queue = "removed";
+    record.stretch = stretch;
+    record.objective_ms = kMax32;
+    put_job(record, {.state = job_state::active, .ended_wall_ms = 0, .tasks = {{}}});
+  }
+  put_job(usual, {.state = job_state::active, .tasks = {{.last_run = kMax32}}});
+  fleet.storage.Put(std::string(kLeaderKey), "successor");
+  fleet.term = fleet.storage.revision;
+  for (auto& [agent, report] : fleet.reports) report.term = fleet.term;
+  fleet.BeginFromStore();
+  for (const auto& [agent, report] : fleet.reports) fleet.control.OnAgentConnected(agent);
+  fleet.CheckServes();
+  for (const auto& [agent, start] : fleet.agents.TakeStarts()) CHECK(start.facts.run.run > 0);
+}
+
 }  // namespace coltsfoot::jobs
