--- a/libs/jobs/tests/damaged_input_test.cc
+++ b/libs/jobs/tests/damaged_input_test.cc
@@ -42,6 +42,15 @@
     RunCommands();
   }
 
+  /// Begins a further term with the contents of the store.
+  void BeginNextTerm() {
+    storage.Put(std::string(kLeaderKey), "successor");
+    term = storage.revision;
+    for (auto& [agent, report] : reports) report.term = term;
+    BeginFromStore();
+    for (const auto& [agent, report] : reports) control.OnAgentConnected(agent);
+  }
+
   /// Checks that the coordinator still accepts another job.
   void CheckServes() {
     const std::string later = "00000000000000bb";
@@ -87,11 +96,7 @@
     const auto place = fleet.storage.entries.find(key);
     fleet.storage.Put(key,
                       Damage(place == fleet.storage.entries.end() ? "1" : place->second.value));
-    fleet.storage.Put(std::string(kLeaderKey), "successor");
-    fleet.term = fleet.storage.revision;
-    for (auto& [agent, report] : fleet.reports) report.term = fleet.term;
-    fleet.BeginFromStore();
-    for (const auto& [agent, report] : fleet.reports) fleet.control.OnAgentConnected(agent);
+    fleet.BeginNextTerm();
     fleet.CheckServes();
   }));
 }
@@ -124,11 +129,7 @@
     put_job(record, {.state = job_state::active, .ended_wall_ms = 0, .tasks = {{}}});
   }
   put_job(usual, {.state = job_state::active, .tasks = {{.last_run = kMax32}}});
-  fleet.storage.Put(std::string(kLeaderKey), "successor");
-  fleet.term = fleet.storage.revision;
-  for (auto& [agent, report] : fleet.reports) report.term = fleet.term;
-  fleet.BeginFromStore();
-  for (const auto& [agent, report] : fleet.reports) fleet.control.OnAgentConnected(agent);
+  fleet.BeginNextTerm();
   fleet.CheckServes();
   for (const auto& [agent, start] : fleet.agents.TakeStarts()) CHECK(start.facts.run.run > 0);
 }
--- /dev/null
+++ b/libs/runner/src/runner_lists.cc
@@ -0,0 +1,149 @@
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "runner/runner.h"
+
+// Part of the runner that polls its target and keeps the target's lists.
+namespace coltsfoot::runner {
+namespace {
+
+// Delay between polls while listed ends are not stored yet: the target answers immediately as long
+// as it lists an end.
+constexpr core::milliseconds kUnstoredEndsPollDelay{60};
+constexpr core::milliseconds kFailedPollDelay{150};
+
+}  // namespace
+
+void runner::Poll() {
+  polling_ = true;
+  const core::mono_time sent = time_.Now();
+  const bool unstored = !ended_.empty();
+  const auto any = [this](auto predicate) {
+    return std::any_of(facts_.begin(), facts_.end(),
+                       [&](const auto& each) { return predicate(each.second); });
+  };
+  const bool pacing = any([](const jobs::task_facts& each) { return each.fills; }) &&
+                      any([](const jobs::task_facts& each) { return each.goal_ms > 0; });
+  poll_call call{.fence = term_, .lease_until_ms = std::nullopt, .stored_end = stored_end_};
+  // After a failure an answer is needed at once: the lease is extended only when one has arrived.
+  if (!unstored && clock_offset_ms_ && failed_polls_ == 0) {
+    call.wait = pacing ? options_.poll_wait_pacing : options_.poll_wait;
+  }
+  // While a target does not answer, each further extension would postpone the time at which its
+  // runs have certainly expired.
+  if (failed_polls_ == 0) call.lease_until_ms = LeaseOnTargetClock();
+  if (call.lease_until_ms) sent_lease_end_ = std::max(sent_lease_end_, lease_end_);
+  target_.Poll(call, announced_->incarnation.name,
+               [this, sent, wait = call.wait, term = term_,
+                incarnation = incarnation_count_](const std::optional<target_lists>& lists) {
+                 if (incarnation != incarnation_count_) return;
+                 if (lists && std::exchange(listed_term_, term) != term) report_due_ = true;
+                 if (!lists && failed_polls_ == 0 && time_.Now() - sent < wait) {
+                   broken_at_ = time_.Now();
+                 }
+                 OnLists(lists, sent);
+               });
+}
+
+std::optional<std::int64_t> runner::LeaseOnTargetClock() const {
+  if (!clock_offset_ms_ || lease_end_ <= time_.Now()) return std::nullopt;
+  return core::ToMs(lease_end_.time_since_epoch()) + *clock_offset_ms_;
+}
+
+void runner::UpdateClockOffset(std::int64_t clock_ms) {
+  // The answer was sent earlier than now, so the computed offset never exceeds the real one and
+  // leases never end late on the target's clock.
+  clock_offset_ms_ = clock_ms - core::ToMs(time_.Now().time_since_epoch());
+}
+
+void runner::OnLists(const std::optional<target_lists>& lists, core::mono_time sent) {
+  polling_ = false;
+  const core::mono_time now = time_.Now();
+  if (!lists) {
+    ++failed_polls_;
+    next_poll_ = now + kFailedPollDelay;
+    metrics_.GetCounter("coltsfoot_target_looks_failed_total").Add();
+    return;
+  }
+  if (lists->started_ms && *lists->started_ms != announced_->incarnation.started_ms) {
+    // New incarnation of the target whose announcement has not arrived yet.
+    next_poll_ = now + kFailedPollDelay;
+    return;
+  }
+  last_answer_ = now;
+  last_reply_ = now;
+  broken_at_ = {};
+  suspects_of_gone_.clear();
+  failed_polls_ = 0;
+  ApplyLists(*lists, sent);
+  PaceFilling();
+  next_poll_ = ended_.empty() ? now : now + kUnstoredEndsPollDelay;
+  if (!ended_.empty() && ended_.back().number > last_end_seen_) {
+    last_end_seen_ = ended_.back().number;
+    report_due_ = true;
+  }
+  if (!std::exchange(has_lists_, true)) report_due_ = true;
+  if (report_due_) Report(true);
+}
+
+void runner::ApplyLists(const target_lists& lists, core::mono_time sent) {
+  UpdateClockOffset(lists.clock_ms);
+  const std::size_t before = running_.size();
+  const std::vector<jobs::running_task> last = std::exchange(running_, lists.running);
+  ended_ = lists.ended;
+  // Stays set when ends of this list are confirmed: the target has not listed the next ones then.
+  ends_omitted_ = lists.ended.size() >= jobs::kMaxListedEnds;
+  if (ends_omitted_) KeepRunsWithUnlistedEnd(last);
+  std::erase_if(ended_, [this](const auto& end) { return end.number <= stored_end_; });
+  std::sort(ended_.begin(), ended_.end(),
+            [](const auto& left, const auto& right) { return left.number < right.number; });
+  if (running_.size() != before) report_due_ = true;
+  std::set<jobs::run_id> listed;
+  for (const jobs::running_task& task : running_) listed.insert({task.task, task.run});
+  std::set<jobs::run_id> ended;
+  for (const jobs::ended_run& end : ended_) ended.insert({end.task, end.run});
+  std::erase_if(starts_, [&](const auto& each) {
+    const auto& [run, start] = each;
+    if (listed.contains(run) || ended.contains(run)) return !start.in_flight;
+    // Not listed although settled before this poll: it never ran, or its end is stored.
+    const bool gone = start.settled_at && *start.settled_at < sent && !ends_omitted_;
+    if (gone && start.abandoned) refused_.push_back({run, *start.abandoned});
+    report_due_ = report_due_ || gone;
+    return gone;
+  });
+  std::erase_if(stops_, [&](const auto& each) {
+    return !each.second.in_flight &&
+           (ended.contains(each.first) ||
+            (each.second.done && !listed.contains(each.first) && !starts_.contains(each.first)));
+  });
+  const auto is_over = [&](const auto& each) {
+    return !listed.contains(each.first) && !starts_.contains(each.first);
+  };
+  std::erase_if(facts_, is_over);
+  std::erase_if(first_calls_, is_over);
+}
+
+void runner::KeepRunsWithUnlistedEnd(const std::vector<jobs::running_task>& last) {
+  std::set<jobs::run_id> known;
+  for (const jobs::running_task& task : running_) known.insert({task.task, task.run});
+  for (const jobs::ended_run& end : ended_) known.insert({end.task, end.run});
+  std::size_t kept = 0;
+  for (const jobs::running_task& task : last) {
+    if (!known.insert({task.task, task.run}).second) continue;
+    running_.push_back(task);
+    ++kept;
+  }
+  for (const auto& [run, facts] : facts_) {
+    if (starts_.contains(run) || !known.insert(run).second) continue;
+    running_.push_back({.task = run.task, .run = run.run});
+    ++kept;
+  }
+  if (kept == 0) return;
+  metrics_.GetCounter("coltsfoot_ends_unlisted_total").Add(kept);
+  spdlog::warn("event=ends_unlisted target={} runs={}", announced_->incarnation.name, kept);
+}
+
+}  // namespace coltsfoot::runner
