--- a/libs/http/tests/silent_connection_test.cc
+++ b/libs/http/tests/silent_connection_test.cc
@@ -7,6 +7,7 @@
 #include <list>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -90,11 +91,13 @@
     waiting_.push_back(&from);
     if (waiting_.size() < together_) return;
     together_ = 1;
-    for (connection* each : waiting_) asio::write(each->socket, asio::buffer(kAnswer));
+    for (connection* each : waiting_) {
+      asio::write(each->socket, asio::buffer(kAnswer.data(), kAnswer.size()));
+    }
     waiting_.clear();
   }
 
-  const std::string kAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  static constexpr std::string_view kAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
   std::size_t together_;
   asio::io_context context_;
   asio::ip::tcp::acceptor acceptor_{context_, {asio::ip::make_address("127.0.0.1"), 0}};
