--- a/libs/http/include/http/client.h
+++ b/libs/http/include/http/client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -30,6 +31,7 @@
 struct call_result {
   std::optional<response> answer;
   core::error_reason reason;
+  std::size_t received_bytes = 0;  ///< of the answer's body, also if it was cut off
 
   bool operator==(const call_result&) const = default;
 };
--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -209,6 +209,7 @@
 
   static void Deliver(transfer& item, CURLcode failure, int status) {
     call_result result;
+    result.received_bytes = item.answer.body.size();
     if (failure == CURLE_OK) {
       item.answer.status = status;
       result.answer = std::move(item.answer);
@@ -223,12 +224,15 @@
     for (auto& [handle, item] : active_) {
       curl_multi_remove_handle(multi_, handle);
       curl_easy_cleanup(handle);
-      item->handler({std::nullopt, {core::result_code::connection_lost, "client is closed"}});
+      item->handler({.answer = std::nullopt,
+                     .reason = {core::result_code::connection_lost, "client is closed"},
+                     .received_bytes = item->answer.body.size()});
     }
     active_.clear();
     const std::lock_guard lock(mutex_);
     for (auto& item : pending_) {
-      item->handler({std::nullopt, {core::result_code::connect_failed, "client is closed"}});
+      item->handler({.answer = std::nullopt,
+                     .reason = {core::result_code::connect_failed, "client is closed"}});
     }
     pending_.clear();
   }
