http: limit a call by the progress and by the size of its answer

A call had one timeout for everything, so an answer whose transfer takes longer was cut off and begun again, however steadily it arrived.

- stall_timeout: time between two pieces of the answer; timeout then limits only the time until it begins.
- body_limit: an answer above it is cut off, by its Content-Length before the body.
The result tells the status and how much arrived.

--- a/libs/http/include/http/client.h
+++ b/libs/http/include/http/client.h
@@ -12,13 +12,18 @@
 
 namespace coltsfoot::http {
 
-/// An HTTP request to a server, with its timeout.
+/// An HTTP request to a server, with the limits on its answer.
 struct call {
   std::string method = "GET";
   std::string url;
   header_map headers;
   std::string body;
+  /// Time for the whole call or, with `stall_timeout`, until the answer begins to arrive.
   std::chrono::milliseconds timeout{5000};
+  /// Time between two pieces of the answer. Lets a large answer take as long as it keeps arriving.
+  std::optional<std::chrono::milliseconds> stall_timeout;
+  /// Size of the answer's body, in bytes, above which the call is cut off; 0: no limit.
+  std::size_t body_limit = 0;
   /// Opens a new connection, on which the request is sent at most once. On a kept-alive connection,
   /// libcurl resends a request if the server closes the connection without an answer.
   bool at_most_once = false;
@@ -27,11 +32,14 @@
 };
 
 /// Result of a call: the response, or the reason why there is none. Reason codes: `connect_failed`
-/// (nothing was sent), `deadline_exceeded`, `answer_truncated`, `connection_lost`.
+/// (nothing was sent), `deadline_exceeded`, `answer_truncated` (also for a body above the limit),
+/// `connection_lost`.
 struct call_result {
   std::optional<response> answer;
   core::error_reason reason;
   std::size_t received_bytes = 0;  ///< of the answer's body, also if it was cut off
+  int status = 0;                  ///< of the answer, also if it was cut off; 0: none arrived
+  bool over_limit = false;         ///< the body is larger than `call::body_limit`
 
   bool operator==(const call_result&) const = default;
 };
--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -3,8 +3,10 @@
 #include <curl/curl.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cctype>
+#include <charconv>
 #include <chrono>
 #include <deque>
 #include <future>
@@ -24,6 +26,8 @@
 constexpr int kPollTimeoutMs = 1000;
 constexpr std::size_t kMaxIdleHandles = 64;
 
+using steady_time = std::chrono::steady_clock::time_point;
+
 struct transfer {
   call request;
   call_handler handler;
@@ -31,16 +35,46 @@
   response answer;
   curl_slist* header_list = nullptr;
   bool sent = false;  ///< libcurl had a connection and started to send the request
+  bool over_limit = false;
+  steady_time expires_at = steady_time::max();  ///< of calls with a stall timeout
 
   ~transfer() { curl_slist_free_all(header_list); }
+
+  bool IsOverLimit(std::size_t body_bytes) const {
+    return request.body_limit > 0 && body_bytes > request.body_limit;
+  }
+  void OnProgress() {
+    if (!request.stall_timeout) return;
+    expires_at = std::chrono::steady_clock::now() + *request.stall_timeout;
+  }
 };
 
+// Less than the size of the data, as the result of a callback, makes libcurl cut off the transfer.
+constexpr std::size_t kCutOff = 0;
+
 std::size_t AppendBody(char* data, std::size_t size, std::size_t count, void* target) {
-  static_cast<transfer*>(target)->answer.body.append(data, size * count);
-  return size * count;
+  auto& item = *static_cast<transfer*>(target);
+  item.OnProgress();
+  item.answer.body.append(data, size * count);
+  item.over_limit = item.IsOverLimit(item.answer.body.size());
+  return item.over_limit ? kCutOff : size * count;
+}
+
+bool IsContentLength(const std::string& name) {
+  const header_less less;
+  return !less(name, "Content-Length") && !less("Content-Length", name);
+}
+
+/// @return the number in `text`; 0 if it is not one.
+std::size_t ToSize(std::string_view text) {
+  std::size_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
 }
 
 std::size_t AppendHeader(char* data, std::size_t size, std::size_t count, void* target) {
+  auto& item = *static_cast<transfer*>(target);
+  item.OnProgress();
   const std::string_view line(data, size * count);
   const std::size_t colon = line.find(':');
   if (colon == std::string_view::npos) return size * count;
@@ -48,9 +82,11 @@
   std::size_t end = line.size();
   while (begin < end && std::isspace(static_cast<unsigned char>(line[begin])) != 0) ++begin;
   while (end > begin && std::isspace(static_cast<unsigned char>(line[end - 1])) != 0) --end;
-  static_cast<transfer*>(target)->answer.headers.insert_or_assign(
-      std::string(line.substr(0, colon)), std::string(line.substr(begin, end - begin)));
-  return size * count;
+  const std::string name(line.substr(0, colon));
+  const std::string value(line.substr(begin, end - begin));
+  item.answer.headers.insert_or_assign(name, value);
+  item.over_limit = IsContentLength(name) && item.IsOverLimit(ToSize(value));
+  return item.over_limit ? kCutOff : size * count;
 }
 
 // libcurl resends a request when a reused connection breaks before the answer. The server may have
@@ -72,6 +108,7 @@
     case CURLE_OPERATION_TIMEDOUT:
       return core::result_code::deadline_exceeded;
     case CURLE_PARTIAL_FILE:
+    case CURLE_WRITE_ERROR:
       return core::result_code::answer_truncated;
     default:
       return core::result_code::connection_lost;
@@ -115,7 +152,7 @@
       int running = 0;
       curl_multi_perform(multi_, &running);
       FinishCompleted();
-      curl_multi_poll(multi_, nullptr, 0, kPollTimeoutMs, nullptr);
+      curl_multi_poll(multi_, nullptr, 0, FinishExpired(), nullptr);
     }
     FailAll();
   }
@@ -139,7 +176,11 @@
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(handle, CURLOPT_PROXY, "");
-    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(request.timeout.count()));
+    if (request.stall_timeout) {
+      item->expires_at = std::chrono::steady_clock::now() + request.timeout;
+    } else {
+      curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(request.timeout.count()));
+    }
     curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, request.at_most_once ? 1L : 0L);
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, AppendBody);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, item.get());
@@ -173,16 +214,35 @@
     int remaining = 0;
     while (CURLMsg* message = curl_multi_info_read(multi_, &remaining)) {
       if (message->msg != CURLMSG_DONE) continue;
-      CURL* handle = message->easy_handle;
-      const CURLcode failure = message->data.result;
-      auto node = active_.extract(handle);
-      long status = 0;  // NOLINT(google-runtime-int): libcurl's type
-      curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
-      DiscardSilentConnections(*node.mapped(), handle, failure);
-      curl_multi_remove_handle(multi_, handle);
-      ReleaseHandle(handle);
-      Deliver(*node.mapped(), failure, static_cast<int>(status));
+      Finish(message->easy_handle, message->data.result);
+    }
+  }
+
+  /// Ends the calls whose answers have not begun in time or stall.
+  /// @return time to wait for the next event, in milliseconds.
+  int FinishExpired() {
+    const steady_time now = std::chrono::steady_clock::now();
+    steady_time next = now + std::chrono::milliseconds{kPollTimeoutMs};
+    std::vector<CURL*> expired;
+    for (const auto& [handle, item] : active_) {
+      if (item->expires_at <= now) {
+        expired.push_back(handle);
+      } else {
+        next = std::min(next, item->expires_at);
+      }
     }
+    for (CURL* handle : expired) Finish(handle, CURLE_OPERATION_TIMEDOUT);
+    return static_cast<int>(std::chrono::ceil<std::chrono::milliseconds>(next - now).count());
+  }
+
+  void Finish(CURL* handle, CURLcode failure) {
+    auto node = active_.extract(handle);
+    long status = 0;  // NOLINT(google-runtime-int): libcurl's type
+    curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+    DiscardSilentConnections(*node.mapped(), handle, failure);
+    curl_multi_remove_handle(multi_, handle);
+    ReleaseHandle(handle);
+    Deliver(*node.mapped(), failure, static_cast<int>(status));
   }
 
   // A host can lose its connections without a reset, for example to a restarted firewall. Without
@@ -210,6 +270,8 @@
   static void Deliver(transfer& item, CURLcode failure, int status) {
     call_result result;
     result.received_bytes = item.answer.body.size();
+    result.status = status;
+    result.over_limit = item.over_limit;
     if (failure == CURLE_OK) {
       item.answer.status = status;
       result.answer = std::move(item.answer);
