platform: transfer a large configuration once, and only by a read

Entries on slow links kept an old version for up to 20 s, with the store undisturbed.

Cause: every call that named the configuration transferred the whole document. The watch delivered it, and all versions that had been missed; callers' requests read it beside the watch; each write of a job under the old version was rejected with it. The copies shared the link, each ran into a timeout on its whole answer and began again, and the longer an entry was behind, the more it received.

Change: - A watch, a check without waiting and the answer to a rejected write are limited to 64 KB. Above it they only tell that there is a newer version. - The document is read by one call at a time, which may take as long as bytes arrive.

Why it works: the bytes that an entry receives for a change no longer depend on the number of callers or on how far it is behind.

--- a/libs/jobs/include/jobs/job_service.h
+++ b/libs/jobs/include/jobs/job_service.h
@@ -37,6 +37,13 @@
   virtual void Query(job_query query, std::function<void(job_answer)> done) = 0;
 };
 
+/// Outcome of asking the store for the newest version of the configuration.
+enum class confirmation : std::uint8_t {
+  confirmed,
+  store_unreachable,
+  timed_out,  ///< the store can be reached, but its answer did not arrive before the deadline
+};
+
 /// Gives the queue configuration in force. Mocked in tests.
 class queue_source {
  public:
@@ -46,10 +53,20 @@
   /// @return the configuration key and the version that `Current` was read from, as a precondition
   /// for writes that depend on it.
   virtual store::expectation VersionExpectation() const = 0;
-  /// @return true if the store recently confirmed that `Current` is the newest version.
+  /// @return true if the store recently confirmed that `Current` is the newest version, and no
+  /// newer one is known since.
   virtual bool IsFresh() const = 0;
-  /// Reads the configuration from the store. The handler gets false if the read failed.
-  virtual void Refresh(std::function<void(bool)> done) = 0;
+  /// @return true if the store is known to hold, or may hold, a newer version that has yet to
+  /// arrive.
+  virtual bool IsOutdated() const = 0;
+  /// @return the latest time at which `Current` is known to have been the newest version.
+  virtual core::mono_time ConfirmedAt() const = 0;
+  /// Asks the store until `Current` is known to have been the newest version at `since` or later.
+  /// @param deadline after which the caller no longer waits.
+  virtual void Confirm(core::mono_time since, core::mono_time deadline,
+                       std::function<void(confirmation)> done) = 0;
+  /// Reports that the store has replaced `version`, because it rejected a write that expected it.
+  virtual void MarkOutdated(store::key_version version) = 0;
 };
 
 /// Admits, shows and cancels jobs; runs on every entry. Callers learn of an admission, a
@@ -85,6 +102,10 @@
                      handler done);
   void CancelLocally(const std::string& id, core::mono_time deadline, handler done);
   void OnStored(const std::shared_ptr<submission>& job, const store::commit_result& result);
+  void OnConflict(const std::shared_ptr<submission>& job, const store::commit_result& result);
+  /// Finds out by a read whether the job of a rejected write had been stored before.
+  void ReadConflict(const std::shared_ptr<submission>& job);
+  void FinishOutdated(const submission& job);
   void Finish(const submission& job, const job_reply& reply);
   void ShowStored(const std::string& id, handler done);
   void ShowUnlessCancelled(const std::string& id, const std::optional<progress_record>& progress,
--- a/libs/jobs/src/job_service.cc
+++ b/libs/jobs/src/job_service.cc
@@ -89,6 +89,9 @@
        .time_left_ms = static_cast<std::uint32_t>(time_left)},
       [this, job](const job_answer& answer) {
         if (answer.outcome == query_outcome::found) {
+          if (answer.code == core::result_code::stale_config) {
+            queues_.MarkOutdated(job->config.version);
+          }
           Finish(*job, {.code = answer.code,
                         .state = std::nullopt,
                         .retry_after_s = core::IsNotRun(answer.code) ? kOutageRetryAfterS : 0});
@@ -130,6 +133,8 @@
   writes.expect.push_back({JobKey(job->id), 0});
   writes.expect.push_back(job->config);
   writes.puts.push_back({JobKey(job->id), job->record, 0});
+  // After a conflict the store answers with the configuration, which may be large.
+  writes.answer_limit = store::kSmallAnswerBytes;
   storage_.Commit(std::move(writes),
                   [this, job](const store::commit_result& result) { OnStored(job, result); });
 }
@@ -142,12 +147,7 @@
       Finish(*job, {.code = core::result_code::ok, .state = job_state::queued});
       return;
     case store::kv_status::conflict:
-      for (const store::kv_entry& entry : result.present) {
-        if (entry.key != JobKey(job->id)) continue;
-        Finish(*job, {.code = core::result_code::ok, .state = std::nullopt});
-        return;
-      }
-      Finish(*job, {.code = core::result_code::stale_config, .state = std::nullopt});
+      OnConflict(job, result);
       return;
     case store::kv_status::unknown:
       job->may_be_stored = true;
@@ -167,6 +167,42 @@
   }
 }
 
+void job_service::OnConflict(const std::shared_ptr<submission>& job,
+                             const store::commit_result& result) {
+  if (result.present.empty()) {
+    ReadConflict(job);
+    return;
+  }
+  const bool stored = std::any_of(result.present.begin(), result.present.end(),
+                                  [&](const auto& entry) { return entry.key == JobKey(job->id); });
+  if (stored) {
+    Finish(*job, {.code = core::result_code::ok, .state = std::nullopt});
+  } else {
+    FinishOutdated(*job);
+  }
+}
+
+void job_service::ReadConflict(const std::shared_ptr<submission>& job) {
+  storage_.Get(JobKey(job->id), [this, job](const store::get_result& found) {
+    if (found.status == store::kv_status::ok) {
+      Finish(*job, {.code = core::result_code::ok, .state = std::nullopt});
+    } else if (found.status == store::kv_status::not_found) {
+      FinishOutdated(*job);
+    } else if (job->may_be_stored) {
+      Finish(*job, {.code = core::result_code::outcome_unknown, .state = std::nullopt});
+    } else {
+      Finish(*job, StoreUnavailable());
+    }
+  });
+}
+
+void job_service::FinishOutdated(const submission& job) {
+  queues_.MarkOutdated(job.config.version);
+  Finish(job, {.code = core::result_code::stale_config,
+               .state = std::nullopt,
+               .retry_after_s = kOutageRetryAfterS});
+}
+
 void job_service::Finish(const submission& job, const job_reply& reply) {
   if (reply.code != core::result_code::ok) {
     metrics_.CountRefusal("submit", reply.code);
--- a/libs/jobs/src/leadership.cc
+++ b/libs/jobs/src/leadership.cc
@@ -120,7 +120,7 @@
 
 void leadership::Watch() {
   const core::mono_time sent = time_.Now();
-  storage_.WatchChanges(std::string(kLeaderKey), watched_from_, kLeaderWatchTimeout,
+  storage_.WatchChanges({std::string(kLeaderKey), watched_from_, kLeaderWatchTimeout},
                         BindToEpoch<store::change_batch>(
                             [this, sent](store::change_batch batch) { OnWatched(batch, sent); }));
 }
@@ -291,7 +291,7 @@
 }
 
 void leadership::WatchInbox(std::uint64_t since) {
-  storage_.WatchChanges(std::string(kInboxPrefix), since, kInboxWatchTimeout,
+  storage_.WatchChanges({std::string(kInboxPrefix), since, kInboxWatchTimeout},
                         BindToEpoch<store::change_batch>([this, since](store::change_batch batch) {
                           if (batch.status == store::kv_status::conflict) {
                             ReloadInbox();
--- a/libs/jobs/tests/fixture.h
+++ b/libs/jobs/tests/fixture.h
@@ -50,9 +50,8 @@
     ++commits;
     Enqueue([this, writes = std::move(writes), done = std::move(done)] { done(Apply(writes)); });
   }
-  void WatchChanges(std::string prefix, std::uint64_t since, milliseconds,
-                    handler<store::change_batch> done) override {
-    watches.push_back({std::move(prefix), since, std::move(done)});
+  void WatchChanges(store::watch_request request, handler<store::change_batch> done) override {
+    watches.push_back({std::move(request.prefix), request.since, std::move(done)});
   }
   void GrantLease(milliseconds, handler<store::lease_result> done) override {
     Enqueue([this, done = std::move(done)] {
@@ -92,6 +91,7 @@
 
   bool down = false;
   bool lease_expired = false;
+  bool hide_present = false;  ///< the answers to conflicts are above their limit
   write_mode mode = write_mode::normal;
   std::uint64_t revision = 10;
   std::uint64_t last_lease = 0;
@@ -115,6 +115,7 @@
       holds = holds && present == each.version;
       if (it != entries.end()) result.present.push_back(it->second);
     }
+    if (!holds && hide_present) result.present.clear();
     if (!holds) return result;
     ++revision;
     for (const auto& put : writes.puts) entries[put.key] = {put.key, revision, put.value};
--- a/libs/jobs/tests/job_service_test.cc
+++ b/libs/jobs/tests/job_service_test.cc
@@ -20,9 +20,15 @@
   std::shared_ptr<const queue_catalogue> Current() const override { return catalogue; }
   store::expectation VersionExpectation() const override { return {"config", version}; }
   bool IsFresh() const override { return true; }
-  void Refresh(std::function<void(bool)> done) override { done(true); }
+  bool IsOutdated() const override { return outdated > 0 && outdated >= version; }
+  core::mono_time ConfirmedAt() const override { return core::mono_time::max(); }
+  void Confirm(core::mono_time, core::mono_time, std::function<void(confirmation)> done) override {
+    done(confirmation::confirmed);
+  }
+  void MarkOutdated(store::key_version replaced) override { outdated = replaced; }
   std::shared_ptr<const queue_catalogue> catalogue = std::make_shared<queue_catalogue>();
   store::key_version version = 0;
+  store::key_version outdated = 0;
 };
 
 class fixed_coordinator final : public coordinator_client {
@@ -170,6 +176,29 @@
   CHECK(entry.storage.entries.count(JobKey(kJob)) == 0);
 }
 
+// Guards against reading the whole configuration again whenever a job is submitted a second time,
+// and against a "not run" reply for a job that was stored.
+TEST_CASE("a repeated submission is accepted if the answer to its conflict is above the limit") {
+  service_fixture entry;
+  CHECK(entry.Submit().code == result_code::ok);
+  entry.storage.hide_present = true;
+  CHECK(entry.Submit().code == result_code::ok);
+  CHECK_FALSE(entry.queues.IsOutdated());
+}
+
+// Guards against submissions that go on under a version that the store has replaced.
+TEST_CASE("a write that is rejected for its configuration marks the version as outdated") {
+  for (const bool hide_present : {false, true}) {
+    service_fixture entry;
+    entry.storage.Put("config", "old");
+    entry.queues.version = entry.storage.revision;
+    entry.storage.Put("config", "new");
+    entry.storage.hide_present = hide_present;
+    CHECK(entry.Submit().code == result_code::stale_config);
+    CHECK(entry.queues.IsOutdated());
+  }
+}
+
 // Guards against reporting an accepted job as not found, and against reporting a state that is not
 // stored.
 TEST_CASE("without a coordinator, job states are read from the store") {
--- a/libs/store/include/store/versioned_store.h
+++ b/libs/store/include/store/versioned_store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -18,10 +19,25 @@
   bool operator==(const key_change&) const = default;
 };
 
+/// Size of an answer, in bytes, that occupies even a slow link only briefly.
+inline constexpr std::size_t kSmallAnswerBytes = 64U << 10U;
+
+/// Request to wait for changes of the keys below a prefix.
+struct watch_request {
+  std::string prefix;
+  std::uint64_t since = 0;        ///< revision after which changes are reported
+  core::milliseconds timeout{0};  ///< time to wait for a change; 0: none
+  /// Size of the answer, in bytes, above which it is not transferred; 0: no limit. The answer holds
+  /// all changes after `since`, with their values.
+  std::size_t answer_limit = 0;
+  bool operator==(const watch_request&) const = default;
+};
+
 /// Answer to a watch: the changes in the order of their versions.
 struct change_batch {
-  kv_status status = kv_status::unknown;  ///< conflict: changes after `since` are no longer known
-  std::uint64_t revision = 0;             ///< from which the next watch continues
+  /// conflict: the changes after `since` are no longer known, or the answer is above its limit
+  kv_status status = kv_status::unknown;
+  std::uint64_t revision = 0;  ///< from which the next watch continues
   std::vector<key_change> changes;
   bool operator==(const change_batch&) const = default;
 };
@@ -45,10 +61,13 @@
   std::vector<expectation> expect;
   std::vector<transaction_put> puts;
   std::vector<std::string> deletes;
+  /// Size of the answer to a conflict, in bytes, above which it is not transferred; 0: no limit.
+  std::size_t answer_limit = 0;
   bool operator==(const transaction&) const = default;
 };
 
-/// Outcome of a transaction. After a conflict `present` holds the expected keys that exist.
+/// Outcome of a transaction. After a conflict `present` holds the expected keys that exist, or none
+/// if the answer is above its limit.
 struct commit_result {
   kv_status status = kv_status::unknown;  ///< not_found: a named lease has ended
   std::uint64_t revision = 0;
@@ -71,9 +90,7 @@
   /// Reads all entries below `prefix`, in pages. The revision is that of the first page.
   virtual void ReadAll(std::string prefix, handler<range_result> done) = 0;
   virtual void Commit(transaction writes, handler<commit_result> done) = 0;
-  /// Waits up to `timeout` for changes below `prefix` after revision `since`.
-  virtual void WatchChanges(std::string prefix, std::uint64_t since, core::milliseconds timeout,
-                            handler<change_batch> done) = 0;
+  virtual void WatchChanges(watch_request request, handler<change_batch> done) = 0;
   virtual void GrantLease(core::milliseconds ttl, handler<lease_result> done) = 0;
   virtual void RenewLease(lease_id lease, handler<lease_result> done) = 0;
   virtual void RevokeLease(lease_id lease, handler<lease_result> done) = 0;
