--- a/libs/jobs/tests/fixture.h
+++ b/libs/jobs/tests/fixture.h
@@ -51,7 +51,7 @@
     Enqueue([this, writes = std::move(writes), done = std::move(done)] { done(Apply(writes)); });
   }
   void WatchChanges(store::watch_request request, handler<store::change_batch> done) override {
-    watches.push_back({std::move(request.prefix), request.since, std::move(done)});
+    watches.push_back({std::move(request.prefix), request.since, request.timeout, std::move(done)});
   }
   void GrantLease(milliseconds, handler<store::lease_result> done) override {
     Enqueue([this, done = std::move(done)] {
@@ -86,6 +86,7 @@
   struct watch {
     std::string prefix;
     std::uint64_t since = 0;
+    milliseconds timeout{0};
     handler<store::change_batch> done;
   };
 
