platform: keep serving by the last configuration that can be decoded

What callers would see if the newest document cannot be decoded: every job refused with 503. Writes expected the version of the last decodable document, which the store had replaced. An entry that started with such a document read it again at once, for ever.

Cause: the version in the store and the version in force were one variable. The version in the store is now taken note of whether or not it can be decoded; writes expect it, and the last decodable catalogue stays in force. A gauge shows it.

An event whose value is not base64 is still skipped: the store itself encodes values.

Tests: unit_platform, 'an undecodable configuration leaves the last decodable one in force' and 'an entry that starts with an undecodable configuration waits for a change' fail with the version noted only after decoding.

--- a/tools/coltsfoot-scheduler/main.cc
+++ b/tools/coltsfoot-scheduler/main.cc
@@ -129,7 +129,7 @@
                    ScheduleTick();
                  },
              .on_offer = [this](std::uint32_t processors) { OfferLeadership(processors); }}),
-        queues_({.bound = options.config_bound}, time_, *storage_, health_,
+        queues_({.bound = options.config_bound}, time_, metrics_, *storage_, health_,
                 [this](const auto& catalogue) { coordinator_.SetQueues(catalogue); }),
         peers_(
             context, time_, options.peer,
