jobs: keep a job's settings if it was accepted under a newer configuration

What callers could see: a job given up after fewer failed runs than its queue allows. The coordinator replaced the settings that the job was accepted with by those of its own catalogue, also if that was older than the accepting entry's: nothing compared the two versions. They agree again once the coordinator has the newer version, but what was decided until then stays.

The record of a job now has the version under which it was accepted; an older catalogue does not apply to it. Records and entries of earlier revisions do not mix with this one.

Test: unit_jobs, 'a job accepted under a newer configuration than the coordinator's keeps its settings' fails without the comparison.

--- a/libs/jobs/include/jobs/coordinator.h
+++ b/libs/jobs/include/jobs/coordinator.h
@@ -108,6 +108,8 @@
 
  private:
   void AddJob(const std::string& id, const store::kv_entry& entry);
+  /// Applies the configuration of the job's queue, unless the job was accepted under a newer one.
+  void UpdateQueue(job_row& job) const;
   void CancelJob(const std::string& id);
   worker_row& WorkerOf(const std::string& agent);
   /// Updates what the report says about the target; after a restart its copies are lost.
--- a/libs/jobs/include/jobs/records.h
+++ b/libs/jobs/include/jobs/records.h
@@ -27,7 +27,7 @@
 inline constexpr std::string_view kProgressPrefix = "coltsfoot/progress/";
 
 /// An accepted job; immutable. The fields of its queue are copied at acceptance and apply while the
-/// configuration is unknown or after the queue was removed from it.
+/// coordinator's configuration is older or after the queue was removed from it.
 struct job_record {
   std::string queue;  ///< name of the queue it was submitted to
   std::string service;
@@ -35,12 +35,14 @@
   std::uint32_t attempts = 1;
   double stretch = 1.0;
   std::uint32_t objective_ms = 0;
+  std::uint64_t config_version = 0;  ///< of the configuration under which it was accepted
   std::int64_t accepted_wall_ms = 0;
   job_spec spec;
   bool operator==(const job_record&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(queue, service, priority, attempts, stretch, objective_ms, accepted_wall_ms, spec);
+    archive(queue, service, priority, attempts, stretch, objective_ms, config_version,
+            accepted_wall_ms, spec);
   }
 };
 
--- a/libs/jobs/src/coordinator.cc
+++ b/libs/jobs/src/coordinator.cc
@@ -116,10 +116,14 @@
 
 void coordinator::SetQueues(std::shared_ptr<const queue_catalogue> queues) {
   queues_ = std::move(queues);
-  for (const auto& [id, job] : jobs_.open()) {
-    // Jobs of a queue that was removed keep its last configuration.
-    if (const queue_config* queue = queues_->FindByName(job->record.queue)) job->queue = *queue;
-  }
+  for (const auto& [id, job] : jobs_.open()) UpdateQueue(*job);
+}
+
+void coordinator::UpdateQueue(job_row& job) const {
+  // Another entry may have accepted the job under a version that has yet to arrive here.
+  if (queues_->version() < job.record.config_version) return;
+  // Jobs of a queue that was removed keep its last configuration.
+  if (const queue_config* queue = queues_->FindByName(job.record.queue)) job.queue = *queue;
 }
 
 void coordinator::OnInboxChange(const store::key_change& change) {
@@ -152,7 +156,7 @@
                .attempts = job.record.attempts,
                .stretch = job.record.stretch,
                .objective_ms = job.record.objective_ms};
-  if (const queue_config* queue = queues_->FindByName(job.record.queue)) job.queue = *queue;
+  UpdateQueue(job);
   if (entry.version < term_) job.run_base = static_cast<std::uint32_t>(term_);
   spdlog::info("event=job_known job={} queue={} priority={} steps={} tasks={} age_ms={}", id,
                job.record.queue, job.queue.priority, job.steps.size(), job.tasks.size(),
--- a/libs/jobs/src/job_service.cc
+++ b/libs/jobs/src/job_service.cc
@@ -58,6 +58,7 @@
                                    .attempts = queue.attempts,
                                    .stretch = queue.stretch,
                                    .objective_ms = queue.objective_ms,
+                                   .config_version = queues_.Current()->version(),
                                    .accepted_wall_ms = time_.WallNow().time_since_epoch().count(),
                                    .spec = spec});
   job->config = queues_.VersionExpectation();
--- a/libs/jobs/tests/coordinator_test.cc
+++ b/libs/jobs/tests/coordinator_test.cc
@@ -264,6 +264,28 @@
   CHECK(fleet.control.StateOf(kJob) == job_state::active);
 }
 
+// Guards against giving up a job by settings that were replaced before it was accepted.
+TEST_CASE("a job accepted under a newer configuration than the coordinator's keeps its settings") {
+  coordinator_fixture fleet;
+  fleet.Begin({"a"});
+  fleet.storage.Put(JobKey(kJob),
+                    wire::EncodeValue(job_record{.queue = "q",
+                                                 .service = "svc",
+                                                 .attempts = 3,
+                                                 .config_version = 2,
+                                                 .spec = {"payload", {TestStep(1)}}}));
+  fleet.control.OnInboxChange({JobKey(kJob), fleet.storage.entries.at(JobKey(kJob))});
+  for (int failures = 0; failures < 2; ++failures) {
+    fleet.Tick();
+    const auto starts = fleet.agents.TakeStarts();
+    REQUIRE(starts.size() == 1);
+    fleet.End("a", starts[0].second.facts.run, end_reason::failed);
+    fleet.Report("a");
+    fleet.Tick();
+  }
+  CHECK(fleet.control.StateOf(kJob) == job_state::active);
+}
+
 // Guards against lost work: a task must restart from its latest checkpoint.
 TEST_CASE("a restarted task carries its checkpoint") {
   coordinator_fixture fleet;
