--- a/review/stand-ins-2/fleet.cc
+++ b/review/stand-ins-2/fleet.cc
@@ -126,7 +126,7 @@
 }
 
 std::string fleet::Settings(const std::string& name, const std::string& text) {
-  const std::string file = (directory_ / (name + ".yaml")).string();
+  std::string file = (directory_ / (name + ".yaml")).string();
   std::ofstream(file) << "id: " << name << "\nstore: " << slow_store_.address() << "\n" << text;
   return file;
 }
@@ -144,18 +144,17 @@
 
 client_answer fleet::Call(std::size_t entry, const std::string& method, const std::string& path,
                           const std::string& body, milliseconds time_limit) {
-  http::call request{.method = method,
-                     .url = "http://" + fronts_[entry] + path,
-                     .headers = {{"Host", "h.example"},
-                                 {"Deadline-Ms", std::to_string(time_limit.count())}},
-                     .body = body,
-                     .timeout = time_limit,
-                     .at_most_once = true};
+  http::call request{
+      .method = method,
+      .url = "http://" + fronts_[entry] + path,
+      .headers = {{"Host", "h.example"}, {"Deadline-Ms", std::to_string(time_limit.count())}},
+      .body = body,
+      .timeout = time_limit,
+      .at_most_once = true};
   if (!body.empty()) request.headers.emplace("Content-Type", "application/json");
   const auto result = http::CallAndWait(*client_, std::move(request));
-  const client_answer answer = result.answer
-                                   ? client_answer{result.answer->status, result.answer->body}
-                                   : client_answer{};
+  client_answer answer =
+      result.answer ? client_answer{result.answer->status, result.answer->body} : client_answer{};
   log_.Add(fmt::format("edge-{} {} {} -> {} {}", entry, method, path,
                        answer.status == 0 ? "no answer" : std::to_string(answer.status),
                        answer.body));
--- a/review/stand-ins-2/fleet.h
+++ b/review/stand-ins-2/fleet.h
@@ -10,9 +10,9 @@
 #include <string>
 #include <vector>
 
+#include "../../platform/tests/program/stand_ins.h"
 #include "minion.h"
 #include "slow_store.h"
-#include "stand_ins.h"
 
 namespace coltsfoot::review {
 
--- a/review/stand-ins-2/minion.cc
+++ b/review/stand-ins-2/minion.cc
@@ -57,9 +57,9 @@
 void minion::BeginLife() {
   ++life_;
   id_ = "i-" + options_.name + "-" + std::to_string(life_);
-  born_ms_ = std::chrono::duration_cast<milliseconds>(
-                 std::chrono::system_clock::now().time_since_epoch())
-                 .count();
+  born_ms_ =
+      std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+          .count();
   began_at_ = steady::now();
   fence_ = 0;
   lease_until_ms_ = 0;
@@ -209,7 +209,8 @@
   for (const entry& each : entries_) {
     if (each.life != life_) continue;
     if (each.run.how.empty()) {
-      const auto ran = std::chrono::duration_cast<milliseconds>(steady::now() - each.run.started_at);
+      const auto ran =
+          std::chrono::duration_cast<milliseconds>(steady::now() - each.run.started_at);
       const std::int64_t percent = std::min<std::int64_t>(100, 100 * ran.count() / NeededMs(each));
       running.push_back({each.run.task, each.run.run, "", percent, 0});
     } else if (!each.forgotten) {
--- a/review/stand-ins-2/minion.h
+++ b/review/stand-ins-2/minion.h
@@ -107,7 +107,8 @@
   std::uint64_t last_end_ = 0;
   std::uint64_t sequence_ = 0;
   std::vector<entry> entries_;
-  std::map<std::string, std::uint32_t> closed_;  ///< highest run of a task that was stopped or ended
+  std::map<std::string, std::uint32_t>
+      closed_;  ///< highest run of a task that was stopped or ended
   std::vector<waiting_hold> holds_;
   std::optional<steady::time_point> back_at_;  ///< set while the minion is down
   std::vector<http::responder> unanswered_;
