--- a/review/7/driver_2.cc
+++ b/review/7/driver_2.cc
@@ -4,7 +4,7 @@
 #include <string>
 #include <thread>
 
-#include "fleet.h"
+#include "../stand-ins-2/fleet.h"
 
 // An entry is frozen for 4 s while a client hands a job in there. The client gets no answer within
 // its time limit and cancels the job at another entry, which acknowledges that. Checks that no task
@@ -28,10 +28,10 @@
 
 int Play(const std::string& path) {
   record log(path);
-  fleet all({.minions = {{.name = "a", .service = "strawline"},
-                         {.name = "b", .service = "strawline"}},
-             .configuration = kConfiguration},
-            log);
+  fleet all(
+      {.minions = {{.name = "a", .service = "strawline"}, {.name = "b", .service = "strawline"}},
+       .configuration = kConfiguration},
+      log);
   std::this_thread::sleep_for(milliseconds{5000});
   const auto frozen_at = steady::now();
   if (HasTrouble()) {
@@ -57,9 +57,10 @@
   RecordRuns(all, log);
   int late = 0;
   for (const seen_run& run : all.Runs()) late += run.started_at > acknowledged_at + kCancelBound;
-  log.Add(fmt::format("{} tasks of the cancelled job started later than {} ms after the "
-                      "acknowledgement at {} ms",
-                      late, kCancelBound.count(), log.Ms(acknowledged_at)));
+  log.Add(
+      fmt::format("{} tasks of the cancelled job started later than {} ms after the "
+                  "acknowledgement at {} ms",
+                  late, kCancelBound.count(), log.Ms(acknowledged_at)));
   log.Add(late == 0 ? "the rule held" : "the rule was broken");
   return late == 0 ? 0 : 1;
 }
