--- a/review/9/driver_2.cc
+++ b/review/9/driver_2.cc
@@ -6,7 +6,7 @@
 #include <string>
 #include <thread>
 
-#include "fleet.h"
+#include "../stand-ins-2/fleet.h"
 
 // Two machines lose power at the same moment: the entry that places the tasks, which is back after
 // 1 s, and a side machine with its minion, which doesn't come back. Checks that the lasting tasks
@@ -86,7 +86,8 @@
   std::map<std::string, bool> running;
   for (const seen_run& run : all.Runs()) {
     const bool began = run.started_at <= window_at + kWindow;
-    running[run.task] = running[run.task] || (began && (!run.ended_at || *run.ended_at > window_at));
+    running[run.task] =
+        running[run.task] || (began && (!run.ended_at || *run.ended_at > window_at));
   }
   std::size_t missing = 0;
   for (const auto& [task, seen] : running) {
@@ -96,8 +97,8 @@
                         log.Ms(window_at + kWindow)));
   }
   for (std::size_t index = 0; index < all.minions(); ++index) {
-    log.Add(fmt::format("minion {} runs {} tasks", all.At(index).name(),
-                        CountRunning(all.At(index))));
+    log.Add(
+        fmt::format("minion {} runs {} tasks", all.At(index).name(), CountRunning(all.At(index))));
   }
   std::this_thread::sleep_for(kMore);
   RecordRuns(all, log);
