--- a/review/8/driver_2.cc
+++ b/review/8/driver_2.cc
@@ -5,7 +5,7 @@
 #include <string>
 #include <thread>
 
-#include "fleet.h"
+#include "../stand-ins-2/fleet.h"
 
 // A minion crashes once, just after it has begun a task that lasts, and is back 5.4 s later. The
 // other minions have no room for the task. Checks that the task runs again.
@@ -85,9 +85,8 @@
     seen = seen || !run.ended_at || *run.ended_at > window_at;
   }
   log.Add(fmt::format("{} {} between {} and {} ms, while minion {} runs {} tasks", task,
-                      seen ? "ran" : "did not run", log.Ms(window_at),
-                      log.Ms(window_at + kWindow), victim->name(),
-                      RunningByMinion(all)[victim->name()].size()));
+                      seen ? "ran" : "did not run", log.Ms(window_at), log.Ms(window_at + kWindow),
+                      victim->name(), RunningByMinion(all)[victim->name()].size()));
   all.Call(1, "GET", kJob);
   std::this_thread::sleep_for(kMore);
   all.Call(1, "GET", kJob);
