--- a/review/6/driver_2.cc
+++ b/review/6/driver_2.cc
@@ -3,7 +3,7 @@
 #include <string>
 #include <thread>
 
-#include "fleet.h"
+#include "../stand-ins-2/fleet.h"
 
 // A job has one task that crashes each minion that starts it, half a second after the start. Counts
 // the starts after three minions have crashed under it.
@@ -42,8 +42,8 @@
     if (crashes >= kCrashesBefore) ++more;
     if (run.how == "crashed") ++crashes;
   }
-  log.Add(fmt::format("{} minions crashed under the task; {} starts after the third", crashes,
-                      more));
+  log.Add(
+      fmt::format("{} minions crashed under the task; {} starts after the third", crashes, more));
   if (HasTrouble() && crashes < kCrashesBefore) return more == 0 && crashes > 0 ? 0 : 2;
   log.Add(more < kMoreStarts ? "the rule held" : "the rule was broken");
   return more < kMoreStarts ? 0 : 1;
