--- a/review/stand-ins-2/fleet.cc
+++ b/review/stand-ins-2/fleet.cc
@@ -19,6 +19,7 @@
 
 constexpr milliseconds kReadyLimit{20'000};
 constexpr milliseconds kPause{50};
+constexpr milliseconds kStoreDelay{4};  // "4 ms an answer" on the sheets
 
 [[noreturn]] void GiveUp(const std::string& reason) {
   std::cerr << reason << "\n";
@@ -73,7 +74,8 @@
 
 void program::Signal(int number) const { kill(pid_, number); }
 
-fleet::fleet(const layout& wanted, record& log) : log_(log) {
+fleet::fleet(const layout& wanted, record& log)
+    : log_(log), slow_store_(store_.address(), kStoreDelay, wanted.changes_before) {
   std::string pattern =
       (std::filesystem::temp_directory_path() / "coltsfoot-review-XXXXXX").string();
   if (mkdtemp(pattern.data()) == nullptr) GiveUp("no temporary folder");
--- a/review/stand-ins-2/fleet.h
+++ b/review/stand-ins-2/fleet.h
@@ -60,7 +60,8 @@
   struct layout {
     int entries = 2;
     std::vector<minion_options> minions;
-    std::string configuration;  ///< value of op/config
+    std::string configuration;         ///< value of op/config
+    std::uint64_t changes_before = 0;  ///< that the store has had
   };
 
   /// Ends the program with exit code 2 if the deployment doesn't start.
@@ -93,7 +94,7 @@
   record& log_;
   std::filesystem::path directory_;
   platform::testing::store_stand_in store_;
-  slow_store slow_store_{store_.address(), milliseconds{4}};  ///< "4 ms an answer" on the sheets
+  slow_store slow_store_;
   std::vector<std::unique_ptr<minion>> minions_;
   std::vector<std::string> fronts_;
   std::vector<std::string> ready_;
--- a/review/stand-ins-2/minion.cc
+++ b/review/stand-ins-2/minion.cc
@@ -96,6 +96,11 @@
   GoDown(downtime);
 }
 
+void minion::SetUnhealthy(bool unhealthy) {
+  const std::lock_guard lock(mutex_);
+  unhealthy_ = unhealthy;
+}
+
 void minion::GoDown(milliseconds downtime) {
   for (entry& each : entries_) {
     if (each.run.how.empty()) End(each, "crashed");
@@ -121,6 +126,10 @@
     respond(Answer(400, json::object()));
     return;
   }
+  if (unhealthy_ && request.path == "/-/run-start") {
+    respond(Answer(503, json::object()));
+    return;
+  }
   const auto fence = call.value("fence", std::uint64_t{0});
   if (fence < fence_) {
     respond(Answer(409, {{"reason", "fence"}}));
@@ -260,7 +269,7 @@
       {"state", "ready"},
       {"coldLeftMs", 0},
       {"capacity", {{"cpu", options_.cpu}, {"memMb", options_.memory_mb}, {"gpu", 0}}},
-      {"labels", {"a", "r1-1"}},
+      {"labels", {options_.kind, "r1-1"}},
       {"clockMs", ClockMs()},
       {"born", born_ms_},
       {"seq", ++sequence_}};
--- a/review/stand-ins-2/minion.h
+++ b/review/stand-ins-2/minion.h
@@ -42,6 +42,7 @@
 struct minion_options {
   std::string name;
   std::string service;
+  std::string kind = "a";  ///< first label
   std::int64_t cpu = 16000;
   std::int64_t memory_mb = 64000;
   milliseconds heartbeat{1500};
@@ -64,6 +65,8 @@
   /// Ends everything that runs and answers nothing for `downtime`, as a machine without power; then
   /// a new life begins.
   void Crash(milliseconds downtime);
+  /// An unhealthy minion rejects each start with 503 and does nothing for it.
+  void SetUnhealthy(bool unhealthy);
 
  private:
   struct waiting_hold {
@@ -118,6 +121,7 @@
   std::condition_variable stopped_;
   std::unique_ptr<http::client> client_ = http::MakeCurlClient();
   std::uint16_t port_ = 0;
+  bool unhealthy_ = false;
   bool closed_channels_ = false;  ///< the crash was one of the process, which closes its channels
   std::unique_ptr<http::server> server_;
   std::thread timer_;
--- a/review/stand-ins-2/slow_store.h
+++ b/review/stand-ins-2/slow_store.h
@@ -20,7 +20,9 @@
 class slow_store {
  public:
   /// @param store "IP:PORT".
-  slow_store(std::string store, milliseconds delay);
+  /// @param changes_before number of changes that the store has had before the first one here. All
+  /// revisions are higher by it.
+  slow_store(std::string store, milliseconds delay, std::uint64_t changes_before = 0);
   ~slow_store();
   slow_store(const slow_store&) = delete;
   slow_store& operator=(const slow_store&) = delete;
@@ -37,9 +39,13 @@
   };
 
   void Forward(call each);
+  std::string ToStore(const std::string& revision) const;
+  std::string BodyToStore(const std::string& body) const;
+  std::string BodyFromStore(const std::string& body) const;
 
   std::string store_;
   std::atomic<std::int64_t> delay_ms_;
+  std::uint64_t changes_before_;
   std::mutex mutex_;
   std::vector<call> waiting_;
   bool stopping_ = false;
