--- a/review/9/driver_2.cc
+++ b/review/9/driver_2.cc
@@ -17,10 +17,10 @@
     R"("service":"strawline","sloMs":2500,"priority":0,"attempts":2,"stretch":2.2}],)"
     R"("services":[{"name":"strawline","admissionCheck":false}],"limits":{}})";
 constexpr auto kJob = "/kiln/6a1f00c25be8d934";
-// Three tasks fit on a minion, so the third minion gets one.
-constexpr std::size_t kTasks = 7;
+// Three tasks fit on a minion, so the eighth minion gets one.
+constexpr std::size_t kTasks = 22;
 constexpr auto kBody =
-    R"({"spec":"lasting","steps":[{"count":7,"cpu":5000,"memMb":6000,"estMs":320,)"
+    R"({"spec":"lasting","steps":[{"count":22,"cpu":5000,"memMb":6000,"estMs":320,)"
     R"("longRunning":true}]})";
 constexpr milliseconds kDowntime{5400};
 // The rule asks for the task from 6 s after its last run, for 3 s, with 4 s of calm before.
@@ -48,11 +48,11 @@
 
 int Play(const std::string& path) {
   record log(path);
-  fleet all({.minions = {{.name = "a", .service = "strawline"},
-                         {.name = "b", .service = "strawline"},
-                         {.name = "c", .service = "strawline"}},
-             .configuration = kConfiguration},
-            log);
+  fleet::layout wanted{.configuration = kConfiguration};
+  for (const char* name : {"a", "b", "c", "d", "e", "f", "g", "h"}) {
+    wanted.minions.push_back({.name = name, .service = "strawline"});
+  }
+  fleet all(wanted, log);
   std::this_thread::sleep_for(milliseconds{8000});  // until leases of a former start have lapsed
   if (all.Call(0, "POST", kJob, kBody).status != 200) return 2;
   const auto limit = steady::now() + milliseconds{10'000};
