jobs: a suspect of a crash waits only for a worker with room

Cause: crash_isolation chose workers to isolate by their whole capacity and kept them as long as a suspect would fit an empty one. The only worker it isolated was full of lasting tasks, which need not end, and no other was tried. The limit of tasks per worker had the same gap, and many suspects of one crash waited for each other without a bound.

A worker is now isolated, and stays so, only if a waiting suspect has room on it at present, so each isolated worker gets a suspect or is released. When no target has crashed for 5 s, suspects that were never alone start like other tasks, which bounds the wait of a crowd.

--- a/libs/jobs/include/jobs/crash_isolation.h
+++ b/libs/jobs/include/jobs/crash_isolation.h
@@ -29,6 +29,9 @@
 struct isolation_options {
   /// Share of a service's workers, in thousandths, that may be isolated at a time; at least one.
   std::size_t max_isolated_permille = 250;
+  /// Once no target has crashed for this long, only tasks that were the single suspect of a crash
+  /// still wait for an isolated worker.
+  core::milliseconds calm_after{5000};
   bool operator==(const isolation_options&) const = default;
 };
 
@@ -38,7 +41,8 @@
   explicit crash_isolation(isolation_options options = {}) : options_(options) {}
 
   /// Isolates workers while suspects wait or are on probation and releases the others. Sets
-  /// `isolated` and `accepts_suspect` of all workers.
+  /// `isolated` and `accepts_suspect` of all workers, and `needs_isolation` of all suspects.
+  /// @param workers `committed` has to include all copies.
   void Update(const job_table& jobs, worker_table& workers, core::mono_time now);
   void Clear();
   /// Records that a target crashed.
@@ -48,20 +52,32 @@
   std::uint32_t CrashesAloneOfCulprit(std::size_t workers, core::mono_time now) const;
 
  private:
-  using step_list = std::vector<const step_spec*>;
-  /// The step of each suspect.
-  using suspects_by_service = std::map<std::string, step_list, std::less<>>;
+  /// Suspects of one step that wait for an isolated worker.
+  struct waiting_step {
+    const job_row* job = nullptr;
+    std::uint32_t step = 0;
+    std::size_t tasks = 0;
+  };
+  using step_list = std::vector<waiting_step>;
+  using steps_by_service = std::map<std::string, step_list, std::less<>>;
 
-  static suspects_by_service WaitingSuspects(const job_table& jobs);
+  /// Decides for each suspect whether it needs isolation.
+  /// @return the steps with suspects that need it and wait.
+  steps_by_service FindWaiting(const job_table& jobs, core::mono_time now) const;
+  /// @return true if a task of one of the steps has room on the worker now. Room that others occupy
+  /// may never become free.
+  static bool HasRoomForAny(const worker_row& worker, const step_list& waiting);
   /// Releases workers that have left, or on which no suspect is on probation or could start.
-  void Release(const job_table& jobs, const worker_table& workers,
-               const suspects_by_service& waiting, core::mono_time now);
-  /// Isolates further workers of a service that fit a suspect, those with the least work first.
+  void Release(const job_table& jobs, const worker_table& workers, const steps_by_service& waiting,
+               core::mono_time now);
+  /// Isolates further workers of a service with room for a suspect, those with the least work
+  /// first.
   void Isolate(const std::string& service, const step_list& waiting, const worker_table& workers,
                core::mono_time now);
 
   isolation_options options_;
-  std::set<std::string> isolated_;                  ///< agents
+  std::set<std::string> isolated_;  ///< agents
+  core::mono_time last_crash_;      ///< when a target was last found to have crashed; zero: not yet
   std::deque<core::mono_time> background_crashes_;  ///< of workers that were not isolated
 };
 
--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -39,8 +39,9 @@
 struct task_row {
   task_progress progress;
   std::vector<task_copy> copies;
-  std::string failed_on;   ///< agent on which it last failed or got stuck
-  crash_evidence crashes;  ///< it is a suspect if there are any
+  std::string failed_on;         ///< agent on which it last failed or got stuck
+  crash_evidence crashes;        ///< it is a suspect if there are any
+  bool needs_isolation = false;  ///< starts only on an isolated worker; see `crash_isolation`
 };
 
 /// Task counts of a step. They let the planner skip steps without pending tasks.
--- a/libs/jobs/include/jobs/planner.h
+++ b/libs/jobs/include/jobs/planner.h
@@ -102,6 +102,10 @@
 /// @return true if the worker accepts new tasks of this service.
 bool TakesTasks(const worker_row& worker, std::string_view service, core::mono_time now);
 
+/// @return true if a further task of the step has room on the worker now, and the worker has the
+/// step's label and is below its limit of tasks per worker.
+bool HasRoomFor(const worker_row& worker, const job_row& job, std::uint32_t step);
+
 /// @return the name of the group of a step's tasks; tasks of one group have the same load.
 std::string GroupOf(std::string_view job, std::uint32_t step);
 
--- a/libs/jobs/src/crash_isolation.cc
+++ b/libs/jobs/src/crash_isolation.cc
@@ -36,14 +36,6 @@
          worker.state != target_state::gone && worker.state != target_state::draining;
 }
 
-/// @return true if the worker can ever run a task of one of the steps.
-bool FitsAny(const worker_row& worker, const std::vector<const step_spec*>& steps) {
-  return std::any_of(steps.begin(), steps.end(), [&](const step_spec* step) {
-    return (step->label.empty() || worker.HasLabel(step->label)) &&
-           Reserved(*step).FitsIn(worker.capacity);
-  });
-}
-
 }  // namespace
 
 bool IsCulprit(const crash_evidence& evidence, std::uint32_t crashes_alone) noexcept {
@@ -53,9 +45,11 @@
 void crash_isolation::Clear() {
   isolated_.clear();
   background_crashes_.clear();
+  last_crash_ = {};
 }
 
 void crash_isolation::RecordCrash(const worker_row& worker, core::mono_time now) {
+  last_crash_ = now;
   while (!background_crashes_.empty() && now - background_crashes_.front() > kBackgroundPeriod) {
     background_crashes_.pop_front();
   }
@@ -75,29 +69,40 @@
   return std::clamp(static_cast<std::uint32_t>(needed), kMinCrashesAlone, kMaxCrashesAlone);
 }
 
-crash_isolation::suspects_by_service crash_isolation::WaitingSuspects(const job_table& jobs) {
-  suspects_by_service waiting;
+crash_isolation::steps_by_service crash_isolation::FindWaiting(const job_table& jobs,
+                                                               core::mono_time now) const {
+  const bool calm = now - last_crash_ >= options_.calm_after;
+  steps_by_service waiting;
   for (const auto& [id, job] : jobs.suspects()) {
-    if (job->held) continue;
     for (std::uint32_t step = 0; step < job->steps.size(); ++step) {
-      if (job->steps[step].pending == 0 || !job->IsReleased(step)) continue;
-      const task_row* first = &job->tasks[job->steps[step].first_task];
-      const auto count =
-          std::count_if(first, first + job->Spec(step).count, [](const task_row& task) {
-            return task.crashes.crashes > 0 && task.copies.empty() && !task.progress.done;
-          });
-      waiting[job->queue.service].insert(waiting[job->queue.service].end(),
-                                         static_cast<std::size_t>(count), &job->Spec(step));
+      const bool startable = !job->held && job->steps[step].pending > 0 && job->IsReleased(step);
+      std::size_t tasks = 0;
+      for (std::uint32_t index = 0; index < job->Spec(step).count; ++index) {
+        task_row& task = job->tasks[job->steps[step].first_task + index];
+        if (task.crashes.crashes == 0) continue;
+        task.needs_isolation = !calm || task.crashes.alone > 0;
+        const bool waits = startable && task.copies.empty() && !task.progress.done;
+        if (waits && task.needs_isolation) ++tasks;
+      }
+      if (tasks > 0) waiting[job->queue.service].push_back({job, step, tasks});
     }
   }
   return waiting;
 }
 
+bool crash_isolation::HasRoomForAny(const worker_row& worker, const step_list& waiting) {
+  return std::any_of(waiting.begin(), waiting.end(), [&](const waiting_step& each) {
+    return HasRoomFor(worker, *each.job, each.step);
+  });
+}
+
 void crash_isolation::Update(const job_table& jobs, worker_table& workers, core::mono_time now) {
   if (isolated_.empty() && jobs.suspects().empty()) return;
-  const suspects_by_service waiting = WaitingSuspects(jobs);
+  // Suspects of an earlier term: their crashes may have just happened.
+  if (last_crash_ == core::mono_time{}) last_crash_ = now;
+  const steps_by_service waiting = FindWaiting(jobs, now);
   Release(jobs, workers, waiting, now);
-  for (const auto& [service, suspects] : waiting) Isolate(service, suspects, workers, now);
+  for (const auto& [service, steps] : waiting) Isolate(service, steps, workers, now);
   for (auto& [agent, worker] : workers) {
     worker.isolated = isolated_.contains(agent);
     worker.accepts_suspect = worker.isolated && now - worker.last_start_at >= kProbation &&
@@ -106,12 +111,12 @@
 }
 
 void crash_isolation::Release(const job_table& jobs, const worker_table& workers,
-                              const suspects_by_service& waiting, core::mono_time now) {
+                              const steps_by_service& waiting, core::mono_time now) {
   std::erase_if(isolated_, [&](const std::string& agent) {
     const auto worker = workers.find(agent);
     if (worker == workers.end() || !MayReturn(worker->second, now)) return true;
-    const auto suspects = waiting.find(worker->second.service);
-    if (suspects != waiting.end() && FitsAny(worker->second, suspects->second)) return false;
+    const auto steps = waiting.find(worker->second.service);
+    if (steps != waiting.end() && HasRoomForAny(worker->second, steps->second)) return false;
     return !HasProbation(jobs, agent, now);
   });
 }
@@ -126,12 +131,14 @@
     ++all;
     if (isolated_.contains(agent)) {
       ++isolated;
-    } else if (TakesTasks(worker, service, now) && FitsAny(worker, waiting)) {
+    } else if (TakesTasks(worker, service, now) && HasRoomForAny(worker, waiting)) {
       candidates.push_back(&worker);
     }
   }
-  const std::size_t limit = std::min(
-      waiting.size(), std::max<std::size_t>(1, all * options_.max_isolated_permille / 1000));
+  std::size_t suspects = 0;
+  for (const waiting_step& each : waiting) suspects += each.tasks;
+  const std::size_t limit =
+      std::min(suspects, std::max<std::size_t>(1, all * options_.max_isolated_permille / 1000));
   std::sort(candidates.begin(), candidates.end(), [](const auto* left, const auto* right) {
     return std::tie(left->serving, left->committed.cpu_millis, left->agent) <
            std::tie(right->serving, right->committed.cpu_millis, right->agent);
@@ -140,7 +147,7 @@
     if (isolated >= limit) return;
     ++isolated;
     isolated_.insert(worker->agent);
-    spdlog::info("event=worker_isolated agent={} suspects={}", worker->agent, waiting.size());
+    spdlog::info("event=worker_isolated agent={} suspects={}", worker->agent, suspects);
   }
 }
 
--- a/libs/jobs/src/job_table.cc
+++ b/libs/jobs/src/job_table.cc
@@ -207,6 +207,7 @@
   if (ref.task->crashes == crash_evidence{}) return;
   job_row& job = *ref.job;
   ref.task->crashes = {};
+  ref.task->needs_isolation = false;
   job.crashes_changed = true;
   MarkDirty(job);
   const bool others = std::any_of(job.tasks.begin(), job.tasks.end(),
--- a/libs/jobs/src/planner.cc
+++ b/libs/jobs/src/planner.cc
@@ -90,7 +90,7 @@
     for (std::uint32_t index = 0; index < spec_.count; ++index) {
       if (out.starts.size() >= options_.max_starts) return;
       const task_row& task = job_.tasks[first + index];
-      if (task.progress.done || !task.copies.empty() || task.crashes.crashes > 0) continue;
+      if (task.progress.done || !task.copies.empty() || task.needs_isolation) continue;
       if (!starved_ && pass_.IsFull(job_, spec_, relaxed_)) return;
       worker_row* worker = ChooseWorker(task.failed_on);
       out.workers_examined += pass_.WorkersOf(job_.queue.service).size();
@@ -112,7 +112,7 @@
     const std::uint32_t first = job_.steps[step_].first_task;
     for (std::uint32_t index = 0; index < spec_.count; ++index) {
       const task_row& task = job_.tasks[first + index];
-      if (task.crashes.crashes == 0 || task.progress.done || !task.copies.empty()) continue;
+      if (!task.needs_isolation || task.progress.done || !task.copies.empty()) continue;
       const auto& workers = pass_.IsolatedWorkersOf(job_.queue.service);
       const auto free = std::find_if(workers.begin(), workers.end(), [&](const auto* worker) {
         return worker->accepts_suspect && HasRoom(*worker, need_, 0) &&
@@ -252,6 +252,16 @@
   return "unknown";
 }
 
+bool HasRoomFor(const worker_row& worker, const job_row& job, std::uint32_t step) {
+  const step_spec& spec = job.Spec(step);
+  if (!spec.label.empty() && !worker.HasLabel(spec.label)) return false;
+  if (!HasRoom(worker, Reserved(spec), 0)) return false;
+  if (spec.max_per_worker == 0) return true;
+  const copies_by_worker counts = CountCopies(job, step);
+  const auto here = counts.find(worker.agent);
+  return here == counts.end() || here->second < spec.max_per_worker;
+}
+
 std::string GroupOf(std::string_view job, std::uint32_t step) {
   return std::string(job) + "." + std::to_string(step);
 }
--- a/libs/jobs/tests/crash_isolation_test.cc
+++ b/libs/jobs/tests/crash_isolation_test.cc
@@ -35,6 +35,26 @@
     report.refused.clear();
   }
 
+  /// The target of `agent` falls silent until its lease has expired, then comes back as another
+  /// incarnation that had crashed under these runs.
+  void CrashForLong(const std::string& agent, const std::vector<run_id>& suspects) {
+    worker_report& report = Worker(agent);
+    report.running.clear();
+    report.state = target_state::gone;
+    Pass(milliseconds{200});
+    report.state = target_state::ready;
+    Crash(agent, suspects);
+  }
+
+  /// @return the names of the isolated workers.
+  std::vector<std::string> Isolated() const {
+    std::vector<std::string> out;
+    for (const auto& [agent, worker] : control.workers()) {
+      if (worker.isolated) out.push_back(agent);
+    }
+    return out;
+  }
+
   /// Advances the time while all agents report, and executes the commands.
   void Pass(milliseconds duration) {
     for (milliseconds passed{0}; passed < duration; passed += milliseconds{100}) {
@@ -111,13 +131,9 @@
   fleet.Crash("a", suspects);
   fleet.Submit(kOtherJob, {TestStep(40)});
   fleet.agents.commands.clear();
-  std::vector<std::string> isolated;
   for (int step = 0; step < 3; ++step) {
     fleet.Tick(milliseconds{100});
-    isolated.clear();
-    for (const auto& [agent, worker] : fleet.control.workers()) {
-      if (worker.isolated) isolated.push_back(agent);
-    }
+    const std::vector<std::string> isolated = fleet.Isolated();
     // A quarter of eight workers.
     CHECK(isolated.size() == 2);
     for (const auto& [agent, start] : fleet.agents.TakeStarts()) {
@@ -131,7 +147,7 @@
   for (std::uint32_t index = 0; index < 4; ++index) {
     CHECK_FALSE(fleet.Find({kJob, 0, 0, index}).first.empty());
   }
-  for (const auto& [agent, worker] : fleet.control.workers()) CHECK_FALSE(worker.isolated);
+  CHECK(fleet.Isolated().empty());
 }
 
 // Guards against a suspect that waits for ever because no isolated worker has its label.
@@ -148,7 +164,62 @@
   fleet.Crash(agent, {run});
   fleet.Pass(milliseconds{2000});
   CHECK(fleet.Find({kJob, 0, 0, 0}).first == "g");
-  for (const auto& [name, worker] : fleet.control.workers()) CHECK_FALSE(worker.isolated);
+  CHECK(fleet.Isolated().empty());
+}
+
+// Guards against a long-running task that waits for ever for a worker that other such tasks fill,
+// while another worker is empty (review/9).
+TEST_CASE("a suspect starts on a worker with room although the least loaded usable one was full") {
+  crash_fixture fleet;
+  step_spec step = TestStep(22, 5000);
+  step.long_running = true;
+  fleet.Submit(kJob, {step});
+  fleet.Pass(milliseconds{1000});
+  const task_id last{kJob, 0, 0, 21};
+  const auto [agent, run] = fleet.Find(last);
+  REQUIRE(fleet.Worker(agent).running.size() == 1);
+  fleet.CrashForLong(agent, {run});
+  fleet.Pass(milliseconds{1500});
+  CHECK(fleet.Find(last).first == agent);
+  CHECK(fleet.Isolated().empty());
+}
+
+// Guards against a suspect that waits for ever for a worker at its step's limit of tasks.
+TEST_CASE("a suspect starts on a worker that is below the limit of tasks per worker") {
+  crash_fixture fleet;
+  step_spec step = TestStep(8);
+  step.long_running = true;
+  step.max_per_worker = 1;
+  fleet.Submit(kJob, {step});
+  fleet.Pass(milliseconds{1000});
+  const task_id task{kJob, 0, 0, 7};
+  const auto [agent, run] = fleet.Find(task);
+  fleet.CrashForLong(agent, {run});
+  fleet.Pass(milliseconds{1500});
+  CHECK(fleet.Find(task).first == agent);
+  CHECK(fleet.Isolated().empty());
+}
+
+// Guards against long-running tasks that wait for each other's trial although nothing crashes.
+TEST_CASE("suspects of a crash of many start together once targets have stopped crashing") {
+  crash_fixture fleet;
+  for (const std::string& agent : Agents()) {
+    if (agent != "a") fleet.Worker(agent).state = target_state::draining;
+    fleet.Report(agent);
+  }
+  step_spec step = TestStep(40, 100);
+  step.long_running = true;
+  fleet.Submit(kJob, {step});
+  fleet.Pass(milliseconds{1000});
+  std::vector<run_id> suspects;
+  for (std::uint32_t index = 0; index < 40; ++index) {
+    suspects.push_back(fleet.Find({kJob, 0, 0, index}).second);
+  }
+  fleet.Crash("a", suspects);
+  fleet.Pass(milliseconds{4500});
+  CHECK(fleet.Worker("a").running.size() < 20);
+  fleet.Pass(milliseconds{1000});
+  CHECK(fleet.Worker("a").running.size() == 40);
 }
 
 // Guards against innocent tasks that fail on a fleet whose targets often crash by themselves.
