jobs: reserve run numbers in the store instead of counting from the term

Cause: a new coordinator numbered runs from its term, which is a revision of the store. Numbers above 2^31 make the runner refuse a target's lists, so that it extends no lease and reports nothing; from 2^32 on they would have wrapped round. Below that, a task restarted more often than the store changed got numbers above the next term.

The store now holds a bound of all run numbers. A coordinator raises it under its leader key and uses only numbers that the store has confirmed; a successor starts from the bound. So its numbers are above all earlier ones, known or not, and do not depend on the store's revision.

--- a/libs/jobs/include/jobs/coordinator.h
+++ b/libs/jobs/include/jobs/coordinator.h
@@ -18,6 +18,7 @@
 #include "jobs/planner.h"
 #include "jobs/progress_writer.h"
 #include "jobs/queue_catalogue.h"
+#include "jobs/run_numbers.h"
 #include "jobs/worker_table.h"
 #include "metrics/registry.h"
 #include "store/versioned_store.h"
@@ -147,6 +148,8 @@
   void MarkAbsent(worker_row& worker);
   /// Loads the stored register of absent workers, so that the takeover does not wait for them.
   void RestoreAbsences(const std::vector<store::kv_entry>& inbox);
+  /// Loads the numbers that runs of earlier terms may have.
+  void RestoreRunNumbers(const std::vector<store::kv_entry>& inbox);
   /// Loads the stored evidence against tasks that may crash their targets.
   void RestoreCrashes(const std::vector<store::kv_entry>& progress);
   /// Ends the takeover when every worker has listed its runs or its lease has expired.
@@ -188,6 +191,7 @@
   crash_isolation isolation_;
   progress_writer progress_;
   absence_register absences_;
+  run_numbers run_numbers_;
   plan_pacer plan_pacer_;
   std::set<std::string> early_cancels_;  ///< jobs whose cancellation arrived before they did
   std::map<std::string, worker_commands> commands_;
--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -108,7 +108,9 @@
   /// @return the job with this id.
   job_row& Add(std::string id, job_record record, std::uint64_t revision, core::mono_time accepted);
   /// Sets a job's progress to what is stored. Call before any of its runs is known.
-  void Restore(job_row& job, const progress_record& stored, store::key_version version);
+  /// @param max_run higher run numbers come from damaged data and are replaced by this one.
+  void Restore(job_row& job, const progress_record& stored, store::key_version version,
+               std::uint32_t max_run);
   /// Removes a job. The job must have no copies.
   void Remove(const std::string& id);
 
--- a/libs/jobs/include/jobs/records.h
+++ b/libs/jobs/include/jobs/records.h
@@ -23,6 +23,8 @@
 /// Agents without a lease. Under the inbox prefix, so that it is loaded with the inbox when a term
 /// starts.
 inline constexpr std::string_view kAbsentKey = "coltsfoot/in/absent";
+/// Bound of all run numbers used so far. Under the inbox prefix for the same reason.
+inline constexpr std::string_view kRunBoundKey = "coltsfoot/in/run-bound";
 inline constexpr std::string_view kEntryPrefix = "coltsfoot/entry/";
 inline constexpr std::string_view kProgressPrefix = "coltsfoot/progress/";
 
@@ -127,6 +129,16 @@
   }
 };
 
+/// Run numbers up to `bound` are reserved; see `run_numbers`.
+struct run_bound_record {
+  std::uint32_t bound = 0;
+  bool operator==(const run_bound_record&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(bound);
+  }
+};
+
 /// Checks the invariants of an accepted job, such as that a step depends on earlier steps only. A
 /// record that was damaged in the store must not crash the processes that read it.
 /// @return false with `decode_error` in `error` if the job cannot be run.
--- a/libs/jobs/include/jobs/types.h
+++ b/libs/jobs/include/jobs/types.h
@@ -22,8 +22,7 @@
 inline constexpr std::int64_t kMaxResourceAmount = 1'000'000'000;
 /// Maximum `stretch` of a queue, so that objectives fit their type.
 inline constexpr double kMaxStretch = 1e6;
-/// No task is started so often. Larger run numbers come from damaged data; the next one would not
-/// fit its type.
+/// Highest run number. Larger ones come from damaged data; the next one would not fit its type.
 inline constexpr std::uint32_t kMaxRun = 0x7fff'ffff;
 
 /// Identifies a task.
--- a/libs/jobs/src/coordinator.cc
+++ b/libs/jobs/src/coordinator.cc
@@ -39,7 +39,8 @@
       authority_(authority),
       queues_(std::make_shared<queue_catalogue>()),
       progress_(time, metrics, storage, [this] { authority_.OnDeposed(); }),
-      absences_(time, metrics, storage, [this] { authority_.OnDeposed(); }) {}
+      absences_(time, metrics, storage, [this] { authority_.OnDeposed(); }),
+      run_numbers_(time, storage, [this] { authority_.OnDeposed(); }) {}
 
 core::mono_time coordinator::LeaseBound(core::mono_time granted) const {
   return granted + options_.task_lease +
@@ -53,6 +54,7 @@
   term_began_ = time_.Now();
   takeover_settled_ = false;
   progress_.Reset(term);
+  RestoreRunNumbers(inbox);
   for (const store::kv_entry& entry : inbox) OnInboxChange({entry.key, entry});
   RestoreAbsences(inbox);
   for (const store::kv_entry& entry : progress) {
@@ -66,7 +68,7 @@
       spdlog::error("event=progress_unreadable job={} reason=\"{}\"", *id, error.reason().message);
       continue;
     }
-    jobs_.Restore(*job, *stored, entry.version);
+    jobs_.Restore(*job, *stored, entry.version, run_numbers_.base());
     // The job may have been cancelled after its progress was last stored.
     if (job->cancel_requested) CancelJob(*id);
   }
@@ -86,6 +88,12 @@
   }
 }
 
+void coordinator::RestoreRunNumbers(const std::vector<store::kv_entry>& inbox) {
+  const auto stored = std::find_if(inbox.begin(), inbox.end(),
+                                   [](const auto& entry) { return entry.key == kRunBoundKey; });
+  run_numbers_.Reset(term_, stored == inbox.end() ? std::nullopt : std::optional(*stored));
+}
+
 void coordinator::RestoreCrashes(const std::vector<store::kv_entry>& progress) {
   for (const store::kv_entry& entry : progress) {
     const auto id = JobOfCrashKey(entry.key);
@@ -105,6 +113,7 @@
   term_ = 0;
   progress_.Reset(0);
   absences_.Reset(0, std::nullopt);
+  run_numbers_.Reset(0, std::nullopt);
   jobs_.Clear();
   workers_.clear();
   early_cancels_.clear();
@@ -157,7 +166,7 @@
                .stretch = job.record.stretch,
                .objective_ms = job.record.objective_ms};
   UpdateQueue(job);
-  if (entry.version < term_) job.run_base = static_cast<std::uint32_t>(term_);
+  if (entry.version < term_) job.run_base = run_numbers_.base();
   spdlog::info("event=job_known job={} queue={} priority={} steps={} tasks={} age_ms={}", id,
                job.record.queue, job.queue.priority, job.steps.size(), job.tasks.size(),
                age.count());
@@ -210,6 +219,7 @@
 
 void coordinator::Tick() {
   if (!active()) return;
+  run_numbers_.Flush();
   ExpireLeases();
   SettleTakeover();
   StopRedundantCopies();
@@ -334,10 +344,16 @@
   for (const planned_start& start : plan.starts) {
     const task_id id{start.job, 0, start.step, start.index};
     const auto ref = jobs_.FindTask(id);
+    const std::uint32_t last_run = std::max(ref->task->progress.last_run, ref->job->run_base);
+    if (!run_numbers_.Reserve(std::uint64_t{last_run} + 1)) {
+      // The plan has committed resources to this start.
+      jobs_.MarkAgentChanged(start.agent);
+      continue;
+    }
     worker_row& worker = workers_.at(start.agent);
     worker.last_start_at = now;
     worker_commands& commands = CommandsFor(worker);
-    const std::uint32_t run = std::max(ref->task->progress.last_run, ref->job->run_base) + 1;
+    const std::uint32_t run = last_run + 1;
     if (ref->job->state == job_state::queued) {
       spdlog::info("event=job_started job={} agent={} waited_ms={}", start.job, start.agent,
                    core::ToMs(now - ref->job->accepted_at));
--- a/libs/jobs/src/job_table.cc
+++ b/libs/jobs/src/job_table.cc
@@ -90,7 +90,8 @@
   jobs_.erase(id);
 }
 
-void job_table::Restore(job_row& job, const progress_record& stored, store::key_version version) {
+void job_table::Restore(job_row& job, const progress_record& stored, store::key_version version,
+                        std::uint32_t max_run) {
   job.progress_version = version;
   job.state = stored.state;
   job.stored_state = stored.state;
@@ -99,7 +100,7 @@
   for (std::size_t index = 0; index < count; ++index) {
     task_progress& progress = job.tasks[index].progress;
     progress = stored.tasks[index];
-    progress.last_run = std::min(progress.last_run, kMaxRun);
+    progress.last_run = std::min(progress.last_run, max_run);
   }
   CountSteps(job);
   if (IsEnded(job.state)) open_.erase(job.id);
--- a/libs/jobs/tests/damaged_input_test.cc
+++ b/libs/jobs/tests/damaged_input_test.cc
@@ -84,8 +84,9 @@
 TEST_CASE("a coordinator keeps working with damaged records in the store") {
   CHECK(rc::check([] {
     running_fleet fleet;
-    const std::vector<std::string> keys{JobKey(kJob), ProgressKey(kJob), AgentKey("a"),
-                                        std::string(kAbsentKey), CancelKey(kJob)};
+    const std::vector<std::string> keys{JobKey(kJob),    ProgressKey(kJob),
+                                        AgentKey("a"),   std::string(kAbsentKey),
+                                        CancelKey(kJob), std::string(kRunBoundKey)};
     fleet.storage.Put(ProgressKey(kJob),
                       wire::EncodeValue(progress_record{
                           .state = job_state::active,
--- a/libs/jobs/tests/fixture.h
+++ b/libs/jobs/tests/fixture.h
@@ -183,9 +183,13 @@
   return {.count = count, .need = {cpu_millis, 100, 0}, .estimate_ms = 1000};
 }
 
+/// Bound of run numbers in the store when a `coordinator_fixture` begins.
+inline constexpr std::uint32_t kRunBound = 1000;
+
 /// A coordinator in its first term. The test sends the reports of the workers.
 struct coordinator_fixture {
   coordinator_fixture() {
+    storage.Put(std::string(kRunBoundKey), wire::EncodeValue(run_bound_record{kRunBound}));
     storage.Put(std::string(kLeaderKey), "leader");
     term = storage.revision;
     control.SetQueues(std::make_shared<queue_catalogue>(
