jobs: crashes in a row make a task a suspect, whatever its age

Cause: the agent named only runs that had begun within 100 ms before the crash and dropped the others without a word, so the loss of an older run was nobody's fault, each time.

The agent now reports all runs that the target had begun, with their ages, and the coordinator judges: a task comes into question if it was young, as before, or for the second crash in a row under it, unless the run had outlived the longest before. Its trial lasts as long as it had run. Five crashes in a row end the job in any case. Suspects with the least evidence are tried first, on the least loaded isolated worker.

start_refusal::target_crashed is replaced by a list of its own in the report. Two tests of the runner that looked for the refusal now compare the whole list of crashed runs with ages, and that nothing else is refused.

The simulated target reports progress now, and a run that was stopped crashes nothing.

--- a/libs/jobs/include/jobs/coordinator.h
+++ b/libs/jobs/include/jobs/coordinator.h
@@ -131,8 +131,8 @@
   /// Removes copies that the report should list and does not, if its lists are complete.
   void DropMissing(worker_row& worker, const worker_report& report);
   void DropRefused(worker_row& worker, const worker_report& report);
-  /// Records that a target crashed after starts which the report names.
-  void MarkSuspects(const worker_row& worker, const worker_report& report);
+  /// Records that the worker's target crashed under these runs.
+  void ApplyCrash(const worker_row& worker, const std::vector<crashed_run>& crashed);
   void ResendCommands(worker_row& worker);
   /// Removes the copies at an agent whose runs have ended with their lease or their target.
   /// @param keep incarnation of the target whose copies stay, if any.
--- a/libs/jobs/include/jobs/crash_isolation.h
+++ b/libs/jobs/include/jobs/crash_isolation.h
@@ -12,15 +12,19 @@
 #include "jobs/job_table.h"
 #include "jobs/worker_table.h"
 
-/// Finds out which task crashes its targets. A task that began shortly before a crash is a suspect.
-/// Suspects start one at a time on isolated workers, so that a further crash has a single suspect
-/// and takes little other work down.
+/// Finds out which task crashes its targets. A task that began shortly before a crash, or under
+/// which targets crashed twice in a row, is a suspect. Suspects start one at a time on isolated
+/// workers, so that a further crash has a single suspect and takes little other work down.
 namespace coltsfoot::jobs {
 
-/// Time after which a started suspect no longer comes into question for a crash. Longer than the
-/// time within which agents report a task as a suspect.
+/// Time after which a started suspect no longer comes into question for a crash that follows its
+/// start at once. Longer than `kSuspectAge`.
 inline constexpr core::milliseconds kProbation{300};
 
+/// @return the evidence against each of the runs after a crash of their target, in their order.
+std::vector<crash_evidence> JudgeCrash(const std::vector<crashed_run>& runs,
+                                       std::vector<crash_evidence> before);
+
 /// @param crashes_alone number of crashes without another suspect that rule out a coincidence.
 /// @return true if the task is to be given up.
 bool IsCulprit(const crash_evidence& evidence, std::uint32_t crashes_alone) noexcept;
@@ -48,8 +52,11 @@
   /// Records that a target crashed.
   void RecordCrash(const worker_row& worker, core::mono_time now);
   /// @return the number of crashes without another suspect after which a task is the culprit. The
-  /// more targets crash without an isolated suspect, the more are needed.
-  std::uint32_t CrashesAloneOfCulprit(std::size_t workers, core::mono_time now) const;
+  /// more targets crash without an isolated suspect, and the longer the task had run, the more are
+  /// needed.
+  /// @param ran longest time for which it had run before a crash.
+  std::uint32_t CrashesAloneOfCulprit(std::size_t workers, core::mono_time now,
+                                      core::milliseconds ran = kProbation) const;
 
  private:
   /// Suspects of one step that wait for an isolated worker.
--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -168,11 +168,11 @@
   /// Records that a run failed. The job fails when the task has used up the attempts that its queue
   /// allows. Idempotent by run. Ignored for long-running tasks.
   void MarkFailed(const task_ref& ref, std::uint32_t run, std::int64_t wall_ms);
-  /// Records that the task's target crashed shortly after it had started the task. The job fails
-  /// when the task is found to be the culprit.
-  /// @param alone no other task comes into question.
+  /// Records that a target crashed under the task. The job fails when the task is found to be the
+  /// culprit.
+  /// @param evidence against the task, including this crash.
   /// @param crashes_alone see `IsCulprit`.
-  void MarkCrashed(const task_ref& ref, bool alone, std::uint32_t crashes_alone,
+  void MarkCrashed(const task_ref& ref, const crash_evidence& evidence, std::uint32_t crashes_alone,
                    std::int64_t wall_ms);
   /// Drops the evidence against a task that has run without crashing its target.
   void ClearCrashes(const task_ref& ref);
--- a/libs/jobs/include/jobs/messages.h
+++ b/libs/jobs/include/jobs/messages.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "core/clock.h"
 #include "jobs/types.h"
 #include "wire/messages.h"
 
@@ -83,8 +84,7 @@
   no_room,
   unhealthy,
   malformed,
-  not_sent,        ///< the agent refused: target draining or of another incarnation, or no lease
-  target_crashed,  ///< the target crashed at the start or shortly after it
+  not_sent,  ///< the agent refused: target draining or of another incarnation, or no lease
 };
 
 /// @return the reason's name in logs and metrics.
@@ -100,6 +100,20 @@
   }
 };
 
+/// A run that the target had begun before it crashed.
+struct crashed_run {
+  run_id run;
+  std::uint32_t age_ms = 0;  ///< time from its start to the last sign of life of the target
+  bool operator==(const crashed_run&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(run, age_ms);
+  }
+};
+
+/// A run that was this young when its target crashed may have caused the crash.
+inline constexpr core::milliseconds kSuspectAge{100};
+
 /// Coordinator to agent: first message on a connection.
 struct coordinator_hello {
   static constexpr auto kType = wire::message_type::coordinator_hello;
@@ -132,11 +146,13 @@
   std::vector<run_id> starting;      ///< start was commanded, outcome not known yet
   std::vector<ended_run> ended;      ///< not yet confirmed by the coordinator
   std::vector<refused_run> refused;  ///< since the last report
+  std::vector<crashed_run> crashed;  ///< since the last report, in crashes of earlier incarnations
   bool operator==(const worker_report&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
     archive(agent, agent_incarnation, term, sent_ms, commands_seen, state, incarnation, service,
-            zone, labels, capacity, listed, ends_omitted, running, starting, ended, refused);
+            zone, labels, capacity, listed, ends_omitted, running, starting, ended, refused,
+            crashed);
   }
 };
 
--- a/libs/jobs/include/jobs/report_stream.h
+++ b/libs/jobs/include/jobs/report_stream.h
@@ -62,11 +62,12 @@
   std::uint64_t first_unstored = 0;  ///< ends with lower numbers are confirmed as stored
   std::vector<ended_run> ended;      ///< those not yet sent on this connection
   std::vector<refused_run> refused;
+  std::vector<crashed_run> crashed;
   bool operator==(const worker_changes&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
     archive(sequence, identity, term, sent_ms, commands_seen, state, listed, ends_omitted, removed,
-            changed, added, digest, starting, first_unstored, ended, refused);
+            changed, added, digest, starting, first_unstored, ended, refused, crashed);
   }
 };
 
--- a/libs/jobs/src/coordinator_reports.cc
+++ b/libs/jobs/src/coordinator_reports.cc
@@ -47,8 +47,11 @@
   worker.resend_commands =
       worker.resend_commands || worker.agent_incarnation != report.agent_incarnation;
   worker.agent_incarnation = report.agent_incarnation;
-  // Before the runs of an incarnation that has ended are dropped: the refusals say more of them.
-  if (report.listed) DropRefused(worker, report);
+  // Before the runs of an incarnation that has ended are dropped: the report says more of them.
+  if (report.listed) {
+    ApplyCrash(worker, report.crashed);
+    DropRefused(worker, report);
+  }
   ChangeIncarnation(worker, report);
   if (report.listed && worker.incarnation == report.incarnation) {
     ApplyEnds(worker, report);
@@ -279,7 +282,6 @@
 }
 
 void coordinator::DropRefused(worker_row& worker, const worker_report& report) {
-  MarkSuspects(worker, report);
   for (const refused_run& refused : report.refused) {
     metrics_.GetCounter("coltsfoot_starts_refused_total", {"reason", ToString(refused.reason)})
         .Add();
@@ -294,28 +296,50 @@
   }
 }
 
-void coordinator::MarkSuspects(const worker_row& worker, const worker_report& report) {
-  const auto suspects =
-      std::count_if(report.refused.begin(), report.refused.end(),
-                    [](const auto& each) { return each.reason == start_refusal::target_crashed; });
-  if (suspects == 0) return;
-  metrics_
-      .GetCounter("coltsfoot_target_crashes_total", {"suspects", suspects == 1 ? "one" : "many"})
-      .Add();
-  const std::uint32_t crashes_alone =
-      isolation_.CrashesAloneOfCulprit(workers_.size(), time_.Now());
-  const std::int64_t wall_ms = time_.WallNow().time_since_epoch().count();
-  for (const refused_run& refused : report.refused) {
-    if (refused.reason != start_refusal::target_crashed) continue;
-    const auto ref = jobs_.FindTask(refused.run.task);
+void coordinator::ApplyCrash(const worker_row& worker, const std::vector<crashed_run>& crashed) {
+  std::vector<crashed_run> runs;
+  std::vector<task_ref> tasks;
+  std::vector<crash_evidence> evidence;
+  for (const crashed_run& each : crashed) {
+    const auto ref = jobs_.FindTask(each.run.task);
     if (!ref) continue;
-    jobs_.MarkCrashed(*ref, suspects == 1, crashes_alone, wall_ms);
-    spdlog::warn("event=task_suspected task={} run={} agent={} suspects={} crashes={} alone={}",
-                 ToString(refused.run.task), refused.run.run, worker.agent, suspects,
-                 ref->task->crashes.crashes, ref->task->crashes.alone);
-    if (ref->job->state != job_state::failed) continue;
-    spdlog::info("event=job_ended job={} state=failed reason=target_crashes age_ms={}",
-                 ref->job->id, core::ToMs(time_.Now() - ref->job->accepted_at));
+    jobs_.RemoveCopy(*ref, worker.agent, each.run.run);
+    runs.push_back(each);
+    tasks.push_back(*ref);
+    evidence.push_back(ref->task->crashes);
+  }
+  if (runs.empty()) return;
+  metrics_.GetCounter("coltsfoot_runs_lost_total", {"reason", "target_crashed"}).Add(runs.size());
+  const std::vector<crash_evidence> after = JudgeCrash(runs, evidence);
+  const auto is_suspected = [&](std::size_t index) {
+    return after[index].crashes > evidence[index].crashes;
+  };
+  std::size_t suspects = 0;
+  for (std::size_t index = 0; index < runs.size(); ++index) suspects += is_suspected(index) ? 1 : 0;
+  spdlog::warn("event=runs_lost agent={} runs={} reason=target_crashed suspects={}", worker.agent,
+               runs.size(), suspects);
+  if (suspects > 0) {
+    metrics_
+        .GetCounter("coltsfoot_target_crashes_total", {"suspects", suspects == 1 ? "one" : "many"})
+        .Add();
+  }
+  const std::int64_t wall_ms = time_.WallNow().time_since_epoch().count();
+  for (std::size_t index = 0; index < runs.size(); ++index) {
+    const job_row& job = *tasks[index].job;
+    const bool was_failed = job.state == job_state::failed;
+    jobs_.MarkCrashed(tasks[index], after[index],
+                      isolation_.CrashesAloneOfCulprit(workers_.size(), time_.Now(),
+                                                       core::milliseconds{after[index].longest_ms}),
+                      wall_ms);
+    if (!is_suspected(index)) continue;
+    spdlog::warn(
+        "event=task_suspected task={} run={} agent={} age_ms={} suspects={} losses={} crashes={} "
+        "alone={}",
+        ToString(runs[index].run.task), runs[index].run.run, worker.agent, runs[index].age_ms,
+        suspects, after[index].losses, after[index].crashes, after[index].alone);
+    if (was_failed || job.state != job_state::failed) continue;
+    spdlog::info("event=job_ended job={} state=failed reason=target_crashes age_ms={}", job.id,
+                 core::ToMs(time_.Now() - job.accepted_at));
   }
 }
 
--- a/libs/jobs/src/crash_isolation.cc
+++ b/libs/jobs/src/crash_isolation.cc
@@ -13,20 +13,32 @@
 
 // After so many crashes a task is given up even if other tasks came into question each time.
 constexpr std::uint32_t kMaxCrashes = 4;
+// After so many crashes in a row a task is given up even if it was never young.
+constexpr std::uint32_t kMaxLosses = 5;
 constexpr std::uint32_t kMinCrashesAlone = 2;
 constexpr std::uint32_t kMaxCrashesAlone = 3;
 // Accepted probability that an innocent task is given up.
 constexpr double kMaxErrorRate = 1e-3;
+// A task that was lost in so many crashes in a row comes into question although it was not young,
+// unless its last run had clearly outlived the others: then something else caused that crash.
+constexpr std::uint32_t kLossesOfSuspect = 2;
+// A suspect's trial lasts as long as it had run before, but no longer than this beyond
+// `kProbation`, because it takes a worker from all other tasks.
+constexpr core::milliseconds kMaxExtraProbation{2000};
 constexpr core::milliseconds kBackgroundPeriod{60'000};
 // A shorter term gives no meaningful rate.
 constexpr core::milliseconds kMinBackgroundPeriod{20'000};
 
+core::milliseconds ProbationOf(const crash_evidence& evidence) {
+  return kProbation + std::min(core::milliseconds{evidence.longest_ms}, kMaxExtraProbation);
+}
+
 /// @return true if a suspect at the agent has not run for long enough.
 bool HasProbation(const job_table& jobs, const std::string& agent, core::mono_time now) {
   bool found = false;
   jobs.VisitCopies(agent, [&](const task_ref& ref, const task_id&, const task_copy& copy) {
     if (ref.task->crashes.crashes == 0) return;
-    found = found || !copy.running || now - copy.issued_at < kProbation;
+    found = found || !copy.running || now - copy.issued_at < ProbationOf(ref.task->crashes);
   });
   return found;
 }
@@ -38,8 +50,26 @@
 
 }  // namespace
 
+std::vector<crash_evidence> JudgeCrash(const std::vector<crashed_run>& runs,
+                                       std::vector<crash_evidence> before) {
+  std::vector<crash_evidence*> suspects;
+  for (std::size_t index = 0; index < runs.size(); ++index) {
+    crash_evidence& evidence = before[index];
+    const core::milliseconds age{runs[index].age_ms};
+    const bool outlived = age > core::milliseconds{evidence.longest_ms} + kProbation;
+    ++evidence.losses;
+    evidence.longest_ms = std::max(evidence.longest_ms, runs[index].age_ms);
+    if (age >= kSuspectAge && (evidence.losses < kLossesOfSuspect || outlived)) continue;
+    ++evidence.crashes;
+    suspects.push_back(&evidence);
+  }
+  if (suspects.size() == 1) ++suspects.front()->alone;
+  return before;
+}
+
 bool IsCulprit(const crash_evidence& evidence, std::uint32_t crashes_alone) noexcept {
-  return evidence.alone >= crashes_alone || evidence.crashes >= kMaxCrashes;
+  return evidence.alone >= crashes_alone || evidence.crashes >= kMaxCrashes ||
+         evidence.losses >= kMaxLosses;
 }
 
 void crash_isolation::Clear() {
@@ -56,15 +86,16 @@
   if (!worker.isolated) background_crashes_.push_back(now);
 }
 
-std::uint32_t crash_isolation::CrashesAloneOfCulprit(std::size_t workers,
-                                                     core::mono_time now) const {
+std::uint32_t crash_isolation::CrashesAloneOfCulprit(std::size_t workers, core::mono_time now,
+                                                     core::milliseconds ran) const {
   if (background_crashes_.empty() || workers == 0) return kMinCrashesAlone;
   const core::nanoseconds period =
       std::max<core::nanoseconds>(now - background_crashes_.front(), kMinBackgroundPeriod);
-  // Probability that a target crashes by itself during a probation.
-  const double coincidence = std::min(
-      0.5, static_cast<double>(background_crashes_.size()) / static_cast<double>(workers) *
-               static_cast<double>(kProbation.count()) / static_cast<double>(core::ToMs(period)));
+  // Probability that a target crashes by itself while the task runs.
+  const double coincidence =
+      std::min(0.5, static_cast<double>(background_crashes_.size()) / static_cast<double>(workers) *
+                        static_cast<double>(std::max(ran, kProbation).count()) /
+                        static_cast<double>(core::ToMs(period)));
   const double needed = std::ceil(std::log(kMaxErrorRate) / std::log(coincidence));
   return std::clamp(static_cast<std::uint32_t>(needed), kMinCrashesAlone, kMaxCrashesAlone);
 }
--- a/libs/jobs/src/job_table.cc
+++ b/libs/jobs/src/job_table.cc
@@ -191,13 +191,13 @@
   }
 }
 
-void job_table::MarkCrashed(const task_ref& ref, bool alone, std::uint32_t crashes_alone,
-                            std::int64_t wall_ms) {
+void job_table::MarkCrashed(const task_ref& ref, const crash_evidence& evidence,
+                            std::uint32_t crashes_alone, std::int64_t wall_ms) {
   job_row& job = *ref.job;
   if (IsEnded(job.state) || ref.task->progress.done) return;
-  crash_evidence& evidence = ref.task->crashes;
-  ++evidence.crashes;
-  if (alone) ++evidence.alone;
+  ref.task->crashes = evidence;
+  // Most tasks that are lost once are bystanders, so that alone is not worth a write.
+  if (evidence.crashes == 0) return;
   suspects_.emplace(job.id, &job);
   job.crashes_changed = true;
   MarkDirty(job);
@@ -205,9 +205,10 @@
 }
 
 void job_table::ClearCrashes(const task_ref& ref) {
-  if (ref.task->crashes == crash_evidence{}) return;
   job_row& job = *ref.job;
+  const bool was_suspect = ref.task->crashes.crashes > 0;
   ref.task->crashes = {};
+  if (!was_suspect) return;
   ref.task->needs_isolation = false;
   job.crashes_changed = true;
   MarkDirty(job);
--- a/libs/jobs/src/planner.cc
+++ b/libs/jobs/src/planner.cc
@@ -86,7 +86,6 @@
 
   void Place(start_plan& out) {
     const std::uint32_t first = job_.steps[step_].first_task;
-    PlaceSuspects(out);
     for (std::uint32_t index = 0; index < spec_.count; ++index) {
       if (out.starts.size() >= options_.max_starts) return;
       const task_row& task = job_.tasks[first + index];
@@ -106,29 +105,27 @@
     }
   }
 
- private:
-  /// Places each task that may crash its target alone on an isolated worker.
-  void PlaceSuspects(start_plan& out) {
-    const std::uint32_t first = job_.steps[step_].first_task;
-    for (std::uint32_t index = 0; index < spec_.count; ++index) {
-      const task_row& task = job_.tasks[first + index];
-      if (!task.needs_isolation || task.progress.done || !task.copies.empty()) continue;
-      const auto& workers = pass_.IsolatedWorkersOf(job_.queue.service);
-      const auto free = std::find_if(workers.begin(), workers.end(), [&](const auto* worker) {
-        return worker->accepts_suspect && HasRoom(*worker, need_, 0) &&
-               (spec_.label.empty() || worker->HasLabel(spec_.label)) &&
-               (spec_.max_per_worker == 0 || CountAt(worker->agent) < spec_.max_per_worker);
-      });
-      if (free == workers.end()) {
-        ++out.waits[wait_reason::isolation];
-        return;
+  /// Places a task that may crash its target alone on an isolated worker.
+  /// @return false if no isolated worker with room is free.
+  bool PlaceSuspect(std::uint32_t index, start_plan& out) {
+    worker_row* best = nullptr;
+    for (worker_row* worker : pass_.IsolatedWorkersOf(job_.queue.service)) {
+      if (!worker->accepts_suspect || !HasRoom(*worker, need_, 0)) continue;
+      if (!spec_.label.empty() && !worker->HasLabel(spec_.label)) continue;
+      if (spec_.max_per_worker > 0 && CountAt(worker->agent) >= spec_.max_per_worker) continue;
+      // Least goes down with an empty worker.
+      if (best == nullptr || worker->committed.cpu_millis < best->committed.cpu_millis) {
+        best = worker;
       }
-      Commit(**free);
-      (*free)->accepts_suspect = false;
-      out.starts.push_back({job_.id, step_, index, (*free)->agent});
     }
+    if (best == nullptr) return false;
+    Commit(*best);
+    best->accepts_suspect = false;
+    out.starts.push_back({job_.id, step_, index, best->agent});
+    return true;
   }
 
+ private:
   worker_row* ChooseWorker(const std::string& failed_on) {
     worker_row* best = nullptr;
     std::int64_t best_score = std::numeric_limits<std::int64_t>::min();
@@ -203,6 +200,37 @@
   bool starved_ = false;  ///< the next task ignores idle processors and goals
 };
 
+/// Places the suspects that need isolation, those with the least evidence against them first, so
+/// that harmless ones do not wait for the trials of those that crash target after target.
+void PlaceSuspects(const job_table& jobs, const std::vector<open_step>& open, plan_pass& pass,
+                   core::mono_time now, const planner_options& options, start_plan& out) {
+  if (jobs.suspects().empty()) return;
+  struct waiting_suspect {
+    std::uint32_t crashes = 0;
+    std::size_t rank = 0;  ///< index into `open`
+    std::uint32_t index = 0;
+    auto operator<=>(const waiting_suspect&) const = default;
+  };
+  std::vector<waiting_suspect> waiting;
+  for (std::size_t rank = 0; rank < open.size(); ++rank) {
+    const job_row& job = *open[rank].job;
+    if (!jobs.suspects().contains(job.id)) continue;
+    const std::uint32_t first = job.steps[open[rank].step].first_task;
+    for (std::uint32_t index = 0; index < job.Spec(open[rank].step).count; ++index) {
+      const task_row& task = job.tasks[first + index];
+      if (!task.needs_isolation || task.progress.done || !task.copies.empty()) continue;
+      waiting.push_back({task.crashes.crashes, rank, index});
+    }
+  }
+  std::sort(waiting.begin(), waiting.end());
+  for (const waiting_suspect& each : waiting) {
+    if (out.starts.size() >= options.max_starts) return;
+    if (!step_placer(open[each.rank], pass, now, options).PlaceSuspect(each.index, out)) {
+      ++out.waits[wait_reason::isolation];
+    }
+  }
+}
+
 }  // namespace
 
 job_rank RankJob(const job_row& job, core::mono_time now, const planner_options& options) {
@@ -290,6 +318,7 @@
   start_plan out;
   if (open.empty()) return out;
   plan_pass pass(workers, model, now, options);
+  PlaceSuspects(jobs, open, pass, now, options, out);
   for (const open_step& each : open) step_placer(each, pass, now, options).Place(out);
   return out;
 }
--- a/libs/jobs/src/report_stream.cc
+++ b/libs/jobs/src/report_stream.cc
@@ -77,6 +77,7 @@
   EncodeRunning(report, out);
   out.starting = report.starting;
   out.refused = report.refused;
+  out.crashed = report.crashed;
   out.first_unstored = report.ended.empty() ? last_ended_ + 1 : report.ended.front().number;
   for (const ended_run& end : report.ended) {
     if (end.number > last_ended_) out.ended.push_back(end);
@@ -150,6 +151,7 @@
   out.starting = changes.starting;
   out.ended = ended_;
   out.refused = changes.refused;
+  out.crashed = changes.crashed;
   return out;
 }
 
--- a/libs/jobs/src/types.cc
+++ b/libs/jobs/src/types.cc
@@ -56,8 +56,6 @@
       return "malformed";
     case start_refusal::not_sent:
       return "not_sent";
-    case start_refusal::target_crashed:
-      return "target_crashed";
   }
   return "unknown";
 }
--- a/libs/jobs/tests/crash_isolation_test.cc
+++ b/libs/jobs/tests/crash_isolation_test.cc
@@ -23,16 +23,18 @@
   crash_fixture() { Begin(Agents()); }
 
   /// The target of `agent` crashes under these runs and comes back as another incarnation.
-  void Crash(const std::string& agent, const std::vector<run_id>& suspects) {
+  /// @param age time for which they had run.
+  void Crash(const std::string& agent, const std::vector<run_id>& runs,
+             milliseconds age = milliseconds{0}) {
     worker_report& report = Worker(agent);
     report.running.clear();
     report.ended.clear();
     ++report.incarnation.started_ms;
-    for (const run_id& run : suspects) {
-      report.refused.push_back({run, start_refusal::target_crashed});
+    for (const run_id& run : runs) {
+      report.crashed.push_back({run, static_cast<std::uint32_t>(age.count())});
     }
     Report(agent);
-    report.refused.clear();
+    report.crashed.clear();
   }
 
   /// The target of `agent` falls silent until its lease has expired, then comes back as another
@@ -93,6 +95,79 @@
   CHECK(fleet.Find({kJob, 0, 0, 0}).first.empty());
 }
 
+// Guards against a task that crashes its targets some time after its start and is started without
+// end (review/6).
+TEST_CASE("a job fails when targets crash in a row under a task that is not young any more") {
+  crash_fixture fleet;
+  milliseconds age{500};
+  SUBCASE("half a second after its start") {}
+  SUBCASE("seconds after its start") { age = milliseconds{8000}; }
+  fleet.Submit(kJob, {TestStep(1)});
+  std::size_t crashes = 0;
+  for (; crashes < 10 && fleet.control.StateOf(kJob) != job_state::failed; ++crashes) {
+    fleet.Pass(milliseconds{1000});
+    const auto [agent, run] = fleet.Find({kJob, 0, 0, 0});
+    REQUIRE_FALSE(agent.empty());
+    fleet.Crash(agent, {run}, age);
+    fleet.Pass(milliseconds{1000});
+  }
+  CHECK(crashes <= 4);
+}
+
+// Guards against bystanders that are delayed because their target crashed once.
+TEST_CASE("a task that had run for a while is no suspect after a single crash") {
+  crash_fixture fleet;
+  fleet.Submit(kJob, {TestStep(2)});
+  fleet.Pass(milliseconds{1000});
+  const auto [agent, run] = fleet.Find({kJob, 0, 0, 0});
+  fleet.Crash(agent, {run}, milliseconds{500});
+  CHECK(fleet.control.FindJob(kJob)->tasks[0].crashes.losses == 1);
+  CHECK(fleet.control.FindJob(kJob)->tasks[0].crashes.crashes == 0);
+  fleet.Pass(milliseconds{200});
+  CHECK_FALSE(fleet.Find({kJob, 0, 0, 0}).first.empty());
+  CHECK(fleet.Isolated().empty());
+}
+
+// Guards against crashes that add up over a long life although many runs were harmless.
+TEST_CASE("crashes are in a row only while no run of the task has lasted") {
+  crash_fixture fleet;
+  step_spec step = TestStep(1);
+  step.long_running = true;
+  fleet.Submit(kJob, {step});
+  for (int crash = 0; crash < 8; ++crash) {
+    fleet.Pass(milliseconds{11'000});
+    const auto [agent, run] = fleet.Find({kJob, 0, 0, 0});
+    REQUIRE_FALSE(agent.empty());
+    fleet.Crash(agent, {run}, milliseconds{10'500});
+  }
+  CHECK(fleet.control.StateOf(kJob) == job_state::active);
+  CHECK(fleet.control.FindJob(kJob)->tasks[0].crashes.losses == 1);
+}
+
+// Guards against a trial that ends before the task does what it does.
+TEST_CASE("a suspect's trial lasts longer than it had run before the crashes") {
+  crash_fixture fleet;
+  fleet.Submit(kJob, {TestStep(2)});
+  for (int crash = 0; crash < 2; ++crash) {
+    fleet.Pass(milliseconds{1000});
+    for (std::uint32_t index = 0; index < 2; ++index) {
+      const auto [agent, run] = fleet.Find({kJob, 0, 0, index});
+      REQUIRE_FALSE(agent.empty());
+      fleet.Crash(agent, {run}, milliseconds{800});
+    }
+  }
+  for (milliseconds passed{0}; passed < milliseconds{1000}; passed += milliseconds{100}) {
+    fleet.Tick(milliseconds{100});
+    fleet.RunCommands();
+    for (const std::string& agent : fleet.Isolated()) {
+      CHECK(fleet.Worker(agent).running.size() <= 1);
+    }
+  }
+  CHECK(fleet.Isolated().size() == 2);
+  fleet.Pass(milliseconds{1000});
+  CHECK(fleet.Isolated().empty());
+}
+
 // Guards against evidence that is lost with the coordinator.
 TEST_CASE("a new coordinator knows the crashes under a task") {
   crash_fixture fleet;
@@ -237,6 +312,7 @@
   crash_isolation quiet;
   for (int crash = 0; crash < 40; ++crash) quiet.RecordCrash(worker, time.Now());
   CHECK(quiet.CrashesAloneOfCulprit(10, time.Now()) == 2);
+  CHECK(quiet.CrashesAloneOfCulprit(10, time.Now(), milliseconds{9000}) == 2);
   CHECK(IsCulprit({.crashes = 4, .alone = 0}, 3));
   CHECK_FALSE(IsCulprit({.crashes = 3, .alone = 1}, 2));
 }
--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -111,15 +111,13 @@
   void PaceFilling();
   /// Drops the runs of a target that is gone.
   void ForgetRuns();
-  /// @return the runs that began so shortly before the target's last answer, or after it, that they
-  /// may have crashed the target.
-  std::vector<jobs::run_id> RecentRuns() const;
+  /// Puts the runs of a target that is lost into `crashed` and `refused`: those that it had begun,
+  /// and those that were never sent to it.
+  void CollectLostRuns(std::vector<jobs::crashed_run>& crashed,
+                       std::vector<jobs::refused_run>& refused) const;
   /// @return false if the target seems not to have executed a start of this run: its call is in
   /// flight, or went unanswered although the target still ran.
-  bool MayHaveBegun(const jobs::run_id& run) const;
-  /// @return refusals for the runs of a target that is lost: of those that may have crashed it, and
-  /// of those that were never sent to it.
-  std::vector<jobs::refused_run> RefusalsOfLostRuns() const;
+  bool HasBegun(const jobs::run_id& run) const;
   void Report(bool with_lists);
   /// @return the time after which a lease of this length has certainly expired at the target.
   static core::nanoseconds MaxDuration(core::nanoseconds lease);
@@ -166,12 +164,13 @@
   std::map<jobs::run_id, jobs::task_facts> facts_;
   std::map<jobs::run_id, core::mono_time> first_calls_;  ///< first call that starts each run
   core::mono_time last_reply_;  ///< last answer to any call but stops and paces
-  /// Suspects of a target that is gone. They are reported if its next incarnation shows that it has
+  /// Runs of a target that is gone. They are reported if its next incarnation shows that it has
   /// crashed.
-  std::vector<jobs::refused_run> suspects_of_gone_;
+  std::vector<jobs::crashed_run> runs_of_gone_;
   /// When the connection of a waiting poll broke; zero: not since the last answered poll.
   core::mono_time broken_at_;
   std::vector<jobs::refused_run> refused_;
+  std::vector<jobs::crashed_run> crashed_;
   std::size_t calls_in_flight_ = 0;
   pacer pacer_;
   core::mono_time
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -67,12 +67,11 @@
                announcement.incarnation.name, announcement.incarnation.started_ms,
                announcement.service, announcement.capacity.cpu_millis,
                announcement.capacity.memory_mb);
-  std::vector<jobs::refused_run> lost = RefusalsOfLostRuns();
-  lost.insert(lost.end(), suspects_of_gone_.begin(), suspects_of_gone_.end());
-  suspects_of_gone_.clear();
-  // Suspects of an earlier incarnation that no report has named yet.
-  std::copy_if(refused_.begin(), refused_.end(), std::back_inserter(lost),
-               [](const auto& each) { return each.reason == jobs::start_refusal::target_crashed; });
+  // `crashed_` may hold runs of an earlier incarnation that no report has named yet.
+  crashed_.insert(crashed_.end(), runs_of_gone_.begin(), runs_of_gone_.end());
+  runs_of_gone_.clear();
+  refused_.clear();
+  CollectLostRuns(crashed_, refused_);
   announced_ = announcement;
   ++incarnation_count_;
   target_left_ = false;
@@ -95,7 +94,6 @@
   facts_.clear();
   first_calls_.clear();
   broken_at_ = {};
-  refused_ = std::move(lost);
   calls_in_flight_ = 0;
   pacer_.Clear();
   pace_calls_in_flight_.clear();
--- a/libs/runner/src/runner_lists.cc
+++ b/libs/runner/src/runner_lists.cc
@@ -76,7 +76,7 @@
   last_answer_ = now;
   last_reply_ = now;
   broken_at_ = {};
-  suspects_of_gone_.clear();
+  runs_of_gone_.clear();
   failed_polls_ = 0;
   ApplyLists(*lists, sent);
   PaceFilling();
--- a/libs/runner/src/runner_reports.cc
+++ b/libs/runner/src/runner_reports.cc
@@ -12,7 +12,7 @@
 
 // Complete lists are reported on each change, and at this interval without changes.
 constexpr core::milliseconds kListingPeriod{1000};
-// A task that crashes its target does so within this time after its start.
+// Events at the target that are no further apart than this belong to one crash.
 constexpr core::milliseconds kCrashDelay{100};
 // The target's clock may run 2 % slow, so its lease may last longer by as much.
 constexpr std::int64_t kClockDriftPermille = 20;
@@ -48,21 +48,7 @@
   return has_lists_ && (listed_term_ == term_ || time_.Now() >= earlier_calls_expire_at_);
 }
 
-std::vector<jobs::run_id> runner::RecentRuns() const {
-  // A target that crashes breaks its connections, unless its host is lost as well.
-  const core::mono_time crashed_after = std::max(last_reply_, broken_at_) - kCrashDelay;
-  std::vector<jobs::run_id> recent;
-  for (const auto& [run, called_at] : first_calls_) {
-    const auto start = starts_.find(run);
-    const bool settled = start != starts_.end() && start->second.settled_at;
-    // A slow target begins the run when it answers.
-    const core::mono_time begun = settled ? *start->second.settled_at : called_at;
-    if (begun > crashed_after && MayHaveBegun(run)) recent.push_back(run);
-  }
-  return recent;
-}
-
-bool runner::MayHaveBegun(const jobs::run_id& run) const {
+bool runner::HasBegun(const jobs::run_id& run) const {
   const auto start = starts_.find(run);
   if (start == starts_.end() || start->second.settled_at) return true;
   if (start->second.in_flight) return false;
@@ -72,25 +58,33 @@
   return std::chrono::abs(apart) <= kCrashDelay;
 }
 
-std::vector<jobs::refused_run> runner::RefusalsOfLostRuns() const {
-  std::vector<jobs::refused_run> refused;
+void runner::CollectLostRuns(std::vector<jobs::crashed_run>& crashed,
+                             std::vector<jobs::refused_run>& refused) const {
   // A target that announced its end has not crashed.
-  if (!announced_ || announced_->draining || target_left_) return refused;
+  if (!announced_ || announced_->draining || target_left_) return;
   for (const auto& [run, start] : starts_) {
     if (!first_calls_.contains(run) && !start.unanswered) {
       refused.push_back({run, jobs::start_refusal::not_sent});
     }
   }
-  if (first_calls_.empty()) return refused;
+  if (first_calls_.empty()) return;
+  // A target that crashes breaks its connections, unless its host is lost as well.
+  const core::mono_time last_sign = std::max(last_reply_, broken_at_);
   std::string recent;
-  for (const jobs::run_id& run : RecentRuns()) {
-    refused.push_back({run, jobs::start_refusal::target_crashed});
+  for (const auto& [run, called_at] : first_calls_) {
+    if (!HasBegun(run)) continue;
+    const auto start = starts_.find(run);
+    const bool settled = start != starts_.end() && start->second.settled_at;
+    // A slow target begins the run when it answers.
+    const core::mono_time begun = settled ? *start->second.settled_at : called_at;
+    const std::int64_t age_ms = std::max<std::int64_t>(0, core::ToMs(last_sign - begun));
+    crashed.push_back({run, static_cast<std::uint32_t>(age_ms)});
+    if (core::milliseconds{age_ms} >= jobs::kSuspectAge) continue;
     if (!recent.empty()) recent += ',';
     recent += jobs::ToString(run.task);
   }
   spdlog::warn("event=target_crashed target={} runs={} recent={}", announced_->incarnation.name,
                first_calls_.size(), recent);
-  return refused;
 }
 
 void runner::ForgetRuns() {
@@ -98,12 +92,8 @@
   spdlog::warn("event=target_gone target={} runs={} unanswered_for_ms={}",
                announced_->incarnation.name, running_.size(),
                core::ToMs(time_.Now() - last_answer_));
-  const std::vector<jobs::refused_run> lost = RefusalsOfLostRuns();
-  for (const jobs::refused_run& each : lost) {
-    // Whether the target crashed or is only silent shows when its next incarnation is known.
-    const bool suspected = each.reason == jobs::start_refusal::target_crashed;
-    (suspected ? suspects_of_gone_ : refused_).push_back(each);
-  }
+  // Whether the target crashed or is only silent shows when its next incarnation is known.
+  CollectLostRuns(runs_of_gone_, refused_);
   running_.clear();
   starts_.clear();
   stops_.clear();
@@ -114,7 +104,7 @@
 void runner::Report(bool with_lists) {
   const core::mono_time now = time_.Now();
   if (State() == jobs::target_state::gone) ForgetRuns();
-  with_lists = with_lists || !refused_.empty();
+  with_lists = with_lists || !refused_.empty() || !crashed_.empty();
   jobs::worker_report report{.agent = options_.agent,
                              .agent_incarnation = options_.agent_incarnation,
                              .term = term_,
@@ -143,12 +133,14 @@
     }
     report.ended = ended_;
     report.refused = refused_;
+    report.crashed = crashed_;
   }
   next_report_ = now + options_.report_period;
   if (!coordinator_.Send(report)) return;
   report_due_ = false;
   if (!report.listed) return;
   refused_.clear();
+  crashed_.clear();
   next_listing_ = now + kListingPeriod;
 }
 
--- a/libs/runner/tests/unanswered_start_test.cc
+++ b/libs/runner/tests/unanswered_start_test.cc
@@ -288,13 +288,14 @@
       fixture.target.poll_answers,
       std::optional(target_lists{.clock_ms = 5, .started_ms = 3, .running = {}, .ended = {}}));
   fixture.Pass(milliseconds{50});
-  const std::vector<jobs::refused_run> expected{
-      {runner_fixture::Run(1), jobs::start_refusal::target_crashed}};
-  CHECK(fixture.LastListing().refused == expected);
+  const std::vector<jobs::crashed_run> expected{{runner_fixture::Run(1), 0}};
+  CHECK(fixture.LastListing().crashed == expected);
+  CHECK(fixture.LastListing().refused.empty());
 }
 
-// Guards against suspects that did not begin shortly before the crash, or were never sent.
-TEST_CASE("after a crash the tasks that began last are reported as suspects") {
+// Guards against runs that are lost in a crash without evidence, and evidence against runs that had
+// not begun.
+TEST_CASE("after a crash the runs that the target had begun are reported with their age") {
   runner_fixture fixture;
   fixture.IssueCommand(1);
   scripted_target::AnswerNext(fixture.target.start_answers,
@@ -328,14 +329,17 @@
       fixture.target.poll_answers,
       std::optional(target_lists{.clock_ms = 5, .started_ms = 2, .running = {}, .ended = {}}));
   fixture.Pass(milliseconds{50});
-  std::vector<jobs::refused_run> expected;
+  std::vector<jobs::refused_run> refused;
+  std::vector<jobs::crashed_run> crashed;
   if (!drains) {
-    expected.push_back({runner_fixture::Run(5), jobs::start_refusal::not_sent});
-    for (const std::uint32_t run : {2, 3, 4}) {
-      expected.push_back({runner_fixture::Run(run), jobs::start_refusal::target_crashed});
-    }
+    refused.push_back({runner_fixture::Run(5), jobs::start_refusal::not_sent});
+    crashed = {{runner_fixture::Run(1), 500},
+               {runner_fixture::Run(2), 0},
+               {runner_fixture::Run(3), 0},
+               {runner_fixture::Run(4), 0}};
   }
-  CHECK(fixture.LastListing().refused == expected);
+  CHECK(fixture.LastListing().refused == refused);
+  CHECK(fixture.LastListing().crashed == crashed);
 }
 
 }  // namespace coltsfoot::runner
--- a/test/simulation/deadly_task_test.cc
+++ b/test/simulation/deadly_task_test.cc
@@ -2,6 +2,8 @@
 #include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+#include <iterator>
 #include <map>
 #include <set>
 #include <string>
@@ -15,18 +17,23 @@
 constexpr std::uint64_t kSeeds = 20;
 constexpr milliseconds kLoadPeriod{10'000};
 constexpr milliseconds kEndLimit{60'000};
+/// Time from the start of a deadly task to the crash.
+constexpr milliseconds kAtOnce{10};
+/// A deadly task whose crashes come later takes longer to be given up.
+constexpr milliseconds kSlowEndLimit{180'000};
 // A task may be started twice more after it has crashed three targets.
 constexpr std::uint32_t kMaxStarts = 5;
 
 struct outcome {
   std::set<std::string> open;                    ///< jobs that have not ended
+  std::set<std::string> late;                    ///< harmless jobs that are open after `kEndLimit`
   std::set<std::string> wrongly_failed;          ///< harmless jobs shown as failed
   std::map<std::string, std::uint32_t> crashes;  ///< by deadly job
   std::size_t lost_runs = 0;                     ///< runs of harmless jobs lost in crashes
 };
 
 /// Submits harmless jobs and, as a tenth of all, jobs with a task that crashes its target.
-outcome Simulate(std::uint64_t seed, bool replace_coordinator) {
+outcome Simulate(std::uint64_t seed, milliseconds crash_after, bool replace_coordinator) {
   simulated_fleet fleet(kWorkers, seed);
   core::random_source& random = fleet.random();
   outcome out;
@@ -37,15 +44,22 @@
     const std::string id = fmt::format("{:016x}", job);
     if (random.Below(10) == 0) {
       deadly.insert(id);
-      for (std::size_t index = 0; index < kWorkers; ++index) fleet.target(index).AddDeadlyJob(id);
+      for (std::size_t index = 0; index < kWorkers; ++index) {
+        fleet.target(index).AddDeadlyJob(id, crash_after);
+      }
     }
     fleet.Submit(id, 1 + static_cast<std::uint32_t>(random.Below(6)));
     out.open.insert(id);
     fleet.Pass(milliseconds{random.Below(300)});
     if (replace_coordinator && random.Below(20) == 0) fleet.ReplaceCoordinator(milliseconds{500});
   }
-  const core::mono_time limit = fleet.now() + kEndLimit;
-  while (!out.open.empty() && fleet.now() < limit) {
+  const core::mono_time began = fleet.now();
+  const milliseconds limit = crash_after == kAtOnce ? kEndLimit : kSlowEndLimit;
+  while (!out.open.empty() && fleet.now() < began + limit) {
+    if (fleet.now() >= began + kEndLimit && out.late.empty()) {
+      std::set_difference(out.open.begin(), out.open.end(), deadly.begin(), deadly.end(),
+                          std::inserter(out.late, out.late.end()));
+    }
     fleet.Pass(milliseconds{500});
     std::erase_if(out.open, [&](const std::string& job) {
       const auto state = fleet.StateOf(job);
@@ -64,15 +78,17 @@
   return out;
 }
 
-void CheckSeeds(bool replace_coordinator) {
+void CheckSeeds(milliseconds crash_after, bool replace_coordinator) {
   spdlog::set_level(spdlog::level::off);
   std::size_t lost_runs = 0;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    const outcome out = Simulate(seed, replace_coordinator);
+    const outcome out = Simulate(seed, crash_after, replace_coordinator);
     for (const auto& job : out.crashes) {
       CHECK_MESSAGE(job.second <= kMaxStarts, "seed ", seed, " job ", job.first);
     }
     CHECK_MESSAGE(out.open.empty(), "seed ", seed, ": ", out.open.size(), " jobs have not ended");
+    CHECK_MESSAGE(out.late.empty(), "seed ", seed, ": ", out.late.size(),
+                  " harmless jobs are late");
     CHECK_MESSAGE(out.wrongly_failed.empty(), "seed ", seed,
                   ": harmless jobs failed: ", out.wrongly_failed.size());
     lost_runs += out.lost_runs;
@@ -83,12 +99,17 @@
 }  // namespace
 
 TEST_CASE("a task that crashes its targets is given up and other jobs complete") {
-  CheckSeeds(false);
+  CheckSeeds(kAtOnce, false);
 }
 
 // Guards against evidence of crashes that is lost with the coordinator.
 TEST_CASE("a task that crashes its targets is given up although coordinators are replaced") {
-  CheckSeeds(true);
+  CheckSeeds(kAtOnce, true);
+}
+
+// Guards against a task that is never suspected because its targets do not crash at once.
+TEST_CASE("a task that crashes its targets some time after its start is given up") {
+  for (const milliseconds after : {milliseconds{500}, milliseconds{2000}}) CheckSeeds(after, false);
 }
 
 }  // namespace coltsfoot::simulation
--- a/test/simulation/simulated_target.cc
+++ b/test/simulation/simulated_target.cc
@@ -16,7 +16,6 @@
 constexpr milliseconds kPollGrace{500};
 constexpr milliseconds kPollStep{10};
 constexpr milliseconds kStopTime{300};
-constexpr milliseconds kDeadlyTaskTime{10};
 constexpr milliseconds kCrashDowntime{3300};
 constexpr milliseconds kMinTaskTime{200};
 constexpr std::uint64_t kTaskTimeSpread = 1500;
@@ -160,6 +159,13 @@
   }
 }
 
+std::uint32_t simulated_target::ProgressOf(const run_record& run) const {
+  constexpr std::int64_t kMaxWhileRunning = 99;
+  const auto ran = events_.time().Now() - run.started_at;
+  return static_cast<std::uint32_t>(
+      std::min(kMaxWhileRunning, 100 * ran / (run.done_at - run.started_at)));
+}
+
 bool simulated_target::AcceptsFence(std::uint64_t fence) {
   if (fence < fence_) return false;
   fence_ = fence;
@@ -191,9 +197,11 @@
          .incarnation = incarnation_,
          .started_at = now,
          .done_at = now + kMinTaskTime + milliseconds{random_.Below(kTaskTimeSpread)}});
-    if (call.run.task.index == 0 && deadly_jobs_.contains(call.run.task.job)) {
-      events_.After(kDeadlyTaskTime, [this, incarnation = incarnation_] {
-        if (incarnation == incarnation_) Crash(kCrashDowntime, false);
+    const auto deadly = deadly_jobs_.find(call.run.task.job);
+    if (call.run.task.index == 0 && deadly != deadly_jobs_.end()) {
+      history_.back().done_at = now + 2 * deadly->second;
+      events_.After(deadly->second, [this, run = history_.size() - 1] {
+        if (!history_[run].ended_at) Crash(kCrashDowntime, false);
       });
     }
   }
@@ -247,7 +255,8 @@
   for (const run_record& run : history_) {
     if (!IsHere(run)) continue;
     if (!run.ended_at) {
-      lists.running.push_back({.task = run.run.task, .run = run.run.run});
+      lists.running.push_back(
+          {.task = run.run.task, .run = run.run.run, .progress = ProgressOf(run)});
     } else if (run.end_number > call.stored_end) {
       lists.ended.push_back({.number = run.end_number,
                              .task = run.run.task,
--- a/test/simulation/simulated_target.h
+++ b/test/simulation/simulated_target.h
@@ -4,7 +4,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -59,8 +58,8 @@
 
   void SetFaults(const command_faults& faults) { faults_ = faults; }
   void SetDraining(bool draining) { draining_ = draining; }
-  /// From now on the first task of this job crashes the target shortly after each start.
-  void AddDeadlyJob(const std::string& job) { deadly_jobs_.insert(job); }
+  /// From now on the first task of this job crashes the target this long after each start.
+  void AddDeadlyJob(const std::string& job, milliseconds after) { deadly_jobs_[job] = after; }
   /// Ends all runs. The next incarnation starts after `downtime`, under a new name unless
   /// `keeps_name` is set.
   void Crash(milliseconds downtime, bool keeps_name);
@@ -86,6 +85,8 @@
   runner::command_reply ExecuteStop(const jobs::run_id& run, std::uint64_t fence);
   void AnswerPoll(const runner::poll_call& call, core::mono_time until, std::uint64_t incarnation,
                   const lists_handler& done);
+  /// @return the progress of a run in percent.
+  std::uint32_t ProgressOf(const run_record& run) const;
   bool AcceptsFence(std::uint64_t fence);
   runner::command_reply Reply(runner::command_status status,
                               jobs::start_refusal refusal = jobs::start_refusal::not_sent) const;
@@ -107,7 +108,7 @@
   std::int64_t lease_until_ms_ = 0;
   std::uint64_t last_end_ = 0;
   std::uint64_t sequence_ = 0;
-  std::set<std::string> deadly_jobs_;
+  std::map<std::string, milliseconds> deadly_jobs_;
   std::map<jobs::task_id, std::uint32_t> closed_runs_;  ///< highest stopped or ended run of a task
 };
 
