runner: a start that reached no one is no evidence of a crash

Cause: without a broken connection each start without an answer counted as begun, also those sent after the target had gone dark.

--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -115,9 +115,9 @@
   /// and those that were never sent to it.
   void CollectLostRuns(std::vector<jobs::crashed_run>& crashed,
                        std::vector<jobs::refused_run>& refused) const;
-  /// @return false if the target seems not to have executed a start of this run: its call is in
-  /// flight, or went unanswered although the target still ran.
-  bool HasBegun(const jobs::run_id& run) const;
+  /// @return false if nothing shows that the target has begun this run. A call without an answer
+  /// shows it only if the target answered others just before, or broke all connections with it.
+  bool HasBegun(const jobs::run_id& run, core::mono_time called_at) const;
   void Report(bool with_lists);
   /// @return the time after which a lease of this length has certainly expired at the target.
   static core::nanoseconds MaxDuration(core::nanoseconds lease);
--- a/libs/runner/src/runner_reports.cc
+++ b/libs/runner/src/runner_reports.cc
@@ -48,11 +48,14 @@
   return has_lists_ && (listed_term_ == term_ || time_.Now() >= earlier_calls_expire_at_);
 }
 
-bool runner::HasBegun(const jobs::run_id& run) const {
+bool runner::HasBegun(const jobs::run_id& run, core::mono_time called_at) const {
   const auto start = starts_.find(run);
   if (start == starts_.end() || start->second.settled_at) return true;
+  if (broken_at_ == core::mono_time{}) {
+    // The target went silent without a sign. A call long after its last answer reached no one.
+    return called_at - last_reply_ <= kCrashDelay;
+  }
   if (start->second.in_flight) return false;
-  if (broken_at_ == core::mono_time{}) return true;
   // All connections to a target that crashes break together.
   const core::nanoseconds apart = start->second.failed_at - broken_at_;
   return std::chrono::abs(apart) <= kCrashDelay;
@@ -72,7 +75,7 @@
   const core::mono_time last_sign = std::max(last_reply_, broken_at_);
   std::string recent;
   for (const auto& [run, called_at] : first_calls_) {
-    if (!HasBegun(run)) continue;
+    if (!HasBegun(run, called_at)) continue;
     const auto start = starts_.find(run);
     const bool settled = start != starts_.end() && start->second.settled_at;
     // A slow target begins the run when it answers.
--- a/libs/runner/tests/unanswered_start_test.cc
+++ b/libs/runner/tests/unanswered_start_test.cc
@@ -342,4 +342,33 @@
   CHECK(fixture.LastListing().crashed == crashed);
 }
 
+// Guards against a task that is given up for crashes before which its start had reached no one
+// (review/10).
+TEST_CASE("a start sent to a target that has gone silent is no evidence after its crash") {
+  runner_fixture fixture;
+  fixture.Pass(milliseconds{50});
+  bool begun = true;
+  SUBCASE("sent just after an answer") {}
+  SUBCASE("sent later") {
+    begun = false;
+    fixture.Pass(milliseconds{150});
+  }
+  fixture.IssueCommand(1);
+  REQUIRE(fixture.target.starts.size() == 1);
+  fixture.Pass(milliseconds{400});
+  scripted_target::AnswerNext(fixture.target.start_answers, command_reply{});
+  fixture.Pass(milliseconds{1500});
+  scripted_target::AnswerNext(fixture.target.poll_answers, std::optional<target_lists>{});
+  fixture.announcement.incarnation = {"t-2", 2};
+  fixture.agent.OnAnnouncement(fixture.announcement);
+  fixture.Pass(milliseconds{50});
+  scripted_target::AnswerNext(
+      fixture.target.poll_answers,
+      std::optional(target_lists{.clock_ms = 5, .started_ms = 2, .running = {}, .ended = {}}));
+  fixture.Pass(milliseconds{50});
+  std::vector<jobs::crashed_run> expected;
+  if (begun) expected.push_back({runner_fixture::Run(1), 0});
+  CHECK(fixture.LastListing().crashed == expected);
+}
+
 }  // namespace coltsfoot::runner
