runner: a delayed start is no evidence of a crash

Since crashes count at any age, a start whose call ran into its timeout just when the target crashed counted as begun, as if its connection had broken with the others, and a job was given up wrongly.

--- a/libs/runner/src/runner_reports.cc
+++ b/libs/runner/src/runner_reports.cc
@@ -51,11 +51,10 @@
 bool runner::HasBegun(const jobs::run_id& run, core::mono_time called_at) const {
   const auto start = starts_.find(run);
   if (start == starts_.end() || start->second.settled_at) return true;
-  if (broken_at_ == core::mono_time{}) {
-    // The target went silent without a sign. A call long after its last answer reached no one.
-    return called_at - last_reply_ <= kCrashDelay;
-  }
-  if (start->second.in_flight) return false;
+  // The target went silent without a sign. A call long after its last answer reached no one.
+  if (broken_at_ == core::mono_time{}) return called_at - last_reply_ <= kCrashDelay;
+  // A call that had been without an answer for longer may have been delayed.
+  if (start->second.in_flight || broken_at_ - called_at > kCrashDelay) return false;
   // All connections to a target that crashes break together.
   const core::nanoseconds apart = start->second.failed_at - broken_at_;
   return std::chrono::abs(apart) <= kCrashDelay;
--- a/libs/runner/tests/unanswered_start_test.cc
+++ b/libs/runner/tests/unanswered_start_test.cc
@@ -371,4 +371,23 @@
   CHECK(fixture.LastListing().crashed == expected);
 }
 
+// Guards against a delayed start that counts as begun because its call ran into its timeout about
+// when the target crashed.
+TEST_CASE("a start without an answer for long before a crash is no evidence") {
+  runner_fixture fixture;
+  fixture.IssueCommand(1);
+  fixture.Pass(milliseconds{400});
+  scripted_target::AnswerNext(fixture.target.start_answers, command_reply{});
+  fixture.Pass(milliseconds{50});
+  scripted_target::AnswerNext(fixture.target.poll_answers, std::optional<target_lists>{});
+  fixture.announcement.incarnation = {"t-2", 2};
+  fixture.agent.OnAnnouncement(fixture.announcement);
+  fixture.Pass(milliseconds{50});
+  scripted_target::AnswerNext(
+      fixture.target.poll_answers,
+      std::optional(target_lists{.clock_ms = 5, .started_ms = 2, .running = {}, .ended = {}}));
+  fixture.Pass(milliseconds{50});
+  CHECK(fixture.LastListing().crashed.empty());
+}
+
 }  // namespace coltsfoot::runner
