jobs: a cancellation holds for a job whose submission is on its way

Cause: a cancellation that found no job left nothing in the store, so nothing kept the submission from being stored later.

The cancellation is stored also if the job is not, and only then acknowledged. A job that arrives later is accepted and cancelled at once; until then GET answers 410. The coordinator removes such cancellations after the retention, if the job is not in the store.

--- a/libs/jobs/include/jobs/coordinator.h
+++ b/libs/jobs/include/jobs/coordinator.h
@@ -4,7 +4,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -167,8 +166,10 @@
   void MovePlanned();
   void LogFleet();
   void SendCommands();
-  /// Removes jobs that ended long ago and agents that have been unreachable for long.
+  /// Removes jobs that ended long ago, agents that have been unreachable for long and old
+  /// cancellations of jobs that never arrived.
   void CleanUp();
+  void RemoveOldCancellations();
   /// @return the commands for the worker that the next `SendCommands` sends.
   worker_commands& CommandsFor(worker_row& worker);
   static task_facts FactsOf(const run_id& run, const step_spec& step);
@@ -193,7 +194,8 @@
   absence_register absences_;
   run_numbers run_numbers_;
   plan_pacer plan_pacer_;
-  std::set<std::string> early_cancels_;  ///< jobs whose cancellation arrived before they did
+  /// Jobs whose cancellation arrived before they did, and since when it is kept.
+  std::map<std::string, core::mono_time> early_cancels_;
   std::map<std::string, worker_commands> commands_;
   core::mono_time next_cleanup_;
   core::mono_time next_move_;
--- a/libs/jobs/include/jobs/job_service.h
+++ b/libs/jobs/include/jobs/job_service.h
@@ -86,6 +86,8 @@
   void Submit(const std::string& id, const queue_config& queue, const job_spec& spec,
               core::mono_time deadline, handler done);
   void Show(const std::string& id, const std::string& queue, handler done);
+  /// Cancels a job. If it is not stored, the reply is not_found, and it stays cancelled should its
+  /// submission arrive later.
   void Cancel(const std::string& id, const std::string& queue, core::mono_time deadline,
               handler done);
   /// Counts the jobs of a queue that have not started any task.
@@ -110,8 +112,9 @@
   void ShowStored(const std::string& id, handler done);
   void ShowUnlessCancelled(const std::string& id, const std::optional<progress_record>& progress,
                            handler done);
-  void StoreCancel(const std::string& id, core::mono_time deadline, bool may_be_stored,
-                   handler done);
+  /// @param when_stored result once the cancellation is stored: not_found if the job is not.
+  void StoreCancel(const std::string& id, core::mono_time deadline, core::result_code when_stored,
+                   bool may_be_stored, handler done);
   job_reply StoreUnavailable() const;
 
   const core::clock& time_;
--- a/libs/jobs/include/jobs/progress_writer.h
+++ b/libs/jobs/include/jobs/progress_writer.h
@@ -34,6 +34,9 @@
   /// Removes all keys of these jobs from the store. The jobs must have ended.
   void RemoveJobs(const std::vector<std::string>& ids);
   /// Removes the agent's key from the store.
+  /// Removes cancellations of jobs that are not in the store. None is removed if one of the jobs
+  /// is.
+  void RemoveCancellations(const std::vector<std::string>& ids);
   void RemoveAgent(const std::string& agent);
 
  private:
--- a/libs/jobs/src/coordinator.cc
+++ b/libs/jobs/src/coordinator.cc
@@ -15,17 +15,11 @@
 // which the target ends runs whose lease has expired.
 constexpr core::milliseconds kExpiryMargin{400};
 constexpr core::milliseconds kStopRetryInterval{800};
-constexpr core::milliseconds kCleanupInterval{2000};
 constexpr core::milliseconds kSummaryInterval{2000};
 // A stopped run disappears from the reports after up to half a second.
 constexpr core::milliseconds kMoveInterval{500};
 // A single stuck task may be at fault itself; several at once point to the worker.
 constexpr int kStuckLimit = 2;
-// Limits the size of the transaction: removing a job takes four of its entries.
-constexpr std::size_t kJobsPerCleanup = 7;
-// An agent that could not be reached for this long is removed from the store. It writes its key
-// again when no coordinator connects to it.
-constexpr core::milliseconds kAgentRemovalDelay{30'000};
 
 }  // namespace
 
@@ -47,82 +41,6 @@
          options_.task_lease * options_.clock_drift_permille / 1000 + kExpiryMargin;
 }
 
-void coordinator::BeginTerm(std::uint64_t term, const std::vector<store::kv_entry>& inbox,
-                            const std::vector<store::kv_entry>& progress) {
-  EndTerm();
-  term_ = term;
-  term_began_ = time_.Now();
-  takeover_settled_ = false;
-  progress_.Reset(term);
-  RestoreRunNumbers(inbox);
-  for (const store::kv_entry& entry : inbox) OnInboxChange({entry.key, entry});
-  RestoreAbsences(inbox);
-  for (const store::kv_entry& entry : progress) {
-    if (JobOfCrashKey(entry.key)) continue;
-    const auto id = KeySuffix(entry.key, kProgressPrefix);
-    job_row* job = id ? jobs_.Find(*id) : nullptr;
-    if (job == nullptr) continue;
-    core::last_error error;
-    const auto stored = wire::DecodeValue<progress_record>(entry.value, error);
-    if (!stored) {
-      spdlog::error("event=progress_unreadable job={} reason=\"{}\"", *id, error.reason().message);
-      continue;
-    }
-    jobs_.Restore(*job, *stored, entry.version, run_numbers_.base());
-    // The job may have been cancelled after its progress was last stored.
-    if (job->cancel_requested) CancelJob(*id);
-  }
-  RestoreCrashes(progress);
-  spdlog::info("event=term_began term={} jobs={} agents={}", term, jobs_.jobs().size(),
-               workers_.size());
-}
-
-void coordinator::RestoreAbsences(const std::vector<store::kv_entry>& inbox) {
-  const auto stored = std::find_if(inbox.begin(), inbox.end(),
-                                   [](const auto& entry) { return entry.key == kAbsentKey; });
-  absences_.Reset(term_, stored == inbox.end() ? std::nullopt : std::optional(*stored));
-  for (auto& [agent, worker] : workers_) {
-    if (!absences_.IsAbsent(agent)) continue;
-    worker.absent = true;
-    worker.lease_bound = time_.Now();
-  }
-}
-
-void coordinator::RestoreRunNumbers(const std::vector<store::kv_entry>& inbox) {
-  const auto stored = std::find_if(inbox.begin(), inbox.end(),
-                                   [](const auto& entry) { return entry.key == kRunBoundKey; });
-  run_numbers_.Reset(term_, stored == inbox.end() ? std::nullopt : std::optional(*stored));
-}
-
-void coordinator::RestoreCrashes(const std::vector<store::kv_entry>& progress) {
-  for (const store::kv_entry& entry : progress) {
-    const auto id = JobOfCrashKey(entry.key);
-    job_row* job = id ? jobs_.Find(*id) : nullptr;
-    if (job == nullptr) continue;
-    core::last_error error;
-    if (const auto stored = wire::DecodeValue<crash_record>(entry.value, error)) {
-      jobs_.RestoreCrashes(*job, *stored);
-    } else {
-      spdlog::error("event=crashes_unreadable job={} reason=\"{}\"", *id, error.reason().message);
-    }
-  }
-}
-
-void coordinator::EndTerm() {
-  if (term_ != 0) spdlog::info("event=term_ended term={}", term_);
-  term_ = 0;
-  progress_.Reset(0);
-  absences_.Reset(0, std::nullopt);
-  run_numbers_.Reset(0, std::nullopt);
-  jobs_.Clear();
-  workers_.clear();
-  early_cancels_.clear();
-  isolation_.Clear();
-  headroom_model_.Clear();
-  commands_.clear();
-  agents_.ForgetAll();
-}
-
 void coordinator::SetQueues(std::shared_ptr<const queue_catalogue> queues) {
   queues_ = std::move(queues);
   for (const auto& [id, job] : jobs_.open()) UpdateQueue(*job);
@@ -139,7 +57,11 @@
   if (const auto job = KeySuffix(change.key, kJobPrefix)) {
     if (change.entry) AddJob(*job, *change.entry);
   } else if (const auto cancelled = KeySuffix(change.key, kCancelPrefix)) {
-    if (change.entry) CancelJob(*cancelled);
+    if (change.entry) {
+      CancelJob(*cancelled);
+    } else {
+      early_cancels_.erase(*cancelled);
+    }
   } else if (const auto agent = KeySuffix(change.key, kAgentPrefix)) {
     if (!change.entry) return;
     WorkerOf(*agent);
@@ -176,7 +98,7 @@
 void coordinator::CancelJob(const std::string& id) {
   job_row* job = jobs_.Find(id);
   if (job == nullptr) {
-    early_cancels_.insert(id);
+    early_cancels_.emplace(id, time_.Now());
     return;
   }
   if (!IsEnded(job->state)) spdlog::info("event=job_cancelled job={}", id);
@@ -442,31 +364,6 @@
   commands_.clear();
 }
 
-void coordinator::CleanUp() {
-  const core::mono_time now = time_.Now();
-  if (now < next_cleanup_) return;
-  next_cleanup_ = now + kCleanupInterval;
-  headroom_model_.ForgetGroups(now);
-  const std::int64_t wall_ms = time_.WallNow().time_since_epoch().count();
-  std::vector<std::string> old;
-  for (const auto& [id, job] : jobs_.jobs()) {
-    if (old.size() >= kJobsPerCleanup) break;
-    if (!IsEnded(job.state) || job.stored_state != job.state || job.copy_count > 0) continue;
-    if (wall_ms - job.ended_wall_ms > options_.retention.count()) old.push_back(id);
-  }
-  if (!old.empty()) progress_.RemoveJobs(old);
-  for (const std::string& id : old) jobs_.Remove(id);
-  for (auto& [agent, worker] : workers_) {
-    if (worker.connected || now - worker.last_report_at < kAgentRemovalDelay) continue;
-    spdlog::info("event=agent_forgotten agent={}", agent);
-    progress_.RemoveAgent(agent);
-    absences_.Remove(agent);
-    agents_.Forget(agent);
-    workers_.erase(agent);
-    break;
-  }
-}
-
 std::optional<job_state> coordinator::StateOf(std::string_view job) const {
   const job_row* row = jobs_.Find(job);
   if (row == nullptr) return std::nullopt;
--- a/libs/jobs/src/job_service.cc
+++ b/libs/jobs/src/job_service.cc
@@ -262,21 +262,20 @@
                                       handler done) {
   storage_.Get(CancelKey(id),
                [this, id, progress, done = std::move(done)](const store::get_result& cancelled) {
-                 if (cancelled.status == store::kv_status::ok) {
-                   done({.code = core::result_code::ok, .state = job_state::cancelled});
-                   return;
-                 }
-                 if (cancelled.status != store::kv_status::not_found) {
+                 const bool is_cancelled = cancelled.status == store::kv_status::ok;
+                 if (!is_cancelled && cancelled.status != store::kv_status::not_found) {
                    done(StoreUnavailable());
                    return;
                  }
                  if (progress) {
-                   done({.code = core::result_code::ok, .state = progress->state});
+                   done({.code = core::result_code::ok,
+                         .state = is_cancelled ? job_state::cancelled : progress->state});
                    return;
                  }
-                 storage_.Get(JobKey(id), [this, done](const store::get_result& job) {
+                 storage_.Get(JobKey(id), [this, is_cancelled, done](const store::get_result& job) {
                    if (job.status == store::kv_status::ok) {
-                     done({.code = core::result_code::ok, .state = job_state::queued});
+                     done({.code = core::result_code::ok,
+                           .state = is_cancelled ? job_state::cancelled : job_state::queued});
                    } else if (job.status == store::kv_status::not_found) {
                      done({.code = core::result_code::not_found, .state = std::nullopt});
                    } else {
@@ -337,32 +336,35 @@
   storage_.Get(JobKey(id),
                [this, id, deadline, done = std::move(done)](const store::get_result& job) {
                  if (job.status == store::kv_status::not_found) {
-                   done({.code = core::result_code::not_found, .state = std::nullopt});
+                   // Its submission may still be on its way, at an entry that stands still.
+                   StoreCancel(id, deadline, core::result_code::not_found, false, done);
                  } else if (job.status == store::kv_status::ok) {
-                   StoreCancel(id, deadline, false, done);
+                   StoreCancel(id, deadline, core::result_code::ok, false, done);
                  } else {
                    done(StoreUnavailable());
                  }
                });
 }
 
-void job_service::StoreCancel(const std::string& id, core::mono_time deadline, bool may_be_stored,
-                              handler done) {
+void job_service::StoreCancel(const std::string& id, core::mono_time deadline,
+                              core::result_code when_stored, bool may_be_stored, handler done) {
   store::transaction writes;
   writes.expect.push_back({CancelKey(id), 0});
   writes.puts.push_back({CancelKey(id), "1", 0});
-  storage_.Commit(std::move(writes), [this, id, deadline, may_be_stored,
+  storage_.Commit(std::move(writes), [this, id, deadline, when_stored, may_be_stored,
                                       done = std::move(done)](const store::commit_result& result) {
     if (result.status == store::kv_status::ok || result.status == store::kv_status::conflict) {
-      spdlog::info("event=cancel_stored job={}", id);
-      done({.code = core::result_code::ok, .state = job_state::cancelled});
+      const bool is_known = when_stored == core::result_code::ok;
+      spdlog::info("event=cancel_stored job={} known={}", id, is_known);
+      done({.code = when_stored,
+            .state = is_known ? std::optional(job_state::cancelled) : std::nullopt});
       return;
     }
     const bool unanswered = result.status == store::kv_status::unknown;
     const bool unknown = may_be_stored || unanswered;
     if (unanswered && health_.reachable() && time_.Now() + kMinWriteTime < deadline) {
       metrics_.CountRetry("cancel", core::result_code::outcome_unknown);
-      StoreCancel(id, deadline, unknown, done);
+      StoreCancel(id, deadline, when_stored, unknown, done);
       return;
     }
     const job_reply reply =
--- a/libs/jobs/src/progress_writer.cc
+++ b/libs/jobs/src/progress_writer.cc
@@ -202,6 +202,16 @@
   CommitRemoval(std::move(writes));
 }
 
+void progress_writer::RemoveCancellations(const std::vector<std::string>& ids) {
+  store::transaction writes;
+  writes.expect.push_back({std::string(kLeaderKey), term_});
+  for (const std::string& id : ids) {
+    writes.expect.push_back({JobKey(id), 0});
+    writes.deletes.push_back(CancelKey(id));
+  }
+  CommitRemoval(std::move(writes));
+}
+
 void progress_writer::RemoveAgent(const std::string& agent) {
   CommitRemoval(
       {.expect = {{std::string(kLeaderKey), term_}}, .puts = {}, .deletes = {AgentKey(agent)}});
--- a/libs/jobs/tests/job_service_test.cc
+++ b/libs/jobs/tests/job_service_test.cc
@@ -236,6 +236,52 @@
   CHECK(reply.code == result_code::not_found);
 }
 
+// Guards against a job that runs although its cancellation was acknowledged, because its submission
+// was still waiting at an entry that stood still (review/8).
+TEST_CASE("cancelling a job that is not stored yet leaves a cancellation in the store") {
+  service_fixture entry;
+  job_reply reply;
+  const auto cancel = [&] {
+    entry.service.Cancel(kJob, "q", entry.time.Now() + milliseconds{1000},
+                         [&](const job_reply& got) { reply = got; });
+    entry.storage.Pump();
+  };
+  cancel();
+  CHECK(reply.code == result_code::not_found);
+  CHECK(entry.storage.entries.contains(CancelKey(kJob)));
+  cancel();
+  CHECK(reply.code == result_code::not_found);
+  CHECK(entry.Submit().code == result_code::ok);
+  entry.service.Show(kJob, "q", [&](const job_reply& got) { reply = got; });
+  entry.storage.Pump();
+  CHECK(reply.state == job_state::cancelled);
+}
+
+// Guards against showing a job that nobody submitted.
+TEST_CASE("a job that was cancelled and never stored is not shown") {
+  service_fixture entry;
+  entry.storage.Put(CancelKey(kJob), "1");
+  job_reply reply;
+  entry.service.Show(kJob, "q", [&](const job_reply& got) { reply = got; });
+  entry.storage.Pump();
+  CHECK(reply.code == result_code::not_found);
+}
+
+// Guards against acknowledging a cancellation that a later submission would not meet.
+TEST_CASE("cancelling an unknown job is acknowledged only once the cancellation is stored") {
+  service_fixture entry;
+  job_reply reply;
+  result_code expected = result_code::store_unavailable;
+  SUBCASE("the write is refused") { entry.storage.mode = memory_store::write_mode::refused; }
+  SUBCASE("the write has no answer") {
+    entry.storage.mode = memory_store::write_mode::write_lost;
+    expected = result_code::outcome_unknown;
+  }
+  entry.service.Cancel(kJob, "q", entry.time.Now(), [&](const job_reply& got) { reply = got; });
+  entry.storage.Pump();
+  CHECK(reply.code == expected);
+}
+
 // Guards against reporting an empty queue although jobs wait: the query asked for the state of a
 // job without an id, and the outcome "absent" was taken as a count of zero. Found with five waiting
 // jobs in a random run (malolos-straw mix, seed 125854297285).
