jobs: a start without an answer never proves that its task crashed a target

The agent now says of each crashed run whether the target had answered its start or listed it. Without that the task is a suspect, and the crash is one of the four after which it is given up, but it is not counted as alone.

--- a/libs/jobs/include/jobs/messages.h
+++ b/libs/jobs/include/jobs/messages.h
@@ -100,14 +100,15 @@
   }
 };
 
-/// A run that the target had begun before it crashed.
+/// A run that the target had begun, or seems to have begun, before it crashed.
 struct crashed_run {
   run_id run;
   std::uint32_t age_ms = 0;  ///< time from its start to the last sign of life of the target
+  bool answered = true;      ///< the target had answered its start or listed it
   bool operator==(const crashed_run&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(run, age_ms);
+    archive(run, age_ms, answered);
   }
 };
 
--- a/libs/jobs/include/jobs/records.h
+++ b/libs/jobs/include/jobs/records.h
@@ -64,9 +64,10 @@
 
 /// Crashes of targets under a task, in a row: since a run of it last ended or proved harmless.
 struct crash_evidence {
-  std::uint32_t losses = 0;      ///< crashes under the task
-  std::uint32_t crashes = 0;     ///< those for which it came into question; if any, it is a suspect
-  std::uint32_t alone = 0;       ///< those for which no other task came into question
+  std::uint32_t losses = 0;   ///< crashes under the task
+  std::uint32_t crashes = 0;  ///< those for which it came into question; if any, it is a suspect
+  /// Those for which no other task came into question and this one had certainly begun.
+  std::uint32_t alone = 0;
   std::uint32_t longest_ms = 0;  ///< longest time for which it had run before one of them
   auto operator<=>(const crash_evidence&) const = default;
   template <class Archive>
--- a/libs/jobs/src/crash_isolation.cc
+++ b/libs/jobs/src/crash_isolation.cc
@@ -52,7 +52,8 @@
 
 std::vector<crash_evidence> JudgeCrash(const std::vector<crashed_run>& runs,
                                        std::vector<crash_evidence> before) {
-  std::vector<crash_evidence*> suspects;
+  std::size_t suspects = 0;
+  crash_evidence* begun_suspect = nullptr;
   for (std::size_t index = 0; index < runs.size(); ++index) {
     crash_evidence& evidence = before[index];
     const core::milliseconds age{runs[index].age_ms};
@@ -61,9 +62,10 @@
     evidence.longest_ms = std::max(evidence.longest_ms, runs[index].age_ms);
     if (age >= kSuspectAge && (evidence.losses < kLossesOfSuspect || outlived)) continue;
     ++evidence.crashes;
-    suspects.push_back(&evidence);
+    ++suspects;
+    if (runs[index].answered) begun_suspect = &evidence;
   }
-  if (suspects.size() == 1) ++suspects.front()->alone;
+  if (suspects == 1 && begun_suspect != nullptr) ++begun_suspect->alone;
   return before;
 }
 
--- a/libs/jobs/tests/crash_isolation_test.cc
+++ b/libs/jobs/tests/crash_isolation_test.cc
@@ -128,6 +128,17 @@
   CHECK(fleet.Isolated().empty());
 }
 
+// Guards against a job that is given up for starts that may not have been executed.
+TEST_CASE("a task that had not certainly begun is a suspect but not alone") {
+  const run_id run{{kJob, 0, 0, 0}, 1};
+  const run_id other{{kJob, 0, 0, 1}, 1};
+  CHECK(JudgeCrash({{run, 0, true}}, {{}})[0].alone == 1);
+  CHECK(JudgeCrash({{run, 0, false}}, {{}})[0] == crash_evidence{.losses = 1, .crashes = 1});
+  for (const crash_evidence& each : JudgeCrash({{run, 0, true}, {other, 0, false}}, {{}, {}})) {
+    CHECK(each == crash_evidence{.losses = 1, .crashes = 1});
+  }
+}
+
 // Guards against crashes that add up over a long life although many runs were harmless.
 TEST_CASE("crashes are in a row only while no run of the task has lasted") {
   crash_fixture fleet;
--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -111,13 +111,13 @@
   void PaceFilling();
   /// Drops the runs of a target that is gone.
   void ForgetRuns();
-  /// Puts the runs of a target that is lost into `crashed` and `refused`: those that it had begun,
-  /// and those that were never sent to it.
+  /// Puts the runs of a target that is lost into `crashed` and `refused`: those that it may
+  /// have begun, and those that were never sent to it.
   void CollectLostRuns(std::vector<jobs::crashed_run>& crashed,
                        std::vector<jobs::refused_run>& refused) const;
-  /// @return false if nothing shows that the target has begun this run. A call without an answer
-  /// shows it only if the target answered others just before, or broke all connections with it.
-  bool HasBegun(const jobs::run_id& run, core::mono_time called_at) const;
+  /// @return false if nothing suggests that the target has begun this run. A call without an answer
+  /// suggests it only if the target answered others just before, or broke all connections with it.
+  bool MayHaveBegun(const jobs::run_id& run, core::mono_time called_at) const;
   void Report(bool with_lists);
   /// @return the time after which a lease of this length has certainly expired at the target.
   static core::nanoseconds MaxDuration(core::nanoseconds lease);
--- a/libs/runner/src/runner_reports.cc
+++ b/libs/runner/src/runner_reports.cc
@@ -48,7 +48,7 @@
   return has_lists_ && (listed_term_ == term_ || time_.Now() >= earlier_calls_expire_at_);
 }
 
-bool runner::HasBegun(const jobs::run_id& run, core::mono_time called_at) const {
+bool runner::MayHaveBegun(const jobs::run_id& run, core::mono_time called_at) const {
   const auto start = starts_.find(run);
   if (start == starts_.end() || start->second.settled_at) return true;
   // The target went silent without a sign. A call long after its last answer reached no one.
@@ -74,13 +74,14 @@
   const core::mono_time last_sign = std::max(last_reply_, broken_at_);
   std::string recent;
   for (const auto& [run, called_at] : first_calls_) {
-    if (!HasBegun(run, called_at)) continue;
+    if (!MayHaveBegun(run, called_at)) continue;
     const auto start = starts_.find(run);
-    const bool settled = start != starts_.end() && start->second.settled_at;
+    const bool listed = start == starts_.end();
+    const bool settled = !listed && start->second.settled_at;
     // A slow target begins the run when it answers.
     const core::mono_time begun = settled ? *start->second.settled_at : called_at;
     const std::int64_t age_ms = std::max<std::int64_t>(0, core::ToMs(last_sign - begun));
-    crashed.push_back({run, static_cast<std::uint32_t>(age_ms)});
+    crashed.push_back({run, static_cast<std::uint32_t>(age_ms), listed || settled});
     if (core::milliseconds{age_ms} >= jobs::kSuspectAge) continue;
     if (!recent.empty()) recent += ',';
     recent += jobs::ToString(run.task);
--- a/libs/runner/tests/unanswered_start_test.cc
+++ b/libs/runner/tests/unanswered_start_test.cc
@@ -335,8 +335,8 @@
     refused.push_back({runner_fixture::Run(5), jobs::start_refusal::not_sent});
     crashed = {{runner_fixture::Run(1), 500},
                {runner_fixture::Run(2), 0},
-               {runner_fixture::Run(3), 0},
-               {runner_fixture::Run(4), 0}};
+               {runner_fixture::Run(3), 0, false},
+               {runner_fixture::Run(4), 0, false}};
   }
   CHECK(fixture.LastListing().refused == refused);
   CHECK(fixture.LastListing().crashed == crashed);
@@ -367,7 +367,7 @@
       std::optional(target_lists{.clock_ms = 5, .started_ms = 2, .running = {}, .ended = {}}));
   fixture.Pass(milliseconds{50});
   std::vector<jobs::crashed_run> expected;
-  if (begun) expected.push_back({runner_fixture::Run(1), 0});
+  if (begun) expected.push_back({runner_fixture::Run(1), 0, false});
   CHECK(fixture.LastListing().crashed == expected);
 }
 
