runner: starts and leases of a target's earlier incarnation

Users saw (TWICE, 72 cases, real processes): two runs of a task at once, one of them on a target that had restarted under its old id and was cut off soon after.

Cause: the crash of one incarnation was taken as the end of all calls to it. Under the same name the next one carries them out: a start without an answer ran there while the coordinator, told that it was lost, started the task elsewhere; and a call that names a time on the earlier clock gives everything there the longest lease, while agent and coordinator count on their own.

The agent remembers starts without an answer, stops them at the next incarnation under the same name (and at a target that returns after it had counted as gone), and reports them as starting until then. Within the target's longest lease (max_task_lease_ms) it stops the runs itself when its own lease ends, and counts a silent target as gone only after that.

Not played with real processes.

--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -22,6 +22,8 @@
   std::uint64_t agent_incarnation = 0;  ///< different for each start of this process
   /// Lease of the target's runs, counted from the report that a grant answers.
   core::milliseconds task_lease{5000};
+  /// Longest lease that the target accepts; it shortens others to this.
+  core::milliseconds max_task_lease{10'000};
   /// Maximum wait of a poll of the target; it limits the time between two extensions of a lease.
   core::milliseconds poll_wait{1000};
   /// Maximum wait while the target runs both filling and serving tasks, so that paces follow the
@@ -89,6 +91,12 @@
   };
 
   void ChangeIncarnation(const target_announcement& announcement);
+  /// Stops the runs whose start the target may still execute although the agent has forgotten them,
+  /// because it was sent to an earlier incarnation under the same name or the target had counted as
+  /// gone. Reports them as starting until then.
+  void StopLateStarts();
+  /// Stops all runs of a target whose lease may be longer than the agent's, once that has expired.
+  void StopRunsWithoutLease();
   void Poll();
   void OnLists(const std::optional<target_lists>& lists, core::mono_time sent);
   void ApplyLists(const target_lists& lists, core::mono_time sent);
@@ -177,6 +185,16 @@
       earlier_calls_expire_at_;  ///< end of all leases that an earlier process passed on
   std::set<jobs::run_id> pace_calls_in_flight_;
 
+  /// Starts that were sent to a target of the present name and got no answer, and when they were
+  /// last sent. The target, or its next incarnation under the same name, may still execute them.
+  std::map<jobs::run_id, core::mono_time> unresolved_starts_;
+  bool forgot_starts_ = false;  ///< the target has been gone since its last answer
+  /// The target has restarted under its name.
+  bool kept_name_ = false;
+  /// End of all leases that calls to earlier incarnations under the same name may have set. They
+  /// name times on an earlier clock, which may be far ahead on the present one.
+  core::mono_time late_lease_end_;
+
   bool report_due_ = false;
   core::mono_time next_report_;
   core::mono_time next_listing_;
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -19,6 +19,8 @@
 // Far more than clocks of a fleet differ. A target that seems to start later than this would make
 // the runner ignore all later incarnations.
 constexpr std::chrono::hours kMaxStartAhead{24};
+// After this time a call without an answer is not executed any more.
+constexpr core::milliseconds kMaxCallDelay{15'000};
 
 }  // namespace
 
@@ -68,6 +70,12 @@
                announcement.service, announcement.capacity.cpu_millis,
                announcement.capacity.memory_mb);
   // `crashed_` may hold runs of an earlier incarnation that no report has named yet.
+  for (const auto& [run, start] : starts_) {
+    if (start.in_flight) unresolved_starts_.insert_or_assign(run, time_.Now());
+  }
+  kept_name_ = announced_ && announced_->incarnation.name == announcement.incarnation.name;
+  if (!kept_name_) unresolved_starts_.clear();
+  late_lease_end_ = {};
   crashed_.insert(crashed_.end(), runs_of_gone_.begin(), runs_of_gone_.end());
   runs_of_gone_.clear();
   refused_.clear();
@@ -97,9 +105,32 @@
   calls_in_flight_ = 0;
   pacer_.Clear();
   pace_calls_in_flight_.clear();
+  forgot_starts_ = false;
+  StopLateStarts();
   report_due_ = true;
 }
 
+void runner::StopLateStarts() {
+  for (const auto& [run, sent] : unresolved_starts_) {
+    starts_.try_emplace(run, pending_start{.command = {.facts = {.run = run}},
+                                           .unanswered = true,
+                                           .abandoned = jobs::start_refusal::not_sent});
+    stops_.try_emplace(run);
+    spdlog::info("event=late_start_stopped target={} task={} run={}", announced_->incarnation.name,
+                 jobs::ToString(run.task), run.run);
+  }
+}
+
+void runner::StopRunsWithoutLease() {
+  for (const jobs::running_task& each : running_) {
+    const jobs::run_id run{each.task, each.run};
+    if (stops_.try_emplace(run).second) {
+      spdlog::info("event=run_stopped_without_lease task={} run={}", jobs::ToString(run.task),
+                   run.run);
+    }
+  }
+}
+
 void runner::OnLeave(const std::string& target) {
   if (!announced_ || announced_->incarnation.name != target) return;
   spdlog::info("event=target_left target={} draining={}", target, announced_->draining);
@@ -195,7 +226,12 @@
   }
   const core::mono_time now = time_.Now();
   if (!polling_ && now >= next_poll_ && term_ != 0) Poll();
-  if (lease_end_ < now) DropExpiredStarts();
+  if (lease_end_ < now) {
+    DropExpiredStarts();
+    if (now < late_lease_end_) StopRunsWithoutLease();
+  }
+  std::erase_if(unresolved_starts_,
+                [&](const auto& each) { return now - each.second > kMaxCallDelay; });
   SendCommands();
   if (report_due_ || now >= next_report_) Report(report_due_ || now >= next_listing_);
 }
@@ -268,6 +304,7 @@
       // The retry uses the same run number, so the run starts at most once.
       start.unanswered = true;
       start.failed_at = time_.Now();
+      unresolved_starts_.insert_or_assign(run, time_.Now());
       metrics_.GetCounter("coltsfoot_orders_unanswered_total", {"order", "start"}).Add();
       spdlog::info("event=start_unanswered task={} run={}", jobs::ToString(run.task), run.run);
       break;
--- a/libs/runner/src/runner_lists.cc
+++ b/libs/runner/src/runner_lists.cc
@@ -78,6 +78,7 @@
   broken_at_ = {};
   runs_of_gone_.clear();
   failed_polls_ = 0;
+  if (std::exchange(forgot_starts_, false)) StopLateStarts();
   ApplyLists(*lists, sent);
   PaceFilling();
   next_poll_ = ended_.empty() ? now : now + kUnstoredEndsPollDelay;
@@ -85,7 +86,11 @@
     last_end_seen_ = ended_.back().number;
     report_due_ = true;
   }
-  if (!std::exchange(has_lists_, true)) report_due_ = true;
+  if (!std::exchange(has_lists_, true)) {
+    report_due_ = true;
+    // Calls that were on their way when the target went down are read when it is back.
+    if (kept_name_) late_lease_end_ = now + MaxDuration(options_.max_task_lease);
+  }
   if (report_due_) Report(true);
 }
 
--- a/libs/runner/src/runner_reports.cc
+++ b/libs/runner/src/runner_reports.cc
@@ -31,8 +31,9 @@
   if (has_lists_ && now - last_answer_ > options_.silent_after + options_.poll_wait) {
     const core::mono_time expired = last_answer_ + MaxDuration(sent_lease_end_ - last_answer_);
     // An earlier process may have extended the lease beyond what this one knows.
-    return now > std::max(expired, earlier_calls_expire_at_) ? jobs::target_state::gone
-                                                             : jobs::target_state::silent;
+    return now > std::max({expired, earlier_calls_expire_at_, late_lease_end_})
+               ? jobs::target_state::gone
+               : jobs::target_state::silent;
   }
   return announced_->draining ? jobs::target_state::draining : jobs::target_state::ready;
 }
@@ -97,6 +98,10 @@
                core::ToMs(time_.Now() - last_answer_));
   // Whether the target crashed or is only silent shows when its next incarnation is known.
   CollectLostRuns(runs_of_gone_, refused_);
+  for (const auto& [run, start] : starts_) {
+    if (start.in_flight) unresolved_starts_.insert_or_assign(run, time_.Now());
+  }
+  forgot_starts_ = true;
   running_.clear();
   starts_.clear();
   stops_.clear();
--- a/tools/coltsfoot-runner/main.cc
+++ b/tools/coltsfoot-runner/main.cc
@@ -25,7 +25,8 @@
     "Settings: id, announce (IP:PORT for the target's announcements), target, peer, metrics "
     "(IP:PORT),\nstore (IP:PORT), advertise (IP:PORT that entries connect to, default peer), "
     "task_lease_ms "
-    "(5000).\nPaces of filling tasks: pace_least_headroom_permille (1120), pace_horizon_ms (600), "
+    "(5000), max_task_lease_ms (longest lease that the target accepts, 10000).\nPaces of filling "
+    "tasks: pace_least_headroom_permille (1120), pace_horizon_ms (600), "
     "pace_caution_permille\n(500), pace_least_budget_permille (220).";
 constexpr core::milliseconds kTick{40};
 // Time for the last extension of the lease to reach the target before the process exits.
@@ -43,6 +44,7 @@
   std::string store;
   std::string advertise;  ///< IP:PORT that entries connect to
   core::milliseconds task_lease{0};
+  core::milliseconds max_task_lease{0};
   runner::pacer_options pacing;
 };
 
@@ -75,6 +77,8 @@
   options.advertise =
       source.Text("advertise", fmt::format("{}:{}", options.peer.ip, options.peer.port));
   options.task_lease = core::milliseconds{source.Number("task_lease_ms", {1000, 60'000}, 5000)};
+  options.max_task_lease =
+      core::milliseconds{source.Number("max_task_lease_ms", {1000, 600'000}, 10'000)};
   options.pacing = ReadPacing(source);
   return options;
 }
@@ -103,6 +107,7 @@
   runner::runner control({.agent = options.id,
                           .agent_incarnation = core::SystemSeed(),
                           .task_lease = options.task_lease,
+                          .max_task_lease = options.max_task_lease,
                           .pacing = options.pacing},
                          time, metrics, *target, coordinator);
   coordinator.SetRunner(control);
