jobs: count jobs as waiting until a target reports a run of them

The count now takes a job as begun when a target has listed a run of it as running or ended, or its stored progress says so. What a job is shown as is unchanged.

--- a/libs/jobs/include/jobs/coordinator.h
+++ b/libs/jobs/include/jobs/coordinator.h
@@ -100,7 +100,7 @@
   /// @return the state of a job that callers may be shown, or nothing if the job is unknown or its
   /// state must be read from the store.
   std::optional<job_state> StateOf(std::string_view job) const;
-  /// @return the number of jobs of a queue that have started no task yet.
+  /// @return the number of jobs of a queue of which no target has reported a run yet.
   std::uint64_t CountWaiting(std::string_view queue) const;
   /// @return a job, to explain its state to callers; null if it is unknown.
   const job_row* FindJob(std::string_view job) const { return jobs_.Find(job); }
--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -62,6 +62,7 @@
   std::uint32_t run_base = 0;       ///< new runs get higher numbers; set for jobs of earlier terms
   job_state state = job_state::queued;
   std::int64_t ended_wall_ms = 0;
+  bool begun = false;  ///< a target has begun a task of it, as far as known
   bool cancel_requested = false;
   bool held = false;  ///< not planned: a worker that has not reported may still run its tasks
   std::uint32_t copy_count = 0;  ///< number of copies of all its tasks
--- a/libs/jobs/src/coordinator.cc
+++ b/libs/jobs/src/coordinator.cc
@@ -378,7 +378,9 @@
 std::uint64_t coordinator::CountWaiting(std::string_view queue) const {
   return static_cast<std::uint64_t>(
       std::count_if(jobs_.jobs().begin(), jobs_.jobs().end(), [&](const auto& each) {
-        return each.second.state == job_state::queued && each.second.record.queue == queue;
+        // A planned start may never reach its target.
+        const job_row& job = each.second;
+        return !job.begun && !IsEnded(job.state) && job.record.queue == queue;
       }));
 }
 
--- a/libs/jobs/src/coordinator_reports.cc
+++ b/libs/jobs/src/coordinator_reports.cc
@@ -120,6 +120,7 @@
                  worker.agent);
     return;
   }
+  ref->job->begun = true;
   const auto copy = jobs_.RemoveCopy(*ref, worker.agent, end.run);
   const std::int64_t ran_ms = copy ? core::ToMs(time_.Now() - copy->issued_at) : -1;
   const std::int64_t wall_ms = time_.WallNow().time_since_epoch().count();
@@ -266,6 +267,7 @@
 
 void coordinator::AdoptRun(worker_row& worker, const task_ref& ref, const run_id& run,
                            bool running) {
+  ref.job->begun = ref.job->begun || running;
   for (task_copy& copy : ref.task->copies) {
     if (copy.agent != worker.agent || copy.run != run.run) continue;
     if (running && !copy.running) copy.progress_changed_at = time_.Now();
--- a/libs/jobs/src/job_table.cc
+++ b/libs/jobs/src/job_table.cc
@@ -94,6 +94,7 @@
                         std::uint32_t max_run) {
   job.progress_version = version;
   job.state = stored.state;
+  job.begun = stored.state != job_state::queued;
   job.stored_state = stored.state;
   job.ended_wall_ms = stored.ended_wall_ms;
   const std::size_t count = std::min(job.tasks.size(), stored.tasks.size());
