jobs: five crashes in a row end a job that never came into question

Found by reading: a task whose runs each outlived the one before never came into question, and the limit of five crashes was checked only for suspects. Test: crash_isolation_test.cc, failed before.

A task whose run numbers are used up is logged once per term, not with each plan.

--- a/libs/jobs/include/jobs/run_numbers.h
+++ b/libs/jobs/include/jobs/run_numbers.h
@@ -50,6 +50,7 @@
   std::uint32_t bound_ = 0;   ///< as stored: numbers up to here are reserved
   std::uint32_t wanted_ = 0;  ///< bound to store
   bool in_flight_ = false;
+  bool exhaustion_logged_ = false;
   core::mono_time retry_at_;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
--- a/libs/jobs/src/job_table.cc
+++ b/libs/jobs/src/job_table.cc
@@ -198,7 +198,7 @@
   if (IsEnded(job.state) || ref.task->progress.done) return;
   ref.task->crashes = evidence;
   // Most tasks that are lost once are bystanders, so that alone is not worth a write.
-  if (evidence.crashes == 0) return;
+  if (evidence.crashes == 0 && !IsCulprit(evidence, crashes_alone)) return;
   suspects_.emplace(job.id, &job);
   job.crashes_changed = true;
   MarkDirty(job);
--- a/libs/jobs/src/run_numbers.cc
+++ b/libs/jobs/src/run_numbers.cc
@@ -56,7 +56,9 @@
 
 bool run_numbers::Reserve(std::uint64_t run) {
   if (run > kMaxRun) {
-    spdlog::error("event=run_number_out_of_range run={}", run);
+    if (!std::exchange(exhaustion_logged_, true)) {
+      spdlog::error("event=run_number_out_of_range run={}", run);
+    }
     return false;
   }
   if (AddUpToMax(run, kMinLeft) > wanted_) wanted_ = AddUpToMax(run, kReservation);
--- a/libs/jobs/tests/crash_isolation_test.cc
+++ b/libs/jobs/tests/crash_isolation_test.cc
@@ -114,6 +114,21 @@
   CHECK(crashes <= 4);
 }
 
+// Guards against a task that is never suspected because each of its runs lasts longer.
+TEST_CASE("a job fails after five crashes in a row although each run outlived the one before") {
+  crash_fixture fleet;
+  fleet.Submit(kJob, {TestStep(1)});
+  std::uint32_t crashes = 0;
+  for (; crashes < 10 && fleet.control.StateOf(kJob) != job_state::failed; ++crashes) {
+    fleet.Pass(milliseconds{1000});
+    const auto [agent, run] = fleet.Find({kJob, 0, 0, 0});
+    REQUIRE_FALSE(agent.empty());
+    fleet.Crash(agent, {run}, milliseconds{500 + 400 * crashes});
+    fleet.Pass(milliseconds{1000});
+  }
+  CHECK(crashes == 5);
+}
+
 // Guards against bystanders that are delayed because their target crashed once.
 TEST_CASE("a task that had run for a while is no suspect after a single crash") {
   crash_fixture fleet;
