--- a/libs/runner/tests/kept_name_test.cc
+++ b/libs/runner/tests/kept_name_test.cc
@@ -50,8 +50,11 @@
   std::uint64_t started_ms = 1;
 };
 
-const std::vector<jobs::running_task> kRunning{{.task = runner_fixture::Run(1).task, .run = 1}};
-const std::vector kRun{runner_fixture::Run(1)};
+std::vector<jobs::running_task> RunningOne() {
+  return {{.task = runner_fixture::Run(1).task, .run = 1}};
+}
+
+std::vector<jobs::run_id> RunOne() { return {runner_fixture::Run(1)}; }
 
 }  // namespace
 
@@ -69,14 +72,14 @@
     scripted_target::AnswerNext(
         fixture.target.start_answers,
         command_reply{.status = command_status::ok, .clock_ms = fixture.TargetClock()});
-    fixture.Answer(kRunning);
+    fixture.Answer(RunningOne());
   }
   fixture.Restart("t");
   CHECK(fixture.LastListing().incarnation == fixture.announcement.incarnation);
-  CHECK(fixture.LastListing().starting == kRun);
-  REQUIRE(fixture.target.stops == kRun);
+  CHECK(fixture.LastListing().starting == RunOne());
+  REQUIRE(fixture.target.stops == RunOne());
   fixture.PassWithPolls(milliseconds{1100}, {});
-  CHECK(fixture.LastListing().starting == kRun);
+  CHECK(fixture.LastListing().starting == RunOne());
   scripted_target::AnswerNext(fixture.target.stop_answers,
                               command_reply{.status = command_status::ok});
   fixture.PassWithPolls(milliseconds{1100}, {});
@@ -88,9 +91,9 @@
 TEST_CASE("a start that a restarted target has executed for its earlier incarnation is stopped") {
   kept_name_fixture fixture;
   fixture.IssueCommand(1);
-  fixture.Restart("t", kRunning);
+  fixture.Restart("t", RunningOne());
   CHECK(fixture.LastListing().running.size() == 1);
-  CHECK(fixture.target.stops == kRun);
+  CHECK(fixture.target.stops == RunOne());
 }
 
 // Guards against a start that a target executes after its agent has counted it as gone.
@@ -104,8 +107,8 @@
   fixture.Grant();
   fixture.Pass(milliseconds{50});
   CHECK(fixture.LastListing().state == jobs::target_state::ready);
-  CHECK(fixture.LastListing().starting == kRun);
-  CHECK(fixture.target.stops == kRun);
+  CHECK(fixture.LastListing().starting == RunOne());
+  CHECK(fixture.target.stops == RunOne());
 }
 
 // Guards against stops for calls that a target under another name does not execute.
@@ -122,26 +125,26 @@
 TEST_CASE("the runs of a target that has restarted under its name are stopped with the lease") {
   kept_name_fixture fixture;
   bool stopped = true;
-  SUBCASE("same name") { fixture.Restart("t", kRunning); }
+  SUBCASE("same name") { fixture.Restart("t", RunningOne()); }
   SUBCASE("another name") {
     stopped = false;
-    fixture.Restart("t-2", kRunning);
+    fixture.Restart("t-2", RunningOne());
   }
   CHECK(fixture.target.stops.empty());
-  fixture.PassWithPolls(milliseconds{4700}, kRunning);
+  fixture.PassWithPolls(milliseconds{4700}, RunningOne());
   CHECK(fixture.target.stops.empty());
-  fixture.PassWithPolls(milliseconds{300}, kRunning);
-  CHECK(fixture.target.stops == (stopped ? kRun : std::vector<jobs::run_id>{}));
+  fixture.PassWithPolls(milliseconds{300}, RunningOne());
+  CHECK(fixture.target.stops == (stopped ? RunOne() : std::vector<jobs::run_id>{}));
 }
 
 // Guards against a silent target that counts as gone while its runs hold such a lease.
 TEST_CASE("a target that has restarted under its name is gone only after its longest lease") {
   kept_name_fixture fixture;
   milliseconds expected{10'400};
-  SUBCASE("same name") { fixture.Restart("t", kRunning); }
+  SUBCASE("same name") { fixture.Restart("t", RunningOne()); }
   SUBCASE("another name") {
     expected = milliseconds{5300};
-    fixture.Restart("t-2", kRunning);
+    fixture.Restart("t-2", RunningOne());
   }
   fixture.Pass(expected - milliseconds{200});
   CHECK_FALSE(fixture.IsGone());
