--- a/libs/jobs/tests/crash_isolation_test.cc
+++ b/libs/jobs/tests/crash_isolation_test.cc
@@ -154,7 +154,7 @@
   }
 }
 
-// Guards against crashes that add up over a long life although many runs were harmless.
+// Guards against crashes that add up over many harmless runs of a task.
 TEST_CASE("crashes are in a row only while no run of the task has lasted") {
   crash_fixture fleet;
   step_spec step = TestStep(1);
--- a/libs/runner/tests/runner_fixture.h
+++ b/libs/runner/tests/runner_fixture.h
@@ -86,6 +86,18 @@
     scripted_target::AnswerNext(target.poll_answers, std::optional(lists));
   }
 
+  /// The target is replaced by an incarnation that answers a poll and has no runs.
+  void ReplaceTarget(const std::string& name, std::uint64_t started_ms) {
+    announcement.incarnation = {name, started_ms};
+    agent.OnAnnouncement(announcement);
+    Pass(milliseconds{50});
+    scripted_target::AnswerNext(
+        target.poll_answers,
+        std::optional(
+            target_lists{.clock_ms = 5, .started_ms = started_ms, .running = {}, .ended = {}}));
+    Pass(milliseconds{50});
+  }
+
   /// The target's clock runs one second behind the agent's.
   std::int64_t TargetClock() const { return core::ToMs(time.Now().time_since_epoch()) - 1000; }
 
--- a/libs/runner/tests/unanswered_start_test.cc
+++ b/libs/runner/tests/unanswered_start_test.cc
@@ -321,14 +321,8 @@
     ++fixture.announcement.sequence;
     fixture.agent.OnAnnouncement(fixture.announcement);
   }
-  fixture.announcement.incarnation = {"t-2", 2};
   fixture.announcement.draining = false;
-  fixture.agent.OnAnnouncement(fixture.announcement);
-  fixture.Pass(milliseconds{50});
-  scripted_target::AnswerNext(
-      fixture.target.poll_answers,
-      std::optional(target_lists{.clock_ms = 5, .started_ms = 2, .running = {}, .ended = {}}));
-  fixture.Pass(milliseconds{50});
+  fixture.ReplaceTarget("t-2", 2);
   std::vector<jobs::refused_run> refused;
   std::vector<jobs::crashed_run> crashed;
   if (!drains) {
@@ -359,13 +353,7 @@
   scripted_target::AnswerNext(fixture.target.start_answers, command_reply{});
   fixture.Pass(milliseconds{1500});
   scripted_target::AnswerNext(fixture.target.poll_answers, std::optional<target_lists>{});
-  fixture.announcement.incarnation = {"t-2", 2};
-  fixture.agent.OnAnnouncement(fixture.announcement);
-  fixture.Pass(milliseconds{50});
-  scripted_target::AnswerNext(
-      fixture.target.poll_answers,
-      std::optional(target_lists{.clock_ms = 5, .started_ms = 2, .running = {}, .ended = {}}));
-  fixture.Pass(milliseconds{50});
+  fixture.ReplaceTarget("t-2", 2);
   std::vector<jobs::crashed_run> expected;
   if (begun) expected.push_back({runner_fixture::Run(1), 0, false});
   CHECK(fixture.LastListing().crashed == expected);
@@ -380,13 +368,7 @@
   scripted_target::AnswerNext(fixture.target.start_answers, command_reply{});
   fixture.Pass(milliseconds{50});
   scripted_target::AnswerNext(fixture.target.poll_answers, std::optional<target_lists>{});
-  fixture.announcement.incarnation = {"t-2", 2};
-  fixture.agent.OnAnnouncement(fixture.announcement);
-  fixture.Pass(milliseconds{50});
-  scripted_target::AnswerNext(
-      fixture.target.poll_answers,
-      std::optional(target_lists{.clock_ms = 5, .started_ms = 2, .running = {}, .ended = {}}));
-  fixture.Pass(milliseconds{50});
+  fixture.ReplaceTarget("t-2", 2);
   CHECK(fixture.LastListing().crashed.empty());
 }
 
