jobs: the entry that stores a forwarded job admits it under its own configuration

Cause: an entry that the store turns away sends its jobs to the coordinating entry, with the record and the configuration version under which it admitted them. After a change of the configuration the conditional write fails. The entry asks the store for the new version, cannot, and tries the same again, four times within 30 ms. So it refuses every job until it regains the store, though the coordinating entry knows the newer configuration.

Change: `job_query` carries host and path of the submission. If the storing entry's configuration is newer than the sender's, it looks the path up again and writes a record under its own version. The write stays conditional on that version, so nothing is stored under an older one. If the path leads to no queue any more, the answer is `stale_config` as before. Seen by `event=forwarded_job_admitted_again` and `coltsfoot_forwarded_jobs_admitted_again_total`.

Test: the new case of job_service_test fails without the change (205 instead of 0, nothing stored).

Passed here: unit_jobs (119), unit_platform, unit_runner, unit_program, platform_soak.

--- a/libs/jobs/include/jobs/messages.h
+++ b/libs/jobs/include/jobs/messages.h
@@ -246,6 +246,8 @@
   query_kind kind = query_kind::show;
   std::string queue;
   std::string job;
+  std::string host;                  ///< `Host` of the submission, to find its queue again
+  std::string path;                  ///< path of the submission
   std::string record;                ///< encoded `job_record` to store
   std::string config_key;            ///< key of the configuration under which the job was admitted
   std::uint64_t config_version = 0;  ///< version of that configuration
@@ -254,7 +256,7 @@
   bool operator==(const job_query&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(number, kind, queue, job, record, config_key, config_version, time_left_ms,
+    archive(number, kind, queue, job, host, path, record, config_key, config_version, time_left_ms,
             processor_millis);
   }
 };
--- a/libs/jobs/src/job_service.cc
+++ b/libs/jobs/src/job_service.cc
@@ -16,11 +16,43 @@
 // answer is not repeated and its outcome stays unknown.
 constexpr core::milliseconds kMinWriteTime{150};
 
+/// Copies to the record what the queue's configuration decides about a job.
+void ApplyQueue(const queue_config& queue, std::uint64_t config_version, job_record& record) {
+  record.queue = queue.name;
+  record.service = queue.service;
+  record.priority = queue.priority;
+  record.attempts = queue.attempts;
+  record.stretch = queue.stretch;
+  record.objective_ms = queue.objective_ms;
+  record.config_version = config_version;
+}
+
+/// Admits a forwarded job under a newer catalogue than the one that its sender knows.
+/// @return the job's new record; nothing if its path leads to no queue that can take it, or if the
+/// sender's record cannot be read.
+std::optional<job_record> AdmitAgain(const job_query& query, const queue_catalogue& catalogue) {
+  const queue_config* queue = catalogue.FindByPath(query.host, query.path);
+  if (queue == nullptr || queue->needs_advice) return std::nullopt;
+  // A longer prefix may match a path that names no job of its queue.
+  if (query.path != queue->prefix + query.job) return std::nullopt;
+  core::last_error error;
+  auto record = wire::DecodeValue<job_record>(query.record, error);
+  if (!record || !IsValid(*record, error)) {
+    spdlog::error("event=forwarded_job_unreadable job={} reason=\"{}\"", query.job,
+                  error.reason().message);
+    return std::nullopt;
+  }
+  ApplyQueue(*queue, catalogue.version(), *record);
+  return record;
+}
+
 }  // namespace
 
 struct job_service::submission {
   std::string id;
   std::string queue;
+  std::string host;    ///< `Host` of the queue's requests
+  std::string path;    ///< path of the job
   std::string record;  ///< encoded `job_record`
   store::expectation config;
   core::mono_time started_at;
@@ -51,16 +83,11 @@
   auto job = std::make_shared<submission>();
   job->id = id;
   job->queue = queue.name;
-  job->record =
-      wire::EncodeValue(job_record{.queue = queue.name,
-                                   .service = queue.service,
-                                   .priority = queue.priority,
-                                   .attempts = queue.attempts,
-                                   .stretch = queue.stretch,
-                                   .objective_ms = queue.objective_ms,
-                                   .config_version = queues_.Current()->version(),
-                                   .accepted_wall_ms = time_.WallNow().time_since_epoch().count(),
-                                   .spec = spec});
+  job->host = queue.host;
+  job->path = queue.prefix + id;
+  job_record record{.accepted_wall_ms = time_.WallNow().time_since_epoch().count(), .spec = spec};
+  ApplyQueue(queue, queues_.Current()->version(), record);
+  job->record = wire::EncodeValue(record);
   job->config = queues_.VersionExpectation();
   job->started_at = time_.Now();
   job->deadline = deadline;
@@ -84,6 +111,8 @@
       {.kind = query_kind::store_job,
        .queue = job->queue,
        .job = job->id,
+       .host = job->host,
+       .path = job->path,
        .record = job->record,
        .config_key = job->config.key,
        .config_version = job->config.version,
@@ -122,6 +151,23 @@
   job->deadline = deadline;
   job->may_forward = false;
   job->done = answer;
+  // An entry without the store cannot learn of a new configuration either, so its jobs would be
+  // refused until it regains the store.
+  const store::expectation own = queues_.VersionExpectation();
+  if (own.key == query.config_key && own.version > query.config_version) {
+    const auto catalogue = queues_.Current();
+    const auto record = catalogue ? AdmitAgain(query, *catalogue) : std::nullopt;
+    if (!record) {
+      FinishOutdated(*job);
+      return;
+    }
+    metrics_.GetCounter("coltsfoot_forwarded_jobs_admitted_again_total").Add();
+    spdlog::info("event=forwarded_job_admitted_again job={} queue={} was={} version={}", query.job,
+                 record->queue, query.queue, record->config_version);
+    job->queue = record->queue;
+    job->record = wire::EncodeValue(*record);
+    job->config = own;
+  }
   if (health_.reachable()) {
     Store(job);
   } else {
--- a/libs/jobs/tests/job_service_test.cc
+++ b/libs/jobs/tests/job_service_test.cc
@@ -148,6 +148,53 @@
   CHECK(peer.storage.entries.count(JobKey(kJob)) == 1);
 }
 
+// Guards against refusing all jobs of an entry without the store once the configuration has changed
+// (coldtrace-glk-grown scale-2: 92 refusals in 8 s), and against storing one under an old version.
+TEST_CASE("a forwarded job is admitted again under a newer configuration") {
+  service_fixture entry;
+  entry.storage.mode = memory_store::write_mode::refused;
+  entry.Submit();
+  REQUIRE(entry.coordinator.queries.size() == 1);
+
+  service_fixture peer;
+  peer.storage.Put("config", "new");
+  peer.queues.version = peer.storage.revision;
+  queue_config queue = TestQueue();
+  bool is_accepted = true;
+  SUBCASE("the queue has other settings") {
+    queue.attempts = 5;
+    queue.service = "other";
+  }
+  SUBCASE("the queue is gone") {
+    queue.prefix = "/r/";
+    is_accepted = false;
+  }
+  SUBCASE("an external policy has to approve its workers") {
+    queue.needs_advice = true;
+    is_accepted = false;
+  }
+  SUBCASE("the peer's configuration is outdated as well") {
+    peer.storage.Put("config", "newest");
+    is_accepted = false;
+  }
+  peer.queues.catalogue =
+      std::make_shared<queue_catalogue>(9, std::vector{queue}, std::vector<service_config>{});
+  job_answer answer;
+  peer.service.StoreForPeer(entry.coordinator.queries[0],
+                            [&](const job_answer& got) { answer = got; });
+  peer.storage.Pump();
+  CHECK(answer.code == (is_accepted ? result_code::ok : result_code::stale_config));
+  REQUIRE(peer.storage.entries.contains(JobKey(kJob)) == is_accepted);
+  if (!is_accepted) return;
+  core::last_error error;
+  const auto record =
+      wire::DecodeValue<job_record>(peer.storage.entries.at(JobKey(kJob)).value, error);
+  REQUIRE(record);
+  CHECK(record->attempts == 5);
+  CHECK(record->service == "other");
+  CHECK(record->config_version == 9);
+}
+
 // Guards against a "not run" reply when the coordinating entry may have stored the job.
 TEST_CASE("an unanswered forwarded job has an unknown outcome") {
   service_fixture entry;
