--- a/libs/jobs/tests/job_service_test.cc
+++ b/libs/jobs/tests/job_service_test.cc
@@ -149,7 +149,7 @@
 }
 
 // Guards against refusing all jobs of an entry without the store once the configuration has changed
-// (coldtrace-glk-grown scale-2: 92 refusals in 8 s), and against storing one under an old version.
+// and against storing one under an old version.
 TEST_CASE("a forwarded job is admitted again under a newer configuration") {
   service_fixture entry;
   entry.storage.mode = memory_store::write_mode::refused;
