tests: clients outside the limits

Cause: nothing showed that a crowd of clients outside the limits ends a process, or keeps ordinary callers from their answers.

`process_spec::max_descriptors` lowers the limit of one program.

--- a/cmake/coltsfoot.cmake
+++ b/cmake/coltsfoot.cmake
@@ -50,3 +50,17 @@
   target_link_libraries(${name} PRIVATE ${ARG_DEPS})
   set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
 endfunction()
+
+# coltsfoot_serial_test(<name> SOURCES <files...> DEPS <targets...> CASE <case> SUBCASES <names...>)
+#   Builds a doctest program and registers CTest test <name>_<subcase> for each named subcase of
+#   CASE. These run one at a time and apart from other tests.
+function(coltsfoot_serial_test name)
+  cmake_parse_arguments(ARG "" "CASE" "SOURCES;DEPS;SUBCASES" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES} ${CMAKE_SOURCE_DIR}/cmake/doctest_main.cc)
+  target_link_libraries(${name} PRIVATE ${ARG_DEPS} doctest::doctest)
+  foreach(subcase ${ARG_SUBCASES})
+    add_test(NAME ${name}_${subcase}
+             COMMAND ${name} --test-case=${ARG_CASE} --subcase=${subcase})
+    set_tests_properties(${name}_${subcase} PROPERTIES TIMEOUT 300 RUN_SERIAL TRUE LABELS failure)
+  endforeach()
+endfunction()
--- a/test/harness/include/harness/fleet.h
+++ b/test/harness/include/harness/fleet.h
@@ -42,9 +42,10 @@
   std::size_t regions = 1;  ///< 2: odd entries and workers are in a second, "far" region
   std::vector<std::string> services{"strawline"};
   fleet_timings timings;
-  settings_map entry;    ///< additional settings of each entry
-  settings_map agent;    ///< additional settings of each agent
-  settings_map target;   ///< additional settings of each target
+  settings_map entry;               ///< additional settings of each entry
+  settings_map agent;               ///< additional settings of each agent
+  settings_map target;              ///< additional settings of each target
+  std::size_t max_descriptors = 0;  ///< hard limit of each entry and agent; 0: that of the test
   bool relayed = false;  ///< puts a relay between agents and entries; always with two regions
 };
 
@@ -70,6 +71,9 @@
   std::string Agent(std::size_t index) const { return "http://" + agent_http_[index]; }
   /// @return base URL of the stand-in for the key-value service.
   const std::string& Store() const { return store_; }
+  /// @return "IP:PORT" of the port for peers of an entry or an agent.
+  const std::string& EntryTcpEndpoint(std::size_t index) const { return entry_tcp_[index]; }
+  const std::string& AgentTcpEndpoint(std::size_t index) const { return agent_tcp_[index]; }
   /// @return "IP:PORT" to which an entry's heartbeats are sent.
   const std::string& EntryUdpEndpoint(std::size_t index) const { return entry_udp_[index]; }
   process& entry_process(std::size_t index) { return *entries_[index]; }
--- a/test/harness/include/harness/process.h
+++ b/test/harness/include/harness/process.h
@@ -30,6 +30,8 @@
   std::filesystem::path directory;  ///< for the settings file and the log
   /// Command line of a program without a settings file; its stdout joins its stderr.
   std::vector<std::string> arguments = {};
+  /// Hard limit on the descriptors of the program; 0 leaves that of this process.
+  std::size_t max_descriptors = 0;
   bool operator==(const process_spec&) const = default;
 };
 
--- a/test/harness/src/fleet.cc
+++ b/test/harness/src/fleet.cc
@@ -117,8 +117,12 @@
                         {"store_lease_ttl_ms", Text(timings.store_lease_ttl)}};
   Merge(settings, options_.entry);
   entries_[index].reset();
-  entries_[index] = std::make_unique<process>(
-      process_spec{"coltsfoot-entry", EntryId(index), std::move(settings), directory_});
+  entries_[index] = std::make_unique<process>(process_spec{"coltsfoot-entry",
+                                                           EntryId(index),
+                                                           std::move(settings),
+                                                           directory_,
+                                                           {},
+                                                           options_.max_descriptors});
   entry_http_[index] = entries_[index]->Endpoint("http");
   entry_tcp_[index] = entries_[index]->Endpoint("tcp");
   entry_udp_[index] = entries_[index]->Endpoint("udp");
@@ -183,8 +187,12 @@
                         {"announce_timeout_ms", Text(timings.announce_timeout)}};
   Merge(settings, options_.agent);
   agents_[index].reset();
-  agents_[index] = std::make_unique<process>(
-      process_spec{"coltsfoot-agent", WorkerId(index), std::move(settings), directory_});
+  agents_[index] = std::make_unique<process>(process_spec{"coltsfoot-agent",
+                                                          WorkerId(index),
+                                                          std::move(settings),
+                                                          directory_,
+                                                          {},
+                                                          options_.max_descriptors});
   agent_http_[index] = agents_[index]->Endpoint("http");
   agent_tcp_[index] = agents_[index]->Endpoint("tcp");
   agent_udp_[index] = agents_[index]->Endpoint("udp");
--- a/test/harness/src/process.cc
+++ b/test/harness/src/process.cc
@@ -111,8 +111,15 @@
   }
   std::array<int, 2> ends{};
   if (pipe2(ends.data(), O_CLOEXEC) != 0) Check(errno, "pipe2");
-  pid_ = Spawn(ProgramDirectory() + "/" + spec_.program, std::move(words), ends[1],
-               !spec_.arguments.empty());
+  std::string program = ProgramDirectory() + "/" + spec_.program;
+  if (spec_.max_descriptors > 0) {
+    // posix_spawn cannot set a limit, so that a shell does before it becomes the program.
+    words.insert(
+        words.begin(),
+        {"-c", "ulimit -n " + std::to_string(spec_.max_descriptors) + R"( && exec "$0" "$@")",
+         std::exchange(program, "/bin/sh")});
+  }
+  pid_ = Spawn(std::move(program), std::move(words), ends[1], !spec_.arguments.empty());
   Register(pid_);
   close(ends[1]);
   reader_ = std::thread([this, descriptor = ends[0]] { ReadLog(descriptor); });
