http: limits on the header and body of every answer, and a budget for all

Cause: an answer of the store or of a target had no limit unless its call set one, header lines, interim answers and trailers had none at all, and answers in progress could add up.

Change: 8 MiB for a body if the call sets no limit, 32 KiB for a header, and 32 MiB for the bodies that one client is receiving, above which the largest is cut off. A call that is cut off ends as answer_truncated, which callers already treat as a lost answer with their usual delay; a watch of the store above its limit counts as having found changes, as before.

--- a/libs/agent/src/http_target_client.cc
+++ b/libs/agent/src/http_target_client.cc
@@ -7,6 +7,7 @@
 
 #include "core/ids.h"
 #include "target_json.h"
+#include "wire/frame.h"
 
 namespace coltsfoot::agent {
 namespace {
@@ -15,6 +16,10 @@
 
 constexpr core::milliseconds kCallTimeout{5000};
 constexpr core::milliseconds kPollSlack{5000};
+// Limits on answers of the target. Parsed JSON may take 30 times the size of its text. The body of
+// an answer to a request is sent on in one frame.
+constexpr std::size_t kMaxJsonAnswerBytes = 2U << 20U;
+constexpr std::size_t kMaxServiceAnswerBytes = wire::kMaxFrameBytes;
 
 std::string_view NameOf(target_action action) {
   switch (action) {
@@ -93,7 +98,10 @@
 
   void List(std::function<void(std::optional<task_listing>)> done) override {
     Call(
-        {.method = "GET", .url = base_ + "/tasks", .timeout = kCallTimeout},
+        {.method = "GET",
+         .url = base_ + "/tasks",
+         .timeout = kCallTimeout,
+         .body_limit = kMaxJsonAnswerBytes},
         [](const http::call_result& result) -> std::optional<task_listing> {
           if (!result.answer || result.answer->status != 200) return std::nullopt;
           core::last_error error;
@@ -124,7 +132,8 @@
     Call(
         {.method = "GET",
          .url = fmt::format("{}/events?since={}&timeout_ms={}", base_, since, timeout.count()),
-         .timeout = timeout + kPollSlack},
+         .timeout = timeout + kPollSlack,
+         .body_limit = kMaxJsonAnswerBytes},
         [](const http::call_result& result) -> std::optional<event_batch> {
           if (!result.answer || result.answer->status != 200) return std::nullopt;
           core::last_error error;
@@ -140,6 +149,7 @@
                     {"X-Deadline-Ms", std::to_string(request.time_left.count())},
                     {"Content-Type", "application/octet-stream"}};
     call.timeout = request.timeout;
+    call.body_limit = kMaxServiceAnswerBytes;
     call.at_most_once = !request.idempotent;
     Call(std::move(call), ToServiceAnswer, std::move(done));
   }
@@ -150,7 +160,8 @@
             .url = base_ + path,
             .headers = {{"Content-Type", "application/json"}},
             .body = std::move(body),
-            .timeout = kCallTimeout};
+            .timeout = kCallTimeout,
+            .body_limit = kMaxJsonAnswerBytes};
   }
 
   template <class Parse, class Done>
--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -13,6 +13,7 @@
 #include <mutex>
 #include <thread>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -28,20 +29,26 @@
 
 using steady_time = std::chrono::steady_clock::time_point;
 
+class answers_in_progress;
+
 struct transfer {
   call request;
   call_handler handler;
   std::shared_ptr<connection_pool> pool;
+  answers_in_progress* others = nullptr;
   response answer;
+  std::size_t received_bytes = 0;
+  std::size_t header_bytes = 0;
   curl_slist* header_list = nullptr;
   bool sent = false;  ///< libcurl had a connection and started to send the request
   bool over_limit = false;
+  bool cut_off = false;                         ///< to make room for other answers
   steady_time expires_at = steady_time::max();  ///< of calls with a stall timeout
 
   ~transfer() { curl_slist_free_all(header_list); }
 
   bool IsOverLimit(std::size_t body_bytes) const {
-    return request.body_limit > 0 && body_bytes > request.body_limit;
+    return body_bytes > (request.body_limit > 0 ? request.body_limit : kDefaultBodyLimitBytes);
   }
   void OnProgress() {
     if (!request.stall_timeout) return;
@@ -49,15 +56,49 @@
   }
 };
 
+/// Bodies that one client is receiving. Keeps them within `kAnswerBudgetBytes`.
+class answers_in_progress {
+ public:
+  /// Adds received bytes; cuts off the largest answer if all are too large together.
+  void Add(transfer& item, std::string_view data) {
+    const std::size_t before = held_.insert(&item).second ? 0 : item.answer.body.capacity();
+    item.answer.body.append(data);
+    bytes_ += item.answer.body.capacity() - before;
+    if (bytes_ <= kAnswerBudgetBytes) return;
+    transfer& largest = **std::max_element(
+        held_.begin(), held_.end(), [](const transfer* left, const transfer* right) {
+          return left->answer.body.capacity() < right->answer.body.capacity();
+        });
+    largest.cut_off = true;
+    Remove(largest);
+    largest.answer.body = {};
+    any_cut_off_ = true;
+  }
+  /// Call before the body of an answer is moved or destroyed.
+  void Remove(transfer& item) {
+    if (held_.erase(&item) > 0) bytes_ -= item.answer.body.capacity();
+  }
+  /// @return true if an answer was cut off since the last call.
+  bool TakeCutOff() { return std::exchange(any_cut_off_, false); }
+
+ private:
+  std::unordered_set<transfer*> held_;
+  std::size_t bytes_ = 0;  ///< capacity of the bodies
+  bool any_cut_off_ = false;
+};
+
 // Less than the size of the data, as the result of a callback, makes libcurl cut off the transfer.
 constexpr std::size_t kCutOff = 0;
 
 std::size_t AppendBody(char* data, std::size_t size, std::size_t count, void* target) {
   auto& item = *static_cast<transfer*>(target);
+  if (item.cut_off) return kCutOff;
   item.OnProgress();
-  item.answer.body.append(data, size * count);
-  item.over_limit = item.IsOverLimit(item.answer.body.size());
-  return item.over_limit ? kCutOff : size * count;
+  item.received_bytes += size * count;
+  item.over_limit = item.IsOverLimit(item.received_bytes);
+  if (item.over_limit) return kCutOff;
+  item.others->Add(item, {data, size * count});
+  return item.cut_off ? kCutOff : size * count;
 }
 
 bool IsContentLength(const std::string& name) {
@@ -76,6 +117,9 @@
   auto& item = *static_cast<transfer*>(target);
   item.OnProgress();
   const std::string_view line(data, size * count);
+  // Counts interim answers and trailers too, which libcurl passes on without a limit.
+  item.header_bytes += line.size();
+  if (item.header_bytes > kHeaderLimitBytes) return kCutOff;
   const std::size_t colon = line.find(':');
   if (colon == std::string_view::npos) return size * count;
   std::size_t begin = colon + 1;
@@ -152,6 +196,7 @@
       int running = 0;
       curl_multi_perform(multi_, &running);
       FinishCompleted();
+      FinishCutOff();
       curl_multi_poll(multi_, nullptr, 0, FinishExpired(), nullptr);
     }
     FailAll();
@@ -169,6 +214,7 @@
   void Start(std::unique_ptr<transfer> item) {
     CURL* handle = AcquireHandle();
     const call& request = item->request;
+    item->others = &answers_;
     item->pool = pools_.For(request.url, std::chrono::steady_clock::now());
     curl_easy_setopt(handle, CURLOPT_SHARE, item->pool->handle());
     curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
@@ -218,6 +264,16 @@
     }
   }
 
+  /// Ends the calls whose answers were cut off while libcurl handled another one.
+  void FinishCutOff() {
+    if (!answers_.TakeCutOff()) return;
+    std::vector<CURL*> cut_off;
+    for (const auto& [handle, item] : active_) {
+      if (item->cut_off) cut_off.push_back(handle);
+    }
+    for (CURL* handle : cut_off) Finish(handle, CURLE_WRITE_ERROR);
+  }
+
   /// Ends the calls whose answers have not begun in time or stall.
   /// @return time to wait for the next event, in milliseconds.
   int FinishExpired() {
@@ -242,6 +298,7 @@
     DiscardSilentConnections(*node.mapped(), handle, failure);
     curl_multi_remove_handle(multi_, handle);
     ReleaseHandle(handle);
+    answers_.Remove(*node.mapped());
     Deliver(*node.mapped(), failure, static_cast<int>(status));
   }
 
@@ -269,7 +326,7 @@
 
   static void Deliver(transfer& item, CURLcode failure, int status) {
     call_result result;
-    result.received_bytes = item.answer.body.size();
+    result.received_bytes = item.received_bytes;
     result.status = status;
     result.over_limit = item.over_limit;
     if (failure == CURLE_OK) {
@@ -288,7 +345,7 @@
       curl_easy_cleanup(handle);
       item->handler({.answer = std::nullopt,
                      .reason = {core::result_code::connection_lost, "client is closed"},
-                     .received_bytes = item->answer.body.size()});
+                     .received_bytes = item->received_bytes});
     }
     active_.clear();
     const std::lock_guard lock(mutex_);
@@ -303,6 +360,7 @@
   std::atomic<bool> stopping_{false};
   std::mutex mutex_;
   std::deque<std::unique_ptr<transfer>> pending_;
+  answers_in_progress answers_;  ///< of the traffic thread
   std::unordered_map<CURL*, std::unique_ptr<transfer>> active_;
   std::vector<CURL*> idle_handles_;
   connection_pools pools_;  ///< of the traffic thread
