wire: limits on accepted peer connections

Cause: a listener accepted without limit, allocated the payload that a frame header claims, waited for ever for the rest of a frame, and accepted again at once when the process had no descriptor left. 100 connections that each sent all but one byte of 2 MiB would have held 200 MiB.

Change: connection_ledger decides, without sockets or a clock, which connection is closed at a limit on connections, bytes or descriptors; tcp_listener carries it out. Owners close connections that send what cannot be decoded; the runner marks its coordinator's connection as in use. A scheduler has at most 4,096 queries of other entries in progress and refuses more as not executed; an entry keeps at most 16 MiB of messages of incoming links for its control thread and the status of 256 peers. Metrics coltsfoot_peer_connections and coltsfoot_peer_limited_total{reason}, settings max_peer_connections and max_peer_bytes_mb.

--- a/libs/agent/include/agent/network_link.h
+++ b/libs/agent/include/agent/network_link.h
@@ -24,7 +24,8 @@
 
   /// @throws std::system_error if an address cannot be bound.
   network_link(asio::io_context& context, const wire::endpoint& tcp, const wire::endpoint& udp,
-               metrics::registry& metrics);
+               metrics::registry& metrics,
+               const wire::connection_limits& limits = wire::DefaultConnectionLimits());
   /// Sets the callbacks; call before the context runs.
   void Start(handlers callbacks);
 
--- a/libs/agent/src/network_link.cc
+++ b/libs/agent/src/network_link.cc
@@ -5,7 +5,8 @@
 namespace coltsfoot::agent {
 
 network_link::network_link(asio::io_context& context, const wire::endpoint& tcp,
-                           const wire::endpoint& udp, metrics::registry& metrics)
+                           const wire::endpoint& udp, metrics::registry& metrics,
+                           const wire::connection_limits& limits)
     : bytes_sent_(metrics.GetCounter("coltsfoot_agent_bytes_sent_total")),
       udp_(
           context, udp,
@@ -18,9 +19,12 @@
                             {"reason", core::ToString(code)})
                 .Add();
           }),
-      listener_(context, tcp, [this](std::shared_ptr<wire::tcp_connection> connection) {
-        Accept(std::move(connection));
-      }) {}
+      listener_(
+          context, tcp,
+          [this](std::shared_ptr<wire::tcp_connection> connection) {
+            Accept(std::move(connection));
+          },
+          limits) {}
 
 void network_link::Start(handlers callbacks) { handlers_ = std::move(callbacks); }
 
--- a/libs/entry/src/link_pool.cc
+++ b/libs/entry/src/link_pool.cc
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr core::milliseconds kReconnectDelay{200};
+// Messages of incoming links that wait for the control thread. A peer that sends them faster than
+// they are handled would otherwise fill the memory.
+constexpr std::size_t kMaxWaitingBytes = 16U << 20U;
 
 }  // namespace
 
@@ -67,11 +70,14 @@
   return found != links_.end() && found->second.up;
 }
 
-wire::endpoint link_pool::Listen(const wire::endpoint& local) {
+wire::endpoint link_pool::Listen(const wire::endpoint& local,
+                                 const wire::connection_limits& limits) {
   listener_ = std::make_unique<wire::tcp_listener>(
-      traffic_, local, [this](std::shared_ptr<wire::tcp_connection> connection) {
+      traffic_, local,
+      [this](std::shared_ptr<wire::tcp_connection> connection) {
         control_.Post([this, connection = std::move(connection)] { Adopt(connection); });
-      });
+      },
+      limits);
   return listener_->local();
 }
 
@@ -110,18 +116,17 @@
   handlers.on_open = [this, link, generation] {
     control_.Post([this, link, generation] { OnUp(link, generation); });
   };
-  handlers.on_message = [this, link, generation,
+  handlers.on_message = [this, link, generation, incoming,
                          weak = std::weak_ptr(connection)](const wire::raw_message& message) {
     if (message.type == wire::hello::kType) return;
     message_action action = handlers_.decode(link, message);
-    if (action.run) {
-      action.deferrable ? control_.Defer(std::move(action.run))
-                        : control_.Post(std::move(action.run));
-      return;
-    }
-    if (const auto self = weak.lock()) self->Close();
-    control_.Post(
-        [this, link, generation] { OnDown(link, generation, core::result_code::decode_error); });
+    const bool decoded = static_cast<bool>(action.run);
+    if (decoded && Queue(std::move(action), message.payload.size(), incoming)) return;
+    if (const auto self = weak.lock()) decoded ? self->Close() : self->Reject();
+    control_.Post([this, link, generation, decoded] {
+      OnDown(link, generation,
+             decoded ? core::result_code::queue_full : core::result_code::decode_error);
+    });
   };
   handlers.on_close = [this, link, generation](const core::error_reason& reason) {
     control_.Post([this, link, generation, code = reason.code] { OnDown(link, generation, code); });
@@ -130,6 +135,20 @@
   connection->Start(std::move(handlers));
 }
 
+bool link_pool::Queue(message_action action, std::size_t bytes, bool incoming) {
+  std::function<void()> run = std::move(action.run);
+  if (incoming) {
+    if (*waiting_bytes_ + bytes > kMaxWaitingBytes) return false;
+    *waiting_bytes_ += bytes;
+    run = [run = std::move(run), bytes, waiting = waiting_bytes_] {
+      *waiting -= bytes;
+      run();
+    };
+  }
+  action.deferrable ? control_.Defer(std::move(run)) : control_.Post(std::move(run));
+  return true;
+}
+
 void link_pool::OnUp(const std::string& link, std::uint64_t generation) {
   const auto found = links_.find(link);
   if (found == links_.end() || found->second.generation != generation) return;
--- a/libs/entry/src/link_pool.h
+++ b/libs/entry/src/link_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <asio/io_context.hpp>
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -57,7 +58,7 @@
   bool is_up(const std::string& link) const;
   /// Accepts incoming links. Call once, before the traffic thread starts.
   /// @return the endpoint that the pool listens on.
-  wire::endpoint Listen(const wire::endpoint& local);
+  wire::endpoint Listen(const wire::endpoint& local, const wire::connection_limits& limits);
   /// Reconnects lost outgoing links after a delay.
   void Tick();
 
@@ -82,6 +83,9 @@
   void Adopt(const std::shared_ptr<wire::tcp_connection>& connection);
   void StartOnTraffic(const std::string& link, std::uint64_t generation,
                       const std::shared_ptr<wire::tcp_connection>& connection, bool incoming);
+  /// Queues the action of a message for the control thread.
+  /// @return false if too many bytes of incoming links wait for it.
+  bool Queue(message_action action, std::size_t bytes, bool incoming);
   void OnUp(const std::string& link, std::uint64_t generation);
   void OnDown(const std::string& link, std::uint64_t generation, core::result_code reason);
   void CloseOnTraffic(const std::shared_ptr<wire::tcp_connection>& connection);
@@ -98,6 +102,10 @@
   std::set<std::string> lost_;
   std::vector<queued_frame> outbox_;
   std::uint64_t next_generation_ = 0;
+  /// Payload bytes of messages from incoming links that wait for the control thread. Shared with
+  /// the queued actions, which may outlive the pool.
+  std::shared_ptr<std::atomic<std::size_t>> waiting_bytes_ =
+      std::make_shared<std::atomic<std::size_t>>(0);
   std::unique_ptr<wire::tcp_listener> listener_;
 };
 
--- a/libs/entry/src/peer_directory.cc
+++ b/libs/entry/src/peer_directory.cc
@@ -17,6 +17,9 @@
 // Unchanged usage is sent again after this time, because a peer drops the usage of an entry whose
 // lease in the key-value service expires even if the link between them stays up.
 constexpr core::milliseconds kUsageRefresh{10'000};
+// Entries whose status is kept; several times the number of entries of the largest deployment. A
+// stranger can send a status under any name.
+constexpr std::size_t kMaxPeers = 256;
 constexpr std::string_view kSeedLinkPrefix = "seed-";
 
 std::vector<wire::name_value> ToList(const auto& map) {
@@ -41,7 +44,9 @@
               .on_up = [this](const std::string& link) { OnLinkUp(link); },
               .on_down = [this](const std::string& link) { OnLinkDown(link); }}) {}
 
-wire::endpoint peer_directory::Listen() { return links_.Listen(options_.tcp); }
+wire::endpoint peer_directory::Listen() {
+  return links_.Listen(options_.tcp, options_.peer_limits);
+}
 
 void peer_directory::SetHandlers(call_function on_call, status_function on_status,
                                  usage_function own_usage) {
@@ -102,6 +107,11 @@
 }
 
 void peer_directory::OnStatus(const std::string& link, const wire::peer_status& status) {
+  if (!peers_.contains(status.entry) && peers_.size() >= kMaxPeers &&
+      !registered_peers_.contains(status.entry)) {
+    metrics_.CountRefusal("peer_status", result_code::queue_full);
+    return;
+  }
   peers_[status.entry] = {status.config, time_.Now()};
   // Pull a newer version from the peer, so that it also spreads while the key-value service is
   // unreachable.
--- a/libs/jobs/include/jobs/network.h
+++ b/libs/jobs/include/jobs/network.h
@@ -84,8 +84,10 @@
   /// @param leader returns the address of the coordinating entry, empty if there is none. If it is
   /// the own address, queries are answered in this process.
   /// @param answer answers a query; may call back asynchronously.
+  /// @param limits of the accepted connections.
   entry_peers(asio::io_context& context, const core::clock& time, const wire::endpoint& local,
-              std::function<std::string()> leader, query_handler answer);
+              std::function<std::string()> leader, query_handler answer,
+              const wire::connection_limits& limits = wire::DefaultConnectionLimits());
 
   void Query(job_query query, std::function<void(job_answer)> done) override;
   /// Fails queries that timed out and closes a silent connection; call at least every 100 ms.
@@ -98,6 +100,7 @@
   };
   void Accept(const std::shared_ptr<wire::tcp_connection>& connection);
   void OnQuery(std::uint64_t connection, const wire::raw_message& message);
+  void Answer(std::uint64_t connection, const job_answer& answer);
   bool EnsureConnected(const std::string& address);
   void DropConnection();
   void FailQuery(pending_query& query);
@@ -111,6 +114,8 @@
   query_handler query_handler_;
   std::uint64_t next_connection_ = 1;
   std::map<std::uint64_t, std::shared_ptr<wire::tcp_connection>> accepted_;
+  /// Queries of other entries without an answer.
+  std::shared_ptr<std::size_t> queries_in_progress_ = std::make_shared<std::size_t>(0);
   std::shared_ptr<wire::tcp_connection> connection_;
   std::string connected_to_;
   std::optional<core::mono_time> unanswered_since_;  ///< first query since the last answer
--- a/libs/jobs/src/network.cc
+++ b/libs/jobs/src/network.cc
@@ -21,6 +21,9 @@
 constexpr core::milliseconds kQueryTimeout{300};
 // Queries that write to the store may take as long as a call to the store.
 constexpr core::milliseconds kStoreQueryTimeout{1500};
+// Queries of other entries in progress, several times what the largest fleet has. A peer that sends
+// them faster than the store answers would otherwise fill the memory.
+constexpr std::size_t kMaxQueriesInProgress = 4096;
 // A connection without any answer for this long while queries are pending counts as dead.
 constexpr core::milliseconds kCoordinatorSilenceTimeout{1000};
 
@@ -181,10 +184,11 @@
 
 entry_peers::entry_peers(asio::io_context& context, const core::clock& time,
                          const wire::endpoint& local, std::function<std::string()> leader,
-                         query_handler answer)
+                         query_handler answer, const wire::connection_limits& limits)
     : context_(context),
       time_(time),
-      listener_(context, local, [this](const auto& connection) { Accept(connection); }),
+      listener_(
+          context, local, [this](const auto& connection) { Accept(connection); }, limits),
       own_address_(local.ip + ":" + std::to_string(local.port)),
       leader_(std::move(leader)),
       query_handler_(std::move(answer)) {}
@@ -200,13 +204,33 @@
 
 void entry_peers::OnQuery(std::uint64_t connection, const wire::raw_message& message) {
   const auto query = Decode<job_query>(message, "entry");
-  if (!query) return;
-  query_handler_(*query, [this, connection, number = query->number](job_answer answer) {
-    const auto place = accepted_.find(connection);
-    if (place == accepted_.end()) return;
-    answer.number = number;
-    place->second->Send(wire::ToFrame(answer));
-  });
+  if (!query) {
+    auto node = accepted_.extract(connection);
+    if (node) node.mapped()->Reject();
+    return;
+  }
+  if (*queries_in_progress_ >= kMaxQueriesInProgress) {
+    Answer(connection, {.number = query->number, .outcome = query_outcome::not_coordinator});
+    return;
+  }
+  ++*queries_in_progress_;
+  // Counts down when the callback is destroyed, since it may never be called.
+  const std::shared_ptr<std::size_t> in_progress(
+      queries_in_progress_.get(), [count = queries_in_progress_](std::size_t*) { --*count; });
+  query_handler_(*query,
+                 [this, connection, number = query->number, in_progress](job_answer answer) {
+                   answer.number = number;
+                   Answer(connection, answer);
+                 });
+}
+
+void entry_peers::Answer(std::uint64_t connection, const job_answer& answer) {
+  const auto place = accepted_.find(connection);
+  if (place == accepted_.end() || place->second->Send(wire::ToFrame(answer))) return;
+  // The other entry does not read its answers. It counts its queries as lost when the connection
+  // ends.
+  place->second->Close();
+  accepted_.erase(connection);
 }
 
 void entry_peers::Query(job_query query, std::function<void(job_answer)> done) {
--- a/libs/jobs/tests/network_test.cc
+++ b/libs/jobs/tests/network_test.cc
@@ -108,4 +108,54 @@
   CHECK(entry.found > 0);
 }
 
+// The load: a peer that sends queries which the store does not answer. Guards against callbacks
+// without bound, and against a limit that stays reached after the queries have ended.
+TEST_CASE("queries beyond those in progress are refused as not executed") {
+  constexpr std::uint64_t kLimit = 4096;
+  asio::io_context context;
+  const core::boot_clock time;
+  wire::endpoint at{"127.0.0.1", 0};
+  {
+    const wire::tcp_listener free_port(context, at, [](const auto&) {});
+    at = free_port.local();
+  }
+  std::vector<std::function<void(job_answer)>> waiting;
+  const entry_peers peers(
+      context, time, at, [] { return std::string{}; },
+      [&](const job_query&, std::function<void(job_answer)> done) {
+        waiting.push_back(std::move(done));
+      });
+  std::vector<std::uint64_t> refused;
+  const auto peer = wire::ConnectTcp(context, at);
+  peer->Start({.on_open = {},
+               .on_message =
+                   [&](const wire::raw_message& message) {
+                     core::last_error error;
+                     const auto answer = wire::FromRaw<job_answer>(message, error);
+                     REQUIRE(answer);
+                     CHECK(answer->outcome == query_outcome::not_coordinator);
+                     refused.push_back(answer->number);
+                   },
+               .on_close = {}});
+  const auto query = [&](std::uint64_t number) {
+    CHECK(peer->Send(wire::ToFrame(job_query{.number = number, .kind = query_kind::show})));
+  };
+  const auto run_until = [&](auto holds) {
+    const core::mono_time end = time.Now() + std::chrono::seconds{20};
+    while (!holds() && time.Now() < end) {
+      context.run_one_for(milliseconds{10});
+      context.restart();
+    }
+    CHECK(holds());
+  };
+  for (std::uint64_t number = 1; number <= kLimit + 2; ++number) query(number);
+  run_until([&] { return refused.size() == 2; });
+  CHECK(refused == std::vector<std::uint64_t>{kLimit + 1, kLimit + 2});
+  CHECK(waiting.size() == kLimit);
+  waiting.clear();
+  query(kLimit + 3);
+  run_until([&] { return waiting.size() == 1; });
+  peer->Close();
+}
+
 }  // namespace coltsfoot::jobs
--- a/libs/program/include/program/program.h
+++ b/libs/program/include/program/program.h
@@ -8,6 +8,7 @@
 
 #include "core/clock.h"
 #include "settings/reader.h"
+#include "wire/connection_ledger.h"
 #include "wire/messages.h"
 
 /// Shared code of all long-running programs: command line, validation of the settings, ready line,
@@ -36,6 +37,10 @@
 /// Reads and parses the "IP:PORT" value of a required key.
 wire::endpoint ReadEndpoint(settings::reader& source, std::string_view key);
 
+/// Reads the optional keys `max_peer_connections` and `max_peer_bytes_mb` (MiB), which lower the
+/// defaults.
+wire::connection_limits ReadPeerLimits(settings::reader& source);
+
 /// Logs `event=ready` with the endpoints of the program. Tests read the ports from this line.
 /// @param pairs key=value pairs such as "http=127.0.0.1:8000 udp=127.0.0.1:8001".
 void LogReady(std::string_view pairs);
--- a/libs/program/src/program.cc
+++ b/libs/program/src/program.cc
@@ -91,6 +91,19 @@
   return ParseEndpoint(source, key, source.Text(key));
 }
 
+wire::connection_limits ReadPeerLimits(settings::reader& source) {
+  constexpr std::int64_t kMiB = 1 << 20;
+  wire::connection_limits out = wire::DefaultConnectionLimits();
+  const auto connections = static_cast<std::int64_t>(out.connections);
+  out.connections = static_cast<std::size_t>(
+      source.Number("max_peer_connections", {1, connections}, connections));
+  // A frame of the largest size fits in twice.
+  const auto mebibytes = static_cast<std::int64_t>(out.bytes) / kMiB;
+  out.bytes = static_cast<std::size_t>(
+      kMiB * source.Number("max_peer_bytes_mb", {4, mebibytes}, mebibytes));
+  return out;
+}
+
 void LogReady(std::string_view pairs) { spdlog::info("event=ready {}", pairs); }
 
 void RunUntilStopped(asio::io_context& context, core::milliseconds period,
--- a/libs/program/tests/program_test.cc
+++ b/libs/program/tests/program_test.cc
@@ -18,4 +18,19 @@
   setrlimit(RLIMIT_NOFILE, &before);
 }
 
+// Guards against settings that raise the limits of peer connections above what the host allows.
+TEST_CASE("settings lower the limits of peer connections") {
+  auto none = settings::reader::FromText("id: a", "s.yaml");
+  CHECK(ReadPeerLimits(none) == wire::DefaultConnectionLimits());
+  auto lower =
+      settings::reader::FromText("max_peer_connections: 7\nmax_peer_bytes_mb: 5", "s.yaml");
+  const wire::connection_limits limits = ReadPeerLimits(lower);
+  CHECK(limits.connections == 7);
+  CHECK(limits.bytes == 5U << 20U);
+  CHECK(lower.Finish().empty());
+  auto higher = settings::reader::FromText("max_peer_connections: 100000", "s.yaml");
+  ReadPeerLimits(higher);
+  CHECK(higher.Finish().size() == 1);
+}
+
 }  // namespace coltsfoot::program
--- a/libs/runner/include/runner/network.h
+++ b/libs/runner/include/runner/network.h
@@ -19,7 +19,8 @@
 /// Accepts connections of coordinators and keeps the connection of the one with the newest term.
 class coordinator_listener final : public coordinator_link {
  public:
-  coordinator_listener(asio::io_context& context, const wire::endpoint& local);
+  coordinator_listener(asio::io_context& context, const wire::endpoint& local,
+                       const wire::connection_limits& limits = wire::DefaultConnectionLimits());
   /// Sets the receiver of messages; call before the context runs.
   void SetRunner(runner& receiver) { runner_ = &receiver; }
   bool Send(const jobs::worker_report& report) override;
@@ -29,6 +30,8 @@
   void Accept(const std::shared_ptr<wire::tcp_connection>& connection);
   void OnMessage(std::uint64_t connection_id, const wire::raw_message& message);
   void OnHello(std::uint64_t connection_id, const wire::raw_message& message);
+  /// Closes a connection that sent a message that cannot be decoded.
+  void Reject(std::uint64_t connection_id);
 
   runner* runner_ = nullptr;
   std::uint64_t next_connection_id_ = 1;
--- a/libs/runner/src/network.cc
+++ b/libs/runner/src/network.cc
@@ -26,8 +26,10 @@
 
 }  // namespace
 
-coordinator_listener::coordinator_listener(asio::io_context& context, const wire::endpoint& local)
-    : listener_(context, local, [this](const auto& connection) { Accept(connection); }) {}
+coordinator_listener::coordinator_listener(asio::io_context& context, const wire::endpoint& local,
+                                           const wire::connection_limits& limits)
+    : listener_(
+          context, local, [this](const auto& connection) { Accept(connection); }, limits) {}
 
 void coordinator_listener::Accept(const std::shared_ptr<wire::tcp_connection>& connection) {
   const std::uint64_t connection_id = next_connection_id_++;
@@ -51,8 +53,14 @@
     OnHello(connection_id, message);
     return;
   }
-  // Only the current coordinator may send commands; older connections belong to replaced ones.
-  if (connection_id != current_connection_id_) return;
+  // Only the current coordinator may send commands; older connections belong to replaced ones. A
+  // message of an unknown type from the current one may be that of a newer release.
+  if (connection_id != current_connection_id_) {
+    const bool is_command = message.type == wire::message_type::worker_commands ||
+                            message.type == wire::message_type::lease_grant;
+    if (!is_command) Reject(connection_id);
+    return;
+  }
   if (message.type == wire::message_type::worker_commands) {
     if (const auto batch = Decode<jobs::worker_commands>(message)) runner_->OnCommands(*batch);
   } else if (message.type == wire::message_type::lease_grant) {
@@ -62,7 +70,10 @@
 
 void coordinator_listener::OnHello(std::uint64_t connection_id, const wire::raw_message& message) {
   const auto hello = Decode<jobs::coordinator_hello>(message);
-  if (!hello) return;
+  if (!hello) {
+    Reject(connection_id);
+    return;
+  }
   const auto place = connections_.find(connection_id);
   if (place == connections_.end()) return;
   if (!runner_->OnHello(hello->term)) {
@@ -71,12 +82,19 @@
     return;
   }
   if (current_connection_id_ != connection_id) report_encoder_ = {};
+  place->second->SetInUse(true);
   const auto previous = connections_.find(std::exchange(current_connection_id_, connection_id));
   if (previous == connections_.end() || previous->first == connection_id) return;
   previous->second->Close();
   connections_.erase(previous);
 }
 
+void coordinator_listener::Reject(std::uint64_t connection_id) {
+  auto node = connections_.extract(connection_id);
+  if (node) node.mapped()->Reject();
+  if (current_connection_id_ == connection_id) current_connection_id_ = 0;
+}
+
 bool coordinator_listener::Send(const jobs::worker_report& report) {
   const auto place = connections_.find(current_connection_id_);
   if (place == connections_.end()) return false;
--- a/libs/wire/include/wire/transport.h
+++ b/libs/wire/include/wire/transport.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "core/error.h"
+#include "wire/connection_ledger.h"
 #include "wire/frame.h"
 #include "wire/messages.h"
 
@@ -32,7 +33,8 @@
 
 /// @return the traffic of this process. Thread-safe.
 traffic_totals ProcessTraffic();
-/// @return `ProcessTraffic()` in the Prometheus text format.
+/// @return `ProcessTraffic()` and the counts of peer connections and of those closed at a limit, in
+/// the Prometheus text format.
 std::string RenderTraffic();
 
 /// Called for each datagram with the sender's endpoint.
@@ -85,6 +87,9 @@
 };
 
 /// Framed TCP connection. All callbacks run on the context's thread; all calls must be made there.
+/// The memory for a received frame grows with the bytes that arrive. A frame that is not complete
+/// within `connection_limits::frame_time` ends the connection with `deadline_exceeded`, a limit of
+/// its listener with `connection_lost`.
 class tcp_connection {
  public:
   struct handlers {
@@ -105,6 +110,11 @@
   virtual bool Send(std::string frame) = 0;
   /// Closes the connection; `on_close` is not called.
   virtual void Close() = 0;
+  /// As `Close`, for a peer that sent a message that cannot be decoded; it is counted.
+  virtual void Reject() = 0;
+  /// Tells the listener of an accepted connection whether its owner depends on the connection,
+  /// which is then closed last at a limit.
+  virtual void SetInUse(bool in_use) = 0;
   /// @return the number of bytes that wait to be sent.
   virtual std::size_t queued_bytes() const = 0;
 };
@@ -112,12 +122,14 @@
 /// Creates an outgoing connection, which connects on `Start`.
 std::shared_ptr<tcp_connection> ConnectTcp(asio::io_context& context, const endpoint& to);
 
-/// Listening TCP socket. The callback runs on the context's thread for each new connection.
+/// Listening TCP socket. The callback runs on the context's thread for each new connection. At a
+/// limit a connection is closed that `connection_ledger` names.
 class tcp_listener {
  public:
   using accept_handler = std::function<void(std::shared_ptr<tcp_connection>)>;
   /// @throws std::system_error if the address cannot be bound.
-  tcp_listener(asio::io_context& context, const endpoint& local, accept_handler on_accept);
+  tcp_listener(asio::io_context& context, const endpoint& local, accept_handler on_accept,
+               const connection_limits& limits = DefaultConnectionLimits());
   ~tcp_listener();
   tcp_listener(const tcp_listener&) = delete;
   tcp_listener& operator=(const tcp_listener&) = delete;
--- a/tools/coltsfoot-agent/main.cc
+++ b/tools/coltsfoot-agent/main.cc
@@ -22,7 +22,7 @@
     "entries.\n"
     "Settings: id, region, zone, rack, http, udp, tcp (IP:PORT, port 0: chosen by the kernel),\n"
     "entries (list of the entries' UDP endpoints), heartbeat_ms (5000), lease_ttl_ms (15000),\n"
-    "announce_timeout_ms (3000).";
+    "announce_timeout_ms (3000), max_peer_connections, max_peer_bytes_mb.";
 constexpr core::milliseconds kTick{20};
 constexpr core::milliseconds kHttpShutdownLimit{1000};
 constexpr core::milliseconds kFlushLimit{2000};
@@ -35,6 +35,7 @@
 int Main(int argc, char** argv) {
   settings::reader source = program::OpenSettings(argc, argv, kUsage);
   agent_options options = ReadOptions(source);
+  const wire::connection_limits peer_limits = program::ReadPeerLimits(source);
   program::RequireValid(source);
   core::InitLogging("coltsfoot-agent", options.worker);
   options.incarnation = core::SystemSeed();
@@ -42,7 +43,7 @@
   asio::io_context context;
   const core::system_clock time;
   metrics::registry metrics;
-  network_link link(context, options.tcp, options.udp, metrics);
+  network_link link(context, options.tcp, options.udp, metrics, peer_limits);
   options.tcp = link.tcp_endpoint();
   const auto http_client = http::MakeCurlClient();
   const auto target = MakeHttpTargetClient(*http_client, context);
--- a/tools/coltsfoot-runner/main.cc
+++ b/tools/coltsfoot-runner/main.cc
@@ -27,7 +27,8 @@
     "task_lease_ms "
     "(5000), max_task_lease_ms (longest lease that the target accepts, 10000).\nPaces of filling "
     "tasks: pace_least_headroom_permille (1120), pace_horizon_ms (600), "
-    "pace_caution_permille\n(500), pace_least_budget_permille (220).";
+    "pace_caution_permille\n(500), pace_least_budget_permille (220). "
+    "Limits on connections of entries: max_peer_connections, max_peer_bytes_mb.";
 constexpr core::milliseconds kTick{40};
 // Time for the last extension of the lease to reach the target before the process exits.
 constexpr core::milliseconds kStopDelay{60};
@@ -41,6 +42,7 @@
   std::string target;
   wire::endpoint peer;
   wire::endpoint metrics;
+  wire::connection_limits peer_limits;
   std::string store;
   std::string advertise;  ///< IP:PORT that entries connect to
   core::milliseconds task_lease{0};
@@ -73,6 +75,7 @@
   options.target = source.Text("target");
   options.peer = program::ReadEndpoint(source, "peer");
   options.metrics = program::ReadEndpoint(source, "metrics");
+  options.peer_limits = program::ReadPeerLimits(source);
   options.store = source.Text("store");
   options.advertise =
       source.Text("advertise", fmt::format("{}:{}", options.peer.ip, options.peer.port));
@@ -103,7 +106,7 @@
   const auto storage = platform::MakeStoreClient({.address = options.store}, *http_client, post,
                                                  metrics, [](store::kv_status) {});
   const auto target = platform::MakeTargetClient(*http_client, post, options.target);
-  runner::coordinator_listener coordinator(context, options.peer);
+  runner::coordinator_listener coordinator(context, options.peer, options.peer_limits);
   runner::runner control({.agent = options.id,
                           .agent_incarnation = core::SystemSeed(),
                           .task_lease = options.task_lease,
--- a/tools/coltsfoot-scheduler/main.cc
+++ b/tools/coltsfoot-scheduler/main.cc
@@ -35,7 +35,7 @@
     "effect),\nprocessor_share and processor_speed of the host (1). Filling tasks, in thousandths "
     "of the headroom of\nthe serving tasks on the same worker: filling_peak_permille (1000), "
     "filling_present_permille (600), after\nfilling_relaxed_after_ms (1500); serving_use_permille "
-    "(500).";
+    "(500). Limits on connections of peers: max_peer_connections, max_peer_bytes_mb.";
 constexpr core::milliseconds kTick{40};
 // Minimum time between ticks that events trigger, so that reports of many agents that arrive
 // together are handled in one tick. Far below any delay that callers notice.
@@ -51,6 +51,7 @@
   wire::endpoint ready;
   wire::endpoint peer;
   wire::endpoint metrics;
+  wire::connection_limits peer_limits;
   std::string store;
   core::milliseconds task_lease{0};
   core::milliseconds drain{0};
@@ -86,6 +87,7 @@
   options.ready = program::ReadEndpoint(source, "ready");
   options.peer = program::ReadEndpoint(source, "peer");
   options.metrics = program::ReadEndpoint(source, "metrics");
+  options.peer_limits = program::ReadPeerLimits(source);
   options.store = source.Text("store");
   options.task_lease = core::milliseconds{source.Number("task_lease_ms", {1000, 60'000}, 5000)};
   options.drain = core::milliseconds{source.Number("drain_ms", {0, 60'000}, 3000)};
@@ -135,9 +137,8 @@
             context, time_, options.peer,
             [this] { return leadership_.leader() ? leadership_.leader()->address : ""; },
             [this](const jobs::job_query& query,
-                   const std::function<void(jobs::job_answer)>& done) {
-              AnswerQuery(query, done);
-            }),
+                   const std::function<void(jobs::job_answer)>& done) { AnswerQuery(query, done); },
+            options.peer_limits),
         service_(time_, metrics_, *storage_, health_, queues_, peers_),
         job_api_(context, time_, metrics_, service_, queues_) {
     agents_.SetHandlers(
