entry, agent: bounds on what datagrams and messages of strangers add

Cause: each heartbeat under a new name added a row, a link and names for good; an agent kept process names of any length and fences of any shard.

Change: 4,096 workers and 16,384 names per table; further heartbeats are refused and counted (coltsfoot_heartbeats_refused_total), and while the table is full, silent workers are removed at once. An agent accepts process names of up to 256 bytes and shards below 256, the most that settings allow.

--- a/libs/agent/src/controller.cc
+++ b/libs/agent/src/controller.cc
@@ -29,6 +29,8 @@
 constexpr core::milliseconds kShutdownSlack{5000};
 // With 3 heartbeat intervals, the list that an entry sent stays valid when two acks are lost.
 constexpr int kListHeartbeats = 3;
+// The name is kept for as long as its connection.
+constexpr std::size_t kMaxProcessNameBytes = 256;
 
 }  // namespace
 
@@ -202,7 +204,7 @@
   }
 
   void HandleHello(connection_id from, const wire::hello& message) {
-    if (message.process.empty()) {
+    if (message.process.empty() || message.process.size() > kMaxProcessNameBytes) {
       DropPeer(from, "no_hello");
       return;
     }
--- a/libs/agent/src/entry_directory.cc
+++ b/libs/agent/src/entry_directory.cc
@@ -1,6 +1,13 @@
 #include "entry_directory.h"
 
 namespace coltsfoot::agent {
+namespace {
+
+/// Largest shard count that the settings of an entry allow. What is recorded of a shard stays for
+/// the life of the process.
+constexpr core::shard_index kMaxShards = 256;
+
+}  // namespace
 
 void entry_directory::Identify(connection_id connection, const std::string& process) {
   connections_[connection] = process;
@@ -43,6 +50,7 @@
 
 fence_order entry_directory::ObserveFence(core::shard_index shard, core::fencing_token fence,
                                           const std::string& owner) {
+  if (shard >= kMaxShards) return fence_order::stale;
   shard_owner& known = shards_[shard];
   if (fence < known.fence) return fence_order::stale;
   const bool raised = fence > known.fence;
--- a/libs/entry/src/agent_directory.cc
+++ b/libs/entry/src/agent_directory.cc
@@ -75,6 +75,10 @@
     metrics_.GetCounter("coltsfoot_heartbeats_stale_total").Add();
     return;
   }
+  if (result.outcome == membership::heartbeat_outcome::refused) {
+    metrics_.GetCounter("coltsfoot_heartbeats_refused_total").Add();
+    return;
+  }
   if (result.outcome == membership::heartbeat_outcome::undescribed) {
     metrics_.GetCounter("coltsfoot_heartbeats_undescribed_total").Add();
     RequestDescription(from, heartbeat);
--- a/libs/membership/include/membership/worker_table.h
+++ b/libs/membership/include/membership/worker_table.h
@@ -31,6 +31,12 @@
   std::uint32_t missed_heartbeats = 3;
   /// A worker that has been silent or gone this long is removed by `Forget`.
   core::nanoseconds forget_after = std::chrono::minutes{10};
+  /// Rows in use. The heartbeat of a further worker is refused, and while the table is full,
+  /// `Forget` removes workers as soon as they are silent.
+  std::size_t max_workers = 4096;
+  /// Names of services, and of regions, zones and racks together, which are never removed. A
+  /// heartbeat with a further one is refused.
+  std::size_t max_names = 16'384;
 };
 
 /// Why a worker gets no new work.
@@ -48,6 +54,7 @@
   updated,      ///< newer heartbeat of the known incarnation
   replaced,     ///< the agent restarted; drops assignments and services, keeps holds
   stale,        ///< not newer than a heartbeat already seen, or of a replaced incarnation; ignored
+  refused,      ///< the table has no room for the worker or for a name; ignored
   undescribed,  ///< has no description, and the one that it refers to is not known; ignored
 };
 
@@ -146,7 +153,8 @@
   /// Ends a hold that was not converted.
   void ReleaseHold(worker_index worker, assignment_id id);
 
-  /// Removes workers that have been silent or gone for `forget_after`, at most 64 per call.
+  /// Removes workers that have been silent or gone for `forget_after`, at most 64 per call. In a
+  /// full table, removes workers that have missed the allowed heartbeats.
   /// @return their indexes; owners of per-worker columns reset them, since indexes are reused.
   std::vector<worker_index> Forget(core::mono_time now);
 
@@ -209,6 +217,8 @@
     bool hold = false;
   };
 
+  /// @return true if the rows and names that the heartbeat needs exist or may be added.
+  bool HasRoomFor(const wire::agent_heartbeat& heartbeat) const;
   worker_index AddRow(const std::string& id);
   heartbeat_result OnBriefHeartbeat(const wire::agent_heartbeat& heartbeat, core::mono_time now);
   void ApplyDescription(worker_index worker, const wire::agent_heartbeat& heartbeat);
@@ -226,6 +236,8 @@
 
   core::nanoseconds silence_limit_;
   core::nanoseconds forget_after_;
+  std::size_t max_workers_;
+  std::size_t max_names_;
   name_table service_names_;
   name_table place_names_;
   std::unordered_map<std::string, worker_index> by_id_;
--- a/libs/membership/src/worker_table.cc
+++ b/libs/membership/src/worker_table.cc
@@ -30,11 +30,14 @@
 
 worker_table::worker_table(worker_table_options options)
     : silence_limit_(options.heartbeat * options.missed_heartbeats),
-      forget_after_(options.forget_after) {}
+      forget_after_(options.forget_after),
+      max_workers_(options.max_workers),
+      max_names_(options.max_names) {}
 
 heartbeat_result worker_table::OnHeartbeat(const wire::agent_heartbeat& heartbeat,
                                            core::mono_time now) {
   if (!heartbeat.described) return OnBriefHeartbeat(heartbeat, now);
+  if (!HasRoomFor(heartbeat)) return {kNoWorker, heartbeat_outcome::refused};
   const auto known = by_id_.find(heartbeat.worker);
   const bool added = known == by_id_.end();
   const worker_index worker = added ? AddRow(heartbeat.worker) : known->second;
@@ -59,6 +62,20 @@
   return {worker, restarted ? heartbeat_outcome::replaced : heartbeat_outcome::updated};
 }
 
+bool worker_table::HasRoomFor(const wire::agent_heartbeat& heartbeat) const {
+  if (by_id_.size() >= max_workers_ && !by_id_.contains(heartbeat.worker)) return false;
+  const auto is_new_place = [this](const std::string& name) { return !place_names_.Find(name); };
+  const auto places = {heartbeat.region, heartbeat.zone, heartbeat.rack};
+  if (place_names_.size() + places.size() > max_names_ &&
+      std::any_of(places.begin(), places.end(), is_new_place)) {
+    return false;
+  }
+  return service_names_.size() + heartbeat.services.size() <= max_names_ ||
+         std::all_of(
+             heartbeat.services.begin(), heartbeat.services.end(),
+             [this](const auto& load) { return service_names_.Find(load.service).has_value(); });
+}
+
 heartbeat_result worker_table::OnBriefHeartbeat(const wire::agent_heartbeat& heartbeat,
                                                 core::mono_time now) {
   const auto known = by_incarnation_.find(heartbeat.incarnation);
@@ -176,9 +193,11 @@
 
 std::vector<worker_index> worker_table::Forget(core::mono_time now) {
   std::vector<worker_index> forgotten;
+  const core::nanoseconds forget_after =
+      by_id_.size() >= max_workers_ ? std::min(silence_limit_, forget_after_) : forget_after_;
   for (worker_index worker = 0; worker < size(); ++worker) {
     if (forgotten.size() == kMaxForgottenPerCall) break;
-    if (identity_[worker].id.empty() || now - last_heartbeat_at_[worker] <= forget_after_) continue;
+    if (identity_[worker].id.empty() || now - last_heartbeat_at_[worker] <= forget_after) continue;
     by_id_.erase(identity_[worker].id);
     ForgetIncarnation(worker);
     ClearServices(worker);
--- a/libs/membership/tests/worker_table_test.cc
+++ b/libs/membership/tests/worker_table_test.cc
@@ -205,6 +205,35 @@
   CHECK(table.available()[worker].cpu_millis == 16'000);
 }
 
+// The load: heartbeats of unknown workers under ever new names. Guards against rows and names
+// without bound, and against a full table that drops the workers it has or stays full.
+TEST_CASE("heartbeats of unknown workers fill the table up to its limits only") {
+  worker_table table({.max_workers = 2, .max_names = 8});
+  const worker_index known = table.OnHeartbeat(Heartbeat(1), kStart).worker;
+  auto other = Heartbeat(1);
+  for (std::uint64_t number = 0; number < 1000; ++number) {
+    other.worker = "x" + std::to_string(number);
+    other.incarnation = 100 + number;
+    const auto outcome = table.OnHeartbeat(other, kStart).outcome;
+    CHECK(outcome == (number == 0 ? heartbeat_outcome::added : heartbeat_outcome::refused));
+  }
+  CHECK(table.size() == 2);
+  CHECK(table.OnHeartbeat(Heartbeat(2), kStart + seconds{15}).worker == known);
+  CHECK(table.Forget(kStart + seconds{16}) == std::vector<worker_index>{1});
+  CHECK(table.OnHeartbeat(other, kStart + seconds{16}).outcome == heartbeat_outcome::added);
+  auto renamed = Heartbeat(3);
+  for (std::uint64_t seq = 3; seq < 1000; ++seq) {
+    renamed.seq = seq;
+    renamed.rack = "r" + std::to_string(seq);
+    renamed.services = {{renamed.rack, 0, 0, 0}};
+    table.OnHeartbeat(renamed, kStart + seconds{16});
+  }
+  CHECK(table.place_names().size() <= 8);
+  CHECK(table.service_names().size() <= 8);
+  renamed = Heartbeat(1000);
+  CHECK(table.OnHeartbeat(renamed, kStart + seconds{16}).outcome == heartbeat_outcome::updated);
+}
+
 // Guards against an estimate that is above what a correct agent will report next: any order of
 // assignments, confirmations, heartbeats and reports.
 TEST_CASE("the estimate never exceeds the true free capacity") {
