http: an answer cut off for the budget is never delivered as whole

Cause: an answer that libcurl had received to its end could still be the largest one when another answer in the same pass exceeded the budget. Its body was emptied, and the call ended as a 200 without a body. A read of the store would then have looked like an empty list.

Change: a call that was cut off ends as answer_truncated, also if libcurl reports it as complete. The memory of the body is released at once.

--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -71,7 +71,7 @@
         });
     largest.cut_off = true;
     Remove(largest);
-    largest.answer.body = {};
+    std::string().swap(largest.answer.body);
     any_cut_off_ = true;
   }
   /// Call before the body of an answer is moved or destroyed.
@@ -293,6 +293,8 @@
 
   void Finish(CURL* handle, CURLcode failure) {
     auto node = active_.extract(handle);
+    // An answer may be cut off after libcurl has received all of it.
+    if (node.mapped()->cut_off) failure = CURLE_WRITE_ERROR;
     long status = 0;  // NOLINT(google-runtime-int): libcurl's type
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
     DiscardSilentConnections(*node.mapped(), handle, failure);
--- a/libs/http/tests/misbehaving_server_test.cc
+++ b/libs/http/tests/misbehaving_server_test.cc
@@ -148,4 +148,28 @@
   CHECK_FALSE(small_ended);
 }
 
+// The load: answers that are complete, and exceed the budget together. Guards against an answer
+// that was cut off after its last byte and is delivered as a whole one without a body.
+TEST_CASE("an answer within the budget is delivered whole or not at all") {
+  constexpr std::size_t kCalls = 48;
+  constexpr std::size_t kEach = 2'000'000;
+  const endless_server server(
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kEach) + "\r\n\r\n",
+      std::string(kEach, 'x'), kEach);
+  std::promise<void> all_ended;
+  std::atomic<std::size_t> ended{0};
+  std::atomic<std::size_t> whole{0};
+  std::atomic<std::size_t> in_part{0};
+  const auto client = MakeCurlClient();
+  for (std::size_t i = 0; i < kCalls; ++i) {
+    client->Send({.url = server.Url(), .timeout = kNeverReached}, [&](const call_result& result) {
+      if (result.answer) ++(result.answer->body.size() == kEach ? whole : in_part);
+      if (++ended == kCalls) all_ended.set_value();
+    });
+  }
+  REQUIRE(all_ended.get_future().wait_for(kNeverReached) == std::future_status::ready);
+  CHECK(whole > 0);
+  CHECK(in_part == 0);
+}
+
 }  // namespace coltsfoot::http
