entry: waiting messages of incoming links count with their overhead

Cause: only payload bytes counted towards the 16 MiB that may wait for the control thread. Messages with a payload of some bytes, such as config_pull, take many times their payload, so the limit did not bound the memory.

Change: each waiting message counts 256 bytes beside its payload.

--- a/libs/entry/src/link_pool.cc
+++ b/libs/entry/src/link_pool.cc
@@ -10,6 +10,8 @@
 // Messages of incoming links that wait for the control thread. A peer that sends them faster than
 // they are handled would otherwise fill the memory.
 constexpr std::size_t kMaxWaitingBytes = 16U << 20U;
+// Memory of a waiting message beside its payload, which may be empty.
+constexpr std::size_t kWaitingMessageBytes = 256;
 
 }  // namespace
 
@@ -121,7 +123,10 @@
     if (message.type == wire::hello::kType) return;
     message_action action = handlers_.decode(link, message);
     const bool decoded = static_cast<bool>(action.run);
-    if (decoded && Queue(std::move(action), message.payload.size(), incoming)) return;
+    if (decoded &&
+        Queue(std::move(action), kWaitingMessageBytes + message.payload.size(), incoming)) {
+      return;
+    }
     if (const auto self = weak.lock()) decoded ? self->Close() : self->Reject();
     control_.Post([this, link, generation, decoded] {
       OnDown(link, generation,
--- a/libs/entry/src/link_pool.h
+++ b/libs/entry/src/link_pool.h
@@ -102,8 +102,8 @@
   std::set<std::string> lost_;
   std::vector<queued_frame> outbox_;
   std::uint64_t next_generation_ = 0;
-  /// Payload bytes of messages from incoming links that wait for the control thread. Shared with
-  /// the queued actions, which may outlive the pool.
+  /// Memory of messages from incoming links that wait for the control thread, in bytes. Shared
+  /// with the queued actions, which may outlive the pool.
   std::shared_ptr<std::atomic<std::size_t>> waiting_bytes_ =
       std::make_shared<std::atomic<std::size_t>>(0);
   std::unique_ptr<wire::tcp_listener> listener_;
