wire: the ledger of a listener is safe when another thread drops a connection

Cause: the destructor of an accepted connection removes it from the ledger. An entry's control thread often holds the last reference, so the ledger was read there while the traffic thread changed it. A closed connection also kept the memory of its unfinished frame until its owner released it, although the ledger no longer counted it.

Change: a mutex around the ledger and its table; closing a connection releases the unfinished payload. max_peer_connections is at least 2, because at 1 any new connection closes the coordinator's connection at a runner.

--- a/libs/program/src/program.cc
+++ b/libs/program/src/program.cc
@@ -95,8 +95,9 @@
   constexpr std::int64_t kMiB = 1 << 20;
   wire::connection_limits out = wire::DefaultConnectionLimits();
   const auto connections = static_cast<std::int64_t>(out.connections);
+  // At 1, every new connection would close the one in use.
   out.connections = static_cast<std::size_t>(
-      source.Number("max_peer_connections", {1, connections}, connections));
+      source.Number("max_peer_connections", {2, connections}, connections));
   // A frame of the largest size fits in twice.
   const auto mebibytes = static_cast<std::int64_t>(out.bytes) / kMiB;
   out.bytes = static_cast<std::size_t>(
--- a/libs/wire/src/tcp_transport.cc
+++ b/libs/wire/src/tcp_transport.cc
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <deque>
 #include <map>
+#include <mutex>
 #include <utility>
 
 #include "endpoints.h"
@@ -31,7 +32,8 @@
 
 class framed_connection;
 
-/// Carries out the decisions of the ledger for the accepted connections of one listener.
+/// Carries out the decisions of the ledger for the accepted connections of one listener. `Remove`
+/// is thread-safe, since the last owner of a connection may release it on another thread.
 class accepted_connections {
  public:
   using connection_id = connection_ledger::connection_id;
@@ -40,10 +42,16 @@
       : limits_(limits), ledger_(limits) {}
 
   const connection_limits& limits() const noexcept { return limits_; }
-  connection_ledger& ledger() noexcept { return ledger_; }
+  /// @return what `function` returns for the ledger.
+  template <class Function>
+  auto Ask(Function function) {
+    const std::lock_guard lock(mutex_);
+    return function(ledger_);
+  }
   /// Adds a connection. @return its id.
   connection_id Add(const std::shared_ptr<framed_connection>& connection);
   void Remove(connection_id id) {
+    const std::lock_guard lock(mutex_);
     ledger_.OnClosed(id);
     if (open_.erase(id) > 0) CountPeers(-1);
   }
@@ -52,6 +60,7 @@
 
  private:
   connection_limits limits_;
+  std::mutex mutex_;
   connection_ledger ledger_;
   std::map<connection_id, std::weak_ptr<framed_connection>> open_;
   connection_id last_id_ = 0;
@@ -112,6 +121,8 @@
     socket_.close(ignored);
     frame_timer_.cancel();
     if (peers_) peers_->Remove(id_);
+    // The ledger no longer counts it, and the owner may keep the connection for a while.
+    std::string().swap(message_.payload);
     // The handlers may own the connection; break the cycle after they have returned.
     asio::post(socket_.get_executor(), [self = shared_from_this()] { self->handlers_ = {}; });
   }
@@ -122,7 +133,8 @@
   }
 
   void SetInUse(bool in_use) override {
-    if (peers_) peers_->ledger().SetInUse(id_, in_use);
+    if (!peers_) return;
+    peers_->Ask([&](connection_ledger& ledger) { ledger.SetInUse(id_, in_use); });
   }
 
   std::size_t queued_bytes() const override { return queued_bytes_; }
@@ -279,18 +291,22 @@
   }
 
   void OnUnfinished(std::size_t bytes) {
-    if (peers_) {
-      peers_->Close(peers_->ledger().OnUnfinished(id_, bytes, Now()), limit_reason::bytes);
-    }
+    if (!peers_) return;
+    const auto victim = peers_->Ask(
+        [&](connection_ledger& ledger) { return ledger.OnUnfinished(id_, bytes, Now()); });
+    peers_->Close(victim, limit_reason::bytes);
   }
 
   void OnUnsent() {
-    if (peers_) peers_->Close(peers_->ledger().OnUnsent(id_, queued_bytes_), limit_reason::bytes);
+    if (!peers_) return;
+    const auto victim =
+        peers_->Ask([&](connection_ledger& ledger) { return ledger.OnUnsent(id_, queued_bytes_); });
+    peers_->Close(victim, limit_reason::bytes);
   }
 
   void OnFrame() {
     tcp_received.Add(kFrameHeaderBytes + payload_bytes_);
-    if (peers_) peers_->ledger().OnFrame(id_, Now());
+    if (peers_) peers_->Ask([&](connection_ledger& ledger) { ledger.OnFrame(id_, Now()); });
     header_bytes_ = 0;
     received_ = 0;
     raw_message message = std::exchange(message_, {});
@@ -355,18 +371,24 @@
     const std::shared_ptr<framed_connection>& connection) {
   const connection_id id = ++last_id_;
   connection->SetId(id);
-  open_.emplace(id, connection);
   CountPeers(1);
-  Close(ledger_.OnAccepted(id, Now()), limit_reason::connections);
+  const auto victim = Ask([&](connection_ledger& ledger) {
+    open_.emplace(id, connection);
+    return ledger.OnAccepted(id, Now());
+  });
+  Close(victim, limit_reason::connections);
   return id;
 }
 
 void accepted_connections::Close(std::optional<connection_id> victim, limit_reason reason) {
   if (!victim) return;
-  const auto place = open_.find(*victim);
-  if (place == open_.end()) return;
+  const auto connection = Ask([&](const connection_ledger&) {
+    const auto place = open_.find(*victim);
+    return place == open_.end() ? nullptr : place->second.lock();
+  });
+  if (!connection) return;
   CountLimited(reason);
-  if (const auto connection = place->second.lock()) connection->CloseAtLimit();
+  connection->CloseAtLimit();
 }
 
 }  // namespace
@@ -420,7 +442,8 @@
   /// The connection that could not be accepted stays in the kernel's queue, so accepting it again
   /// at once would use a whole processor, unless a descriptor has been freed for it.
   void FreeDescriptor() {
-    if (const auto victim = peers->ledger().OnDescriptorsExhausted()) {
+    if (const auto victim =
+            peers->Ask([](connection_ledger& ledger) { return ledger.OnDescriptorsExhausted(); })) {
       peers->Close(victim, limit_reason::descriptors);
       Accept();
       return;
