wire: test that another thread may release a closed connection

Guards against the data race between a listener's ledger and the destructor of a connection whose last owner is on another thread.

--- a/libs/wire/tests/connection_ledger_test.cc
+++ b/libs/wire/tests/connection_ledger_test.cc
@@ -2,12 +2,17 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/write.hpp>
+#include <iterator>
 #include <memory>
+#include <mutex>
 #include <set>
 #include <string>
+#include <thread>
+#include <utility>
 #include <vector>
 
 #include "wire/transport.h"
@@ -188,4 +193,44 @@
   CHECK(load.reasons == std::vector(10, core::result_code::deadline_exceeded));
 }
 
+// The load: a crowd, and an owner on another thread that holds the last reference to connections
+// that were closed at the limit. Guards against a data race, which the thread sanitizer reports.
+TEST_CASE("another thread may release a closed connection") {
+  constexpr std::size_t kCrowd = 200;
+  constexpr std::size_t kConnections = 8;
+  asio::io_context context;
+  std::mutex mutex;
+  std::vector<std::shared_ptr<tcp_connection>> accepted;
+  const tcp_listener listener(
+      context, {"127.0.0.1", 0},
+      [&](std::shared_ptr<tcp_connection> connection) {
+        connection->Start({.on_open = {}, .on_message = {}, .on_close = {}});
+        const std::lock_guard lock(mutex);
+        accepted.push_back(std::move(connection));
+      },
+      {.connections = kConnections});
+  std::thread traffic([&] { context.run(); });
+  asio::io_context crowd_context;
+  std::vector<asio::ip::tcp::socket> crowd;
+  std::size_t released = 0;
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds{10};
+  while (released < kCrowd - kConnections && std::chrono::steady_clock::now() < end) {
+    if (crowd.size() < kCrowd) {
+      crowd.emplace_back(crowd_context);
+      crowd.back().connect({asio::ip::make_address("127.0.0.1"), listener.local().port});
+    }
+    // Declared before the lock, so that it is destroyed without it.
+    std::vector<std::shared_ptr<tcp_connection>> closed;
+    const std::lock_guard lock(mutex);
+    const auto kept = std::partition(accepted.begin(), accepted.end(),
+                                     [](const auto& each) { return each.use_count() > 1; });
+    closed.assign(std::make_move_iterator(kept), std::make_move_iterator(accepted.end()));
+    accepted.erase(kept, accepted.end());
+    released += closed.size();
+  }
+  CHECK(released >= kCrowd - kConnections);
+  context.stop();
+  traffic.join();
+}
+
 }  // namespace coltsfoot::wire
