http: server on Boost.Beast with limits on what clients make it hold

RESTinio read whole requests before the product saw them, kept a record for each chunk and had no limit over all connections. The server now reads through Boost.Beast's parser into its own buffers and asks one ingress_ledger for all HTTP ports of a process what to accept, refuse and close.

--- a/libs/core/include/core/result_code.h
+++ b/libs/core/include/core/result_code.h
@@ -46,6 +46,7 @@
   fair_share_exceeded = 220,
   connect_failed = 221,
   unsupported = 222,
+  overloaded = 223,
 
   outcome_unknown = 300,
   deadline_exceeded = 301,
--- a/libs/core/src/result_code.cc
+++ b/libs/core/src/result_code.cc
@@ -61,6 +61,7 @@
     result_code_info{connect_failed, "connect_failed", "No connection was made; nothing was sent."},
     result_code_info{unsupported, "unsupported",
                      "The job needs what this version does not support."},
+    result_code_info{overloaded, "overloaded", "The process holds as many requests as it may."},
     result_code_info{outcome_unknown, "outcome_unknown", "The work may or may not have run."},
     result_code_info{deadline_exceeded, "deadline_exceeded",
                      "The deadline passed after the work had started."},
--- a/libs/entry/include/entry/options.h
+++ b/libs/entry/include/entry/options.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/clock.h"
+#include "http/ingress_ledger.h"
 #include "wire/messages.h"
 
 namespace coltsfoot::entry {
@@ -27,6 +28,7 @@
   core::milliseconds orphan_grace{180000};
   core::milliseconds store_lease_ttl{6000};
   std::uint32_t http_threads = 2;
+  http::ingress_limits ingress = http::LimitsFor({});
 
   bool operator==(const entry_options&) const = default;
 };
--- a/libs/entry/src/entry.cc
+++ b/libs/entry/src/entry.cc
@@ -17,6 +17,7 @@
 #include "config_controller.h"
 #include "control_queue.h"
 #include "http/client.h"
+#include "http/ingress.h"
 #include "http/server.h"
 #include "interference/model.h"
 #include "ledger/shard_manager.h"
@@ -80,20 +81,20 @@
               OnDatagram(from, raw);
             },
             [this](core::result_code code) { CountDroppedDatagram(code); }),
-        http_(
-            {.address = options_.http.ip,
-             .port = options_.http.port,
-             .threads = options_.http_threads,
-             .body_limit = kBodyLimitBytes,
-             .on_refused = [this](core::result_code code) { metrics_.CountRefusal("api", code); }},
-            [this](http::request call, http::responder respond) {
-              const bool submits = IsTaskSubmission(call.method, call.path);
-              auto handle = [this, call = std::move(call), respond = std::move(respond)] {
-                api_.Handle(call, false, respond);
-                StartRequestTimer();
-              };
-              submits ? queue_.Defer(std::move(handle)) : queue_.Post(std::move(handle));
-            }),
+        http_({.address = options_.http.ip,
+               .port = options_.http.port,
+               .threads = options_.http_threads,
+               .body_limit = kBodyLimitBytes,
+               .on_refused = [this](core::result_code code) { metrics_.CountRefusal("api", code); },
+               .limits = std::make_shared<http::ingress>(options_.ingress, &metrics_)},
+              [this](http::request call, http::responder respond) {
+                const bool submits = IsTaskSubmission(call.method, call.path);
+                auto handle = [this, call = std::move(call), respond = std::move(respond)] {
+                  api_.Handle(call, false, respond);
+                  StartRequestTimer();
+                };
+                submits ? queue_.Defer(std::move(handle)) : queue_.Post(std::move(handle));
+              }),
         ledger_(LedgerOptions(), *kv_, time_, random_, metrics_, *this),
         agents_(options_, traffic_, queue_, workers_, ledger_, config_, interference_, time_,
                 metrics_),
--- a/libs/http/include/http/server.h
+++ b/libs/http/include/http/server.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "core/result_code.h"
+#include "http/ingress.h"
 #include "http/message.h"
 
 namespace coltsfoot::http {
@@ -27,9 +28,15 @@
   std::size_t body_limit = 1U << 20U;  ///< bytes; a larger body is answered with `body_too_large`
   /// Called on a traffic thread for each request that the server itself refuses; may be empty.
   std::function<void(core::result_code)> on_refused;
+  /// Limits that this server shares with the other ports of the process; null: its own, with
+  /// `LimitsFor` an unknown host.
+  std::shared_ptr<ingress> limits;
+  std::string port_name = "http";              ///< in metrics and logs of the limits
+  port_class port_kind = port_class::callers;  ///< whose share of the limits it uses
 };
 
-/// HTTP/1.1 server with its own traffic threads.
+/// HTTP/1.1 server with its own traffic threads. Requests of one connection are handled one after
+/// the other. docs/design/ingress-limits.md describes what clients may make it hold.
 class server {
  public:
   /// Starts listening.
--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -1,84 +1,90 @@
-// The only translation unit that includes RESTinio, whose headers take long to compile.
 #include "http/server.h"
 
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
 #include <atomic>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <condition_variable>
+#include <exception>
 #include <mutex>
-#include <restinio/all.hpp>
+#include <optional>
 #include <thread>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include "connection.h"
+
 namespace coltsfoot::http {
 namespace {
 
-// A body above `body_limit` is answered with `body_too_large`. RESTinio itself closes the
-// connection without an answer above this multiple of the limit.
-constexpr std::uint64_t kHardBodyLimitFactor = 16;
-constexpr std::size_t kMaxUrlBytes = 8192;
-constexpr std::size_t kMaxFieldBytes = 8192;
-constexpr std::size_t kMaxFields = 100;
-constexpr std::size_t kMaxPipelinedRequests = 8;
-constexpr std::chrono::minutes kIdleConnectionTimeout{5};
-constexpr std::chrono::minutes kHandleRequestTimeout{10};
-
-struct server_traits : restinio::default_traits_t {
-  using request_handler_t =
-      std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::chrono::milliseconds kSweepPeriod{1000};
+/// Pause before the next attempt when no descriptor or kernel memory is left for a connection.
+constexpr std::chrono::milliseconds kAcceptPause{50};
+/// Kernel buffers of a connection, in bytes; the kernel doubles them. Bytes that the server has not
+/// read and answers that a client has not read count as memory of the process.
+constexpr int kSocketBufferBytes = 32 << 10;
+
+core::mono_time Now() { return std::chrono::steady_clock::now(); }
+
+/// One traffic thread with the connections that it serves.
+struct worker {
+  asio::io_context context{1};
+  asio::steady_timer sweep{context};
+  bool sweeping = false;
+  connection_context shared;
+  std::unordered_map<connection_id, std::shared_ptr<connection>> connections;
+  connection_id delivering = 0;  ///< connection whose request is being passed to the handler
+  bool is_delivering = false;
+  std::thread thread;
 };
 
-/// @return the path with percent-encoded bytes decoded; unchanged if the encoding is malformed.
-std::string DecodePath(restinio::string_view_t path) {
-  try {
-    return restinio::utils::unescape_percent_encoding<restinio::utils::relaxed_unescape_traits>(
-        path);
-  } catch (const restinio::exception_t&) {
-    return std::string(path);
-  }
-}
-
-request Convert(const restinio::request_t& source) {
-  request out;
-  out.method = source.header().method().c_str();
-  out.path = DecodePath(source.header().path());
-  const auto query =
-      restinio::parse_query<restinio::parse_query_traits::relaxed>(source.header().query());
-  for (const auto& [key, value] : query) out.query.emplace(std::string(key), std::string(value));
-  source.header().for_each_field([&out](const restinio::http_header_field_t& field) {
-    out.headers.emplace(field.name(), field.value());
-  });
-  out.body = source.body();
-  return out;
-}
-
-restinio::http_status_line_t StatusLine(int status) {
-  const char* reason = status < 300 ? "OK" : "Error";
-  return {restinio::http_status_code_t{static_cast<std::uint16_t>(status)}, reason};
-}
-
-void Send(const restinio::request_handle_t& handle, const response& answer, bool keep_alive) {
-  auto builder = handle->create_response(StatusLine(answer.status));
-  for (const auto& [name, value] : answer.headers) builder.append_header(name, value);
-  if (!keep_alive) builder.connection_close();
-  builder.set_body(answer.body);
-  builder.done();
-}
-
 }  // namespace
 
 class server::impl : public std::enable_shared_from_this<server::impl> {
  public:
   impl(server_options options, request_handler handler)
-      : options_(std::move(options)), handler_(std::move(handler)), server_(MakeServer()) {
-    server_.open_sync();
+      : options_(std::move(options)),
+        handler_(std::move(handler)),
+        limits_(options_.limits ? options_.limits : std::make_shared<ingress>(LimitsFor({}))) {
+    for (std::size_t index = 0; index < std::max<std::size_t>(options_.threads, 1); ++index) {
+      workers_.push_back(std::make_unique<worker>());
+    }
+    acceptor_.emplace(workers_.front()->context);
+    accept_timer_.emplace(workers_.front()->context);
+    Listen();
+    port_number_ = limits_->AddPort(options_.port_name, options_.port_kind,
+                                    [this](connection_id id) { CloseLater(id); });
   }
 
   /// Starts the traffic threads. Not part of the constructor, because requests need
   /// `weak_from_this`.
   void Run() {
-    for (std::size_t index = 0; index < options_.threads; ++index) {
-      threads_.emplace_back([this] { context_.run(); });
+    for (const auto& each : workers_) {
+      worker& own = *each;
+      own.shared.options = &options_;
+      own.shared.limits = limits_.get();
+      own.shared.closing = &closing_;
+      own.shared.deliver = [this, &own](connection_id id, std::uint64_t number, request received) {
+        Deliver(own, id, number, std::move(received));
+      };
+      own.shared.on_answered = [this] { CountAnswered(); };
+      own.shared.on_closed = [&own](connection_id id) { own.connections.erase(id); };
+    }
+    Accept();
+    for (const auto& own : workers_) {
+      own->thread = std::thread([&context = own->context] {
+        const auto guard = asio::make_work_guard(context);
+        context.run();
+      });
     }
   }
 
@@ -90,128 +96,182 @@
 
   void StopAccepting() {
     closing_ = true;
-    restinio::asio_ns::post(context_, [this] { server_.close_sync(); });
+    asio::post(workers_.front()->context, [this] { CloseAcceptor(); });
   }
 
-  bool idle() const {
-    const std::lock_guard lock(mutex_);
-    return IsIdle();
-  }
+  bool idle() const { return in_progress_ == 0; }
 
   void ShutDown(std::chrono::milliseconds limit) {
     closing_ = true;
     {
       std::unique_lock lock(mutex_);
-      idle_.wait_for(lock, limit, [this] { return IsIdle(); });
+      idle_.wait_for(lock, limit, [this] { return idle(); });
     }
-    // RESTinio may still be writing the last answer to its socket when the count reaches zero.
-    std::this_thread::sleep_for(std::chrono::milliseconds{50});
     Stop();
   }
 
   void Stop() {
     if (stopped_.exchange(true)) return;
     closing_ = true;
-    restinio::asio_ns::post(context_, [this] { server_.close_sync(); });
-    context_.stop();
-    for (auto& thread : threads_) thread.join();
-    const std::lock_guard lock(mutex_);
-    in_progress_.clear();
+    limits_->RemovePort(port_number_);
+    for (const auto& own : workers_) own->context.stop();
+    for (const auto& own : workers_) {
+      if (own->thread.joinable()) own->thread.join();
+    }
+    CloseAcceptor();
+    for (const auto& own : workers_) {
+      const auto connections = std::move(own->connections);
+      own->connections.clear();
+      for (const auto& [id, open] : connections) open->Close();
+    }
   }
 
  private:
-  restinio::http_server_t<server_traits> MakeServer() {
-    return restinio::http_server_t<server_traits>{
-        restinio::external_io_context(context_), [this](auto& settings) {
-          settings.port(options_.port)
-              .address(options_.address)
-              .read_next_http_message_timelimit(kIdleConnectionTimeout)
-              .handle_request_timeout(kHandleRequestTimeout)
-              .max_pipelined_requests(kMaxPipelinedRequests)
-              // RESTinio counts connections without a lock, so only one may be accepted at a time.
-              .concurrent_accepts_count(1)
-              .buffer_size(16384)
-              .incoming_http_msg_limits(
-                  restinio::incoming_http_msg_limits_t{}
-                      .max_url_size(kMaxUrlBytes)
-                      .max_field_name_size(kMaxFieldBytes)
-                      .max_field_value_size(kMaxFieldBytes)
-                      .max_field_count(kMaxFields)
-                      .max_body_size(options_.body_limit * kHardBodyLimitFactor))
-              .socket_options_setter([](restinio::socket_options_t& socket) {
-                socket.set_option(restinio::asio_ns::ip::tcp::no_delay{true});
-              })
-              .acceptor_post_bind_hook([this](restinio::asio_ns::ip::tcp::acceptor& acceptor) {
-                port_ = acceptor.local_endpoint().port();
-              })
-              .request_handler([this](restinio::request_handle_t handle) {
-                OnRequest(std::move(handle));
-                return restinio::request_accepted();
-              });
-        }};
+  void Listen() {
+    const tcp::endpoint at(asio::ip::make_address(options_.address), options_.port);
+    acceptor_->open(at.protocol());
+    acceptor_->set_option(tcp::acceptor::reuse_address(true));
+    // Accepted sockets inherit the sizes.
+    acceptor_->set_option(tcp::socket::receive_buffer_size(kSocketBufferBytes));
+    acceptor_->set_option(tcp::socket::send_buffer_size(kSocketBufferBytes));
+    acceptor_->bind(at);
+    acceptor_->listen();
+    port_ = acceptor_->local_endpoint().port();
   }
 
-  void OnRequest(restinio::request_handle_t handle) {
-    if (handle->body().size() > options_.body_limit) {
-      if (options_.on_refused) options_.on_refused(core::result_code::body_too_large);
-      http::Send(handle, BodyTooLarge(), false);
+  void CloseAcceptor() {
+    error_code failure;
+    acceptor_->close(failure);
+    accept_timer_->cancel();
+    if (failure) spdlog::warn("event=close_failed reason=\"{}\"", failure.message());
+  }
+
+  worker& WorkerOf(connection_id id) { return *workers_[id % workers_.size()]; }
+
+  void Accept() {
+    const connection_id id = ingress::IdOf(port_number_, ++last_connection_);
+    worker& own = WorkerOf(id);
+    acceptor_->async_accept(own.context, peer_,
+                            [this, id, &own](const error_code& failure, tcp::socket accepted) {
+                              OnAccepted(own, id, failure, std::move(accepted));
+                            });
+  }
+
+  void OnAccepted(worker& own, connection_id id, const error_code& failure, tcp::socket accepted) {
+    if (!acceptor_->is_open()) return;
+    if (failure == asio::error::no_descriptors || failure == asio::error::no_buffer_space ||
+        failure == asio::error::no_memory ||
+        failure == boost::system::errc::too_many_files_open_in_system) {
+      limits_->FreeDescriptor(Now());
+      accept_timer_->expires_after(kAcceptPause);
+      accept_timer_->async_wait([this](const error_code& stopped) {
+        if (!stopped && acceptor_->is_open()) Accept();
+      });
       return;
     }
-    request received = Convert(*handle);
-    std::uint64_t id = 0;
-    {
-      const std::lock_guard lock(mutex_);
-      id = ++last_id_;
-      in_progress_.emplace(id, std::move(handle));
+    if (!failure) {
+      if (&own == workers_.front().get()) {
+        Add(own, id, std::move(accepted), peer_.address().to_string());
+      } else {
+        asio::post(own.context, [this, id, &own, socket = std::move(accepted),
+                                 address = peer_.address().to_string()]() mutable {
+          Add(own, id, std::move(socket), address);
+        });
+      }
     }
-    // A responder may outlive the server, so it must not own the connection.
-    handler_(std::move(received), [weak = weak_from_this(), id](response answer) {
-      if (const auto self = weak.lock()) self->Answer(id, std::move(answer));
+    // Another failure concerns only the connection that was being accepted.
+    Accept();
+  }
+
+  void Add(worker& own, connection_id id, tcp::socket accepted, const std::string& address) {
+    error_code failure;
+    accepted.non_blocking(true, failure);
+    if (!failure) accepted.set_option(tcp::no_delay(true), failure);
+    if (failure) return;  // The client has already closed the connection.
+    if (!limits_->Open(id, address, Now())) return;
+    const auto opened = std::make_shared<connection>(own.shared, std::move(accepted), id);
+    own.connections.emplace(id, opened);
+    opened->Start();
+    if (!std::exchange(own.sweeping, true)) Sweep(own);
+  }
+
+  /// Looks for connections that are past a limit on time, as long as there are connections.
+  void Sweep(worker& own) {
+    own.sweep.expires_after(kSweepPeriod);
+    own.sweep.async_wait([this, &own](const error_code& stopped) {
+      if (stopped) return;
+      limits_->Tick(Now());
+      own.sweeping = !own.connections.empty();
+      if (own.sweeping) Sweep(own);
     });
   }
 
-  void Answer(std::uint64_t id, response answer) {
-    restinio::request_handle_t handle;
-    {
-      const std::lock_guard lock(mutex_);
-      auto node = in_progress_.extract(id);
-      if (node.empty()) return;
-      handle = std::move(node.mapped());
-      ++sending_;
-    }
-    // RESTinio's connections are not thread-safe; send the answer on the server's own context.
-    restinio::asio_ns::post(context_, [this, handle, answer = std::move(answer)] {
-      http::Send(handle, answer, handle->header().should_keep_alive() && !closing_);
-      const std::lock_guard lock(mutex_);
-      --sending_;
-      if (IsIdle()) idle_.notify_all();
+  void CloseLater(connection_id id) {
+    worker& own = WorkerOf(id);
+    asio::post(own.context, [&own, id] {
+      const auto found = own.connections.find(id);
+      if (found == own.connections.end()) return;
+      const auto closed = found->second;
+      closed->Close();
     });
   }
 
-  bool IsIdle() const { return in_progress_.empty() && sending_ == 0; }
+  void Deliver(worker& own, connection_id id, std::uint64_t number, request received) {
+    ++in_progress_;
+    own.delivering = id;
+    own.is_delivering = true;
+    try {
+      // A responder may outlive the server, so it must not own the connection.
+      handler_(std::move(received), [weak = weak_from_this(), &own, id, number](response answer) {
+        if (const auto self = weak.lock()) self->Answer(own, id, number, std::move(answer));
+      });
+    } catch (const std::exception& failure) {
+      // The caller cannot know whether the request ran, so it gets no answer.
+      spdlog::error("event=handler_failed port={} reason=\"{}\"", options_.port_name,
+                    failure.what());
+      CloseLater(id);
+    }
+    own.is_delivering = false;
+  }
 
-  static response BodyTooLarge() {
-    response answer =
-        JsonResponse(413, R"({"code":102,"name":"body_too_large",)"
-                          R"("reason":"the body exceeds the size limit","not_run":true})");
-    answer.headers["X-Result-Code"] = "102";
-    answer.headers["X-Not-Run"] = "true";
-    return answer;
+  void Answer(worker& own, connection_id id, std::uint64_t number, response answer) {
+    auto send = [&own, id, number, answer = std::move(answer)]() mutable {
+      const auto found = own.connections.find(id);
+      if (found == own.connections.end()) return;
+      const auto answered = found->second;
+      answered->Answer(number, std::move(answer));
+    };
+    // Another connection's answer is posted, because it may lead to the next call of the handler,
+    // which is still running.
+    const bool on_thread = own.context.get_executor().running_in_this_thread();
+    if (on_thread && own.is_delivering && own.delivering == id) {
+      send();
+    } else {
+      asio::post(own.context, std::move(send));
+    }
+  }
+
+  void CountAnswered() {
+    if (--in_progress_ != 0) return;
+    const std::lock_guard lock(mutex_);
+    idle_.notify_all();
   }
 
-  server_options options_;
-  request_handler handler_;
+  const server_options options_;
+  const request_handler handler_;
+  const std::shared_ptr<ingress> limits_;
+  std::uint64_t port_number_ = 0;
   std::uint16_t port_ = 0;
+  std::uint64_t last_connection_ = 0;
+  tcp::endpoint peer_;
   std::atomic<bool> closing_{false};
   std::atomic<bool> stopped_{false};
-  mutable std::mutex mutex_;
+  std::atomic<std::size_t> in_progress_{0};
+  std::mutex mutex_;
   std::condition_variable idle_;
-  std::uint64_t last_id_ = 0;
-  std::size_t sending_ = 0;
-  std::unordered_map<std::uint64_t, restinio::request_handle_t> in_progress_;
-  restinio::asio_ns::io_context context_;
-  restinio::http_server_t<server_traits> server_;
-  std::vector<std::thread> threads_;
+  std::vector<std::unique_ptr<worker>> workers_;
+  std::optional<tcp::acceptor> acceptor_;
+  std::optional<asio::steady_timer> accept_timer_;
 };
 
 server::server(server_options options, request_handler handler)
--- /dev/null
+++ b/libs/program/src/ingress_settings.cc
@@ -0,0 +1,58 @@
+#include "program/ingress_settings.h"
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+
+namespace coltsfoot::program {
+namespace {
+
+constexpr settings::range kMemoryMb{0, 16'777'216};
+constexpr settings::range kDescriptors{0, std::numeric_limits<std::int32_t>::max()};
+constexpr settings::range kConnections{1, 1'000'000};
+constexpr settings::range kConnectionsPerAddress{0, 1'000'000};
+constexpr settings::range kRequestTimeMs{100, 3'600'000};
+constexpr settings::range kRequests{1, 1'000'000};
+constexpr settings::range kHeldMb{1, 1'048'576};
+
+/// @return the limit of open files of this process; 0 if it has none.
+std::size_t OpenFileLimit() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) return 0;
+  return limit.rlim_cur;
+}
+
+std::size_t ReadSize(settings::reader& source, std::string_view key, settings::range allowed,
+                     std::size_t fallback) {
+  return static_cast<std::size_t>(source.Number(key, allowed, static_cast<std::int64_t>(fallback)));
+}
+
+}  // namespace
+
+http::ingress_limits ReadIngressLimits(settings::reader& source) {
+  http::host_limits host;
+  host.memory_bytes = ReadSize(source, "memory_mb", kMemoryMb, 0) << 20U;
+  host.descriptors = ReadSize(source, "max_descriptors", kDescriptors, 0);
+  // The lower of the two holds: the setting tells what the host grants, the other what the kernel
+  // enforces.
+  const std::size_t enforced = OpenFileLimit();
+  if (host.descriptors == 0 || (enforced != 0 && enforced < host.descriptors)) {
+    host.descriptors = enforced;
+  }
+  http::ingress_limits out = http::LimitsFor(host);
+  out.callers.connections =
+      ReadSize(source, "max_connections", kConnections, out.callers.connections);
+  out.connections_per_address =
+      ReadSize(source, "connections_per_address", kConnectionsPerAddress, 0);
+  out.request_time = core::milliseconds{
+      source.Number("request_time_ms", kRequestTimeMs, out.request_time.count())};
+  out.callers.requests_in_progress =
+      ReadSize(source, "max_requests_in_progress", kRequests, out.callers.requests_in_progress);
+  const std::size_t held_mb = ReadSize(source, "held_request_mb", kHeldMb, 0);
+  if (held_mb != 0) out.callers.held_bytes = held_mb << 20U;
+  return out;
+}
+
+}  // namespace coltsfoot::program
--- a/tools/coltsfoot-agent/main.cc
+++ b/tools/coltsfoot-agent/main.cc
@@ -2,6 +2,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
+#include <memory>
 #include <utility>
 
 #include "agent/controller.h"
@@ -11,7 +12,9 @@
 #include "agent/target_api.h"
 #include "core/logging.h"
 #include "core/random_source.h"
+#include "http/ingress.h"
 #include "http/server.h"
+#include "program/ingress_settings.h"
 #include "program/program.h"
 
 namespace coltsfoot::agent {
@@ -35,6 +38,7 @@
 int Main(int argc, char** argv) {
   settings::reader source = program::OpenSettings(argc, argv, kUsage);
   agent_options options = ReadOptions(source);
+  const http::ingress_limits ingress = program::ReadIngressLimits(source);
   program::RequireValid(source);
   core::InitLogging("coltsfoot-agent", options.worker);
   options.incarnation = core::SystemSeed();
@@ -56,7 +60,11 @@
              control.OnDatagram(from, message);
            }});
   http::server server(
-      {.address = options.http.ip, .port = options.http.port, .body_limit = kBodyLimitBytes},
+      {.address = options.http.ip,
+       .port = options.http.port,
+       .body_limit = kBodyLimitBytes,
+       .limits = std::make_shared<http::ingress>(ingress, &metrics),
+       .port_name = "http"},
       MakeTargetApi({.on_announce =
                          [&](target_announcement announcement) {
                            asio::post(context, [&control, announcement = std::move(announcement)] {
--- a/tools/coltsfoot-entry/main.cc
+++ b/tools/coltsfoot-entry/main.cc
@@ -4,6 +4,7 @@
 
 #include "core/logging.h"
 #include "entry/entry.h"
+#include "program/ingress_settings.h"
 #include "program/program.h"
 
 namespace {
@@ -49,6 +50,7 @@
   out.store_lease_ttl = duration("store_lease_ttl_ms", 200, 600'000, out.store_lease_ttl);
   out.http_threads =
       static_cast<std::uint32_t>(source.Number("http_threads", {1, 64}, out.http_threads));
+  out.ingress = program::ReadIngressLimits(source);
   if (out.lease_ttl < 2 * out.heartbeat) {
     source.Reject("lease_ttl_ms", "must be at least twice heartbeat_ms");
   }
--- a/tools/coltsfoot-runner/main.cc
+++ b/tools/coltsfoot-runner/main.cc
@@ -3,16 +3,19 @@
 
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
+#include <memory>
 #include <optional>
 #include <utility>
 
 #include "core/logging.h"
 #include "core/random_source.h"
 #include "http/client.h"
+#include "http/ingress.h"
 #include "http/server.h"
 #include "metrics/registry.h"
 #include "platform/store_client.h"
 #include "platform/target_client.h"
+#include "program/ingress_settings.h"
 #include "program/program.h"
 #include "runner/network.h"
 #include "runner/runner.h"
@@ -46,6 +49,7 @@
   core::milliseconds task_lease{0};
   core::milliseconds max_task_lease{0};
   runner::pacer_options pacing;
+  http::ingress_limits ingress;
 };
 
 /// @return the share that a setting gives in thousandths.
@@ -80,11 +84,18 @@
   options.max_task_lease =
       core::milliseconds{source.Number("max_task_lease_ms", {1000, 600'000}, 10'000)};
   options.pacing = ReadPacing(source);
+  options.ingress = program::ReadIngressLimits(source);
   return options;
 }
 
-http::server_options ServerOptions(const wire::endpoint& at) {
-  return {.address = at.ip, .port = at.port, .body_limit = kBodyLimitBytes};
+http::server_options ServerOptions(const wire::endpoint& at, std::string name,
+                                   http::port_class kind, std::shared_ptr<http::ingress> limits) {
+  return {.address = at.ip,
+          .port = at.port,
+          .body_limit = kBodyLimitBytes,
+          .limits = std::move(limits),
+          .port_name = std::move(name),
+          .port_kind = kind};
 }
 
 int Main(int argc, char** argv) {
@@ -112,8 +123,9 @@
                          time, metrics, *target, coordinator);
   coordinator.SetRunner(control);
   runner::registration registration(time, *storage, options.id, options.advertise);
+  const auto limits = std::make_shared<http::ingress>(options.ingress, &metrics);
   http::server announcements(
-      ServerOptions(options.announce),
+      ServerOptions(options.announce, "announce", http::port_class::callers, limits),
       platform::MakeAnnouncementHandler(
           {.on_announcement =
                [&](runner::target_announcement announcement) {
@@ -125,12 +137,13 @@
                [&](std::string name) {
                  asio::post(context, [&control, name = std::move(name)] { control.OnLeave(name); });
                }}));
-  http::server metrics_server(ServerOptions(options.metrics),
-                              [&](const http::request&, const http::responder& respond) {
-                                respond({.status = 200,
-                                         .headers = {{"Content-Type", "text/plain"}},
-                                         .body = metrics.Render() + wire::RenderTraffic()});
-                              });
+  http::server metrics_server(
+      ServerOptions(options.metrics, "metrics", http::port_class::reserve, limits),
+      [&](const http::request&, const http::responder& respond) {
+        respond({.status = 200,
+                 .headers = {{"Content-Type", "text/plain"}},
+                 .body = metrics.Render() + wire::RenderTraffic()});
+      });
   program::LogReady(fmt::format("http={}:{} peer={}:{}", options.announce.ip, announcements.port(),
                                 options.peer.ip, options.peer.port));
   std::optional<core::mono_time> stop_at;
--- a/tools/coltsfoot-scheduler/main.cc
+++ b/tools/coltsfoot-scheduler/main.cc
@@ -13,6 +13,7 @@
 #include "core/logging.h"
 #include "core/random_source.h"
 #include "http/client.h"
+#include "http/ingress.h"
 #include "http/server.h"
 #include "jobs/coordinator.h"
 #include "jobs/job_service.h"
@@ -22,6 +23,7 @@
 #include "platform/configuration.h"
 #include "platform/job_api.h"
 #include "platform/store_client.h"
+#include "program/ingress_settings.h"
 #include "program/program.h"
 
 namespace coltsfoot {
@@ -35,7 +37,7 @@
     "effect),\nprocessor_share and processor_speed of the host (1). Filling tasks, in thousandths "
     "of the headroom of\nthe serving tasks on the same worker: filling_peak_permille (1000), "
     "filling_present_permille (600), after\nfilling_relaxed_after_ms (1500); serving_use_permille "
-    "(500).";
+    "(500).\nLimits on what callers make the process hold: see docs/operators.md.";
 constexpr core::milliseconds kTick{40};
 // Minimum time between ticks that events trigger, so that reports of many agents that arrive
 // together are handled in one tick. Far below any delay that callers notice.
@@ -57,6 +59,7 @@
   core::milliseconds config_bound{0};
   jobs::planner_options planner;
   double processors = 1;  ///< capacity of the host, in processors of reference speed
+  http::ingress_limits ingress;
 };
 
 /// @return a share that is given in thousandths in the settings.
@@ -93,6 +96,7 @@
   options.planner = ReadPlannerOptions(source);
   options.processors =
       source.PositiveDecimal("processor_share", 1) * source.PositiveDecimal("processor_speed", 1);
+  options.ingress = program::ReadIngressLimits(source);
   return options;
 }
 
@@ -186,6 +190,8 @@
 
   http::request_handler JobApiHandler() { return job_api_.Handler(); }
 
+  metrics::registry& Metrics() { return metrics_; }
+
   http::request_handler ReadyHandler() {
     return [this](const http::request&, const http::responder& respond) {
       respond(http::JsonResponse(ready_ ? 200 : 503, "{}"));
@@ -293,8 +299,15 @@
   core::mono_time last_tick_at_;
 };
 
-http::server_options ServerOptions(const wire::endpoint& at) {
-  return {.address = at.ip, .port = at.port, .body_limit = kBodyLimitBytes};
+http::server_options ServerOptions(const wire::endpoint& at, std::string name,
+                                   std::shared_ptr<http::ingress> limits,
+                                   http::port_class kind = http::port_class::reserve) {
+  return {.address = at.ip,
+          .port = at.port,
+          .body_limit = kBodyLimitBytes,
+          .limits = std::move(limits),
+          .port_name = std::move(name),
+          .port_kind = kind};
 }
 
 int Main(int argc, char** argv) {
@@ -305,9 +318,11 @@
 
   asio::io_context context;
   scheduler entry(context, options);
-  http::server ready(ServerOptions(options.ready), entry.ReadyHandler());
-  http::server metrics(ServerOptions(options.metrics), entry.MetricsHandler());
-  http::server front(ServerOptions(options.front), entry.JobApiHandler());
+  const auto limits = std::make_shared<http::ingress>(options.ingress, &entry.Metrics());
+  http::server ready(ServerOptions(options.ready, "ready", limits), entry.ReadyHandler());
+  http::server metrics(ServerOptions(options.metrics, "metrics", limits), entry.MetricsHandler());
+  http::server front(ServerOptions(options.front, "front", limits, http::port_class::callers),
+                     entry.JobApiHandler());
   program::LogReady(fmt::format("http={} peer={}", Format(options.front), Format(options.peer)));
   entry.Start();
   program::RunUntilStopped(
