--- a/libs/http/include/http/ingress.h
+++ b/libs/http/include/http/ingress.h
@@ -48,7 +48,8 @@
   void Finish(connection_id id, core::mono_time now);
   void Linger(connection_id id, core::mono_time now);
   void Close(connection_id id);
-  void FreeDescriptor(core::mono_time now);
+  /// @return false if no connection can be closed.
+  bool FreeDescriptor(core::mono_time now);
   /// Closes the connections that are past a limit on time; call it about once a second.
   void Tick(core::mono_time now);
   /// Counts a request that a port refused without asking, such as a body above the limit.
--- a/libs/http/src/ingress.cc
+++ b/libs/http/src/ingress.cc
@@ -154,11 +154,12 @@
   ShowGauges();
 }
 
-void ingress::FreeDescriptor(core::mono_time now) {
+bool ingress::FreeDescriptor(core::mono_time now) {
   std::vector<closure> closures;
   std::unique_lock lock(mutex_);
   ledger_.FreeDescriptor(closures);
   Apply(lock, closures, now);
+  return !closures.empty();
 }
 
 void ingress::Tick(core::mono_time now) {
