http: an idle connection holds no bytes of a request

The capacity of an empty string counted as an unfinished request, so that kept connections ended after the time for a request instead of the idle time.

--- a/libs/http/src/connection.cc
+++ b/libs/http/src/connection.cc
@@ -56,7 +56,9 @@
 void connection::Start() { WaitForInput(); }
 
 std::size_t connection::HeldBytes() const noexcept {
-  return rest_.capacity() + (parser_ ? sizeof(request_parser) + parser_->held_bytes() : 0);
+  // A short string has a capacity without holding memory of its own.
+  return (rest_.empty() ? 0 : rest_.capacity()) +
+         (parser_ ? sizeof(request_parser) + parser_->held_bytes() : 0);
 }
 
 void connection::WaitForInput() {
--- a/libs/http/tests/server_limits_test.cc
+++ b/libs/http/tests/server_limits_test.cc
@@ -227,15 +227,19 @@
                  R"(coltsfoot_ingress_limited_total{port="http",reason="held_bytes"})"));
 }
 
-// Guards against clients that open a connection, or a request, and stay silent.
+// Guards against requests and answers without end, and against kept connections that end with them.
 TEST_CASE("an unfinished request and an unread answer end with their time") {
   ingress_limits limits = LimitsFor({});
   limits.request_time = core::milliseconds{50};
   limits.answer_time = core::milliseconds{50};
   server target({.limits = std::make_shared<ingress>(limits)},
-                [](const request&, const responder& respond) {
-                  respond({200, {}, std::string(std::size_t{8} << 20U, 'a')});
+                [](const request& received, const responder& respond) {
+                  const std::size_t size = received.method == "GET" ? std::size_t{8} << 20U : 1;
+                  respond({200, {}, std::string(size, 'a')});
                 });
+  raw_client kept(target);
+  kept.Send(Post("1"));
+  CHECK(kept.ReadAnswer().starts_with("HTTP/1.1 200 "));
   raw_client half(target);
   half.Send("POST /x HTTP/1.1\r\nContent-Length: 10\r\n\r\nab");
   CHECK(half.ReadToEnd().empty());
@@ -246,6 +250,8 @@
   probe.Send("POST /x HTTP/1.1\r\nContent-Length: 10\r\n\r\nab");
   CHECK(probe.ReadToEnd().empty());
   while (!target.idle()) std::this_thread::sleep_for(core::milliseconds{10});
+  kept.Send(Post("2"));
+  CHECK(kept.ReadAnswer().starts_with("HTTP/1.1 200 "));
   CHECK(slow.ReadToEnd().size() < (std::size_t{8} << 20U));
 }
 
