--- a/libs/http/src/connection.cc
+++ b/libs/http/src/connection.cc
@@ -189,8 +189,10 @@
     const std::size_t count = socket_.write_some(buffers, failure);
     written_bytes_ += count;
     if (IsWouldBlock(failure)) {
-      context_.limits->Answer(
-          id_, rest_.capacity() + answer_header_.capacity() + answer_body_.capacity(), Now());
+      context_.limits->Answer(id_,
+                              kReceiveBufferBytes + rest_.capacity() + answer_header_.capacity() +
+                                  answer_body_.capacity(),
+                              Now());
       socket_.async_wait(tcp_socket::wait_write,
                          [self = shared_from_this()](const boost::system::error_code& ended) {
                            if (!ended && self->phase_ == phase::answering) self->Write();
--- a/libs/http/src/connection.h
+++ b/libs/http/src/connection.h
@@ -43,6 +43,10 @@
  public:
   using socket = boost::asio::ip::tcp::socket;
 
+  /// Kernel buffer for input that is not read, in bytes. Hosts count what it holds as memory of the
+  /// process, and it fills while an answer is not read.
+  static constexpr int kReceiveBufferBytes = 16 << 10;
+
   /// @param context must outlive all handlers of the connection.
   connection(connection_context& context, socket peer, connection_id id);
 
--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -30,9 +30,8 @@
 /// Pause before the next attempt when no descriptor or kernel memory is left for a connection, and
 /// no connection can be closed for it.
 constexpr std::chrono::milliseconds kAcceptPause{50};
-/// Kernel buffers of a connection, in bytes; the kernel doubles them. Bytes that the server has not
-/// read and answers that a client has not read count as memory of the process.
-constexpr int kSocketBufferBytes = 32 << 10;
+/// Kernel buffer for answers that a client has not read, in bytes; the kernel doubles it.
+constexpr int kSendBufferBytes = 32 << 10;
 
 core::mono_time Now() { return std::chrono::steady_clock::now(); }
 
@@ -133,8 +132,8 @@
     acceptor_->open(at.protocol());
     acceptor_->set_option(tcp::acceptor::reuse_address(true));
     // Accepted sockets inherit the sizes.
-    acceptor_->set_option(tcp::socket::receive_buffer_size(kSocketBufferBytes));
-    acceptor_->set_option(tcp::socket::send_buffer_size(kSocketBufferBytes));
+    acceptor_->set_option(tcp::socket::receive_buffer_size(connection::kReceiveBufferBytes));
+    acceptor_->set_option(tcp::socket::send_buffer_size(kSendBufferBytes));
     acceptor_->bind(at);
     acceptor_->listen();
     port_ = acceptor_->local_endpoint().port();
