--- a/libs/http/tests/ingress_ledger_test.cc
+++ b/libs/http/tests/ingress_ledger_test.cc
@@ -106,6 +106,7 @@
   fixture test;
   const connection_id idle_caller = test.Open("10.0.0.1");
   std::vector<connection_id> crowd;
+  crowd.reserve(49);
   for (int index = 0; index < 49; ++index) crowd.push_back(test.Open("10.0.0.9"));
   test.now += core::milliseconds{5};
   test.Receive(crowd[7], 100);
--- a/libs/http/tests/server_limits_test.cc
+++ b/libs/http/tests/server_limits_test.cc
@@ -118,7 +118,7 @@
   CHECK(announced.ReadAnswer().starts_with("HTTP/1.1 413 "));
   raw_client chunked(target);
   chunked.Send(kChunkedHeader);
-  chunked.Send(InChunks(std::string_view(body).substr(0, 100'000), 4));
+  chunked.Send(InChunks(body.substr(0, 100'000), 4));
   CHECK(chunked.ReadAnswer().starts_with("HTTP/1.1 413 "));
 }
 
@@ -213,7 +213,7 @@
   for (int index = 0; index < 100; ++index) {
     crowd.push_back(std::make_unique<raw_client>(target));
     crowd.back()->Send(kChunkedHeader);
-    crowd.back()->Send(std::string_view(part).substr(0, part.size() - 5));
+    crowd.back()->Send(part.substr(0, part.size() - 5));
     const auto result =
         CallAndWait(*client, {.method = "POST",
                               .url = "http://127.0.0.1:" + std::to_string(target.port()) + "/",
