--- a/tools/coltsfoot-scheduler/main.cc
+++ b/tools/coltsfoot-scheduler/main.cc
@@ -37,8 +37,7 @@
     "effect),\nprocessor_share and processor_speed of the host (1). Filling tasks, in thousandths "
     "of the headroom of\nthe serving tasks on the same worker: filling_peak_permille (1000), "
     "filling_present_permille (600), after\nfilling_relaxed_after_ms (1500); serving_use_permille "
-    "(500).
-Limits on what callers and peers make the process hold: see docs/operators.md.";
+    "(500).\nLimits on what callers and peers make the process hold: see docs/operators.md.";
 constexpr core::milliseconds kTick{40};
 // Minimum time between ticks that events trigger, so that reports of many agents that arrive
 // together are handled in one tick. Far below any delay that callers notice.
