http: connections that have just begun are closed last; callers beyond the limit get a refusal

Cause: at the limit of connections the oldest unfinished request was closed before any idle connection, also if it had begun a moment ago and was an ordinary one. The limit of 4,096 requests in progress was above the number of connections, so slow complete requests could hold all of them and callers beyond got a closed connection in place of a refusal. The fixed shares of connections could take all held bytes (max_connections high or memory low), after which each arriving request was closed. Without descriptors a server named one connection after the other before another thread had closed the first. A part of "100 Continue" could be sent.

Change: the order is unfinished for a second or more, longest idle, then younger ones; by default three quarters of the connections may have a request in progress; the ledger allows no more connections than a fifth of the bytes has shares for; a pause of 1 ms after a connection was named for its descriptor; a connection that took a part of the line is closed. max_connections is at most 10,000, since each new connection at the limit looks at all others.

The test of the order of closures let the unfinished request be 0 ms old; it is now 1 s old, as the rule asks, and a test for younger ones is added.

--- a/libs/http/include/http/ingress_ledger.h
+++ b/libs/http/include/http/ingress_ledger.h
@@ -45,6 +45,10 @@
 /// the descriptors, at most 2,000. Unknown values count as 256 MiB and 1,024 descriptors.
 ingress_limits LimitsFor(host_limits host);
 
+/// @return the default limit of requests in progress: three quarters of the connections, so that
+/// callers beyond it still get a connection and a refusal.
+std::size_t RequestsInProgressFor(std::size_t connections);
+
 /// Number of a connection; unique over all ports of the process.
 using connection_id = std::uint64_t;
 
@@ -90,15 +94,17 @@
 /// Load that it answers: many connections that stay open, unfinished requests, bodies in tiny
 /// chunks, more complete requests than the process can work on, and answers that are not read.
 /// Events of connections go in, connections to close and refusals come out. At a limit the
-/// connection that takes most is closed and not the newest: at the limit of connections the oldest
-/// unfinished request of the address with the most connections, then the longest idle one; at the
-/// limit of bytes the largest unfinished request or unread answer of the address that holds most of
-/// them. A connection whose complete request is in progress is never chosen, since its caller could
-/// not know whether the request ran.
+/// connection that takes most is closed and not the newest: at the limit of connections, of the
+/// address with the most of them, the oldest request that is unfinished for a second or more, then
+/// the longest idle connection, then the oldest of those that are younger; at the limit of bytes
+/// the largest unfinished request or unread answer of the address that holds most of them. A
+/// connection whose complete request is in progress is never chosen, since its caller could not
+/// know whether the request ran.
 ///
 /// A connection that a call names is forgotten at once; later events of it are ignored.
 class ingress_ledger {
  public:
+  /// @param limits connections whose fixed shares exceed a fifth of the held bytes are not allowed.
   explicit ingress_ledger(const ingress_limits& limits);
 
   /// A connection was accepted.
@@ -126,7 +132,7 @@
   /// The connection ended.
   void Close(connection_id id);
   /// The process has no descriptor left: names one connection to close.
-  void FreeDescriptor(std::vector<closure>& closures);
+  void FreeDescriptor(core::mono_time now, std::vector<closure>& closures);
   /// Names the connections that are past one of the limits on time.
   void Tick(core::mono_time now, std::vector<closure>& closures);
 
@@ -173,7 +179,8 @@
   void Forget(connection_table::iterator entry);
   void Name(connection_table::iterator entry, limit_reason reason, std::vector<closure>& closures);
   bool CloseForConnections(port_class port, const address_table::const_iterator* only,
-                           limit_reason reason, std::vector<closure>& closures);
+                           limit_reason reason, core::mono_time now,
+                           std::vector<closure>& closures);
   void CloseForBytes(port_class port, std::vector<closure>& closures);
   std::optional<limit_reason> Overdue(const connection& entry, core::mono_time now) const;
 
--- a/libs/http/src/connection.cc
+++ b/libs/http/src/connection.cc
@@ -132,10 +132,13 @@
 }
 
 void connection::SendContinue() {
-  // A client that does not get this line sends the body after a pause of its own.
   boost::system::error_code failure;
-  socket_.write_some(boost::asio::buffer(kContinue.data(), kContinue.size()), failure);
-  if (failure && !IsWouldBlock(failure)) Close();
+  const std::size_t count =
+      socket_.write_some(boost::asio::buffer(kContinue.data(), kContinue.size()), failure);
+  // A client that does not get this line sends the body after a pause of its own. After a part of
+  // the line it could not tell where the answer begins.
+  const bool whole_or_none = count == kContinue.size() || IsWouldBlock(failure);
+  if (!whole_or_none) Close();
 }
 
 void connection::Deliver(std::size_t following_bytes) {
--- a/libs/http/src/ingress.cc
+++ b/libs/http/src/ingress.cc
@@ -157,7 +157,7 @@
 bool ingress::FreeDescriptor(core::mono_time now) {
   std::vector<closure> closures;
   std::unique_lock lock(mutex_);
-  ledger_.FreeDescriptor(closures);
+  ledger_.FreeDescriptor(now, closures);
   Apply(lock, closures, now);
   return !closures.empty();
 }
--- a/libs/http/src/ingress_ledger.cc
+++ b/libs/http/src/ingress_ledger.cc
@@ -13,13 +13,39 @@
 constexpr std::size_t kMaxConnections = 2000;
 constexpr std::size_t kMinConnections = 8;
 constexpr std::size_t kMaxReserveConnections = 64;
-constexpr std::size_t kMaxRequestsInProgress = 4096;
-/// Complete requests may take this part of the held bytes, in percent; the rest stays for requests
-/// that are still arriving.
+/// Requests in progress may take this part of the connections, in percent. A connection with a
+/// request in progress is never closed, so the others leave room for callers that get a refusal.
+constexpr std::size_t kInProgressPercent = 75;
+/// Complete requests may take this part of the held bytes, in percent.
 constexpr std::size_t kCompletePercent = 75;
+/// Connections may take this part of the held bytes with their fixed shares, in percent. What both
+/// parts leave is for requests that are still arriving.
+constexpr std::size_t kConnectionSharePercent = 20;
 /// A caller that is refused at a limit comes back after this time, in which the requests in
 /// progress of any other caller have ended.
 constexpr std::chrono::seconds kRetryAfter{1};
+/// A connection that opened, began a request or made progress within this time may be an ordinary
+/// one, whose request is complete within milliseconds.
+constexpr core::milliseconds kYoungTime{1000};
+
+}  // namespace
+
+std::size_t RequestsInProgressFor(std::size_t connections) {
+  return std::max<std::size_t>(connections * kInProgressPercent / 100, 1);
+}
+
+namespace {
+
+/// @return `share` with no more connections than its bytes allow.
+ingress_share WithinBytes(ingress_share share) {
+  const std::size_t allowed =
+      share.held_bytes / 100 * kConnectionSharePercent / ingress_ledger::kConnectionBytes;
+  if (share.connections <= allowed) return share;
+  share.connections = std::max<std::size_t>(allowed, 1);
+  share.requests_in_progress =
+      std::min(share.requests_in_progress, RequestsInProgressFor(share.connections));
+  return share;
+}
 
 }  // namespace
 
@@ -32,10 +58,12 @@
   ingress_limits out;
   out.callers = {.connections = connections,
                  .held_bytes = held - held / 8,
-                 .requests_in_progress = kMaxRequestsInProgress};
+                 .requests_in_progress = RequestsInProgressFor(connections)};
   const std::size_t reserved =
       std::clamp(host.descriptors / 16, kMinConnections / 2, kMaxReserveConnections);
-  out.reserve = {.connections = reserved, .held_bytes = held / 8, .requests_in_progress = reserved};
+  out.reserve = {.connections = reserved,
+                 .held_bytes = held / 8,
+                 .requests_in_progress = RequestsInProgressFor(reserved)};
   return out;
 }
 
@@ -69,7 +97,10 @@
   return "unknown";
 }
 
-ingress_ledger::ingress_ledger(const ingress_limits& limits) : limits_(limits) {}
+ingress_ledger::ingress_ledger(const ingress_limits& limits) : limits_(limits) {
+  limits_.callers = WithinBytes(limits_.callers);
+  limits_.reserve = WithinBytes(limits_.reserve);
+}
 
 const ingress_share& ingress_ledger::ShareOf(port_class port) const noexcept {
   return port == port_class::callers ? limits_.callers : limits_.reserve;
@@ -120,13 +151,15 @@
 }
 
 bool ingress_ledger::CloseForConnections(port_class port, const address_table::const_iterator* only,
-                                         limit_reason reason, std::vector<closure>& closures) {
-  // Ordered by: already refused; address with most connections; unfinished before idle; oldest.
-  const auto rank = [](const connection& entry) {
-    const bool idle = entry.state == phase::idle;
+                                         limit_reason reason, core::mono_time now,
+                                         std::vector<closure>& closures) {
+  // Ordered by: already refused; address with most connections; not young; unfinished before idle;
+  // oldest.
+  const auto rank = [now](const connection& entry) {
+    const bool young = now - entry.since < kYoungTime;
     return std::tuple(entry.state != phase::lingering,
-                      -static_cast<std::int64_t>(entry.address->second.connections), idle,
-                      entry.since);
+                      -static_cast<std::int64_t>(entry.address->second.connections), young,
+                      !young && entry.state == phase::idle, entry.since);
   };
   auto chosen = table_.end();
   for (auto entry = table_.begin(); entry != table_.end(); ++entry) {
@@ -168,10 +201,10 @@
   const std::size_t by_address = limits_.connections_per_address;
   if (port == port_class::callers && by_address != 0 && place->second.connections > by_address) {
     const address_table::const_iterator only = place;
-    refused = !CloseForConnections(port, &only, limit_reason::address_connections, closures);
+    refused = !CloseForConnections(port, &only, limit_reason::address_connections, now, closures);
   }
   if (!refused && use.connections > ShareOf(port).connections) {
-    refused = !CloseForConnections(port, nullptr, limit_reason::connections, closures);
+    refused = !CloseForConnections(port, nullptr, limit_reason::connections, now, closures);
   }
   const auto entry = table_.try_emplace(id).first;
   entry->second = {.port = port, .state = phase::idle, .bytes = 0, .since = now, .address = place};
@@ -241,8 +274,8 @@
   if (entry != table_.end()) Forget(entry);
 }
 
-void ingress_ledger::FreeDescriptor(std::vector<closure>& closures) {
-  CloseForConnections(port_class::callers, nullptr, limit_reason::descriptors, closures);
+void ingress_ledger::FreeDescriptor(core::mono_time now, std::vector<closure>& closures) {
+  CloseForConnections(port_class::callers, nullptr, limit_reason::descriptors, now, closures);
 }
 
 std::optional<limit_reason> ingress_ledger::Overdue(const connection& entry,
--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -30,6 +30,10 @@
 /// Pause before the next attempt when no descriptor or kernel memory is left for a connection, and
 /// no connection can be closed for it.
 constexpr std::chrono::milliseconds kAcceptPause{50};
+/// Pause after a connection was named for its descriptor. Another thread may have to close it, and
+/// an attempt before that would name one more. Short, since a crowd that waits to be accepted
+/// delays an ordinary caller by this time for each of its connections.
+constexpr std::chrono::milliseconds kClosePause{1};
 /// Kernel buffers of a connection, in bytes; the kernel doubles them. Bytes that the server has not
 /// read and answers that a client has not read count as memory of the process.
 constexpr int kSocketBufferBytes = 32 << 10;
@@ -163,15 +167,7 @@
     if (failure == asio::error::no_descriptors || failure == asio::error::no_buffer_space ||
         failure == asio::error::no_memory ||
         failure == boost::system::errc::too_many_files_open_in_system) {
-      if (limits_->FreeDescriptor(Now())) {
-        // Runs after the close that was posted. Without a pause, so that a crowd that waits to be
-        // accepted delays an ordinary caller as little as possible.
-        asio::post(workers_.front()->context, [this] {
-          if (acceptor_->is_open()) Accept();
-        });
-        return;
-      }
-      accept_timer_->expires_after(kAcceptPause);
+      accept_timer_->expires_after(limits_->FreeDescriptor(Now()) ? kClosePause : kAcceptPause);
       accept_timer_->async_wait([this](const error_code& stopped) {
         if (!stopped && acceptor_->is_open()) Accept();
       });
--- a/libs/http/tests/ingress_ledger_test.cc
+++ b/libs/http/tests/ingress_ledger_test.cc
@@ -74,6 +74,12 @@
   CHECK(large.callers.connections == 2000);
   CHECK(large.callers.held_bytes + large.reserve.held_bytes == 24 * kMiB);
   CHECK(LimitsFor({}) == LimitsFor({.memory_bytes = 256 * kMiB, .descriptors = 1024}));
+  for (const ingress_limits& limits : {small, large, LimitsFor({.descriptors = 1})}) {
+    for (const ingress_share& share : {limits.callers, limits.reserve}) {
+      CHECK(share.requests_in_progress > 0);
+      CHECK(share.requests_in_progress <= share.connections * 3 / 4);
+    }
+  }
 }
 
 // Guards against a crowd of unfinished bodies that takes the place of ordinary requests, and
@@ -109,6 +115,7 @@
   for (int index = 0; index < 49; ++index) crowd.push_back(test.Open("10.0.0.9"));
   test.now += core::milliseconds{5};
   test.Receive(crowd[7], 100);
+  test.now += core::milliseconds{1000};
   const connection_id newcomer = test.Open("10.0.0.2");
   CHECK_FALSE(test.IsOpen(crowd[7]));
   const connection_id second = test.Open("10.0.0.3");
@@ -118,6 +125,64 @@
   CHECK(test.ledger.connections() == 50);
 }
 
+// Guards against the loss of an ordinary request that is just arriving, in place of a connection
+// that has been idle or unfinished for long.
+TEST_CASE("at the limit of connections those that have just begun are closed last") {
+  fixture test;
+  const connection_id idle = test.Open("10.0.0.9");
+  const connection_id unfinished = test.Open("10.0.0.9");
+  test.now += core::milliseconds{1};
+  test.Receive(unfinished, 100);
+  test.now += core::milliseconds{5000};
+  std::vector<connection_id> arriving;
+  while (test.open.size() < 50) {
+    test.now += core::milliseconds{1};
+    arriving.push_back(test.Open("10.0.0.9"));
+    test.Receive(arriving.back(), 100);
+  }
+  const connection_id opened = test.Open("10.0.0.9");
+  CHECK_FALSE(test.IsOpen(unfinished));
+  CHECK(test.IsOpen(idle));
+  test.Open("10.0.0.9");
+  CHECK_FALSE(test.IsOpen(idle));
+  CHECK(test.IsOpen(arriving.front()));
+  // The first bytes of the connection that has just opened may still be on their way.
+  test.Open("10.0.0.9");
+  CHECK_FALSE(test.IsOpen(arriving.front()));
+  CHECK(test.IsOpen(opened));
+}
+
+// Guards against slow complete requests that hold every connection, so that callers beyond get no
+// answer at all.
+TEST_CASE("a crowd of complete requests leaves connections on which callers are refused") {
+  const ingress_limits limits = LimitsFor({.memory_bytes = 96 * kMiB, .descriptors = 256});
+  fixture test(limits);
+  std::size_t taken = 0;
+  for (std::size_t index = 0; index < 2 * limits.callers.connections; ++index) {
+    if (!test.Complete(test.Open("10.0.0.9"), kKiB)) ++taken;
+  }
+  CHECK(taken == limits.callers.requests_in_progress);
+  CHECK(test.ledger.requests_in_progress() == taken);
+  const connection_id caller = test.Open("10.0.0.1");
+  REQUIRE(test.IsOpen(caller));
+  const auto refused = test.Complete(caller, kKiB);
+  REQUIRE(refused);
+  CHECK(refused->reason == limit_reason::requests_in_progress);
+  CHECK(test.IsOpen(caller));
+}
+
+// Guards against idle connections whose shares take all bytes, so that no request may arrive.
+TEST_CASE("idle connections leave bytes for an ordinary request") {
+  ingress_limits limits = SmallLimits();
+  limits.callers = {.connections = 5000, .held_bytes = kMiB, .requests_in_progress = 4};
+  fixture test(limits);
+  for (int index = 0; index < 2000; ++index) test.Open("10.0.0.9");
+  const connection_id caller = test.Open("10.0.0.1");
+  test.Receive(caller, 4 * kKiB);
+  REQUIRE(test.IsOpen(caller));
+  CHECK_FALSE(test.Complete(caller, 4 * kKiB));
+}
+
 // Guards against a crowd on one kind of port that keeps the other from its answers.
 TEST_CASE("each class of ports has its own share") {
   fixture test;
--- a/libs/program/src/ingress_settings.cc
+++ b/libs/program/src/ingress_settings.cc
@@ -11,7 +11,8 @@
 
 constexpr settings::range kMemoryMb{0, 16'777'216};
 constexpr settings::range kDescriptors{0, std::numeric_limits<std::int32_t>::max()};
-constexpr settings::range kConnections{1, 1'000'000};
+/// At its limit the ledger looks at each connection for every new one, so the limit is bounded.
+constexpr settings::range kConnections{1, 10'000};
 constexpr settings::range kConnectionsPerAddress{0, 1'000'000};
 constexpr settings::range kRequestTimeMs{100, 3'600'000};
 constexpr settings::range kRequests{1, 1'000'000};
@@ -48,8 +49,8 @@
       ReadSize(source, "connections_per_address", kConnectionsPerAddress, 0);
   out.request_time = core::milliseconds{
       source.Number("request_time_ms", kRequestTimeMs, out.request_time.count())};
-  out.callers.requests_in_progress =
-      ReadSize(source, "max_requests_in_progress", kRequests, out.callers.requests_in_progress);
+  out.callers.requests_in_progress = ReadSize(source, "max_requests_in_progress", kRequests,
+                                              http::RequestsInProgressFor(out.callers.connections));
   const std::size_t held_mb = ReadSize(source, "held_request_mb", kHeldMb, 0);
   if (held_mb != 0) out.callers.held_bytes = held_mb << 20U;
   return out;
--- a/libs/program/tests/ingress_settings_test.cc
+++ b/libs/program/tests/ingress_settings_test.cc
@@ -30,6 +30,8 @@
   CHECK(set.reserve == host.reserve);
   CHECK(set.connections_per_address == 3);
   CHECK(set.request_time == core::milliseconds{1500});
+  CHECK(Read("max_connections: 20\n").callers.requests_in_progress == 15);
+  Read("max_connections: 10001\n", 1);
   Read("max_connections: 0\nrequest_time_ms: 1\nheld_request_mb: 0\nmemory_mb: -1\n", 4);
 }
 
