http: tests of a server that drains and of answers after its end

Cause: no test covered a body that arrives while a process drains with several traffic threads, nor the count of connections that a server leaves in a shared ledger.

--- a/libs/http/tests/server_limits_test.cc
+++ b/libs/http/tests/server_limits_test.cc
@@ -304,4 +304,57 @@
   CHECK(kept.ReadToEnd().ends_with("GET "));
 }
 
+// Guards against requests that are lost while a process drains, and against new connections that
+// are accepted then.
+TEST_CASE("after StopAccepting open connections are answered, also a body that is still arriving") {
+  server target({.threads = 2}, Echo());
+  raw_client open(target);
+  open.Send(Post("1"));
+  CHECK(open.ReadAnswer().ends_with("POST 1"));
+  raw_client arriving(target);
+  arriving.Send("POST /x HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n");
+  CHECK(arriving.ReadAnswer() == "HTTP/1.1 100 Continue\r\n\r\n");
+  arriving.Send("la");
+  target.StopAccepting();
+  const auto client = MakeCurlClient();
+  const call fresh{.method = "GET",
+                   .url = "http://127.0.0.1:" + std::to_string(target.port()) + "/"};
+  // The traffic thread closes the listening socket soon after the call has returned.
+  while (CallAndWait(*client, fresh).answer) std::this_thread::sleep_for(core::milliseconds{1});
+  arriving.Send("te");
+  const std::string late = arriving.ReadToEnd();
+  CHECK(Contains(late, "Connection: close\r\n"));
+  CHECK(late.ends_with("POST late"));
+  open.Send(Post("2"));
+  CHECK(open.ReadToEnd().ends_with("POST 2"));
+  CHECK(target.idle());
+}
+
+// Guards against responders that use a server that has ended, and against a shared ledger that
+// still counts its connections.
+TEST_CASE("answers after the end of a server are ignored, and its connections are not counted") {
+  const auto limits = std::make_shared<ingress>(LimitsFor({}));
+  std::vector<std::promise<responder>> received(4);
+  std::atomic<std::size_t> handled{0};
+  std::vector<responder> kept;
+  {
+    server target({.threads = 2, .limits = limits}, [&](const request&, responder respond) {
+      received[handled++].set_value(std::move(respond));
+    });
+    std::vector<std::unique_ptr<raw_client>> clients;
+    for (auto& each : received) {
+      clients.push_back(std::make_unique<raw_client>(target));
+      clients.back()->Send(Post("x"));
+      kept.push_back(each.get_future().get());
+    }
+    CHECK_FALSE(target.idle());
+    target.ShutDown(core::milliseconds{1});
+    CHECK(target.idle());
+    kept.front()({});
+  }
+  for (const responder& respond : kept) respond({});
+  // Fails if the ledger still counts a connection.
+  CHECK_FALSE(limits->FreeDescriptor(std::chrono::steady_clock::now()));
+}
+
 }  // namespace coltsfoot::http
