jobs, runner, platform: no task starts in a zone that the operator evacuates

Change: entries read the operator's keys at the start and after missed changes, else with the watch of the configuration. The coordinator passes over workers in evacuated zones for placement, restarts, suspects and moves, and starts nothing while its view was confirmed longer ago than seven tenths of the bound. A start carries the time on the agent's clock after which it must not be sent to the target; the agent refuses it as `expired` and the task is placed again. An unanswered start is not repeated after that; the run works on if a later list shows it, otherwise it is stopped first. Without the setting `evacuation_bound_ms` nothing is read and nothing expires.

--- a/libs/jobs/include/jobs/coordinator.h
+++ b/libs/jobs/include/jobs/coordinator.h
@@ -19,6 +19,7 @@
 #include "jobs/queue_catalogue.h"
 #include "jobs/run_numbers.h"
 #include "jobs/worker_table.h"
+#include "jobs/zone_evacuations.h"
 #include "metrics/registry.h"
 #include "store/versioned_store.h"
 
@@ -89,6 +90,10 @@
   bool active() const noexcept { return term_ != 0; }
 
   void SetQueues(std::shared_ptr<const queue_catalogue> queues);
+  /// Starts no tasks in evacuated zones from now on, and none at all while the view is too old.
+  /// Without this call zones are not evacuated.
+  /// @param view must outlive this object.
+  void ObserveEvacuations(const zone_evacuations& view) { evacuations_ = &view; }
   /// Handles a change below `kInboxPrefix`: a job, a cancellation or an agent.
   void OnInboxChange(const store::key_change& change);
   void OnAgentConnected(const std::string& agent);
@@ -163,6 +168,12 @@
   /// Plans starts and moves, unless `plan_pacer_` asks for a pause.
   void PlanIfDue();
   void StartPlanned();
+  /// Marks the workers in evacuated zones.
+  void MarkEvacuated();
+  /// @return false while the view of evacuated zones is too old to place tasks by it.
+  bool KnowsEvacuations(core::mono_time now);
+  /// @return the time after which the agent must not send a start, on its clock, in ms; 0: none.
+  std::int64_t StartExpiry(const worker_row& worker) const;
   void MovePlanned();
   void LogFleet();
   void SendCommands();
@@ -173,7 +184,8 @@
   /// @return the commands for the worker that the next `SendCommands` sends.
   worker_commands& CommandsFor(worker_row& worker);
   static task_facts FactsOf(const run_id& run, const step_spec& step);
-  start_command MakeStart(const job_row& job, const run_id& run, const task_row& task) const;
+  start_command MakeStart(const job_row& job, const run_id& run, const task_row& task,
+                          const worker_row& worker) const;
   /// @return when a lease that is granted at `granted` has certainly expired at the target.
   core::mono_time LeaseBound(core::mono_time granted) const;
 
@@ -188,6 +200,9 @@
   std::shared_ptr<const queue_catalogue> queues_;
   job_table jobs_;
   worker_table workers_;
+  const zone_evacuations* evacuations_ = nullptr;  ///< null: zones are not evacuated
+  std::uint64_t evacuations_logged_ = 0;           ///< `changes` of the view when last logged
+  bool evacuations_current_ = true;
   headroom_model headroom_model_;
   crash_isolation isolation_;
   progress_writer progress_;
--- a/libs/jobs/include/jobs/messages.h
+++ b/libs/jobs/include/jobs/messages.h
@@ -85,6 +85,7 @@
   unhealthy,
   malformed,
   not_sent,  ///< the agent refused: target draining or of another incarnation, or no lease
+  expired,   ///< the agent refused: it is later than `start_command::expires_ms`
 };
 
 /// @return the reason's name in logs and metrics.
@@ -207,10 +208,13 @@
   std::string payload;
   std::string checkpoint;
   bool repeated = false;  ///< an earlier process of the agent may have sent it to the target
+  /// Time on the agent's monotonic clock, in ms, after which it must not send the start to the
+  /// target; 0: none.
+  std::int64_t expires_ms = 0;
   bool operator==(const start_command&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(facts, payload, checkpoint, repeated);
+    archive(facts, payload, checkpoint, repeated, expires_ms);
   }
 };
 
--- a/libs/jobs/include/jobs/planner.h
+++ b/libs/jobs/include/jobs/planner.h
@@ -69,6 +69,7 @@
 /// was checked on any worker.
 enum class wait_reason : std::uint8_t {
   no_worker,   ///< no worker accepts tasks of the service and has the label
+  evacuated,   ///< only workers in evacuated zones would
   room,        ///< not enough free processors, memory or accelerators
   spread,      ///< workers with room are at the step's limit of tasks per worker
   processors,  ///< filling tasks: no idle processors
@@ -146,6 +147,7 @@
   std::uint32_t usable = 0;       ///< workers that accept tasks
   std::uint32_t quarantined = 0;  ///< workers that get no tasks because tasks failed there
   std::uint32_t slowed = 0;       ///< workers with slowed filling tasks
+  std::uint32_t evacuated = 0;    ///< workers in evacuated zones
   std::int64_t cpu_millis = 0;
   std::int64_t committed_millis = 0;
   std::int64_t filling_millis = 0;
--- a/libs/jobs/include/jobs/worker_table.h
+++ b/libs/jobs/include/jobs/worker_table.h
@@ -32,6 +32,7 @@
   bool listed = false;
   bool absent = false;  ///< in the absence register; gets no lease before its removal is stored
   core::mono_time last_report_at;
+  std::int64_t last_report_sent_ms = 0;  ///< on the agent's clock
   core::mono_time known_since;
   target_state state = target_state::unknown;
   target_incarnation incarnation;
@@ -71,6 +72,7 @@
   core::mono_time last_start_at;  ///< when a start was last commanded in this term
   bool isolated = false;          ///< starts suspects only; see `crash_isolation`
   bool accepts_suspect = false;   ///< is isolated and has no run that may crash it
+  bool evacuated = false;         ///< the operator wants no further starts in its zone
 
   bool HasLabel(std::string_view label) const;
 };
--- a/libs/jobs/src/coordinator.cc
+++ b/libs/jobs/src/coordinator.cc
@@ -163,6 +163,7 @@
 void coordinator::PlanIfDue() {
   const core::mono_time began = time_.Now();
   if (!authority_.MayStart() || !plan_pacer_.IsDue(began)) return;
+  if (!KnowsEvacuations(began)) return;
   StartPlanned();
   MovePlanned();
   plan_pacer_.Record(began, time_.Now());
@@ -256,6 +257,7 @@
     job->held = !takeover_settled_ && job->accepted_revision < term_;
     if (job->copy_count > 0) job->last_running_at = now;
   }
+  MarkEvacuated();
   isolation_.Update(jobs_, workers_, now);
   const start_plan plan = Plan(jobs_, workers_, headroom_model_, now, options_.planner);
   metrics_.GetCounter("coltsfoot_plan_workers_total").Add(plan.workers_examined);
@@ -286,7 +288,7 @@
                          .command = commands.sequence,
                          .issued_at = now,
                          .progress_changed_at = now});
-    commands.starts.push_back(MakeStart(*ref->job, {id, run}, *ref->task));
+    commands.starts.push_back(MakeStart(*ref->job, {id, run}, *ref->task, worker));
     metrics_.GetCounter("coltsfoot_starts_total").Add();
   }
 }
@@ -326,9 +328,10 @@
   }
   const fleet_summary sum = Summarize(jobs_, workers_, now);
   spdlog::info(
-      "event=fleet workers={} usable={} avoided={} slowed={} cpu={} committed={} filling={} "
+      "event=fleet workers={} usable={} avoided={} slowed={} evacuated={} cpu={} committed={} "
+      "filling={} "
       "jobs={} waiting_tasks={} waiting_filling={} running={} waits={}",
-      workers_.size(), sum.usable, sum.quarantined, sum.slowed, sum.cpu_millis,
+      workers_.size(), sum.usable, sum.quarantined, sum.slowed, sum.evacuated, sum.cpu_millis,
       sum.committed_millis, sum.filling_millis, sum.open_jobs, sum.waiting_tasks,
       sum.waiting_filling, sum.running, waits);
 }
@@ -342,11 +345,12 @@
           .image = step.image};
 }
 
-start_command coordinator::MakeStart(const job_row& job, const run_id& run,
-                                     const task_row& task) const {
+start_command coordinator::MakeStart(const job_row& job, const run_id& run, const task_row& task,
+                                     const worker_row& worker) const {
   return {.facts = FactsOf(run, job.Spec(run.task.step)),
           .payload = job.record.spec.payload,
-          .checkpoint = task.progress.checkpoint};
+          .checkpoint = task.progress.checkpoint,
+          .expires_ms = StartExpiry(worker)};
 }
 
 worker_commands& coordinator::CommandsFor(worker_row& worker) {
--- a/libs/jobs/src/coordinator_reports.cc
+++ b/libs/jobs/src/coordinator_reports.cc
@@ -39,6 +39,7 @@
   }
   worker_row& worker = WorkerOf(report.agent);
   worker.last_report_at = time_.Now();
+  worker.last_report_sent_ms = report.sent_ms;
   worker.reported_on_connection = true;
   if (!std::exchange(worker.reported, true) && !worker.absent) {
     // The agent has seen this term, so no earlier coordinator can extend its lease any more.
@@ -388,7 +389,7 @@
     if (copy.running) {
       facts.push_back(FactsOf(run, ref.job->Spec(ref.step)));
     } else {
-      starts.push_back(MakeStart(*ref.job, run, *ref.task));
+      starts.push_back(MakeStart(*ref.job, run, *ref.task, worker));
       starts.back().repeated = true;
       copy.command = commands.sequence;
     }
--- a/libs/jobs/src/coordinator_term.cc
+++ b/libs/jobs/src/coordinator_term.cc
@@ -96,6 +96,7 @@
   isolation_.Clear();
   headroom_model_.Clear();
   commands_.clear();
+  evacuations_logged_ = 0;
   agents_.ForgetAll();
 }
 
--- a/libs/jobs/src/crash_isolation.cc
+++ b/libs/jobs/src/crash_isolation.cc
@@ -160,7 +160,7 @@
   std::size_t isolated = 0;
   std::vector<const worker_row*> candidates;
   for (const auto& [agent, worker] : workers) {
-    if (worker.service != service) continue;
+    if (worker.service != service || worker.evacuated) continue;
     ++all;
     if (isolated_.contains(agent)) {
       ++isolated;
--- a/libs/jobs/src/moves.cc
+++ b/libs/jobs/src/moves.cc
@@ -41,6 +41,8 @@
     if (row.state != target_state::ready || !row.connected) return std::nullopt;
     if (!spec.fills || copy.pace == 100) {
       if (now_ - copy.progress_changed_at < options_.stuck_after) return std::nullopt;
+      // Once stopped, the task could not even restart here.
+      if (row.evacuated && pass_.WorkersOf(job.queue.service).empty()) return std::nullopt;
       return move_reason::stuck;
     }
     if (!spec.checkpoints || copy.pace >= options_.min_pace) return std::nullopt;
--- a/libs/jobs/src/plan_pass.cc
+++ b/libs/jobs/src/plan_pass.cc
@@ -37,6 +37,7 @@
                      const planner_options& options)
     : model_(model), options_(options), now_(now) {
   for (auto& [agent, worker] : workers) {
+    if (worker.evacuated && worker.state == target_state::ready) evacuated_.push_back(&worker);
     if (!TakesTasks(worker, worker.service, now)) continue;
     (worker.isolated ? isolated_by_service_ : by_service_)[worker.service].push_back(&worker);
   }
@@ -50,6 +51,12 @@
   return Find(isolated_by_service_, service);
 }
 
+bool plan_pass::HasEvacuated(std::string_view service, std::string_view label) const {
+  return std::any_of(evacuated_.begin(), evacuated_.end(), [&](const worker_row* worker) {
+    return worker->service == service && (label.empty() || worker->HasLabel(label));
+  });
+}
+
 bool plan_pass::IsMostlyFree(const std::string& service) {
   const auto [place, added] = mostly_free_.try_emplace(service, false);
   if (!added) return place->second;
--- a/libs/jobs/src/plan_pass.h
+++ b/libs/jobs/src/plan_pass.h
@@ -38,6 +38,9 @@
   const std::vector<worker_row*>& WorkersOf(const std::string& service) const;
   /// @return the isolated workers of a service that accept tasks.
   const std::vector<worker_row*>& IsolatedWorkersOf(const std::string& service) const;
+  /// @return true if a worker in an evacuated zone belongs to the service and has the label.
+  /// @param label empty: none is needed.
+  bool HasEvacuated(std::string_view service, std::string_view label) const;
   /// @return true if less than `free_fleet_permille` of the service's processors is committed.
   bool IsMostlyFree(const std::string& service);
   /// @return the shares with one additional filling task of this step.
@@ -94,6 +97,7 @@
   core::mono_time now_;
   std::map<std::string, std::vector<worker_row*>> by_service_;
   std::map<std::string, std::vector<worker_row*>> isolated_by_service_;
+  std::vector<const worker_row*> evacuated_;
   std::unordered_map<const worker_row*, std::vector<serving_group>> groups_;
   std::unordered_map<std::string_view, group_budget> budgets_;  ///< by group
   std::unordered_map<std::string_view, std::uint32_t> image_indices_;
--- a/libs/jobs/src/planner.cc
+++ b/libs/jobs/src/planner.cc
@@ -130,6 +130,9 @@
     worker_row* best = nullptr;
     std::int64_t best_score = std::numeric_limits<std::int64_t>::min();
     wait_reason_ = wait_reason::no_worker;
+    if (pass_.HasEvacuated(job_.queue.service, spec_.label)) {
+      AdvanceWaitReason(wait_reason::evacuated);
+    }
     for (worker_row* worker : pass_.WorkersOf(job_.queue.service)) {
       if (!spec_.label.empty() && !worker->HasLabel(spec_.label)) continue;
       AdvanceWaitReason(wait_reason::room);
@@ -259,13 +262,15 @@
   return worker.connected && worker.reported_on_connection && worker.listed && !worker.absent &&
          worker.unknown_runs == 0 && worker.state == target_state::ready &&
          worker.service == service && now - worker.last_report_at < kReportLimit &&
-         now >= worker.quarantined_until;
+         now >= worker.quarantined_until && !worker.evacuated;
 }
 
 const char* ToString(wait_reason reason) noexcept {
   switch (reason) {
     case wait_reason::no_worker:
       return "no_worker";
+    case wait_reason::evacuated:
+      return "evacuated";
     case wait_reason::room:
       return "room";
     case wait_reason::spread:
@@ -329,6 +334,7 @@
     if (TakesTasks(worker, worker.service, now)) ++sum.usable;
     if (worker.quarantined_until > now) ++sum.quarantined;
     if (worker.slowed > 0) ++sum.slowed;
+    if (worker.evacuated) ++sum.evacuated;
     sum.cpu_millis += worker.capacity.cpu_millis;
     sum.committed_millis += worker.committed.cpu_millis;
     sum.filling_millis += worker.filling_cpu;
--- a/libs/jobs/src/types.cc
+++ b/libs/jobs/src/types.cc
@@ -56,6 +56,8 @@
       return "malformed";
     case start_refusal::not_sent:
       return "not_sent";
+    case start_refusal::expired:
+      return "expired";
   }
   return "unknown";
 }
--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -110,6 +110,11 @@
   void OnStarted(const jobs::run_id& run, const command_reply& reply);
   /// Abandons waiting starts after the lease has expired: their tasks may already run elsewhere.
   void DropExpiredStarts();
+  /// Abandons the starts that are later than their coordinator allows. A run whose call got no
+  /// answer may work on: it is stopped only if a list that was asked for after the call lacks it.
+  void DropOverdueStarts();
+  /// @return true if the start must not be sent to the target any more.
+  static bool IsOverdue(const pending_start& start, core::mono_time now);
   /// Gives up a start. If an unanswered call may still be executed, the target is told to stop the
   /// run first, and the run is reported as starting until a list shows that it does not run.
   void Abandon(const jobs::run_id& run, pending_start& start, jobs::start_refusal reason);
@@ -160,6 +165,7 @@
   core::mono_time next_poll_;
   std::uint32_t failed_polls_ = 0;  ///< since the last answered poll
   core::mono_time last_answer_;
+  core::mono_time listed_at_;  ///< when the poll was sent that got the last lists
   bool has_lists_ = false;
   std::uint64_t listed_term_ = 0;  ///< term of the last answered poll
   std::vector<jobs::running_task> running_;
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -93,6 +93,7 @@
   failed_polls_ = 0;
   next_poll_ = time_.Now();
   last_answer_ = time_.Now();
+  listed_at_ = {};
   has_lists_ = false;
   ends_omitted_ = false;
   running_.clear();
@@ -195,6 +196,7 @@
         starts_.try_emplace(run, pending_start{.command = start, .unanswered = start.repeated})
             .first;
     place->second.term = commands.term;
+    place->second.command.expires_ms = start.expires_ms;
     const auto stop = stops_.find(run);
     if (stop != stops_.end() && stop->second.done) place->second.settled_at = time_.Now();
     // Commands delayed by a network partition: for the coordinator these runs have expired.
@@ -238,6 +240,7 @@
 
 void runner::SendCommands() {
   if (!announced_) return;
+  DropOverdueStarts();
   const core::mono_time now = time_.Now();
   for (auto& [run, stop] : stops_) {
     if (calls_in_flight_ >= kMaxCallsInFlight) return;
@@ -247,7 +250,7 @@
   for (auto& [run, start] : starts_) {
     if (calls_in_flight_ >= kMaxCallsInFlight) break;
     if (start.in_flight || start.settled_at || now < start.retry_at) continue;
-    if (stops_.contains(run)) continue;
+    if (stops_.contains(run) || IsOverdue(start, now)) continue;
     if (announced_->draining || target_left_) {
       abandoned.push_back(run);
       continue;
@@ -336,6 +339,23 @@
   }
 }
 
+bool runner::IsOverdue(const pending_start& start, core::mono_time now) {
+  const std::int64_t expires_ms = start.command.expires_ms;
+  return expires_ms != 0 && core::ToMs(now.time_since_epoch()) >= expires_ms;
+}
+
+void runner::DropOverdueStarts() {
+  const core::mono_time now = time_.Now();
+  std::vector<jobs::run_id> overdue;
+  for (const auto& [run, start] : starts_) {
+    if (!IsOverdue(start, now) || start.in_flight || start.abandoned || start.settled_at) continue;
+    if (!start.unanswered || listed_at_ > start.failed_at) overdue.push_back(run);
+  }
+  for (const jobs::run_id& run : overdue) {
+    Abandon(run, starts_.at(run), jobs::start_refusal::expired);
+  }
+}
+
 void runner::Abandon(const jobs::run_id& run, pending_start& start, jobs::start_refusal reason) {
   if (start.settled_at) return;
   if (!start.abandoned) start.abandoned = reason;
--- a/libs/runner/src/runner_lists.cc
+++ b/libs/runner/src/runner_lists.cc
@@ -74,6 +74,7 @@
     return;
   }
   last_answer_ = now;
+  listed_at_ = sent;
   last_reply_ = now;
   broken_at_ = {};
   runs_of_gone_.clear();
--- a/tools/coltsfoot-scheduler/main.cc
+++ b/tools/coltsfoot-scheduler/main.cc
@@ -19,7 +19,9 @@
 #include "jobs/leadership.h"
 #include "jobs/network.h"
 #include "jobs/store_health.h"
+#include "jobs/zone_evacuations.h"
 #include "platform/configuration.h"
+#include "platform/evacuation_watch.h"
 #include "platform/job_api.h"
 #include "platform/store_client.h"
 #include "program/program.h"
@@ -32,7 +34,9 @@
     "place tasks.\n"
     "Settings: id, front, ready, peer, metrics (IP:PORT), store (IP:PORT), task_lease_ms (5000),\n"
     "drain_ms (3000), config_bound_ms (2000: time within which a configuration change takes "
-    "effect),\nprocessor_share and processor_speed of the host (1). Filling tasks, in thousandths "
+    "effect),\nevacuation_bound_ms (none: time after which no task starts in a zone that the "
+    "operator evacuates),\nprocessor_share and processor_speed of the host (1). Filling tasks, in "
+    "thousandths "
     "of the headroom of\nthe serving tasks on the same worker: filling_peak_permille (1000), "
     "filling_present_permille (600), after\nfilling_relaxed_after_ms (1500); serving_use_permille "
     "(500).";
@@ -55,6 +59,7 @@
   core::milliseconds task_lease{0};
   core::milliseconds drain{0};
   core::milliseconds config_bound{0};
+  core::milliseconds evacuation_bound{0};  ///< 0: zones are not evacuated
   jobs::planner_options planner;
   double processors = 1;  ///< capacity of the host, in processors of reference speed
 };
@@ -90,6 +95,14 @@
   options.task_lease = core::milliseconds{source.Number("task_lease_ms", {1000, 60'000}, 5000)};
   options.drain = core::milliseconds{source.Number("drain_ms", {0, 60'000}, 3000)};
   options.config_bound = core::milliseconds{source.Number("config_bound_ms", {500, 60'000}, 2000)};
+  // Of a shorter bound, the share that no view may use is below the second for which a watch may
+  // miss changes.
+  options.evacuation_bound =
+      core::milliseconds{source.Number("evacuation_bound_ms", {3500, 60'000}, 0)};
+  // The same watch serves both bounds.
+  if (options.evacuation_bound.count() > 0) {
+    options.config_bound = std::min(options.config_bound, options.evacuation_bound);
+  }
   options.planner = ReadPlannerOptions(source);
   options.processors =
       source.PositiveDecimal("processor_share", 1) * source.PositiveDecimal("processor_speed", 1);
@@ -152,6 +165,12 @@
   }
 
   void Start() {
+    if (options_.evacuation_bound.count() > 0) {
+      evacuations_.emplace(options_.evacuation_bound, metrics_);
+      evacuation_watch_.emplace(time_, *storage_, *evacuations_);
+      coordinator_.ObserveEvacuations(*evacuations_);
+      queues_.SetFollower(*evacuation_watch_);
+    }
     queues_.Start();
     leadership_.Start();
   }
@@ -159,6 +178,7 @@
   void Tick() {
     leadership_.Tick();
     queues_.Tick();
+    if (evacuation_watch_) evacuation_watch_->Tick();
     agents_.Tick();
     peers_.Tick();
     coordinator_.Tick();
@@ -281,6 +301,8 @@
   jobs::agent_connections agents_;
   jobs::coordinator coordinator_;
   jobs::leadership leadership_;
+  std::optional<jobs::zone_evacuations> evacuations_;
+  std::optional<platform::evacuation_watch> evacuation_watch_;
   platform::configuration queues_;
   jobs::entry_peers peers_;
   jobs::job_service service_;
