--- a/test/simulation/scenario.cc
+++ b/test/simulation/scenario.cc
@@ -49,6 +49,14 @@
   }
 }
 
+/// Evacuates the zone of a worker or takes that back. Sometimes the view is not confirmed, so that
+/// starts on their way expire and no others follow.
+void ChangeEvacuation(simulated_fleet& fleet) {
+  const std::size_t index = fleet.random().Below(fleet.workers());
+  fleet.evacuations().Set(fmt::format("w{}", index), fleet.random().Below(2) == 0);
+  if (fleet.random().Below(3) > 0) fleet.evacuations().Confirm(fleet.now());
+}
+
 /// @return true if two targets crashed while they ran the same task of the job.
 bool MayBeGivenUp(const run_history& history, const std::string& job) {
   std::map<jobs::task_id, int> crashes;
@@ -65,6 +73,7 @@
   simulated_fleet fleet(kWorkers, seed);
   core::random_source& random = fleet.random();
   std::set<std::string> jobs;
+  if (mix.zones_evacuated) fleet.ObserveEvacuations();
   fleet.Pass(milliseconds{2000});
   for (std::size_t index = 0; index < kWorkers; ++index) {
     fleet.target(index).SetFaults(mix.commands);
@@ -80,13 +89,16 @@
       jobs.erase(id);
     }
     InjectFault(fleet, mix);
+    if (mix.zones_evacuated) ChangeEvacuation(fleet);
   }
   for (std::size_t index = 0; index < kWorkers; ++index) {
     fleet.target(index).SetFaults({});
     fleet.target(index).SetDraining(false);
   }
+  fleet.evacuations().Replace({});
   const core::mono_time limit = fleet.now() + kRecoveryLimit;
   while (!jobs.empty() && fleet.now() < limit) {
+    fleet.evacuations().Confirm(fleet.now());
     fleet.Pass(milliseconds{500});
     std::erase_if(jobs, [&](const std::string& job) {
       const auto state = fleet.StateOf(job);
--- a/test/simulation/scenario.h
+++ b/test/simulation/scenario.h
@@ -13,6 +13,7 @@
   bool targets_crash = false;
   bool targets_keep_names = false;
   bool targets_drain = false;
+  bool zones_evacuated = false;  ///< each worker is in a zone of its own
 };
 
 /// Half of the commands get no answer; most of these are executed seconds later.
--- a/test/simulation/simulated_fleet.cc
+++ b/test/simulation/simulated_fleet.cc
@@ -183,9 +183,15 @@
   coordinator_->SetQueues(std::make_shared<jobs::queue_catalogue>(
       1, std::vector<jobs::queue_config>{jobs::testing::TestQueue()},
       std::vector<jobs::service_config>{{"svc", false}}));
+  if (observes_evacuations_) coordinator_->ObserveEvacuations(evacuations_);
   coordinator_->BeginTerm(term_, inbox, progress);
 }
 
+void simulated_fleet::ObserveEvacuations() {
+  observes_evacuations_ = true;
+  if (coordinator_) coordinator_->ObserveEvacuations(evacuations_);
+}
+
 void simulated_fleet::Deliver(worker& each, std::function<void()> deliver) {
   if (each.connection == 0) return;
   // All messages held back by a cut arrive at its end, in order.
--- a/test/simulation/simulated_fleet.h
+++ b/test/simulation/simulated_fleet.h
@@ -41,6 +41,9 @@
   void Cut(std::size_t index, milliseconds duration);
   /// Replaces the coordinator; the next term begins after `downtime`.
   void ReplaceCoordinator(milliseconds downtime);
+  /// From now on the coordinator starts tasks by `evacuations()` only.
+  void ObserveEvacuations();
+  jobs::zone_evacuations& evacuations() noexcept { return evacuations_; }
   void Pass(milliseconds duration);
 
  private:
@@ -59,6 +62,9 @@
   };
   class connections;
 
+  // Short, so that many starts expire while calls get no answer.
+  static constexpr milliseconds kEvacuationBound{2000};
+
   void BeginTerm();
   void Step();
   void Dial(worker& each);
@@ -76,6 +82,8 @@
   std::vector<std::unique_ptr<worker>> workers_;
   std::unique_ptr<connections> connections_;
   std::unique_ptr<jobs::coordinator> coordinator_;
+  jobs::zone_evacuations evacuations_{kEvacuationBound, metrics_};
+  bool observes_evacuations_ = false;
   std::uint64_t term_ = 0;
   std::uint64_t next_connection_ = 1;
   core::mono_time next_tick_at_;
--- a/test/simulation/simulated_target.cc
+++ b/test/simulation/simulated_target.cc
@@ -91,7 +91,7 @@
   if (!up_) return std::nullopt;
   return runner::target_announcement{.incarnation = {name_, incarnation_},
                                      .service = "svc",
-                                     .zone = "z",
+                                     .zone = base_name_,
                                      .labels = {},
                                      .capacity = {16'000, 64'000, 0},
                                      .draining = draining_,
