runner: a start refused as expired is not run when it is repeated

Cause: an agent that reconnects may refuse a waiting start as expired while the coordinator's repetition with a later expiry is on its way. The coordinator has placed the task again when the repetition arrives, so the agent ran it a second time. Other refusals are unchanged.

--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -194,6 +194,9 @@
   /// Starts that were sent to a target of the present name and got no answer, and when they were
   /// last sent. The target, or its next incarnation under the same name, may still execute them.
   std::map<jobs::run_id, core::mono_time> unresolved_starts_;
+  /// Starts that were refused as expired, and when. The coordinator places their tasks again, so a
+  /// repetition that was on its way at that time must not run.
+  std::map<jobs::run_id, core::mono_time> expired_starts_;
   bool forgot_starts_ = false;  ///< the target has been gone since its last answer
   /// The target has restarted under its name.
   bool kept_name_ = false;
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -190,6 +190,10 @@
   if (ends_omitted_) KeepRunsWithUnlistedEnd(running_);
   for (const jobs::start_command& start : commands.starts) {
     const jobs::run_id& run = start.facts.run;
+    if (expired_starts_.contains(run)) {
+      Refuse(run, jobs::start_refusal::expired);
+      continue;
+    }
     facts_.insert_or_assign(run, start.facts);
     if (IsRunning(run)) continue;
     const auto place =
@@ -232,8 +236,9 @@
     DropExpiredStarts();
     if (now < late_lease_end_) StopRunsWithoutLease();
   }
-  std::erase_if(unresolved_starts_,
-                [&](const auto& each) { return now - each.second > kMaxCallDelay; });
+  const auto is_old = [&](const auto& each) { return now - each.second > kMaxCallDelay; };
+  std::erase_if(unresolved_starts_, is_old);
+  std::erase_if(expired_starts_, is_old);
   SendCommands();
   if (report_due_ || now >= next_report_) Report(report_due_ || now >= next_listing_);
 }
@@ -369,6 +374,7 @@
 }
 
 void runner::Refuse(const jobs::run_id& run, jobs::start_refusal reason) {
+  if (reason == jobs::start_refusal::expired) expired_starts_.insert_or_assign(run, time_.Now());
   refused_.push_back({run, reason});
   starts_.erase(run);
   report_due_ = true;
--- a/libs/runner/tests/late_start_test.cc
+++ b/libs/runner/tests/late_start_test.cc
@@ -60,6 +60,21 @@
   CHECK(test.Refusals() == test.one_expired);
 }
 
+// Guards against two runs of a task: the coordinator has placed it again when it learns of the
+// refusal, while a repetition that it sent before is on its way.
+TEST_CASE("a start that was refused as expired is refused again if it is repeated") {
+  expiry_fixture test;
+  test.Grant();
+  test.IssueStart(1, milliseconds{-1});
+  test.Pass(milliseconds{50});
+  REQUIRE(test.Refusals() == test.one_expired);
+  test.IssueStart(1, milliseconds{1000}, true);
+  test.Pass(milliseconds{50});
+  CHECK(test.target.starts.empty());
+  CHECK(test.Refusals().size() == 2);
+  CHECK(test.LastListing().starting.empty());
+}
+
 // Guards against an unanswered start that is repeated after its expiry, against stopping a run that
 // it began, and against a second run elsewhere while the target may still execute it.
 TEST_CASE("an unanswered start is not repeated after its expiry") {
