evacuation: keys are read again before an unconfirmed view is too old

Cause: the view of evacuated zones was confirmed by watches only. With the watch silent or cut again and again while the entry keeps its leader lease, the coordinator started nothing anywhere after seven tenths of the bound, also with no zone evacuated. A stuck task in an evacuated zone was stopped although only evacuated workers had its label. Change: a view that no watch has confirmed for half of the bound is read again; an idle watch confirms it within two fifths, so there is no call more in calm. The check of stuck tasks regards the label.

--- a/libs/jobs/include/jobs/zone_evacuations.h
+++ b/libs/jobs/include/jobs/zone_evacuations.h
@@ -22,6 +22,11 @@
   /// target.
   static constexpr int kUsablePermille = 700;
 
+  /// Share of the bound, in thousandths, after which a view is to be read again: above the two
+  /// fifths that an idle watch may take to confirm it, and early enough for an answer before the
+  /// view is too old.
+  static constexpr int kRefreshPermille = 500;
+
   /// @param bound time from the acknowledgement of an evacuation after which no task starts in the
   /// zone.
   zone_evacuations(core::milliseconds bound, metrics::registry& metrics);
@@ -39,6 +44,9 @@
   /// @return the time up to which tasks may start in the zones that are not in the view, also if
   /// one of them was evacuated just after the view was confirmed; zero if it never was confirmed.
   core::mono_time start_limit() const;
+  /// @return the time from which the keys are to be read although no change was missed; zero if the
+  /// view never was confirmed.
+  core::mono_time refresh_at() const;
   /// @return true if tasks may be placed by this view.
   bool IsCurrent(core::mono_time now) const { return now < start_limit(); }
   /// @return a number that differs after each change of the zones.
--- a/libs/jobs/src/moves.cc
+++ b/libs/jobs/src/moves.cc
@@ -42,7 +42,7 @@
     if (!spec.fills || copy.pace == 100) {
       if (now_ - copy.progress_changed_at < options_.stuck_after) return std::nullopt;
       // Once stopped, the task could not even restart here.
-      if (row.evacuated && pass_.WorkersOf(job.queue.service).empty()) return std::nullopt;
+      if (row.evacuated && !HasWorkerFor(job, spec)) return std::nullopt;
       return move_reason::stuck;
     }
     if (!spec.checkpoints || copy.pace >= options_.min_pace) return std::nullopt;
@@ -51,6 +51,13 @@
     return move_reason::slowed;
   }
 
+  bool HasWorkerFor(const job_row& job, const step_spec& spec) const {
+    const auto& workers = pass_.WorkersOf(job.queue.service);
+    return std::any_of(workers.begin(), workers.end(), [&](const worker_row* worker) {
+      return spec.label.empty() || worker->HasLabel(spec.label);
+    });
+  }
+
   /// Reserves idle processors on a worker where the task would not be slowed again.
   /// @return false if there is no such worker.
   bool ReserveElsewhere(const job_row& job, const step_spec& spec,
--- a/libs/jobs/src/zone_evacuations.cc
+++ b/libs/jobs/src/zone_evacuations.cc
@@ -41,4 +41,9 @@
   return *confirmed_at_ + bound_ * kUsablePermille / 1000;
 }
 
+core::mono_time zone_evacuations::refresh_at() const {
+  if (!confirmed_at_) return {};
+  return *confirmed_at_ + bound_ * kRefreshPermille / 1000;
+}
+
 }  // namespace coltsfoot::jobs
--- a/libs/jobs/tests/zone_evacuations_test.cc
+++ b/libs/jobs/tests/zone_evacuations_test.cc
@@ -81,6 +81,7 @@
   view.Confirm(read_at);
   CHECK(view.IsCurrent(read_at + milliseconds{3400}));
   CHECK_FALSE(view.IsCurrent(read_at + milliseconds{3500}));
+  CHECK(view.refresh_at() == read_at + milliseconds{2500});
   // Answers may overtake each other.
   view.Confirm(read_at - milliseconds{1000});
   CHECK(view.start_limit() == read_at + milliseconds{3500});
@@ -176,6 +177,23 @@
   CHECK(test.Starts().substr(0, 4) == "bbbb");
 }
 
+// Guards against a stuck task that loses its run although only evacuated workers have its label.
+TEST_CASE("a stuck task stays if all workers with its label are evacuated") {
+  zones_fixture test;
+  for (const char* agent : {"a-0", "a-1"}) {
+    test.fleet.Worker(agent).labels = {"disk"};
+    test.fleet.Report(agent);
+  }
+  test.Read({});
+  step_spec step = TestStep(1);
+  step.label = "disk";
+  test.fleet.Submit(kJob, {step});
+  REQUIRE(test.Starts() == "a");
+  test.Read({"a"});
+  test.Starts(milliseconds{6000});
+  CHECK(test.fleet.Worker("a-0").running.size() + test.fleet.Worker("a-1").running.size() == 1);
+}
+
 // Guards against a coordinator that starts tasks by a view that may miss an evacuation: because it
 // never read one, or because its watch has gone silent.
 TEST_CASE("no task starts without a current view") {
