--- a/libs/program/src/ingress_settings.cc
+++ b/libs/program/src/ingress_settings.cc
@@ -9,7 +9,8 @@
 namespace coltsfoot::program {
 namespace {
 
-constexpr settings::range kMemoryMb{0, 16'777'216};
+constexpr double kMaxMemoryMb = 16'777'216;
+constexpr double kBytesPerMb = 1U << 20U;
 constexpr settings::range kDescriptors{0, std::numeric_limits<std::int32_t>::max()};
 /// At its limit the ledger looks at each connection for every new one, so the limit is bounded.
 constexpr settings::range kConnections{1, 10'000};
@@ -34,7 +35,9 @@
 
 http::ingress_limits ReadIngressLimits(settings::reader& source) {
   http::host_limits host;
-  host.memory_bytes = ReadSize(source, "memory_mb", kMemoryMb, 0) << 20U;
+  // Platforms may grant a fraction; 0, the default, stands for an unknown size.
+  const double memory_mb = std::min(source.PositiveDecimal("memory_mb", 0), kMaxMemoryMb);
+  host.memory_bytes = static_cast<std::size_t>(memory_mb * kBytesPerMb);
   host.descriptors = ReadSize(source, "max_descriptors", kDescriptors, 0);
   // The lower of the two holds: the setting tells what the host grants, the other what the kernel
   // enforces.
--- a/libs/program/tests/ingress_settings_test.cc
+++ b/libs/program/tests/ingress_settings_test.cc
@@ -22,6 +22,8 @@
 TEST_CASE("limits on callers follow from the host and can be set") {
   const auto host = Read("memory_mb: 60\nmax_descriptors: 64\n");
   CHECK(host == http::LimitsFor({.memory_bytes = 60 * kMiB, .descriptors = 64}));
+  CHECK(Read("memory_mb: 60.5\nmax_descriptors: 64\n").callers.held_bytes >
+        host.callers.held_bytes);
   const auto set = Read(
       "memory_mb: 60\nmax_descriptors: 64\nmax_connections: 20\nconnections_per_address: 3\n"
       "request_time_ms: 1500\nmax_requests_in_progress: 7\nheld_request_mb: 2\n");
