--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -93,6 +93,7 @@
   failed_polls_ = 0;
   next_poll_ = time_.Now();
   last_answer_ = time_.Now();
+  listed_at_ = {};
   has_lists_ = false;
   ends_omitted_ = false;
   running_.clear();
@@ -189,12 +190,17 @@
   if (ends_omitted_) KeepRunsWithUnlistedEnd(running_);
   for (const jobs::start_command& start : commands.starts) {
     const jobs::run_id& run = start.facts.run;
+    if (expired_starts_.contains(run)) {
+      Refuse(run, jobs::start_refusal::expired);
+      continue;
+    }
     facts_.insert_or_assign(run, start.facts);
     if (IsRunning(run)) continue;
     const auto place =
         starts_.try_emplace(run, pending_start{.command = start, .unanswered = start.repeated})
             .first;
     place->second.term = commands.term;
+    place->second.command.expires_ms = start.expires_ms;
     const auto stop = stops_.find(run);
     if (stop != stops_.end() && stop->second.done) place->second.settled_at = time_.Now();
     // Commands delayed by a network partition: for the coordinator these runs have expired.
@@ -230,14 +236,16 @@
     DropExpiredStarts();
     if (now < late_lease_end_) StopRunsWithoutLease();
   }
-  std::erase_if(unresolved_starts_,
-                [&](const auto& each) { return now - each.second > kMaxCallDelay; });
+  const auto is_old = [&](const auto& each) { return now - each.second > kMaxCallDelay; };
+  std::erase_if(unresolved_starts_, is_old);
+  std::erase_if(expired_starts_, is_old);
   SendCommands();
   if (report_due_ || now >= next_report_) Report(report_due_ || now >= next_listing_);
 }
 
 void runner::SendCommands() {
   if (!announced_) return;
+  DropOverdueStarts();
   const core::mono_time now = time_.Now();
   for (auto& [run, stop] : stops_) {
     if (calls_in_flight_ >= kMaxCallsInFlight) return;
@@ -247,7 +255,7 @@
   for (auto& [run, start] : starts_) {
     if (calls_in_flight_ >= kMaxCallsInFlight) break;
     if (start.in_flight || start.settled_at || now < start.retry_at) continue;
-    if (stops_.contains(run)) continue;
+    if (stops_.contains(run) || IsOverdue(start, now)) continue;
     if (announced_->draining || target_left_) {
       abandoned.push_back(run);
       continue;
@@ -336,6 +344,23 @@
   }
 }
 
+bool runner::IsOverdue(const pending_start& start, core::mono_time now) {
+  const std::int64_t expires_ms = start.command.expires_ms;
+  return expires_ms != 0 && core::ToMs(now.time_since_epoch()) >= expires_ms;
+}
+
+void runner::DropOverdueStarts() {
+  const core::mono_time now = time_.Now();
+  std::vector<jobs::run_id> overdue;
+  for (const auto& [run, start] : starts_) {
+    if (!IsOverdue(start, now) || start.in_flight || start.abandoned || start.settled_at) continue;
+    if (!start.unanswered || listed_at_ > start.failed_at) overdue.push_back(run);
+  }
+  for (const jobs::run_id& run : overdue) {
+    Abandon(run, starts_.at(run), jobs::start_refusal::expired);
+  }
+}
+
 void runner::Abandon(const jobs::run_id& run, pending_start& start, jobs::start_refusal reason) {
   if (start.settled_at) return;
   if (!start.abandoned) start.abandoned = reason;
@@ -349,6 +374,7 @@
 }
 
 void runner::Refuse(const jobs::run_id& run, jobs::start_refusal reason) {
+  if (reason == jobs::start_refusal::expired) expired_starts_.insert_or_assign(run, time_.Now());
   refused_.push_back({run, reason});
   starts_.erase(run);
   report_due_ = true;
