wire: what the kernel holds unread for a crowd of peers stays below a quarter of a small host

Cause: the platform counts bytes that have arrived and were not read as memory of the process. 1,500 accepted connections with receive buffers of 384 KiB could hold more than a host of 128 MB has; the test's 100 connections with unfinished frames left 35 to 47 MB unread beside 55 MB resident.

Change: receive buffers of 64 KiB (128 KiB in the kernel), send buffers of 256 KiB, 256 connections by default. Only entries dial a listener, up to 60.

Result: 100 frames of 2 MiB short of a byte: 53 to 55 MB resident, 6 to 7 MB unread; 300 silent connections as before. unit_wire, unit_program, unit_jobs, unit_entry, unit_agent, platform_whole_path and failure_entry_loss pass.

--- a/libs/wire/include/wire/connection_ledger.h
+++ b/libs/wire/include/wire/connection_ledger.h
@@ -12,10 +12,11 @@
 namespace coltsfoot::wire {
 
 /// Limits on the accepted connections of one listener. Connections, bytes and times that processes
-/// of one deployment need stay below the defaults: up to 990 agents and 60 entries, and frames of
-/// up to `kMaxFrameBytes`.
+/// of one deployment need stay below the defaults: only entries dial, up to 60 of them, and send
+/// frames of up to `kMaxFrameBytes`.
 struct connection_limits {
-  std::size_t connections = 1500;
+  /// Few enough that full receive buffers of the kernel take a quarter of a host of 128 MB.
+  std::size_t connections = 256;
   /// Bytes of unfinished received frames and of unsent frames of all connections together.
   std::size_t bytes = 32U << 20U;
   /// Bytes that wait to be sent on one connection.
--- a/libs/wire/src/tcp_transport.cc
+++ b/libs/wire/src/tcp_transport.cc
@@ -22,9 +22,11 @@
 
 // Memory for a frame's payload before any byte of it has arrived. It doubles whenever it is full.
 constexpr std::size_t kFirstPayloadBytes = 4096;
-// Kernel buffers of an accepted connection. Large enough to send a frame at 200 Mbit/s with a round
-// trip of 12 ms, for which 300 kB are in flight.
-constexpr int kSocketBufferBytes = 384 << 10;
+// Kernel buffers of an accepted connection, which the kernel doubles. What has arrived and was not
+// read counts as memory of the process. Large enough to receive 80 Mbit/s and to send 300 Mbit/s
+// with a round trip of 6 ms.
+constexpr int kReceiveBufferBytes = 64 << 10;
+constexpr int kSendBufferBytes = 256 << 10;
 // Pause after the process could not accept a connection for lack of descriptors or memory.
 constexpr core::milliseconds kAcceptPause{50};
 
@@ -409,8 +411,8 @@
     acceptor.set_option(tcp::acceptor::reuse_address(true));
     // Accepted sockets inherit the sizes.
     asio::error_code ignored;
-    acceptor.set_option(tcp::socket::receive_buffer_size(kSocketBufferBytes), ignored);
-    acceptor.set_option(tcp::socket::send_buffer_size(kSocketBufferBytes), ignored);
+    acceptor.set_option(tcp::socket::receive_buffer_size(kReceiveBufferBytes), ignored);
+    acceptor.set_option(tcp::socket::send_buffer_size(kSendBufferBytes), ignored);
     acceptor.bind(address);
     acceptor.listen();
   }
