--- a/libs/http/include/http/ingress.h
+++ b/libs/http/include/http/ingress.h
@@ -34,7 +34,9 @@
   std::uint64_t AddPort(std::string name, port_class kind, closer close);
   /// After the return the closer of the port is not called any more.
   void RemovePort(std::uint64_t port);
-  /// @return the id of a connection.
+  /// @param port the number that `AddPort` returned.
+  /// @param number of the connection, unique on its port.
+  /// @return the id of the connection.
   static connection_id IdOf(std::uint64_t port, std::uint64_t number) noexcept {
     return (port << kPortShift) | number;
   }
@@ -48,6 +50,7 @@
   void Finish(connection_id id, core::mono_time now);
   void Linger(connection_id id, core::mono_time now);
   void Close(connection_id id);
+  /// Closes one connection of the callers' ports, for its descriptor.
   /// @return false if no connection can be closed.
   bool FreeDescriptor(core::mono_time now);
   /// Closes the connections that are past a limit on time; call it about once a second.
--- a/libs/http/include/http/ingress_ledger.h
+++ b/libs/http/include/http/ingress_ledger.h
@@ -58,18 +58,18 @@
 
 /// Why a connection was closed or a request was refused.
 enum class limit_reason : std::uint8_t {
-  connections,
-  address_connections,
-  held_bytes,
-  requests_in_progress,
-  request_time,
-  answer_time,
-  idle_time,
-  handle_time,
-  linger_time,
-  descriptors,
-  body_too_large,
-  malformed,
+  connections,           ///< number of connections of a class of ports
+  address_connections,   ///< number of connections of one address
+  held_bytes,            ///< bytes of all connections of a class of ports
+  requests_in_progress,  ///< complete requests that are not answered yet
+  request_time,          ///< a request was not complete in time
+  answer_time,           ///< the client did not read its answer
+  idle_time,             ///< no request for long; not a fault of the client
+  handle_time,           ///< the handler did not answer
+  linger_time,           ///< a refused client did not read its answer or close in time
+  descriptors,           ///< the process has no descriptor left to accept a connection
+  body_too_large,        ///< the body is above the server's limit
+  malformed,             ///< the request is not valid HTTP
 };
 
 /// @return the name of the reason as used in metrics and logs.
@@ -94,12 +94,12 @@
 /// Load that it answers: many connections that stay open, unfinished requests, bodies in tiny
 /// chunks, more complete requests than the process can work on, and answers that are not read.
 /// Events of connections go in, connections to close and refusals come out. At a limit the
-/// connection that takes most is closed and not the newest: at the limit of connections, of the
-/// address with the most of them, the oldest request that is unfinished for a second or more, then
-/// the longest idle connection, then the oldest of those that are younger; at the limit of bytes
-/// the largest unfinished request or unread answer of the address that holds most of them. A
-/// connection whose complete request is in progress is never chosen, since its caller could not
-/// know whether the request ran.
+/// connection that takes most is closed and not the newest. At the limit of connections that is one
+/// that was refused and lingers, then, of the address with the most connections, the oldest request
+/// that is unfinished for a second or more, then the longest idle connection, then the oldest of
+/// those that are younger; at the limit of bytes the largest unfinished request or unread answer of
+/// the address that holds most of them. A connection whose complete request is in progress is never
+/// chosen, since its caller could not know whether the request ran.
 ///
 /// A connection that a call names is forgotten at once; later events of it are ignored.
 class ingress_ledger {
@@ -131,7 +131,8 @@
   void Linger(connection_id id, core::mono_time now);
   /// The connection ended.
   void Close(connection_id id);
-  /// The process has no descriptor left: names one connection to close.
+  /// The process has no descriptor left: names one connection of the callers' ports to close, if
+  /// any can be closed.
   void FreeDescriptor(core::mono_time now, std::vector<closure>& closures);
   /// Names the connections that are past one of the limits on time.
   void Tick(core::mono_time now, std::vector<closure>& closures);
--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -40,7 +40,7 @@
 core::mono_time Now() { return std::chrono::steady_clock::now(); }
 
 /// One traffic thread with the connections that it serves.
-struct worker {
+struct traffic_thread {
   asio::io_context context{1};
   asio::steady_timer sweep{context};
   bool sweeping = false;
@@ -60,10 +60,10 @@
         handler_(std::move(handler)),
         limits_(options_.limits ? options_.limits : std::make_shared<ingress>(LimitsFor({}))) {
     for (std::size_t index = 0; index < std::max<std::size_t>(options_.threads, 1); ++index) {
-      workers_.push_back(std::make_unique<worker>());
+      traffic_threads_.push_back(std::make_unique<traffic_thread>());
     }
-    acceptor_.emplace(workers_.front()->context);
-    accept_timer_.emplace(workers_.front()->context);
+    acceptor_.emplace(traffic_threads_.front()->context);
+    accept_timer_.emplace(traffic_threads_.front()->context);
     Listen();
     port_number_ = limits_->AddPort(options_.port_name, options_.port_kind,
                                     [this](connection_id id) { CloseLater(id); });
@@ -72,8 +72,8 @@
   /// Starts the traffic threads. Not part of the constructor, because requests need
   /// `weak_from_this`.
   void Run() {
-    for (const auto& each : workers_) {
-      worker& own = *each;
+    for (const auto& each : traffic_threads_) {
+      traffic_thread& own = *each;
       own.shared.options = &options_;
       own.shared.limits = limits_.get();
       own.shared.closing = &closing_;
@@ -84,7 +84,7 @@
       own.shared.on_closed = [&own](connection_id id) { own.connections.erase(id); };
     }
     Accept();
-    for (const auto& own : workers_) {
+    for (const auto& own : traffic_threads_) {
       own->thread = std::thread([&context = own->context] {
         const auto guard = asio::make_work_guard(context);
         context.run();
@@ -100,7 +100,7 @@
 
   void StopAccepting() {
     closing_ = true;
-    asio::post(workers_.front()->context, [this] { CloseAcceptor(); });
+    asio::post(traffic_threads_.front()->context, [this] { CloseAcceptor(); });
   }
 
   bool idle() const { return in_progress_ == 0; }
@@ -118,12 +118,12 @@
     if (stopped_.exchange(true)) return;
     closing_ = true;
     limits_->RemovePort(port_number_);
-    for (const auto& own : workers_) own->context.stop();
-    for (const auto& own : workers_) {
+    for (const auto& own : traffic_threads_) own->context.stop();
+    for (const auto& own : traffic_threads_) {
       if (own->thread.joinable()) own->thread.join();
     }
     CloseAcceptor();
-    for (const auto& own : workers_) {
+    for (const auto& own : traffic_threads_) {
       const auto connections = std::move(own->connections);
       own->connections.clear();
       for (const auto& [id, open] : connections) open->Close();
@@ -150,18 +150,21 @@
     if (failure) spdlog::warn("event=close_failed reason=\"{}\"", failure.message());
   }
 
-  worker& WorkerOf(connection_id id) { return *workers_[id % workers_.size()]; }
+  traffic_thread& ThreadOf(connection_id id) {
+    return *traffic_threads_[id % traffic_threads_.size()];
+  }
 
   void Accept() {
     const connection_id id = ingress::IdOf(port_number_, ++last_connection_);
-    worker& own = WorkerOf(id);
+    traffic_thread& own = ThreadOf(id);
     acceptor_->async_accept(own.context, peer_,
                             [this, id, &own](const error_code& failure, tcp::socket accepted) {
                               OnAccepted(own, id, failure, std::move(accepted));
                             });
   }
 
-  void OnAccepted(worker& own, connection_id id, const error_code& failure, tcp::socket accepted) {
+  void OnAccepted(traffic_thread& own, connection_id id, const error_code& failure,
+                  tcp::socket accepted) {
     if (!acceptor_->is_open()) return;
     if (failure == asio::error::no_descriptors || failure == asio::error::no_buffer_space ||
         failure == asio::error::no_memory ||
@@ -173,7 +176,7 @@
       return;
     }
     if (!failure) {
-      if (&own == workers_.front().get()) {
+      if (&own == traffic_threads_.front().get()) {
         Add(own, id, std::move(accepted), peer_.address().to_string());
       } else {
         asio::post(own.context, [this, id, &own, socket = std::move(accepted),
@@ -186,7 +189,8 @@
     Accept();
   }
 
-  void Add(worker& own, connection_id id, tcp::socket accepted, const std::string& address) {
+  void Add(traffic_thread& own, connection_id id, tcp::socket accepted,
+           const std::string& address) {
     error_code failure;
     accepted.non_blocking(true, failure);
     if (!failure) accepted.set_option(tcp::no_delay(true), failure);
@@ -199,7 +203,7 @@
   }
 
   /// Looks for connections that are past a limit on time, as long as there are connections.
-  void Sweep(worker& own) {
+  void Sweep(traffic_thread& own) {
     own.sweep.expires_after(kSweepPeriod);
     own.sweep.async_wait([this, &own](const error_code& stopped) {
       if (stopped) return;
@@ -210,7 +214,7 @@
   }
 
   void CloseLater(connection_id id) {
-    worker& own = WorkerOf(id);
+    traffic_thread& own = ThreadOf(id);
     asio::post(own.context, [&own, id] {
       const auto found = own.connections.find(id);
       if (found == own.connections.end()) return;
@@ -219,7 +223,7 @@
     });
   }
 
-  void Deliver(worker& own, connection_id id, std::uint64_t number, request received) {
+  void Deliver(traffic_thread& own, connection_id id, std::uint64_t number, request received) {
     ++in_progress_;
     own.delivering = id;
     own.is_delivering = true;
@@ -237,7 +241,7 @@
     own.is_delivering = false;
   }
 
-  void Answer(worker& own, connection_id id, std::uint64_t number, response answer) {
+  void Answer(traffic_thread& own, connection_id id, std::uint64_t number, response answer) {
     auto send = [&own, id, number, answer = std::move(answer)]() mutable {
       const auto found = own.connections.find(id);
       if (found == own.connections.end()) return;
@@ -272,7 +276,7 @@
   std::atomic<std::size_t> in_progress_{0};
   std::mutex mutex_;
   std::condition_variable idle_;
-  std::vector<std::unique_ptr<worker>> workers_;
+  std::vector<std::unique_ptr<traffic_thread>> traffic_threads_;
   std::optional<tcp::acceptor> acceptor_;
   std::optional<asio::steady_timer> accept_timer_;
 };
--- a/libs/jobs/include/jobs/planner.h
+++ b/libs/jobs/include/jobs/planner.h
@@ -69,7 +69,7 @@
 /// was checked on any worker.
 enum class wait_reason : std::uint8_t {
   no_worker,   ///< no worker accepts tasks of the service and has the label
-  evacuated,   ///< only workers in evacuated zones would
+  evacuated,   ///< only workers in evacuated zones accept them and have the label
   room,        ///< not enough free processors, memory or accelerators
   spread,      ///< workers with room are at the step's limit of tasks per worker
   processors,  ///< filling tasks: no idle processors
--- a/tools/coltsfoot-agent/main.cc
+++ b/tools/coltsfoot-agent/main.cc
@@ -25,7 +25,8 @@
     "entries.\n"
     "Settings: id, region, zone, rack, http, udp, tcp (IP:PORT, port 0: chosen by the kernel),\n"
     "entries (list of the entries' UDP endpoints), heartbeat_ms (5000), lease_ttl_ms (15000),\n"
-    "announce_timeout_ms (3000), max_peer_connections, max_peer_bytes_mb.";
+    "announce_timeout_ms (3000), max_peer_connections, max_peer_bytes_mb.\n"
+    "Limits on what callers make the process hold: see docs/operators.md.";
 constexpr core::milliseconds kTick{20};
 constexpr core::milliseconds kHttpShutdownLimit{1000};
 constexpr core::milliseconds kFlushLimit{2000};
--- a/tools/coltsfoot-runner/main.cc
+++ b/tools/coltsfoot-runner/main.cc
@@ -31,7 +31,8 @@
     "(5000), max_task_lease_ms (longest lease that the target accepts, 10000).\nPaces of filling "
     "tasks: pace_least_headroom_permille (1120), pace_horizon_ms (600), "
     "pace_caution_permille\n(500), pace_least_budget_permille (220). "
-    "Limits on connections of entries: max_peer_connections, max_peer_bytes_mb.";
+    "Limits on connections of entries: max_peer_connections, max_peer_bytes_mb.\n"
+    "Limits on what callers make the process hold: see docs/operators.md.";
 constexpr core::milliseconds kTick{40};
 // Time for the last extension of the lease to reach the target before the process exits.
 constexpr core::milliseconds kStopDelay{60};
