http: a connection that the limit by address refuses is counted under that reason

Cause: with all connections of the address in progress, the new one was closed with reason connections, which points the operator to the wrong setting. Result: the added case fails without the change; unit_http passes.

--- a/libs/http/src/ingress_ledger.cc
+++ b/libs/http/src/ingress_ledger.cc
@@ -197,19 +197,23 @@
   ++place->second.connections;
   ++use.connections;
   use.bytes += kConnectionBytes;
-  bool refused = false;
+  std::optional<limit_reason> refused;
   const std::size_t by_address = limits_.connections_per_address;
   if (port == port_class::callers && by_address != 0 && place->second.connections > by_address) {
     const address_table::const_iterator only = place;
-    refused = !CloseForConnections(port, &only, limit_reason::address_connections, now, closures);
+    if (!CloseForConnections(port, &only, limit_reason::address_connections, now, closures)) {
+      refused = limit_reason::address_connections;
+    }
   }
   if (!refused && use.connections > ShareOf(port).connections) {
-    refused = !CloseForConnections(port, nullptr, limit_reason::connections, now, closures);
+    if (!CloseForConnections(port, nullptr, limit_reason::connections, now, closures)) {
+      refused = limit_reason::connections;
+    }
   }
   const auto entry = table_.try_emplace(id).first;
   entry->second = {.port = port, .state = phase::idle, .bytes = 0, .since = now, .address = place};
   if (refused) {
-    Name(entry, limit_reason::connections, closures);
+    Name(entry, *refused, closures);
     return;
   }
   CloseForBytes(port, closures);
--- a/libs/http/tests/ingress_ledger_test.cc
+++ b/libs/http/tests/ingress_ledger_test.cc
@@ -235,6 +235,11 @@
   CHECK_FALSE(test.IsOpen(oldest));
   CHECK(test.last_reason == limit_reason::address_connections);
   CHECK(test.IsOpen(other));
+  // With a request in progress on each connection of the address, the new one is closed.
+  for (connection_id id = oldest + 1; id <= test.last; ++id) test.Complete(id, 10);
+  test.last_reason = {};
+  CHECK_FALSE(test.IsOpen(test.Open("10.0.0.9")));
+  CHECK(test.last_reason == limit_reason::address_connections);
 }
 
 // Guards against answers that nobody reads and that fill the memory.
