simulation: late polls and announcements of targets that keep their names

The model of a target that restarts under its name had no late polls, and announced itself at once, so ends that are confirmed unread and starts between two incarnations could not show.

--- a/test/simulation/scenario.cc
+++ b/test/simulation/scenario.cc
@@ -75,6 +75,7 @@
   std::set<std::string> jobs;
   if (mix.zones_evacuated) fleet.ObserveEvacuations();
   fleet.Pass(milliseconds{2000});
+  fleet.SetAnnouncementDelay(mix.announcement_delay);
   for (std::size_t index = 0; index < kWorkers; ++index) {
     fleet.target(index).SetFaults(mix.commands);
   }
--- a/test/simulation/scenario.h
+++ b/test/simulation/scenario.h
@@ -12,12 +12,17 @@
   bool connections_fail = false;
   bool targets_crash = false;
   bool targets_keep_names = false;
+  milliseconds announcement_delay{0};  ///< longest time from a target's start to its announcement
   bool targets_drain = false;
   bool zones_evacuated = false;  ///< each worker is in a zone of its own
 };
 
 /// Half of the commands get no answer; most of these are executed seconds later.
 inline constexpr command_faults kLateCommands{.refused = 0, .unanswered = 0.1, .delayed = 0.4};
+/// As above, and some polls are late as well.
+inline constexpr command_faults kLateCalls{
+    .refused = 0, .unanswered = 0.1, .delayed = 0.4, .polls_delayed = 0.1};
+inline constexpr milliseconds kLateAnnouncement{1000};
 
 /// Submits and cancels jobs while faults happen, once for each of many seeds. Checks that no task
 /// runs twice and that all jobs that were not cancelled complete.
--- a/test/simulation/simulated_fleet.cc
+++ b/test/simulation/simulated_fleet.cc
@@ -213,6 +213,11 @@
   coordinator_->OnAgentConnected(each.name);
 }
 
+milliseconds simulated_fleet::DrawAnnouncementDelay() {
+  if (announcement_delay_.count() == 0) return announcement_delay_;
+  return milliseconds{random_.Below(static_cast<std::uint64_t>(announcement_delay_.count()))};
+}
+
 void simulated_fleet::Step() {
   events_.Advance(kStep);
   const core::mono_time now = time_.Now();
@@ -221,7 +226,8 @@
     Dial(*each);
     const bool booted = std::exchange(each->announced_incarnation, each->target->incarnation()) !=
                         each->target->incarnation();
-    if (!each->agent || (now < each->next_announcement_at && !booted)) continue;
+    if (booted) each->next_announcement_at = now + DrawAnnouncementDelay();
+    if (!each->agent || now < each->next_announcement_at) continue;
     each->next_announcement_at = now + kAnnouncementPeriod;
     if (const auto next = each->target->Announce()) each->agent->control().OnAnnouncement(*next);
   }
--- a/test/simulation/simulated_fleet.h
+++ b/test/simulation/simulated_fleet.h
@@ -44,6 +44,8 @@
   /// From now on the coordinator starts tasks by `evacuations()` only.
   void ObserveEvacuations();
   jobs::zone_evacuations& evacuations() noexcept { return evacuations_; }
+  /// From now on the first announcement of an incarnation comes up to this long after its start.
+  void SetAnnouncementDelay(milliseconds most) { announcement_delay_ = most; }
   void Pass(milliseconds duration);
 
  private:
@@ -67,6 +69,7 @@
 
   void BeginTerm();
   void Step();
+  milliseconds DrawAnnouncementDelay();
   void Dial(worker& each);
   /// Runs `deliver` when a message that is sent now arrives, if the connection is still open.
   void Deliver(worker& each, std::function<void()> deliver);
@@ -84,6 +87,7 @@
   std::unique_ptr<jobs::coordinator> coordinator_;
   jobs::zone_evacuations evacuations_{kEvacuationBound, metrics_};
   bool observes_evacuations_ = false;
+  milliseconds announcement_delay_{0};
   std::uint64_t term_ = 0;
   std::uint64_t next_connection_ = 1;
   core::mono_time next_tick_at_;
--- a/test/simulation/simulated_target.cc
+++ b/test/simulation/simulated_target.cc
@@ -149,9 +149,7 @@
     execute_here();
     leave_unanswered();
   } else if (drawn < faults_.refused + faults_.unanswered + faults_.delayed) {
-    const auto spread = static_cast<std::uint64_t>((faults_.max_delay - faults_.min_delay).count());
-    events_.After(faults_.min_delay + milliseconds{random_.Below(spread + 1)},
-                  [execute_here] { execute_here(); });
+    events_.After(DrawDelay(), [execute_here] { execute_here(); });
     leave_unanswered();
   } else {
     const auto reply = execute_here();
@@ -159,6 +157,11 @@
   }
 }
 
+milliseconds simulated_target::DrawDelay() {
+  const auto spread = static_cast<std::uint64_t>((faults_.max_delay - faults_.min_delay).count());
+  return faults_.min_delay + milliseconds{random_.Below(spread + 1)};
+}
+
 std::uint32_t simulated_target::ProgressOf(const run_record& run) const {
   constexpr std::int64_t kMaxWhileRunning = 99;
   const auto ran = events_.time().Now() - run.started_at;
@@ -227,21 +230,34 @@
   return Reply(command_status::ok);
 }
 
-void simulated_target::Poll(const runner::poll_call& call, const std::string& target,
-                            const lists_handler& done) {
-  const core::mono_time until = events_.time().Now() + call.wait;
-  if (!up_ || target != name_ || !AcceptsFence(call.fence)) {
-    events_.After(up_ ? kAnswerDelay : call.wait + kPollGrace, [done] { done(std::nullopt); });
-    return;
-  }
+bool simulated_target::ExecutePoll(const runner::poll_call& call, const std::string& target) {
+  if (!up_ || target != name_ || !AcceptsFence(call.fence)) return false;
   lease_until_ms_ = std::max(lease_until_ms_, call.lease_until_ms.value_or(0));
   for (run_record& run : history_) {
     if (!IsHere(run) || !run.ended_at || run.end_number > call.stored_end) continue;
     run.end_confirmed = true;
   }
-  events_.After(kAnswerDelay, [this, call, until, incarnation = incarnation_, done] {
-    AnswerPoll(call, until, incarnation, done);
-  });
+  return true;
+}
+
+void simulated_target::Poll(const runner::poll_call& call, const std::string& target,
+                            const lists_handler& done) {
+  const core::mono_time until = events_.time().Now() + call.wait;
+  const auto leave_unanswered = [&] {
+    events_.After(call.wait + kPollGrace, [done] { done(std::nullopt); });
+  };
+  if (up_ && faults_.polls_delayed > 0 && random_.Uniform() < faults_.polls_delayed) {
+    events_.After(DrawDelay(), [this, call, target] { ExecutePoll(call, target); });
+    leave_unanswered();
+  } else if (ExecutePoll(call, target)) {
+    events_.After(kAnswerDelay, [this, call, until, incarnation = incarnation_, done] {
+      AnswerPoll(call, until, incarnation, done);
+    });
+  } else if (up_) {
+    events_.After(kAnswerDelay, [done] { done(std::nullopt); });
+  } else {
+    leave_unanswered();
+  }
 }
 
 void simulated_target::AnswerPoll(const runner::poll_call& call, core::mono_time until,
--- a/test/simulation/simulated_target.h
+++ b/test/simulation/simulated_target.h
@@ -43,9 +43,10 @@
 
 /// Probabilities of what happens to a command.
 struct command_faults {
-  double refused = 0;     ///< refused as unhealthy, not executed
-  double unanswered = 0;  ///< executed at once, no answer
-  double delayed = 0;     ///< executed after `min_delay` to `max_delay`, no answer
+  double refused = 0;        ///< refused as unhealthy, not executed
+  double unanswered = 0;     ///< executed at once, no answer
+  double delayed = 0;        ///< executed after `min_delay` to `max_delay`, no answer
+  double polls_delayed = 0;  ///< polls that take effect after such a time, no answer
   milliseconds min_delay{2000};
   milliseconds max_delay{12'000};
 };
@@ -83,6 +84,9 @@
   void Receive(const std::string& target, const command& execute, const reply_handler& done);
   runner::command_reply ExecuteStart(const runner::start_call& call);
   runner::command_reply ExecuteStop(const jobs::run_id& run, std::uint64_t fence);
+  /// @return true if the target accepts the poll, which has taken effect then.
+  bool ExecutePoll(const runner::poll_call& call, const std::string& target);
+  milliseconds DrawDelay();
   void AnswerPoll(const runner::poll_call& call, core::mono_time until, std::uint64_t incarnation,
                   const lists_handler& done);
   /// @return the progress of a run in percent.
