--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -3,7 +3,6 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <chrono>
 #include <iterator>
 #include <utility>
 
@@ -16,9 +15,6 @@
 constexpr core::milliseconds kMinLease{400};
 // Delay before a command without a known outcome is sent again.
 constexpr core::milliseconds kCommandRetryDelay{100};
-// Far more than clocks of a fleet differ. A target that seems to start later than this would make
-// the runner ignore all later incarnations.
-constexpr std::chrono::hours kMaxStartAhead{24};
 // After this time a call without an answer is not executed any more.
 constexpr core::milliseconds kMaxCallDelay{15'000};
 
@@ -34,114 +30,6 @@
       pacer_(options_.pacing),
       earlier_calls_expire_at_(time.Now() + MaxDuration(options_.task_lease)) {}
 
-void runner::OnAnnouncement(const target_announcement& received) {
-  const std::chrono::milliseconds latest = time_.WallNow().time_since_epoch() + kMaxStartAhead;
-  if (received.incarnation.started_ms > static_cast<std::uint64_t>(latest.count())) {
-    spdlog::warn("event=announcement_refused target={} born={}", received.incarnation.name,
-                 received.incarnation.started_ms);
-    return;
-  }
-  if (announced_) {
-    const target_announcement& known = *announced_;
-    // Delayed announcement of an earlier incarnation, or one that arrived out of order.
-    if (received.incarnation.started_ms < known.incarnation.started_ms) return;
-    if (received.incarnation == known.incarnation && received.sequence <= known.sequence) return;
-  }
-  announced_at_ = time_.Now();
-  if (!announced_ || announced_->incarnation != received.incarnation) {
-    ChangeIncarnation(received);
-    return;
-  }
-  const bool changed = announced_->draining != received.draining || target_left_ ||
-                       announced_->capacity != received.capacity;
-  if (announced_->draining != received.draining) {
-    spdlog::info("event=target_state target={} draining={}", received.incarnation.name,
-                 received.draining);
-  }
-  if (announced_->address != received.address) target_.SetAddress(received.address);
-  announced_ = received;
-  target_left_ = false;
-  report_due_ = report_due_ || changed;
-}
-
-void runner::ChangeIncarnation(const target_announcement& announcement) {
-  spdlog::info("event=target_found target={} born={} service={} cpu={} memory_mb={}",
-               announcement.incarnation.name, announcement.incarnation.started_ms,
-               announcement.service, announcement.capacity.cpu_millis,
-               announcement.capacity.memory_mb);
-  // `crashed_` may hold runs of an earlier incarnation that no report has named yet.
-  for (const auto& [run, start] : starts_) {
-    if (start.in_flight) unresolved_starts_.insert_or_assign(run, time_.Now());
-  }
-  kept_name_ = announced_ && announced_->incarnation.name == announcement.incarnation.name;
-  if (!kept_name_) unresolved_starts_.clear();
-  late_lease_end_ = {};
-  crashed_.insert(crashed_.end(), runs_of_gone_.begin(), runs_of_gone_.end());
-  runs_of_gone_.clear();
-  refused_.clear();
-  CollectLostRuns(crashed_, refused_);
-  announced_ = announcement;
-  ++incarnation_count_;
-  target_left_ = false;
-  target_.SetAddress(announcement.address);
-  clock_offset_ms_.reset();
-  lease_end_ = {};
-  sent_lease_end_ = {};
-  stored_end_ = 0;
-  last_end_seen_ = 0;
-  polling_ = false;
-  failed_polls_ = 0;
-  next_poll_ = time_.Now();
-  last_answer_ = time_.Now();
-  listed_at_ = {};
-  has_lists_ = false;
-  ends_omitted_ = false;
-  running_.clear();
-  ended_.clear();
-  starts_.clear();
-  stops_.clear();
-  facts_.clear();
-  first_calls_.clear();
-  broken_at_ = {};
-  calls_in_flight_ = 0;
-  pacer_.Clear();
-  pace_calls_in_flight_.clear();
-  forgot_starts_ = false;
-  StopLateStarts();
-  report_due_ = true;
-}
-
-void runner::StopLateStarts() {
-  for (const auto& [run, sent] : unresolved_starts_) {
-    starts_.try_emplace(run, pending_start{.command = {.facts = {.run = run}},
-                                           .unanswered = true,
-                                           .abandoned = jobs::start_refusal::not_sent});
-    stops_.try_emplace(run);
-    spdlog::info("event=late_start_stopped target={} task={} run={}", announced_->incarnation.name,
-                 jobs::ToString(run.task), run.run);
-  }
-}
-
-void runner::StopRunsWithoutLease() {
-  for (const jobs::running_task& each : running_) {
-    const jobs::run_id run{each.task, each.run};
-    if (stops_.try_emplace(run).second) {
-      spdlog::info("event=run_stopped_without_lease task={} run={}", jobs::ToString(run.task),
-                   run.run);
-    }
-  }
-}
-
-void runner::OnLeave(const std::string& target) {
-  if (!announced_ || announced_->incarnation.name != target) return;
-  spdlog::info("event=target_left target={} draining={}", target, announced_->draining);
-  // A target announces that it drains before a planned shutdown. Without that announcement the
-  // message may be a delayed one of an earlier incarnation.
-  if (!announced_->draining) return;
-  target_left_ = true;
-  report_due_ = true;
-}
-
 bool runner::OnHello(std::uint64_t term) {
   if (term < term_) {
     spdlog::warn("event=coordinator_refused term={} newer_term={}", term, term_);
