runner: log polls that another incarnation answers, and refused fencing tokens

The logs could not tell whether ends were confirmed to an incarnation that nobody had read: an answer of another incarnation was dropped silently, and a poll refused for its fencing token looked like one without an answer. target_replaced now says which end the poll confirmed, fence_refused that the target has seen a higher token; poll_reply carries the latter.

--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -98,7 +98,9 @@
   /// Stops all runs of a target whose lease may be longer than the agent's, once that has expired.
   void StopRunsWithoutLease();
   void Poll();
-  void OnLists(const std::optional<target_lists>& lists, core::mono_time sent);
+  /// @param confirmed end up to which the poll confirmed ends.
+  void OnLists(const std::optional<target_lists>& lists, core::mono_time sent,
+               std::uint64_t confirmed);
   void ApplyLists(const target_lists& lists, core::mono_time sent);
   /// Keeps counting runs of the previous list, and those that the coordinator takes as running, as
   /// running if they are in neither list now: a full list of ends may omit theirs.
--- a/libs/runner/include/runner/target_client.h
+++ b/libs/runner/include/runner/target_client.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/clock.h"
@@ -73,6 +74,17 @@
   bool operator==(const target_lists&) const = default;
 };
 
+/// Answer to a poll.
+struct poll_reply {
+  poll_reply() = default;
+  // NOLINTNEXTLINE(google-explicit-constructor): lists are what a poll is for
+  poll_reply(std::optional<target_lists> read) : lists(std::move(read)) {}
+
+  std::optional<target_lists> lists;  ///< nothing: there was no usable answer
+  bool stale_fence = false;           ///< the target has seen a higher fencing token
+  bool operator==(const poll_reply&) const = default;
+};
+
 /// Sends calls to the target. Each handler runs exactly once on the control thread, never from
 /// within the call. Mocked in tests.
 class target_client {
@@ -85,9 +97,9 @@
   /// @param percent share of full speed at which the run may work.
   virtual void Pace(const jobs::run_id& run, std::uint32_t percent, std::uint64_t fence,
                     const std::string& target, std::function<void(command_reply)> done) = 0;
-  /// Reads the target's lists. The handler gets no value if there was no usable answer.
+  /// Reads the target's lists.
   virtual void Poll(const poll_call& call, const std::string& target,
-                    std::function<void(std::optional<target_lists>)> done) = 0;
+                    std::function<void(poll_reply)> done) = 0;
 };
 
 }  // namespace coltsfoot::runner
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -318,7 +318,7 @@
   const auto until = LeaseOnTargetClock();
   if (!until) return;
   target_.Poll({.fence = term_, .lease_until_ms = until, .stored_end = stored_end_},
-               announced_->incarnation.name, [](const std::optional<target_lists>&) {});
+               announced_->incarnation.name, [](const poll_reply&) {});
 }
 
 }  // namespace coltsfoot::runner
--- a/libs/runner/src/runner_lists.cc
+++ b/libs/runner/src/runner_lists.cc
@@ -37,14 +37,19 @@
   if (failed_polls_ == 0) call.lease_until_ms = LeaseOnTargetClock();
   if (call.lease_until_ms) sent_lease_end_ = std::max(sent_lease_end_, lease_end_);
   target_.Poll(call, announced_->incarnation.name,
-               [this, sent, wait = call.wait, term = term_,
-                incarnation = incarnation_count_](const std::optional<target_lists>& lists) {
+               [this, sent, wait = call.wait, confirmed = call.stored_end, term = term_,
+                incarnation = incarnation_count_](const poll_reply& reply) {
                  if (incarnation != incarnation_count_) return;
+                 const std::optional<target_lists>& lists = reply.lists;
+                 if (reply.stale_fence) {
+                   spdlog::warn("event=fence_refused target={} term={}",
+                                announced_->incarnation.name, term);
+                 }
                  if (lists && std::exchange(listed_term_, term) != term) report_due_ = true;
                  if (!lists && failed_polls_ == 0 && time_.Now() - sent < wait) {
                    broken_at_ = time_.Now();
                  }
-                 OnLists(lists, sent);
+                 OnLists(lists, sent, confirmed);
                });
 }
 
@@ -59,7 +64,8 @@
   clock_offset_ms_ = clock_ms - core::ToMs(time_.Now().time_since_epoch());
 }
 
-void runner::OnLists(const std::optional<target_lists>& lists, core::mono_time sent) {
+void runner::OnLists(const std::optional<target_lists>& lists, core::mono_time sent,
+                     std::uint64_t confirmed) {
   polling_ = false;
   const core::mono_time now = time_.Now();
   if (!lists) {
@@ -70,6 +76,9 @@
   }
   if (lists->started_ms && *lists->started_ms != announced_->incarnation.started_ms) {
     // New incarnation of the target whose announcement has not arrived yet.
+    spdlog::warn("event=target_replaced target={} born={} before={} confirmed_end={}",
+                 announced_->incarnation.name, *lists->started_ms,
+                 announced_->incarnation.started_ms, confirmed);
     next_poll_ = now + kFailedPollDelay;
     return;
   }
--- a/libs/runner/tests/runner_fixture.h
+++ b/libs/runner/tests/runner_fixture.h
@@ -36,7 +36,7 @@
   void Pace(const jobs::run_id&, std::uint32_t, std::uint64_t, const std::string&,
             std::function<void(command_reply)>) override {}
   void Poll(const poll_call& call, const std::string&,
-            std::function<void(std::optional<target_lists>)> done) override {
+            std::function<void(poll_reply)> done) override {
     polls_sent.push_back(call);
     poll_answers.push_back(std::move(done));
   }
@@ -55,7 +55,7 @@
   std::vector<poll_call> polls_sent;
   std::deque<std::function<void(command_reply)>> start_answers;
   std::deque<std::function<void(command_reply)>> stop_answers;
-  std::deque<std::function<void(std::optional<target_lists>)>> poll_answers;
+  std::deque<std::function<void(poll_reply)>> poll_answers;
 };
 
 class recording_coordinator final : public coordinator_link {
--- a/test/simulation/simulated_fleet.cc
+++ b/test/simulation/simulated_fleet.cc
@@ -50,7 +50,7 @@
   void Pace(const jobs::run_id&, std::uint32_t, std::uint64_t, const std::string&,
             std::function<void(runner::command_reply)>) override {}
   void Poll(const runner::poll_call& call, const std::string& target,
-            std::function<void(std::optional<runner::target_lists>)> done) override {
+            std::function<void(runner::poll_reply)> done) override {
     self_.target->Poll(call, target, WhileAlive(std::move(done)));
   }
 
--- a/test/simulation/simulated_target.cc
+++ b/test/simulation/simulated_target.cc
@@ -244,7 +244,7 @@
                             const lists_handler& done) {
   const core::mono_time until = events_.time().Now() + call.wait;
   const auto leave_unanswered = [&] {
-    events_.After(call.wait + kPollGrace, [done] { done(std::nullopt); });
+    events_.After(call.wait + kPollGrace, [done] { done({}); });
   };
   if (up_ && faults_.polls_delayed > 0 && random_.Uniform() < faults_.polls_delayed) {
     events_.After(DrawDelay(), [this, call, target] { ExecutePoll(call, target); });
@@ -254,7 +254,7 @@
       AnswerPoll(call, until, incarnation, done);
     });
   } else if (up_) {
-    events_.After(kAnswerDelay, [done] { done(std::nullopt); });
+    events_.After(kAnswerDelay, [done] { done({}); });
   } else {
     leave_unanswered();
   }
@@ -263,7 +263,7 @@
 void simulated_target::AnswerPoll(const runner::poll_call& call, core::mono_time until,
                                   std::uint64_t incarnation, const lists_handler& done) {
   if (!up_ || incarnation != incarnation_) {
-    done(std::nullopt);
+    done({});
     return;
   }
   runner::target_lists lists{
@@ -287,7 +287,7 @@
     });
     return;
   }
-  done(std::move(lists));
+  done(std::optional(std::move(lists)));
 }
 
 }  // namespace coltsfoot::simulation
--- a/test/simulation/simulated_target.h
+++ b/test/simulation/simulated_target.h
@@ -72,7 +72,7 @@
   std::optional<runner::target_announcement> Announce();
 
   using reply_handler = std::function<void(runner::command_reply)>;
-  using lists_handler = std::function<void(std::optional<runner::target_lists>)>;
+  using lists_handler = std::function<void(runner::poll_reply)>;
   void Start(const runner::start_call& call, const reply_handler& done);
   void Stop(const jobs::run_id& run, std::uint64_t fence, const std::string& target,
             const reply_handler& done);
