runner: confirm ends once, and only to an incarnation that has listed them

Callers saw a task run again after it had ended as done (TWICE). Each poll carried the highest confirmed end, so a poll that the next incarnation under the same name answered made it forget ends that nobody had read: numbers begin anew with each incarnation.

A poll now carries a confirmation only while there is one that the target has not acknowledged, and only if the last poll was answered by the incarnation that listed the ends. A confirmation without an answer is sent again after the next list.

The new test failed before (57 instead of 0 after an answered confirmation and after an unanswered poll).

--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -102,6 +102,8 @@
   void OnLists(const std::optional<target_lists>& lists, core::mono_time sent,
                std::uint64_t confirmed);
   void ApplyLists(const target_lists& lists, core::mono_time sent);
+  /// @return the end to confirm with the next poll; 0: none.
+  std::uint64_t EndToConfirm() const;
   /// Keeps counting runs of the previous list, and those that the coordinator takes as running, as
   /// running if they are in neither list now: a full list of ends may omit theirs.
   void KeepRunsWithUnlistedEnd(const std::vector<jobs::running_task>& last);
@@ -160,8 +162,9 @@
   core::mono_time announced_at_;
   std::optional<std::int64_t> clock_offset_ms_;  ///< target's clock minus the agent's
   core::mono_time lease_end_;
-  core::mono_time sent_lease_end_;  ///< latest lease end that the target may have received
-  std::uint64_t stored_end_ = 0;    ///< ends up to this number are stored by the coordinator
+  core::mono_time sent_lease_end_;   ///< latest lease end that the target may have received
+  std::uint64_t stored_end_ = 0;     ///< ends up to this number are stored by the coordinator
+  std::uint64_t confirmed_end_ = 0;  ///< the target knows that ends up to this number are stored
 
   bool polling_ = false;
   core::mono_time next_poll_;
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -317,7 +317,7 @@
   if (!announced_ || term_ == 0) return;
   const auto until = LeaseOnTargetClock();
   if (!until) return;
-  target_.Poll({.fence = term_, .lease_until_ms = until, .stored_end = stored_end_},
+  target_.Poll({.fence = term_, .lease_until_ms = until, .stored_end = EndToConfirm()},
                announced_->incarnation.name, [](const poll_reply&) {});
 }
 
--- a/libs/runner/src/runner_incarnations.cc
+++ b/libs/runner/src/runner_incarnations.cc
@@ -69,6 +69,7 @@
   lease_end_ = {};
   sent_lease_end_ = {};
   stored_end_ = 0;
+  confirmed_end_ = 0;
   last_end_seen_ = 0;
   polling_ = false;
   failed_polls_ = 0;
--- a/libs/runner/src/runner_lists.cc
+++ b/libs/runner/src/runner_lists.cc
@@ -27,7 +27,7 @@
   };
   const bool pacing = any([](const jobs::task_facts& each) { return each.fills; }) &&
                       any([](const jobs::task_facts& each) { return each.goal_ms > 0; });
-  poll_call call{.fence = term_, .lease_until_ms = std::nullopt, .stored_end = stored_end_};
+  poll_call call{.fence = term_, .lease_until_ms = std::nullopt, .stored_end = EndToConfirm()};
   // After a failure an answer is needed at once: the lease is extended only when one has arrived.
   if (!unstored && clock_offset_ms_ && failed_polls_ == 0) {
     call.wait = pacing ? options_.poll_wait_pacing : options_.poll_wait;
@@ -64,6 +64,12 @@
   clock_offset_ms_ = clock_ms - core::ToMs(time_.Now().time_since_epoch());
 }
 
+std::uint64_t runner::EndToConfirm() const {
+  // A target that does not answer may be replaced by its next incarnation, whose ends nobody has
+  // read. What is confirmed already is left out, since a late poll would confirm it there.
+  return has_lists_ && failed_polls_ == 0 && stored_end_ > confirmed_end_ ? stored_end_ : 0;
+}
+
 void runner::OnLists(const std::optional<target_lists>& lists, core::mono_time sent,
                      std::uint64_t confirmed) {
   polling_ = false;
@@ -82,6 +88,7 @@
     next_poll_ = now + kFailedPollDelay;
     return;
   }
+  confirmed_end_ = std::max(confirmed_end_, confirmed);
   last_answer_ = now;
   listed_at_ = sent;
   last_reply_ = now;
--- /dev/null
+++ b/libs/runner/tests/incarnation_test.cc
@@ -0,0 +1,86 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "runner_fixture.h"
+
+// Calls that cross from one incarnation of a target to the next under the same name, before and
+// after the announcement of the next one has arrived.
+namespace coltsfoot::runner {
+namespace {
+
+using core::milliseconds;
+using testing::runner_fixture;
+using testing::scripted_target;
+
+struct incarnation_fixture : runner_fixture {
+  void AnnounceAs(std::uint64_t started_ms) {
+    announcement.incarnation.started_ms = started_ms;
+    agent.OnAnnouncement(announcement);
+  }
+
+  /// The target lists the end of run 1, and the coordinator has stored it.
+  void ListStoredEnd() {
+    IssueCommand(1);
+    AnswerStart(TargetClock());
+    Answer({}, {EndOne(57)});
+    agent.OnGrant({.term = 5,
+                   .echo_ms = core::ToMs(time.Now().time_since_epoch()),
+                   .incarnation = announcement.incarnation,
+                   .stored_end = 57});
+    Pass(milliseconds{100});
+    REQUIRE(LastPoll().stored_end == 57);
+  }
+
+  void AnswerStart(std::int64_t clock_ms) {
+    scripted_target::AnswerNext(target.start_answers,
+                                command_reply{.status = command_status::ok, .clock_ms = clock_ms});
+  }
+
+  const poll_call& LastPoll() const { return target.polls_sent.back(); }
+  void FailPoll() { scripted_target::AnswerNext(target.poll_answers, poll_reply{}); }
+
+  static jobs::ended_run EndOne(std::uint64_t number) {
+    return {.number = number, .task = Run(1).task, .run = 1};
+  }
+};
+
+}  // namespace
+
+// Guards against ends of the next incarnation that the target forgets before anyone has read them.
+TEST_CASE("ends are confirmed once, and only to the incarnation that has listed them") {
+  incarnation_fixture fixture;
+  fixture.ListStoredEnd();
+  SUBCASE("after the confirmation was answered") {
+    fixture.Answer({});
+    fixture.Pass(milliseconds{50});
+  }
+  SUBCASE("after a poll without an answer") {
+    fixture.FailPoll();
+    fixture.Pass(milliseconds{200});
+  }
+  SUBCASE("after its announcement") {
+    fixture.target.poll_answers.clear();
+    fixture.AnnounceAs(2);
+    fixture.Pass(milliseconds{50});
+  }
+  REQUIRE_FALSE(fixture.target.poll_answers.empty());
+  CHECK(fixture.LastPoll().stored_end == 0);
+}
+
+// Guards against a confirmation that is forgotten because its answer was lost.
+TEST_CASE("ends are confirmed again after a confirmation without an answer") {
+  incarnation_fixture fixture;
+  fixture.ListStoredEnd();
+  fixture.FailPoll();
+  fixture.Pass(milliseconds{200});
+  fixture.Answer({}, {fixture.EndOne(57)});
+  fixture.Pass(milliseconds{100});
+  CHECK(fixture.LastPoll().stored_end == 57);
+}
+
+}  // namespace coltsfoot::runner
