runner: an incarnation begins with its first answer

Callers saw a task run again after it had ended as done (TWICE). Until the announcement of a target's next incarnation arrived, which may take a second and more, an answer of that incarnation was dropped and the agent worked on as before: starts went there, ran there, and were reported as lost in the crash when the announcement came. Polls carried a lease on the earlier clock.

An answer with another start time now ends the incarnation at once. The next one gets polls and stops, but no report names it and nothing starts there before it has announced itself: its kind may differ. A start that has been answered but never listed counts as on its way, since the next incarnation may have answered it.

--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -90,7 +90,11 @@
     core::mono_time retry_at;
   };
 
-  void ChangeIncarnation(const target_announcement& announcement);
+  /// Collects what is lost with the present incarnation and forgets the rest. No report names the
+  /// next one, and nothing starts there, before it is described.
+  void BeginIncarnation(const jobs::target_incarnation& next);
+  /// Takes over what the present incarnation announces of itself.
+  void Describe(const target_announcement& announcement);
   /// Stops the runs whose start the target may still execute although the agent has forgotten them,
   /// because it was sent to an earlier incarnation under the same name or the target had counted as
   /// gone. Reports them as starting until then.
@@ -159,7 +163,7 @@
   /// Incremented with each incarnation; late answers of earlier ones are dropped.
   std::uint64_t incarnation_count_ = 0;
   bool target_left_ = false;
-  core::mono_time announced_at_;
+  bool described_ = false;                       ///< the present incarnation has announced itself
   std::optional<std::int64_t> clock_offset_ms_;  ///< target's clock minus the agent's
   core::mono_time lease_end_;
   core::mono_time sent_lease_end_;   ///< latest lease end that the target may have received
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -151,7 +151,7 @@
     // With the new fencing token the target would execute it after this process is gone, while the
     // new coordinator need not know of it yet.
     if (start.term != term_) continue;
-    if (failed_polls_ > 0 || !clock_offset_ms_) continue;
+    if (failed_polls_ > 0 || !clock_offset_ms_ || !described_) continue;
     if (lease_end_ - now < kMinLease) continue;
     SendStart(run, start);
   }
--- a/libs/runner/src/runner_incarnations.cc
+++ b/libs/runner/src/runner_incarnations.cc
@@ -26,11 +26,16 @@
     const target_announcement& known = *announced_;
     // Delayed announcement of an earlier incarnation, or one that arrived out of order.
     if (received.incarnation.started_ms < known.incarnation.started_ms) return;
-    if (received.incarnation == known.incarnation && received.sequence <= known.sequence) return;
+    if (described_ && received.incarnation == known.incarnation &&
+        received.sequence <= known.sequence) {
+      return;
+    }
   }
-  announced_at_ = time_.Now();
   if (!announced_ || announced_->incarnation != received.incarnation) {
-    ChangeIncarnation(received);
+    BeginIncarnation(received.incarnation);
+  }
+  if (!described_) {
+    Describe(received);
     return;
   }
   const bool changed = announced_->draining != received.draining || target_left_ ||
@@ -45,26 +50,38 @@
   report_due_ = report_due_ || changed;
 }
 
-void runner::ChangeIncarnation(const target_announcement& announcement) {
+void runner::Describe(const target_announcement& announcement) {
   spdlog::info("event=target_found target={} born={} service={} cpu={} memory_mb={}",
                announcement.incarnation.name, announcement.incarnation.started_ms,
                announcement.service, announcement.capacity.cpu_millis,
                announcement.capacity.memory_mb);
+  announced_ = announcement;
+  described_ = true;
+  target_.SetAddress(announcement.address);
+  report_due_ = true;
+}
+
+void runner::BeginIncarnation(const jobs::target_incarnation& next) {
   // `crashed_` may hold runs of an earlier incarnation that no report has named yet.
   for (const auto& [run, start] : starts_) {
-    if (start.in_flight) unresolved_starts_.insert_or_assign(run, time_.Now());
+    // A start that was answered may have been so by the next incarnation.
+    if (start.unanswered || first_calls_.contains(run)) {
+      unresolved_starts_.insert_or_assign(run, time_.Now());
+    }
   }
-  kept_name_ = announced_ && announced_->incarnation.name == announcement.incarnation.name;
+  kept_name_ = announced_ && announced_->incarnation.name == next.name;
   if (!kept_name_) unresolved_starts_.clear();
   late_lease_end_ = {};
   crashed_.insert(crashed_.end(), runs_of_gone_.begin(), runs_of_gone_.end());
   runs_of_gone_.clear();
   refused_.clear();
   CollectLostRuns(crashed_, refused_);
-  announced_ = announcement;
+  if (!announced_) announced_.emplace();
+  announced_->incarnation = next;
+  announced_->draining = false;
+  described_ = false;
   ++incarnation_count_;
   target_left_ = false;
-  target_.SetAddress(announcement.address);
   clock_offset_ms_.reset();
   lease_end_ = {};
   sent_lease_end_ = {};
--- a/libs/runner/src/runner_lists.cc
+++ b/libs/runner/src/runner_lists.cc
@@ -81,11 +81,11 @@
     return;
   }
   if (lists->started_ms && *lists->started_ms != announced_->incarnation.started_ms) {
-    // New incarnation of the target whose announcement has not arrived yet.
     spdlog::warn("event=target_replaced target={} born={} before={} confirmed_end={}",
                  announced_->incarnation.name, *lists->started_ms,
                  announced_->incarnation.started_ms, confirmed);
-    next_poll_ = now + kFailedPollDelay;
+    BeginIncarnation({announced_->incarnation.name, *lists->started_ms});
+    Poll();
     return;
   }
   confirmed_end_ = std::max(confirmed_end_, confirmed);
--- a/libs/runner/src/runner_reports.cc
+++ b/libs/runner/src/runner_reports.cc
@@ -40,13 +40,15 @@
 
 jobs::target_state runner::ReportedState() const {
   const jobs::target_state state = State();
+  if (!described_) return jobs::target_state::unknown;
   return has_lists_ || state == jobs::target_state::gone ? state : jobs::target_state::unknown;
 }
 
 bool runner::HasCompleteLists() const {
   // Until the target has seen the fencing token of this term, it may execute a start that an
   // earlier process of this agent sent under another term and that nobody knows of.
-  return has_lists_ && (listed_term_ == term_ || time_.Now() >= earlier_calls_expire_at_);
+  return has_lists_ && described_ &&
+         (listed_term_ == term_ || time_.Now() >= earlier_calls_expire_at_);
 }
 
 bool runner::MayHaveBegun(const jobs::run_id& run, core::mono_time called_at) const {
@@ -122,7 +124,7 @@
   // An announcement may be a delayed one of an earlier incarnation, and reporting it would make the
   // coordinator count the runs of the current incarnation as lost. Only an answered poll proves
   // which incarnation runs.
-  if (announced_ && has_lists_) {
+  if (described_ && has_lists_) {
     report.incarnation = announced_->incarnation;
     report.service = announced_->service;
     report.zone = announced_->zone;
--- a/libs/runner/tests/incarnation_test.cc
+++ b/libs/runner/tests/incarnation_test.cc
@@ -18,6 +18,13 @@
 using testing::scripted_target;
 
 struct incarnation_fixture : runner_fixture {
+  /// Answers a poll as the incarnation that started at a time.
+  void AnswerAs(std::uint64_t started_ms, std::vector<jobs::ended_run> ended = {}) {
+    target_lists lists{.clock_ms = 1000, .started_ms = started_ms};
+    lists.ended = std::move(ended);
+    scripted_target::AnswerNext(target.poll_answers, std::optional(lists));
+  }
+
   void AnnounceAs(std::uint64_t started_ms) {
     announcement.incarnation.started_ms = started_ms;
     agent.OnAnnouncement(announcement);
@@ -63,6 +70,11 @@
     fixture.FailPoll();
     fixture.Pass(milliseconds{200});
   }
+  SUBCASE("after an answer of the next incarnation") {
+    fixture.AnswerAs(2, {fixture.EndOne(1)});
+    fixture.Pass(milliseconds{50});
+    CHECK_FALSE(fixture.LastPoll().lease_until_ms);
+  }
   SUBCASE("after its announcement") {
     fixture.target.poll_answers.clear();
     fixture.AnnounceAs(2);
@@ -83,4 +95,36 @@
   CHECK(fixture.LastPoll().stored_end == 57);
 }
 
+// Guards against runs that the agent starts in an incarnation and reports as lost with the earlier
+// one.
+TEST_CASE("nothing starts in an incarnation before it has announced itself") {
+  incarnation_fixture fixture;
+  fixture.AnswerAs(2);
+  fixture.IssueCommand(1);
+  fixture.AnswerAs(2);
+  fixture.Pass(milliseconds{1000});
+  CHECK(fixture.target.starts.empty());
+  fixture.AnnounceAs(2);
+  fixture.AnswerAs(2);
+  fixture.Grant();
+  fixture.IssueCommand(2);
+  CHECK(fixture.target.starts.size() == 1);
+  CHECK(fixture.LastListing().incarnation == fixture.announcement.incarnation);
+}
+
+// Guards against a coordinator that learns of an incarnation's lists without its capacity.
+TEST_CASE("no report names an incarnation before it has announced itself") {
+  incarnation_fixture fixture;
+  fixture.coordinator.reports.clear();
+  fixture.AnswerAs(2);
+  fixture.AnswerAs(2);
+  fixture.Pass(milliseconds{2000});
+  REQUIRE_FALSE(fixture.coordinator.reports.empty());
+  for (const jobs::worker_report& report : fixture.coordinator.reports) {
+    CHECK(report.incarnation.name.empty());
+    CHECK(report.state == jobs::target_state::unknown);
+    CHECK_FALSE(report.listed);
+  }
+}
+
 }  // namespace coltsfoot::runner
