runner: a start that the crashed incarnation did not accept is no evidence

A start counted as begun once it was settled, also when the target had refused it as old or a stop had settled it, and when the answer came from the next incarnation, before the agent knew of that one.

Only an answer that the run is there counts now. An answer whose clock lies before the present incarnation's comes from the next one, and leaves the outcome unknown.

--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -82,6 +82,7 @@
     /// When the target executed the start or a stop of the run. A poll sent later lists the run
     /// unless it does not run any more.
     std::optional<core::mono_time> settled_at;
+    bool accepted = false;  ///< the target has answered that the run is there
   };
   /// Stop command whose run the target has not listed as ended yet.
   struct pending_stop {
@@ -112,10 +113,12 @@
   /// running if they are in neither list now: a full list of ends may omit theirs.
   void KeepRunsWithUnlistedEnd(const std::vector<jobs::running_task>& last);
   void UpdateClockOffset(std::int64_t clock_ms);
+  /// @return true if a time on the target's clock is too early for the present incarnation.
+  bool ClockWentBack(std::int64_t clock_ms) const;
   std::optional<std::int64_t> LeaseOnTargetClock() const;
   void SendCommands();
   void SendStart(const jobs::run_id& run, pending_start& start);
-  void OnStarted(const jobs::run_id& run, const command_reply& reply);
+  void OnStarted(const jobs::run_id& run, command_reply reply);
   /// Abandons waiting starts after the lease has expired: their tasks may already run elsewhere.
   void DropExpiredStarts();
   /// Abandons the starts that are later than their coordinator allows. A run whose call got no
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -179,7 +179,11 @@
                 });
 }
 
-void runner::OnStarted(const jobs::run_id& run, const command_reply& reply) {
+void runner::OnStarted(const jobs::run_id& run, command_reply reply) {
+  if (reply.clock_ms && ClockWentBack(*reply.clock_ms)) {
+    // The next incarnation has answered: whether the start reached the present one is unknown.
+    reply = {};
+  }
   if (reply.clock_ms) {
     UpdateClockOffset(*reply.clock_ms);
     last_reply_ = time_.Now();
@@ -191,6 +195,7 @@
   switch (reply.status) {
     case command_status::ok:
       start.settled_at = time_.Now();
+      start.accepted = true;
       return;
     case command_status::not_sent:
       start.retry_at = time_.Now() + kCommandRetryDelay;
--- a/libs/runner/src/runner_lists.cc
+++ b/libs/runner/src/runner_lists.cc
@@ -14,6 +14,8 @@
 // as it lists an end.
 constexpr core::milliseconds kUnstoredEndsPollDelay{60};
 constexpr core::milliseconds kFailedPollDelay{150};
+// An answer to a command is on its way for less than this, which is the timeout of commands.
+constexpr std::int64_t kMaxAnswerDelayMs = 400;
 
 }  // namespace
 
@@ -58,6 +60,11 @@
   return core::ToMs(lease_end_.time_since_epoch()) + *clock_offset_ms_;
 }
 
+bool runner::ClockWentBack(std::int64_t clock_ms) const {
+  const std::int64_t now_ms = core::ToMs(time_.Now().time_since_epoch());
+  return clock_offset_ms_ && clock_ms + kMaxAnswerDelayMs < now_ms + *clock_offset_ms_;
+}
+
 void runner::UpdateClockOffset(std::int64_t clock_ms) {
   // The answer was sent earlier than now, so the computed offset never exceeds the real one and
   // leases never end late on the target's clock.
--- a/libs/runner/src/runner_reports.cc
+++ b/libs/runner/src/runner_reports.cc
@@ -53,7 +53,8 @@
 
 bool runner::MayHaveBegun(const jobs::run_id& run, core::mono_time called_at) const {
   const auto start = starts_.find(run);
-  if (start == starts_.end() || start->second.settled_at) return true;
+  if (start == starts_.end() || start->second.accepted) return true;
+  if (start->second.settled_at) return false;
   // The target went silent without a sign. A call long after its last answer reached no one.
   if (broken_at_ == core::mono_time{}) return called_at - last_reply_ <= kCrashDelay;
   // A call that had been without an answer for longer may have been delayed.
@@ -80,7 +81,7 @@
     if (!MayHaveBegun(run, called_at)) continue;
     const auto start = starts_.find(run);
     const bool listed = start == starts_.end();
-    const bool settled = !listed && start->second.settled_at;
+    const bool settled = !listed && start->second.accepted;
     // A slow target begins the run when it answers.
     const core::mono_time begun = settled ? *start->second.settled_at : called_at;
     const std::int64_t age_ms = std::max<std::int64_t>(0, core::ToMs(last_sign - begun));
--- a/libs/runner/tests/incarnation_test.cc
+++ b/libs/runner/tests/incarnation_test.cc
@@ -127,4 +127,28 @@
   }
 }
 
+// Guards against a job that is given up because of runs that had never begun.
+TEST_CASE("a start that the crashed incarnation did not accept is no evidence") {
+  incarnation_fixture fixture;
+  fixture.Pass(milliseconds{1000});
+  SUBCASE("the next incarnation has answered it") {
+    fixture.IssueCommand(1);
+    fixture.AnswerStart(1000);
+  }
+  SUBCASE("it was refused as old") {
+    fixture.IssueCommand(1, true);
+    scripted_target::AnswerNext(
+        fixture.target.start_answers,
+        command_reply{.status = command_status::refused, .refusal = jobs::start_refusal::old_run});
+  }
+  fixture.Pass(milliseconds{200});
+  fixture.target.poll_answers.clear();
+  fixture.AnnounceAs(2);
+  fixture.Pass(milliseconds{50});
+  fixture.AnswerAs(2);
+  fixture.Pass(milliseconds{50});
+  CHECK(fixture.LastListing().incarnation.started_ms == 2);
+  CHECK(fixture.LastListing().crashed.empty());
+}
+
 }  // namespace coltsfoot::runner
