runner: fencing tokens order a target's incarnations

Callers saw a task run again after it had ended as done (TWICE). The token was the coordinator's term alone, so a call to the earlier incarnation of a target that keeps its name was as valid in the next one as a new call, for as long as it could be on its way.

The token is now the incarnation's start time plus the term. Within an incarnation it rises with the term as before; both only rise, so each call to an incarnation carries a higher token than all calls to earlier ones, and the first one shuts those out: starts, stops, paces and polls. The agent polls as soon as an incarnation announces itself or answers. An agent's next process computes the same token. A target that announces no start time gets the term alone, as before.

Two tests of terms compare with the token of their incarnation instead of the term.

--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -112,6 +112,9 @@
   /// Keeps counting runs of the previous list, and those that the coordinator takes as running, as
   /// running if they are in neither list now: a full list of ends may omit theirs.
   void KeepRunsWithUnlistedEnd(const std::vector<jobs::running_task>& last);
+  /// @return the fencing token of calls to the present incarnation. It rises with the term and with
+  /// each incarnation, so the first call to an incarnation shuts out all calls to earlier ones.
+  std::uint64_t Fence() const noexcept { return announced_->incarnation.started_ms + term_; }
   void UpdateClockOffset(std::int64_t clock_ms);
   /// @return true if a time on the target's clock is too early for the present incarnation.
   bool ClockWentBack(std::int64_t clock_ms) const;
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -168,7 +168,7 @@
   target_.Start({.run = run,
                  .payload = start.command.payload,
                  .checkpoint = start.command.checkpoint,
-                 .fence = term_,
+                 .fence = Fence(),
                  .lease_until_ms = *LeaseOnTargetClock(),
                  .target = announced_->incarnation.name},
                 [this, run, incarnation = incarnation_count_](const command_reply& reply) {
@@ -276,7 +276,7 @@
 void runner::SendStop(const jobs::run_id& run, pending_stop& stop) {
   stop.in_flight = true;
   ++calls_in_flight_;
-  target_.Stop(run, term_, announced_->incarnation.name,
+  target_.Stop(run, Fence(), announced_->incarnation.name,
                [this, run, incarnation = incarnation_count_](const command_reply& reply) {
                  if (incarnation != incarnation_count_) return;
                  --calls_in_flight_;
@@ -309,7 +309,7 @@
   for (const pace_change& change : pacer_.Update(running_, facts_, time_.Now())) {
     if (!pace_calls_in_flight_.insert(change.run).second) continue;
     metrics_.GetCounter("coltsfoot_pace_orders_total").Add();
-    target_.Pace(change.run, change.percent, term_, announced_->incarnation.name,
+    target_.Pace(change.run, change.percent, Fence(), announced_->incarnation.name,
                  [this, change, incarnation = incarnation_count_](const command_reply& reply) {
                    if (incarnation != incarnation_count_) return;
                    pace_calls_in_flight_.erase(change.run);
@@ -322,7 +322,7 @@
   if (!announced_ || term_ == 0) return;
   const auto until = LeaseOnTargetClock();
   if (!until) return;
-  target_.Poll({.fence = term_, .lease_until_ms = until, .stored_end = EndToConfirm()},
+  target_.Poll({.fence = Fence(), .lease_until_ms = until, .stored_end = EndToConfirm()},
                announced_->incarnation.name, [](const poll_reply&) {});
 }
 
--- a/libs/runner/src/runner_incarnations.cc
+++ b/libs/runner/src/runner_incarnations.cc
@@ -59,6 +59,8 @@
   described_ = true;
   target_.SetAddress(announcement.address);
   report_due_ = true;
+  // The first poll shuts out all calls that were sent to earlier incarnations.
+  if (!has_lists_ && !polling_ && term_ != 0) Poll();
 }
 
 void runner::BeginIncarnation(const jobs::target_incarnation& next) {
--- a/libs/runner/src/runner_lists.cc
+++ b/libs/runner/src/runner_lists.cc
@@ -29,7 +29,7 @@
   };
   const bool pacing = any([](const jobs::task_facts& each) { return each.fills; }) &&
                       any([](const jobs::task_facts& each) { return each.goal_ms > 0; });
-  poll_call call{.fence = term_, .lease_until_ms = std::nullopt, .stored_end = EndToConfirm()};
+  poll_call call{.fence = Fence(), .lease_until_ms = std::nullopt, .stored_end = EndToConfirm()};
   // After a failure an answer is needed at once: the lease is extended only when one has arrived.
   if (!unstored && clock_offset_ms_ && failed_polls_ == 0) {
     call.wait = pacing ? options_.poll_wait_pacing : options_.poll_wait;
@@ -92,6 +92,7 @@
                  announced_->incarnation.name, *lists->started_ms,
                  announced_->incarnation.started_ms, confirmed);
     BeginIncarnation({announced_->incarnation.name, *lists->started_ms});
+    // Its fencing token shuts out all calls that were sent to the earlier incarnation.
     Poll();
     return;
   }
--- a/libs/runner/tests/incarnation_test.cc
+++ b/libs/runner/tests/incarnation_test.cc
@@ -127,6 +127,28 @@
   }
 }
 
+// Guards against calls to an earlier incarnation that are as valid as those to the next one.
+TEST_CASE("the first call to the next incarnation carries a higher fencing token") {
+  incarnation_fixture fixture;
+  const std::uint64_t before = fixture.LastPoll().fence;
+  const std::uint64_t started_ms = 2;
+  SUBCASE("it announces itself") {
+    fixture.target.poll_answers.clear();
+    fixture.AnnounceAs(started_ms);
+  }
+  SUBCASE("it answers before its announcement") { fixture.AnswerAs(started_ms); }
+  CHECK(fixture.LastPoll().fence > before);
+  fixture.AnnounceAs(started_ms);
+  fixture.AnswerAs(started_ms);
+  fixture.Pass(milliseconds{50});
+  CHECK(fixture.LastListing().incarnation.started_ms == started_ms);
+  fixture.agent.OnHello(6);
+  const std::uint64_t earlier_term = fixture.LastPoll().fence;
+  fixture.AnswerAs(started_ms);
+  fixture.Pass(milliseconds{50});
+  CHECK(fixture.LastPoll().fence > earlier_term);
+}
+
 // Guards against a job that is given up because of runs that had never begun.
 TEST_CASE("a start that the crashed incarnation did not accept is no evidence") {
   incarnation_fixture fixture;
--- a/libs/runner/tests/kept_name_test.cc
+++ b/libs/runner/tests/kept_name_test.cc
@@ -20,8 +20,8 @@
   /// The target restarts and has answered a poll.
   void Restart(const std::string& name, std::vector<jobs::running_task> running = {}) {
     announcement.incarnation = {name, ++started_ms};
-    agent.OnAnnouncement(announcement);
     target.poll_answers.clear();
+    agent.OnAnnouncement(announcement);
     Pass(milliseconds{50});
     AnswerPoll(std::move(running));
     Grant();
--- a/libs/runner/tests/runner_fixture.h
+++ b/libs/runner/tests/runner_fixture.h
@@ -98,6 +98,11 @@
     Pass(milliseconds{50});
   }
 
+  /// @return the fencing token of calls to the present incarnation in a term.
+  std::uint64_t FenceOf(std::uint64_t term) const {
+    return announcement.incarnation.started_ms + term;
+  }
+
   /// The target's clock runs one second behind the agent's.
   std::int64_t TargetClock() const { return core::ToMs(time.Now().time_since_epoch()) - 1000; }
 
--- a/libs/runner/tests/unanswered_start_test.cc
+++ b/libs/runner/tests/unanswered_start_test.cc
@@ -117,7 +117,7 @@
   fixture.Answer({});
   fixture.Pass(milliseconds{100});
   CHECK_FALSE(listed());
-  REQUIRE(fixture.target.polls_sent.back().fence == 6);
+  REQUIRE(fixture.target.polls_sent.back().fence == fixture.FenceOf(6));
   fixture.Answer({});
   fixture.Pass(milliseconds{100});
   CHECK(listed());
@@ -136,7 +136,7 @@
   commands.starts.push_back({.facts = {.run = runner_fixture::Run(1)}, .payload = "p"});
   fixture.agent.OnCommands(commands);
   REQUIRE(fixture.target.starts.size() == 2);
-  CHECK(fixture.target.starts[1].fence == 6);
+  CHECK(fixture.target.starts[1].fence == fixture.FenceOf(6));
 }
 
 // Guards against a silent target that counts as gone under the lease of an agent's earlier process.
--- a/test/simulation/scenario.cc
+++ b/test/simulation/scenario.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -65,11 +66,18 @@
   });
 }
 
+/// A line for each violation.
+struct outcome {
+  std::vector<std::string> repeated_runs;
+  std::vector<std::string> late_effects;
+  std::vector<std::string> incomplete_jobs;
+};
+
 /// Submits jobs while faults happen, then waits until all jobs that were not cancelled are
 /// complete. A job may
 /// fail if targets crashed under the same task of it.
-/// @return a line for each violation.
-std::vector<std::string> Simulate(const fault_mix& mix, std::uint64_t seed) {
+/// @return the violations.
+outcome Simulate(const fault_mix& mix, std::uint64_t seed) {
   simulated_fleet fleet(kWorkers, seed);
   core::random_source& random = fleet.random();
   std::set<std::string> jobs;
@@ -107,14 +115,23 @@
              (state == jobs::job_state::failed && MayBeGivenUp(fleet.history(), job));
     });
   }
-  std::vector<std::string> violations = FindRepeatedRuns(fleet.history());
-  for (const std::string& job : jobs) violations.push_back("job " + job + " is not complete");
-  return violations;
+  outcome out{.repeated_runs = FindRepeatedRuns(fleet.history())};
+  for (std::size_t index = 0; index < kWorkers; ++index) {
+    const std::vector<std::string>& late = fleet.target(index).late_effects();
+    out.late_effects.insert(out.late_effects.end(), late.begin(), late.end());
+  }
+  for (const std::string& job : jobs) {
+    out.incomplete_jobs.push_back("job " + job + " is not complete");
+  }
+  return out;
 }
 
-}  // namespace
+void Check(std::uint64_t seed, const std::vector<std::string>& violations) {
+  for (const std::string& violation : violations) FAIL_CHECK("seed ", seed, ": ", violation);
+}
 
-void CheckSeeds(const fault_mix& mix) {
+void PlaySeeds(const fault_mix& mix,
+               const std::function<void(std::uint64_t, const outcome&)>& check) {
   const auto read = [](const char* name, std::uint64_t fallback) {
     const char* text = std::getenv(name);
     return text == nullptr ? fallback : std::stoull(text);
@@ -125,11 +142,24 @@
   const std::uint64_t only = read("COLTSFOOT_SIMULATION_SEED", 0);
   if (only == 0) spdlog::set_level(spdlog::level::off);
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-    if (only != 0 && seed != only) continue;
-    for (const std::string& violation : Simulate(mix, seed)) {
-      FAIL_CHECK("seed ", seed, ": ", violation);
-    }
+    if (only == 0 || seed == only) check(seed, Simulate(mix, seed));
   }
 }
 
+}  // namespace
+
+void CheckSeeds(const fault_mix& mix) {
+  PlaySeeds(mix, [](std::uint64_t seed, const outcome& played) {
+    Check(seed, played.repeated_runs);
+    Check(seed, played.incomplete_jobs);
+  });
+}
+
+void CheckLateEffects(const fault_mix& mix) {
+  PlaySeeds(mix, [](std::uint64_t seed, const outcome& played) {
+    Check(seed, played.late_effects);
+    Check(seed, played.incomplete_jobs);
+  });
+}
+
 }  // namespace coltsfoot::simulation
--- a/test/simulation/scenario.h
+++ b/test/simulation/scenario.h
@@ -24,8 +24,25 @@
     .refused = 0, .unanswered = 0.1, .delayed = 0.4, .polls_delayed = 0.1};
 inline constexpr milliseconds kLateAnnouncement{1000};
 
+/// Faults of targets that restart under their names.
+inline constexpr fault_mix kKeptNames{
+    .commands = kLateCommands, .targets_crash = true, .targets_keep_names = true};
+inline constexpr fault_mix kKeptNamesLateAnnouncements{.commands = kLateCalls,
+                                                       .targets_crash = true,
+                                                       .targets_keep_names = true,
+                                                       .announcement_delay = kLateAnnouncement};
+inline constexpr fault_mix kKeptNamesOthersReplaced{.commands = kLateCalls,
+                                                    .agents_restart = true,
+                                                    .coordinator_is_replaced = true,
+                                                    .targets_crash = true,
+                                                    .targets_keep_names = true,
+                                                    .announcement_delay = kLateAnnouncement};
+
 /// Submits and cancels jobs while faults happen, once for each of many seeds. Checks that no task
 /// runs twice and that all jobs that were not cancelled complete.
 void CheckSeeds(const fault_mix& mix);
+/// As above, but checks that no call takes effect in a later incarnation of its target than it was
+/// sent to, once the agent has reached that one, and that the jobs complete.
+void CheckLateEffects(const fault_mix& mix);
 
 }  // namespace coltsfoot::simulation
--- a/test/simulation/simulated_target.cc
+++ b/test/simulation/simulated_target.cc
@@ -79,6 +79,7 @@
   fence_ = 0;
   lease_until_ms_ = 0;
   last_end_ = 0;
+  polls_answered_ = 0;
   sequence_ = 0;
   closed_runs_.clear();
   events_.After(downtime, [this] {
@@ -132,9 +133,12 @@
 
 void simulated_target::Receive(const std::string& target, const command& execute,
                                const reply_handler& done) {
-  const auto execute_here = [this, target, execute] {
+  const auto execute_here = [this, target, execute, sent_to = incarnation_] {
     if (!up_) return runner::command_reply{};
-    return target == name_ ? execute() : Reply(command_status::other_incarnation);
+    if (target != name_) return Reply(command_status::other_incarnation);
+    const runner::command_reply reply = execute();
+    if (reply.status == command_status::ok) NoteEffect("command", sent_to);
+    return reply;
   };
   const auto leave_unanswered = [&] { events_.After(kCommandTimeout, [done] { done({}); }); };
   if (!up_) {
@@ -157,6 +161,13 @@
   }
 }
 
+void simulated_target::NoteEffect(std::string_view call, std::uint64_t sent_to) {
+  // The first answer tells the agent which incarnation it has reached.
+  if (sent_to == incarnation_ || polls_answered_ < 2) return;
+  late_effects_.push_back(fmt::format("{} to incarnation {} of {} took effect in {}", call, sent_to,
+                                      base_name_, incarnation_));
+}
+
 milliseconds simulated_target::DrawDelay() {
   const auto spread = static_cast<std::uint64_t>((faults_.max_delay - faults_.min_delay).count());
   return faults_.min_delay + milliseconds{random_.Below(spread + 1)};
@@ -247,7 +258,9 @@
     events_.After(call.wait + kPollGrace, [done] { done({}); });
   };
   if (up_ && faults_.polls_delayed > 0 && random_.Uniform() < faults_.polls_delayed) {
-    events_.After(DrawDelay(), [this, call, target] { ExecutePoll(call, target); });
+    events_.After(DrawDelay(), [this, call, target, sent_to = incarnation_] {
+      if (ExecutePoll(call, target)) NoteEffect("poll", sent_to);
+    });
     leave_unanswered();
   } else if (ExecutePoll(call, target)) {
     events_.After(kAnswerDelay, [this, call, until, incarnation = incarnation_, done] {
@@ -287,6 +300,7 @@
     });
     return;
   }
+  ++polls_answered_;
   done(std::optional(std::move(lists)));
 }
 
--- a/test/simulation/simulated_target.h
+++ b/test/simulation/simulated_target.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/clock.h"
@@ -71,6 +72,10 @@
   /// @return the next announcement, or nothing while the target is down.
   std::optional<runner::target_announcement> Announce();
 
+  /// @return a line for each call that took effect in a later incarnation than it was sent to,
+  /// after the agent had reached that one.
+  const std::vector<std::string>& late_effects() const noexcept { return late_effects_; }
+
   using reply_handler = std::function<void(runner::command_reply)>;
   using lists_handler = std::function<void(runner::poll_reply)>;
   void Start(const runner::start_call& call, const reply_handler& done);
@@ -89,6 +94,8 @@
   milliseconds DrawDelay();
   void AnswerPoll(const runner::poll_call& call, core::mono_time until, std::uint64_t incarnation,
                   const lists_handler& done);
+  /// Records a call that has taken effect if it was sent to an earlier incarnation.
+  void NoteEffect(std::string_view call, std::uint64_t sent_to);
   /// @return the progress of a run in percent.
   std::uint32_t ProgressOf(const run_record& run) const;
   bool AcceptsFence(std::uint64_t fence);
@@ -111,6 +118,8 @@
   std::uint64_t fence_ = 0;
   std::int64_t lease_until_ms_ = 0;
   std::uint64_t last_end_ = 0;
+  std::uint32_t polls_answered_ = 0;  ///< by the present incarnation
+  std::vector<std::string> late_effects_;
   std::uint64_t sequence_ = 0;
   std::map<std::string, milliseconds> deadly_jobs_;
   std::map<jobs::task_id, std::uint32_t> closed_runs_;  ///< highest stopped or ended run of a task
