runner: a start whose end may have been confirmed unread stays in place

Callers could see a task run again after it had ended as done (TWICE): a confirmation for the earlier incarnation of a target that keeps its name may still reach the next one after a late start has run and ended there. The end is in no list then, so the start looked as if it had never been carried out, and its task started elsewhere at once.

The agent remembers a confirmation without an answer. If the first list of the next incarnation does not begin with its first end, starts on their way are reported as starting until they can't be carried out any more (15 s after they were sent), and only then as not run.

--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/clock.h"
@@ -70,6 +71,9 @@
   core::mono_time last_contact() const noexcept { return last_contact_; }
 
  private:
+  /// After this time a call without an answer is not executed any more.
+  static constexpr core::milliseconds kMaxCallDelay{15'000};
+
   /// Start command whose run the target does not list yet.
   struct pending_start {
     jobs::start_command command;
@@ -107,6 +111,8 @@
   void OnLists(const std::optional<target_lists>& lists, core::mono_time sent,
                std::uint64_t confirmed);
   void ApplyLists(const target_lists& lists, core::mono_time sent);
+  /// Finds out from the first list of an incarnation whether ends may have been confirmed unread.
+  void FindUnreadEnds(const std::vector<jobs::ended_run>& listed);
   /// @return the end to confirm with the next poll; 0: none.
   std::uint64_t EndToConfirm() const;
   /// Keeps counting runs of the previous list, and those that the coordinator takes as running, as
@@ -176,6 +182,11 @@
   std::uint64_t stored_end_ = 0;     ///< ends up to this number are stored by the coordinator
   std::uint64_t confirmed_end_ = 0;  ///< the target knows that ends up to this number are stored
 
+  /// Highest end that a poll confirmed without an answer of the incarnation it was meant for, and
+  /// when. The next incarnation under the same name may have taken it for its own.
+  std::pair<std::uint64_t, core::mono_time> unanswered_confirmation_;
+  bool may_lack_ends_ = false;  ///< ends of the present incarnation may have been confirmed unread
+
   bool polling_ = false;
   core::mono_time next_poll_;
   std::uint32_t failed_polls_ = 0;  ///< since the last answered poll
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -15,8 +15,6 @@
 constexpr core::milliseconds kMinLease{400};
 // Delay before a command without a known outcome is sent again.
 constexpr core::milliseconds kCommandRetryDelay{100};
-// After this time a call without an answer is not executed any more.
-constexpr core::milliseconds kMaxCallDelay{15'000};
 
 }  // namespace
 
--- a/libs/runner/src/runner_incarnations.cc
+++ b/libs/runner/src/runner_incarnations.cc
@@ -72,7 +72,11 @@
     }
   }
   kept_name_ = announced_ && announced_->incarnation.name == next.name;
-  if (!kept_name_) unresolved_starts_.clear();
+  if (!kept_name_) {
+    unresolved_starts_.clear();
+    unanswered_confirmation_ = {};
+  }
+  may_lack_ends_ = false;
   late_lease_end_ = {};
   crashed_.insert(crashed_.end(), runs_of_gone_.begin(), runs_of_gone_.end());
   runs_of_gone_.clear();
--- a/libs/runner/src/runner_lists.cc
+++ b/libs/runner/src/runner_lists.cc
@@ -77,17 +77,33 @@
   return has_lists_ && failed_polls_ == 0 && stored_end_ > confirmed_end_ ? stored_end_ : 0;
 }
 
+void runner::FindUnreadEnds(const std::vector<jobs::ended_run>& listed) {
+  const auto& [number, at] = unanswered_confirmation_;
+  const bool first_is_listed =
+      std::any_of(listed.begin(), listed.end(), [](const auto& end) { return end.number == 1; });
+  may_lack_ends_ =
+      kept_name_ && number > 0 && time_.Now() - at <= kMaxCallDelay && !first_is_listed;
+  if (!may_lack_ends_) return;
+  spdlog::warn("event=ends_maybe_unread target={} up_to={} starts={}", announced_->incarnation.name,
+               number, unresolved_starts_.size());
+}
+
 void runner::OnLists(const std::optional<target_lists>& lists, core::mono_time sent,
                      std::uint64_t confirmed) {
   polling_ = false;
   const core::mono_time now = time_.Now();
+  const auto is_of_other = [this](const target_lists& each) {
+    return each.started_ms && *each.started_ms != announced_->incarnation.started_ms;
+  };
+  // The target may have taken or may still take the confirmation in another incarnation.
+  if (confirmed > 0 && (!lists || is_of_other(*lists))) unanswered_confirmation_ = {confirmed, now};
   if (!lists) {
     ++failed_polls_;
     next_poll_ = now + kFailedPollDelay;
     metrics_.GetCounter("coltsfoot_target_looks_failed_total").Add();
     return;
   }
-  if (lists->started_ms && *lists->started_ms != announced_->incarnation.started_ms) {
+  if (is_of_other(*lists)) {
     spdlog::warn("event=target_replaced target={} born={} before={} confirmed_end={}",
                  announced_->incarnation.name, *lists->started_ms,
                  announced_->incarnation.started_ms, confirmed);
@@ -104,6 +120,7 @@
   runs_of_gone_.clear();
   failed_polls_ = 0;
   if (std::exchange(forgot_starts_, false)) StopLateStarts();
+  if (!has_lists_) FindUnreadEnds(lists->ended);
   ApplyLists(*lists, sent);
   PaceFilling();
   next_poll_ = ended_.empty() ? now : now + kUnstoredEndsPollDelay;
@@ -139,7 +156,8 @@
     const auto& [run, start] = each;
     if (listed.contains(run) || ended.contains(run)) return !start.in_flight;
     // Not listed although settled before this poll: it never ran, or its end is stored.
-    const bool gone = start.settled_at && *start.settled_at < sent && !ends_omitted_;
+    const bool gone = start.settled_at && *start.settled_at < sent && !ends_omitted_ &&
+                      !(may_lack_ends_ && unresolved_starts_.contains(run));
     if (gone && start.abandoned) refused_.push_back({run, *start.abandoned});
     report_due_ = report_due_ || gone;
     return gone;
--- a/libs/runner/tests/incarnation_test.cc
+++ b/libs/runner/tests/incarnation_test.cc
@@ -149,6 +149,41 @@
   CHECK(fixture.LastPoll().fence > earlier_term);
 }
 
+// Guards against a task that starts again after an end as done that was confirmed unread.
+TEST_CASE("a start whose end may have been confirmed unread is kept until it cannot run any more") {
+  incarnation_fixture fixture;
+  fixture.ListStoredEnd();
+  fixture.IssueCommand(2);
+  scripted_target::AnswerNext(fixture.target.start_answers, command_reply{});
+  fixture.FailPoll();
+  bool kept = true;
+  std::vector<jobs::ended_run> ended;
+  SUBCASE("the list is empty") {}
+  SUBCASE("the list begins after the first end") { ended = {fixture.EndOne(5)}; }
+  SUBCASE("the list begins with the first end") {
+    kept = false;
+    ended = {fixture.EndOne(1)};
+  }
+  fixture.AnnounceAs(2);
+  fixture.AnswerAs(2, ended);
+  fixture.Pass(milliseconds{50});
+  scripted_target::AnswerNext(fixture.target.stop_answers,
+                              command_reply{.status = command_status::ok});
+  const auto is_starting = [&] {
+    return fixture.LastListing().starting == std::vector{runner_fixture::Run(2)};
+  };
+  const auto pass = [&](milliseconds duration) {
+    for (milliseconds passed{0}; passed < duration; passed += milliseconds{100}) {
+      if (!fixture.target.poll_answers.empty()) fixture.AnswerAs(2, ended);
+      fixture.Pass(milliseconds{100});
+    }
+  };
+  pass(milliseconds{13'000});
+  CHECK(is_starting() == kept);
+  pass(milliseconds{3000});
+  CHECK_FALSE(is_starting());
+}
+
 // Guards against a job that is given up because of runs that had never begun.
 TEST_CASE("a start that the crashed incarnation did not accept is no evidence") {
   incarnation_fixture fixture;
