runner: fencing tokens and incarnations when clocks step back

An incarnation whose start time lies before its predecessor's was never adopted: its announcements looked delayed, its answers belonged to no known incarnation, and its worker was lost. With a start time in the fencing token its calls would also be lower than late ones to the predecessor.

An answer is proof of which incarnation runs, so it is adopted in either direction, and announcements of the one that has ended are ignored from then on. The agent raises the token beyond the one before in any case. If the target refuses it for 3 s, because an earlier process of the agent had raised it, the agent raises it in doubling steps; a coordinator of an earlier term has been replaced by then.

--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -73,6 +73,7 @@
  private:
   /// After this time a call without an answer is not executed any more.
   static constexpr core::milliseconds kMaxCallDelay{15'000};
+  static constexpr core::milliseconds kFirstFenceStep{1000};
 
   /// Start command whose run the target does not list yet.
   struct pending_start {
@@ -120,7 +121,9 @@
   void KeepRunsWithUnlistedEnd(const std::vector<jobs::running_task>& last);
   /// @return the fencing token of calls to the present incarnation. It rises with the term and with
   /// each incarnation, so the first call to an incarnation shuts out all calls to earlier ones.
-  std::uint64_t Fence() const noexcept { return announced_->incarnation.started_ms + term_; }
+  std::uint64_t Fence() const noexcept { return epoch_ + term_; }
+  /// Raises the fencing token if the target has refused it for long.
+  void OnFenceRefused();
   void UpdateClockOffset(std::int64_t clock_ms);
   /// @return true if a time on the target's clock is too early for the present incarnation.
   bool ClockWentBack(std::int64_t clock_ms) const;
@@ -174,6 +177,14 @@
   std::optional<target_announcement> announced_;
   /// Incremented with each incarnation; late answers of earlier ones are dropped.
   std::uint64_t incarnation_count_ = 0;
+  /// Orders the incarnations under the present name: their start times, or higher if a clock has
+  /// stepped back.
+  std::uint64_t epoch_ = 0;
+  core::mono_time fence_refused_since_;  ///< zero: not since the last answered poll
+  core::milliseconds fence_step_ = kFirstFenceStep;
+  /// Start times of earlier incarnations under the present name that are later than those of their
+  /// successors.
+  std::set<std::uint64_t> ended_ahead_;
   bool target_left_ = false;
   bool described_ = false;                       ///< the present incarnation has announced itself
   std::optional<std::int64_t> clock_offset_ms_;  ///< target's clock minus the agent's
--- a/libs/runner/src/runner_incarnations.cc
+++ b/libs/runner/src/runner_incarnations.cc
@@ -1,5 +1,6 @@
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -26,6 +27,10 @@
     const target_announcement& known = *announced_;
     // Delayed announcement of an earlier incarnation, or one that arrived out of order.
     if (received.incarnation.started_ms < known.incarnation.started_ms) return;
+    if (received.incarnation.name == known.incarnation.name &&
+        ended_ahead_.contains(received.incarnation.started_ms)) {
+      return;
+    }
     if (described_ && received.incarnation == known.incarnation &&
         received.sequence <= known.sequence) {
       return;
@@ -75,7 +80,12 @@
   if (!kept_name_) {
     unresolved_starts_.clear();
     unanswered_confirmation_ = {};
+    ended_ahead_.clear();
+    epoch_ = 0;
   }
+  epoch_ = std::max(epoch_ + 1, next.started_ms);
+  fence_refused_since_ = {};
+  fence_step_ = kFirstFenceStep;
   may_lack_ends_ = false;
   late_lease_end_ = {};
   crashed_.insert(crashed_.end(), runs_of_gone_.begin(), runs_of_gone_.end());
--- a/libs/runner/src/runner_lists.cc
+++ b/libs/runner/src/runner_lists.cc
@@ -14,6 +14,10 @@
 // as it lists an end.
 constexpr core::milliseconds kUnstoredEndsPollDelay{60};
 constexpr core::milliseconds kFailedPollDelay{150};
+// An agent whose coordinator is of an earlier term learns of the next one sooner than this.
+// Refusals that last longer mean that a clock has stepped back.
+constexpr core::milliseconds kFenceRefusalLimit{3000};
+constexpr core::milliseconds kMaxFenceStep{1LL << 40U};
 // An answer to a command is on its way for less than this, which is the timeout of commands.
 constexpr std::int64_t kMaxAnswerDelayMs = 400;
 
@@ -43,10 +47,7 @@
                 incarnation = incarnation_count_](const poll_reply& reply) {
                  if (incarnation != incarnation_count_) return;
                  const std::optional<target_lists>& lists = reply.lists;
-                 if (reply.stale_fence) {
-                   spdlog::warn("event=fence_refused target={} term={}",
-                                announced_->incarnation.name, term);
-                 }
+                 if (reply.stale_fence) OnFenceRefused();
                  if (lists && std::exchange(listed_term_, term) != term) report_due_ = true;
                  if (!lists && failed_polls_ == 0 && time_.Now() - sent < wait) {
                    broken_at_ = time_.Now();
@@ -77,6 +78,17 @@
   return has_lists_ && failed_polls_ == 0 && stored_end_ > confirmed_end_ ? stored_end_ : 0;
 }
 
+void runner::OnFenceRefused() {
+  const core::mono_time now = time_.Now();
+  spdlog::warn("event=fence_refused target={} term={}", announced_->incarnation.name, term_);
+  if (fence_refused_since_ == core::mono_time{}) fence_refused_since_ = now;
+  if (now - fence_refused_since_ < kFenceRefusalLimit) return;
+  epoch_ += static_cast<std::uint64_t>(fence_step_.count());
+  spdlog::warn("event=fence_raised target={} by_ms={}", announced_->incarnation.name,
+               fence_step_.count());
+  if (fence_step_ < kMaxFenceStep) fence_step_ *= 2;
+}
+
 void runner::FindUnreadEnds(const std::vector<jobs::ended_run>& listed) {
   const auto& [number, at] = unanswered_confirmation_;
   const bool first_is_listed =
@@ -104,6 +116,9 @@
     return;
   }
   if (is_of_other(*lists)) {
+    if (*lists->started_ms < announced_->incarnation.started_ms) {
+      ended_ahead_.insert(announced_->incarnation.started_ms);
+    }
     spdlog::warn("event=target_replaced target={} born={} before={} confirmed_end={}",
                  announced_->incarnation.name, *lists->started_ms,
                  announced_->incarnation.started_ms, confirmed);
@@ -119,6 +134,8 @@
   broken_at_ = {};
   runs_of_gone_.clear();
   failed_polls_ = 0;
+  fence_refused_since_ = {};
+  fence_step_ = kFirstFenceStep;
   if (std::exchange(forgot_starts_, false)) StopLateStarts();
   if (!has_lists_) FindUnreadEnds(lists->ended);
   ApplyLists(*lists, sent);
--- a/libs/runner/tests/incarnation_test.cc
+++ b/libs/runner/tests/incarnation_test.cc
@@ -50,6 +50,17 @@
 
   const poll_call& LastPoll() const { return target.polls_sent.back(); }
   void FailPoll() { scripted_target::AnswerNext(target.poll_answers, poll_reply{}); }
+  void RefusePoll() {
+    poll_reply reply;
+    reply.stale_fence = true;
+    scripted_target::AnswerNext(target.poll_answers, reply);
+  }
+  void PassWithRefusedPolls(milliseconds duration) {
+    for (milliseconds passed{0}; passed < duration; passed += milliseconds{50}) {
+      if (!target.poll_answers.empty()) RefusePoll();
+      Pass(milliseconds{50});
+    }
+  }
 
   static jobs::ended_run EndOne(std::uint64_t number) {
     return {.number = number, .task = Run(1).task, .run = 1};
@@ -131,13 +142,20 @@
 TEST_CASE("the first call to the next incarnation carries a higher fencing token") {
   incarnation_fixture fixture;
   const std::uint64_t before = fixture.LastPoll().fence;
-  const std::uint64_t started_ms = 2;
+  std::uint64_t started_ms = 2;
   SUBCASE("it announces itself") {
     fixture.target.poll_answers.clear();
     fixture.AnnounceAs(started_ms);
   }
   SUBCASE("it answers before its announcement") { fixture.AnswerAs(started_ms); }
+  SUBCASE("a clock has stepped back") {
+    started_ms = 0;
+    fixture.AnswerAs(started_ms);
+  }
   CHECK(fixture.LastPoll().fence > before);
+  // A delayed announcement of the earlier incarnation.
+  fixture.announcement.sequence = 9;
+  fixture.AnnounceAs(1);
   fixture.AnnounceAs(started_ms);
   fixture.AnswerAs(started_ms);
   fixture.Pass(milliseconds{50});
@@ -149,6 +167,17 @@
   CHECK(fixture.LastPoll().fence > earlier_term);
 }
 
+// Guards against a target that is lost for good because an earlier process of the agent used higher
+// fencing tokens, and against an agent that overrides those of a newer term.
+TEST_CASE("a fencing token is raised only after the target has refused it for seconds") {
+  incarnation_fixture fixture;
+  const std::uint64_t before = fixture.LastPoll().fence;
+  fixture.PassWithRefusedPolls(milliseconds{2500});
+  CHECK(fixture.LastPoll().fence == before);
+  fixture.PassWithRefusedPolls(milliseconds{2500});
+  CHECK(fixture.LastPoll().fence > before + 1000);
+}
+
 // Guards against a task that starts again after an end as done that was confirmed unread.
 TEST_CASE("a start whose end may have been confirmed unread is kept until it cannot run any more") {
   incarnation_fixture fixture;
