core: one place for exhausted descriptors, tallies of log lines, open files

What callers saw: nothing; this is code written twice.

Cause: libs/http and libs/wire each had the list of errors that mean exhausted descriptors, the pause after them, and a count of events that one log line a second tells of. libs/program and libs/wire each read RLIMIT_NOFILE.

`core::IsOutOfDescriptors`, `core::kAcceptPause`, `core::log_tally` and `core::OpenFileLimit` take their place. Raising the limit of open files stays in libs/program, its only user.

--- a/libs/core/tests/core_test.cc
+++ b/libs/core/tests/core_test.cc
@@ -1,11 +1,15 @@
 #include <doctest/doctest.h>
 
+#include <cerrno>
 #include <fstream>
 #include <regex>
 #include <string>
+#include <system_error>
 
 #include "core/ids.h"
 #include "core/json_nesting.h"
+#include "core/log_tally.h"
+#include "core/open_files.h"
 #include "core/resources.h"
 #include "core/result_code.h"
 
@@ -70,4 +74,24 @@
   CHECK((worker - resources{1, 2, 1}) == resources{15999, 59998, 0});
 }
 
+// Guards against a log line for each connection of a crowd, and against events that no line tells.
+TEST_CASE("a tally tells of all events in one line a period") {
+  log_tally<2> tally;
+  const mono_time start{};
+  using counts = log_tally<2>::counts;
+  CHECK(tally.Add(0, start) == counts{1, 0});
+  CHECK_FALSE(tally.Add(0, start));
+  CHECK_FALSE(tally.Add(1, start + kLogTallyPeriod - milliseconds{1}));
+  CHECK(tally.Add(1, start + kLogTallyPeriod) == counts{1, 2});
+}
+
+// Guards against a listener that stops accepting, or uses a whole processor, without descriptors.
+TEST_CASE("exhausted descriptors are told from failures of one connection") {
+  for (const int each : {EMFILE, ENFILE, ENOBUFS, ENOMEM}) {
+    CHECK(IsOutOfDescriptors({each, std::system_category()}));
+  }
+  CHECK_FALSE(IsOutOfDescriptors({ECONNABORTED, std::system_category()}));
+  CHECK_FALSE(IsOutOfDescriptors({}));
+}
+
 }  // namespace coltsfoot::core
--- a/libs/http/src/ingress.cc
+++ b/libs/http/src/ingress.cc
@@ -6,12 +6,12 @@
 #include <map>
 #include <utility>
 
+#include "core/log_tally.h"
 #include "metrics/registry.h"
 
 namespace coltsfoot::http {
 namespace {
 
-constexpr core::milliseconds kLogPeriod{1000};
 /// Each port ticks; one of them is enough.
 constexpr core::milliseconds kMinTickPeriod{500};
 
@@ -26,12 +26,8 @@
 
 /// What happened since the last log line of a port and reason.
 struct ingress::log_state {
-  struct tally {
-    std::uint64_t closed = 0;
-    std::uint64_t refused = 0;
-    std::optional<core::mono_time> logged_at;
-  };
-  std::map<std::pair<std::string, limit_reason>, tally> tallies;
+  enum event : std::uint8_t { closed, refused, count };
+  std::map<std::pair<std::string, limit_reason>, core::log_tally<count>> tallies;
 };
 
 ingress::ingress(const ingress_limits& limits, metrics::registry* metrics)
@@ -72,14 +68,11 @@
         .Add();
   }
   auto& tally = log_->tallies[{where.name, reason}];
-  ++(refused ? tally.refused : tally.closed);
-  if (tally.logged_at && now < *tally.logged_at + kLogPeriod) return;
+  const auto counts = tally.Add(refused ? log_state::refused : log_state::closed, now);
   // Connections without a request for minutes are the ordinary end of a kept-alive connection.
-  if (reason != limit_reason::idle_time) {
-    spdlog::warn("event=ingress_limited port={} reason={} closed={} refused={}", where.name,
-                 ToString(reason), tally.closed, tally.refused);
-  }
-  tally = {.logged_at = now};
+  if (!counts || reason == limit_reason::idle_time) return;
+  spdlog::warn("event=ingress_limited port={} reason={} closed={} refused={}", where.name,
+               ToString(reason), (*counts)[log_state::closed], (*counts)[log_state::refused]);
 }
 
 void ingress::ShowGauges() {
--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "connection.h"
+#include "core/open_files.h"
 
 namespace coltsfoot::http {
 namespace {
@@ -27,9 +28,6 @@
 using boost::system::error_code;
 
 constexpr std::chrono::milliseconds kSweepPeriod{1000};
-/// Pause before the next attempt when no descriptor or kernel memory is left for a connection, and
-/// no connection can be closed for it.
-constexpr std::chrono::milliseconds kAcceptPause{50};
 /// Pause after a connection was named for its descriptor. Another thread may have to close it, and
 /// an attempt before that would name one more. Short, since a crowd that waits to be accepted
 /// delays an ordinary caller by this time for each of its connections.
@@ -166,10 +164,9 @@
   void OnAccepted(traffic_thread& own, connection_id id, const error_code& failure,
                   tcp::socket accepted) {
     if (!acceptor_->is_open()) return;
-    if (failure == asio::error::no_descriptors || failure == asio::error::no_buffer_space ||
-        failure == asio::error::no_memory ||
-        failure == boost::system::errc::too_many_files_open_in_system) {
-      accept_timer_->expires_after(limits_->FreeDescriptor(Now()) ? kClosePause : kAcceptPause);
+    if (core::IsOutOfDescriptors(failure)) {
+      accept_timer_->expires_after(limits_->FreeDescriptor(Now()) ? kClosePause
+                                                                  : core::kAcceptPause);
       accept_timer_->async_wait([this](const error_code& stopped) {
         if (!stopped && acceptor_->is_open()) Accept();
       });
--- a/libs/program/src/ingress_settings.cc
+++ b/libs/program/src/ingress_settings.cc
@@ -1,11 +1,11 @@
 #include "program/ingress_settings.h"
 
-#include <sys/resource.h>
-
 #include <algorithm>
 #include <cstdint>
 #include <limits>
 
+#include "core/open_files.h"
+
 namespace coltsfoot::program {
 namespace {
 
@@ -19,13 +19,6 @@
 constexpr settings::range kRequests{1, 1'000'000};
 constexpr settings::range kHeldMb{1, 1'048'576};
 
-/// @return the limit of open files of this process; 0 if it has none.
-std::size_t OpenFileLimit() {
-  rlimit limit{};
-  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) return 0;
-  return limit.rlim_cur;
-}
-
 std::size_t ReadSize(settings::reader& source, std::string_view key, settings::range allowed,
                      std::size_t fallback) {
   return static_cast<std::size_t>(source.Number(key, allowed, static_cast<std::int64_t>(fallback)));
@@ -41,7 +34,7 @@
   host.descriptors = ReadSize(source, "max_descriptors", kDescriptors, 0);
   // The lower of the two holds: the setting tells what the host grants, the other what the kernel
   // enforces.
-  const std::size_t enforced = OpenFileLimit();
+  const std::size_t enforced = core::OpenFileLimit();
   if (host.descriptors == 0 || (enforced != 0 && enforced < host.descriptors)) {
     host.descriptors = enforced;
   }
--- a/libs/wire/src/connection_ledger.cc
+++ b/libs/wire/src/connection_ledger.cc
@@ -1,10 +1,10 @@
 #include "wire/connection_ledger.h"
 
-#include <sys/resource.h>
-
 #include <algorithm>
 #include <tuple>
 
+#include "core/open_files.h"
+
 namespace coltsfoot::wire {
 namespace {
 
@@ -15,10 +15,9 @@
 
 connection_limits DefaultConnectionLimits() {
   connection_limits out;
-  rlimit descriptors{};
-  if (getrlimit(RLIMIT_NOFILE, &descriptors) != 0) return out;
-  if (descriptors.rlim_cur == RLIM_INFINITY) return out;
-  const std::size_t share = descriptors.rlim_cur / kDescriptorShare;
+  const std::size_t descriptors = core::OpenFileLimit();
+  if (descriptors == 0) return out;
+  const std::size_t share = descriptors / kDescriptorShare;
   out.connections = std::clamp(share, kMinConnections, out.connections);
   return out;
 }
--- a/libs/wire/src/peer_counts.cc
+++ b/libs/wire/src/peer_counts.cc
@@ -6,18 +6,14 @@
 #include <atomic>
 #include <chrono>
 
+#include "core/log_tally.h"
+
 namespace coltsfoot::wire {
 namespace {
 
-using std::chrono::steady_clock;
-
-constexpr std::chrono::seconds kLogInterval{1};
-
 struct limited_count {
   std::atomic<std::uint64_t> total{0};
-  std::atomic<std::uint64_t> logged{0};
-  std::atomic<steady_clock::rep> next_log{
-      steady_clock::time_point::min().time_since_epoch().count()};
+  core::log_tally<> tally;
 };
 
 std::atomic<std::int64_t> peers{0};
@@ -29,14 +25,11 @@
 
 void CountLimited(limit_reason reason) {
   limited_count& count = limited.at(static_cast<std::size_t>(reason));
-  const std::uint64_t total = ++count.total;
-  const steady_clock::time_point now = steady_clock::now();
-  steady_clock::rep due = count.next_log;
-  if (now.time_since_epoch().count() < due) return;
-  const steady_clock::rep next = (now + kLogInterval).time_since_epoch().count();
-  if (!count.next_log.compare_exchange_strong(due, next)) return;
+  ++count.total;
+  const auto counts = count.tally.Add(0, std::chrono::steady_clock::now());
+  if (!counts) return;
   spdlog::warn("event=peer_limited reason={} count={} connections={}", ToString(reason),
-               total - count.logged.exchange(total), peers.load(std::memory_order_relaxed));
+               counts->front(), peers.load(std::memory_order_relaxed));
 }
 
 std::string RenderPeerCounts() {
--- a/libs/wire/src/tcp_transport.cc
+++ b/libs/wire/src/tcp_transport.cc
@@ -10,6 +10,7 @@
 #include <mutex>
 #include <utility>
 
+#include "core/open_files.h"
 #include "endpoints.h"
 #include "peer_counts.h"
 #include "traffic_counters.h"
@@ -27,8 +28,6 @@
 // with a round trip of 6 ms.
 constexpr int kReceiveBufferBytes = 64 << 10;
 constexpr int kSendBufferBytes = 256 << 10;
-// Pause after the process could not accept a connection for lack of descriptors or memory.
-constexpr core::milliseconds kAcceptPause{50};
 
 core::mono_time Now() { return std::chrono::steady_clock::now(); }
 
@@ -421,7 +420,7 @@
     acceptor.async_accept(
         [self = shared_from_this()](asio::error_code failure, tcp::socket socket) {
           if (failure == asio::error::operation_aborted || !self->acceptor.is_open()) return;
-          if (IsExhausted(failure)) {
+          if (core::IsOutOfDescriptors(failure)) {
             self->FreeDescriptor();
             return;
           }
@@ -430,11 +429,6 @@
         });
   }
 
-  static bool IsExhausted(asio::error_code failure) {
-    return failure == asio::error::no_descriptors || failure == asio::error::no_buffer_space ||
-           failure == asio::error::no_memory || failure == std::errc::too_many_files_open_in_system;
-  }
-
   void Adopt(tcp::socket socket) {
     auto connection = std::make_shared<framed_connection>(std::move(socket), peers);
     peers->Add(connection);
@@ -451,7 +445,7 @@
       return;
     }
     CountLimited(limit_reason::descriptors);
-    pause.expires_after(kAcceptPause);
+    pause.expires_after(core::kAcceptPause);
     pause.async_wait([self = shared_from_this()](asio::error_code failure) {
       if (!failure && self->acceptor.is_open()) self->Accept();
     });
