membership: rows that no connection confirmed expire

What callers saw: strangers who send heartbeats under invented names fill the 4,096 rows of an entry. As long as the heartbeats go on, the heartbeats of new agents are refused. If they end, the rows stay ten minutes.

Cause: a row was removed for its silence only, and a heartbeat is a datagram that anyone can send.

`worker_table::Confirm` marks a row when the entry's connection to the agent opens. A row without it is removed after a minute of silence, and in a full table a minute after it was added, although its heartbeats go on. It may be added again by the next heartbeat if there is still room.

Names of services and places that such rows brought stay until the entry restarts.

--- a/libs/entry/src/agent_directory.cc
+++ b/libs/entry/src/agent_directory.cc
@@ -30,7 +30,10 @@
                                const wire::raw_message& raw) { return Decode(link, raw); },
               .on_up =
                   [this](const std::string& worker) {
-                    if (const auto index = workers_.Find(worker)) NotifyIfReachable(worker, *index);
+                    const auto index = workers_.Find(worker);
+                    if (!index) return;
+                    workers_.Confirm(*index);
+                    NotifyIfReachable(worker, *index);
                   },
               .on_down =
                   [this](const std::string& worker) {
--- a/libs/membership/include/membership/worker_table.h
+++ b/libs/membership/include/membership/worker_table.h
@@ -31,6 +31,9 @@
   std::uint32_t missed_heartbeats = 3;
   /// A worker that has been silent or gone this long is removed by `Forget`.
   core::nanoseconds forget_after = std::chrono::minutes{10};
+  /// A worker without `Confirm` is removed by `Forget` when it has been silent or gone this long,
+  /// and in a full table this long after its first heartbeat.
+  core::nanoseconds forget_unconfirmed_after = std::chrono::minutes{1};
   /// Rows in use. The heartbeat of a further worker is refused, and while the table is full,
   /// `Forget` removes workers as soon as they are silent.
   std::size_t max_workers = 4096;
@@ -116,6 +119,9 @@
   /// and unconfirmed by the second one after it was made, because the first may have been sent
   /// before the assignment arrived.
   heartbeat_result OnHeartbeat(const wire::agent_heartbeat& heartbeat, core::mono_time now);
+  /// A connection to the worker has opened. Until then its row may be invented, since anyone can
+  /// send a heartbeat.
+  void Confirm(worker_index worker) { confirmed_[worker] = true; }
   /// Marks the worker as gone if the message is of its known incarnation.
   /// @return the worker, or nothing if nothing changed.
   std::optional<worker_index> OnGoodbye(const wire::agent_goodbye& goodbye);
@@ -153,8 +159,9 @@
   /// Ends a hold that was not converted.
   void ReleaseHold(worker_index worker, assignment_id id);
 
-  /// Removes workers that have been silent or gone for `forget_after`, at most 64 per call. In a
-  /// full table, removes workers that have missed the allowed heartbeats.
+  /// Removes workers that have been silent or gone for `forget_after`, at most 64 per call, and
+  /// unconfirmed ones by `forget_unconfirmed_after`. In a full table, removes workers that have
+  /// missed the allowed heartbeats.
   /// @return their indexes; owners of per-worker columns reset them, since indexes are reused.
   std::vector<worker_index> Forget(core::mono_time now);
 
@@ -219,7 +226,8 @@
 
   /// @return true if the rows and names that the heartbeat needs exist or may be added.
   bool HasRoomFor(const wire::agent_heartbeat& heartbeat) const;
-  worker_index AddRow(const std::string& id);
+  worker_index AddRow(const std::string& id, core::mono_time now);
+  bool IsForgettable(worker_index worker, core::mono_time now) const;
   heartbeat_result OnBriefHeartbeat(const wire::agent_heartbeat& heartbeat, core::mono_time now);
   void ApplyDescription(worker_index worker, const wire::agent_heartbeat& heartbeat);
   void ApplyState(worker_index worker, const wire::agent_heartbeat& heartbeat, core::mono_time now);
@@ -236,6 +244,7 @@
 
   core::nanoseconds silence_limit_;
   core::nanoseconds forget_after_;
+  core::nanoseconds forget_unconfirmed_after_;
   std::size_t max_workers_;
   std::size_t max_names_;
   name_table service_names_;
@@ -247,6 +256,8 @@
 
   std::vector<std::uint8_t> flags_;
   std::vector<core::mono_time> last_heartbeat_at_;
+  std::vector<core::mono_time> added_at_;
+  std::vector<bool> confirmed_;
   std::vector<core::resources> total_;
   std::vector<core::resources> available_;
   std::vector<core::resources> evictable_;
--- a/libs/membership/src/worker_table.cc
+++ b/libs/membership/src/worker_table.cc
@@ -31,6 +31,7 @@
 worker_table::worker_table(worker_table_options options)
     : silence_limit_(options.heartbeat * options.missed_heartbeats),
       forget_after_(options.forget_after),
+      forget_unconfirmed_after_(options.forget_unconfirmed_after),
       max_workers_(options.max_workers),
       max_names_(options.max_names) {}
 
@@ -40,7 +41,7 @@
   if (!HasRoomFor(heartbeat)) return {kNoWorker, heartbeat_outcome::refused};
   const auto known = by_id_.find(heartbeat.worker);
   const bool added = known == by_id_.end();
-  const worker_index worker = added ? AddRow(heartbeat.worker) : known->second;
+  const worker_index worker = added ? AddRow(heartbeat.worker, now) : known->second;
   worker_identity& identity = identity_[worker];
   const bool restarted = !added && identity.incarnation != heartbeat.incarnation;
   if (restarted && identity.previous_incarnation == heartbeat.incarnation) {
@@ -191,13 +192,20 @@
   RecomputeAvailable(worker);
 }
 
+bool worker_table::IsForgettable(worker_index worker, core::mono_time now) const {
+  if (!IsKnown(worker)) return false;
+  const bool is_full = by_id_.size() >= max_workers_;
+  const core::nanoseconds silence = now - last_heartbeat_at_[worker];
+  if (silence > forget_after_ || (is_full && silence > silence_limit_)) return true;
+  if (confirmed_[worker]) return false;
+  return (is_full ? now - added_at_[worker] : silence) > forget_unconfirmed_after_;
+}
+
 std::vector<worker_index> worker_table::Forget(core::mono_time now) {
   std::vector<worker_index> forgotten;
-  const core::nanoseconds forget_after =
-      by_id_.size() >= max_workers_ ? std::min(silence_limit_, forget_after_) : forget_after_;
   for (worker_index worker = 0; worker < size(); ++worker) {
     if (forgotten.size() == kMaxForgottenPerCall) break;
-    if (identity_[worker].id.empty() || now - last_heartbeat_at_[worker] <= forget_after) continue;
+    if (!IsForgettable(worker, now)) continue;
     by_id_.erase(identity_[worker].id);
     ForgetIncarnation(worker);
     ClearServices(worker);
@@ -254,11 +262,13 @@
   return count;
 }
 
-worker_index worker_table::AddRow(const std::string& id) {
+worker_index worker_table::AddRow(const std::string& id, core::mono_time now) {
   worker_index worker = static_cast<worker_index>(size());
   if (free_rows_.empty()) {
     flags_.emplace_back();
     last_heartbeat_at_.emplace_back();
+    added_at_.emplace_back();
+    confirmed_.push_back(false);
     total_.emplace_back();
     available_.emplace_back();
     evictable_.emplace_back();
@@ -277,6 +287,8 @@
     free_rows_.pop_back();
   }
   flags_[worker] = 0;
+  added_at_[worker] = now;
+  confirmed_[worker] = false;
   identity_[worker].id = id;
   by_id_[id] = worker;
   return worker;
--- a/libs/membership/tests/worker_table_test.cc
+++ b/libs/membership/tests/worker_table_test.cc
@@ -234,6 +234,37 @@
   CHECK(table.OnHeartbeat(renamed, kStart + seconds{16}).outcome == heartbeat_outcome::updated);
 }
 
+// Guards against rows of invented workers that keep real ones out: their heartbeats go on, but no
+// connection to them opens.
+TEST_CASE("rows that no connection confirmed expire") {
+  worker_table table({.max_workers = 2});
+  const auto heartbeat = [&](const std::string& worker, std::uint64_t seq, core::mono_time at) {
+    auto sent = Heartbeat(seq);
+    sent.worker = worker;
+    sent.incarnation = worker.back();
+    return table.OnHeartbeat(sent, at);
+  };
+  const worker_index real = heartbeat("real", 1, kStart).worker;
+  table.Confirm(real);
+  const worker_index invented = heartbeat("invented", 1, kStart).worker;
+  core::mono_time now = kStart;
+  std::vector<worker_index> forgotten;
+  for (std::uint64_t seq = 2; seq < 20 && forgotten.empty(); ++seq) {
+    now += seconds{5};
+    heartbeat("real", seq, now);
+    heartbeat("invented", seq, now);
+    forgotten = table.Forget(now);
+  }
+  CHECK(forgotten == std::vector{invented});
+  CHECK(heartbeat("other", 1, now).outcome == heartbeat_outcome::added);
+
+  // In a table with room, only a silent one is removed.
+  worker_table roomy;
+  const worker_index silent = roomy.OnHeartbeat(Heartbeat(1), kStart).worker;
+  CHECK(roomy.Forget(kStart + std::chrono::minutes{1}).empty());
+  CHECK(roomy.Forget(kStart + std::chrono::minutes{1} + seconds{1}) == std::vector{silent});
+}
+
 // Guards against an estimate that is above what a correct agent will report next: any order of
 // assignments, confirmations, heartbeats and reports.
 TEST_CASE("the estimate never exceeds the true free capacity") {
