entry: bound the dials to addresses that never answered

What callers saw: heartbeats with invented addresses make an entry open up to 4,096 connections at once. Each holds a descriptor for about two minutes if the address does not answer, and ordinary callers are not accepted without descriptors.

Cause: `link_pool` dialled each new endpoint at once, without a limit on dials in progress and with the kernel's limit on their time.

`dial_schedule` decides, without sockets, which links are dialled: links that were connected before as soon as their delay is over, of the others at most 128 at a time, those with the fewest failures first. A dial fails after 3 s and is counted. A report about a connection that the pool has given up is ignored; before, a second report of the same loss was counted again.

--- a/libs/entry/src/link_pool.cc
+++ b/libs/entry/src/link_pool.cc
@@ -6,7 +6,6 @@
 namespace coltsfoot::entry {
 namespace {
 
-constexpr core::milliseconds kReconnectDelay{200};
 // Messages of incoming links that wait for the control thread. A peer that sends them faster than
 // they are handled would otherwise fill the memory.
 constexpr std::size_t kMaxWaitingBytes = 16U << 20U;
@@ -29,18 +28,20 @@
 void link_pool::Connect(const std::string& link, const wire::endpoint& to) {
   link_state& state = links_[link];
   if (state.to == to && state.generation != 0) return;
-  CloseOnTraffic(state.connection);
+  CloseOnTraffic(std::exchange(state.connection, nullptr));
   const bool was_up = std::exchange(state.up, false);
   state.to = to;
-  lost_.erase(link);
-  Open(link, state);
+  state.generation = ++next_generation_;
+  const core::mono_time now = time_.Now();
+  dials_.Add(link, now);
+  DialDue(now);
   if (was_up) handlers_.on_down(link);
 }
 
 void link_pool::Forget(const std::string& link) {
   auto node = links_.extract(link);
   if (node.empty()) return;
-  lost_.erase(link);
+  dials_.Remove(link);
   CloseOnTraffic(node.mapped().connection);
   if (node.mapped().up) handlers_.on_down(link);
 }
@@ -84,14 +85,19 @@
 }
 
 void link_pool::Tick() {
-  if (lost_.empty()) return;
+  if (dials_.is_idle()) return;
   const core::mono_time now = time_.Now();
-  std::erase_if(lost_, [&](const std::string& link) {
+  for (const std::string& link : dials_.Overdue(now)) {
     link_state& state = links_.at(link);
-    if (now < state.retry_at) return false;
-    Open(link, state);
-    return true;
-  });
+    CloseOnTraffic(std::exchange(state.connection, nullptr));
+    metrics_.GetCounter("coltsfoot_dials_overdue_total").Add();
+    OnDown(link, state.generation, core::result_code::connect_failed);
+  }
+  DialDue(now);
+}
+
+void link_pool::DialDue(core::mono_time now) {
+  for (const std::string& link : dials_.TakeDue(now)) Open(link, links_.at(link));
 }
 
 void link_pool::Open(const std::string& link, link_state& state) {
@@ -105,7 +111,7 @@
 void link_pool::Adopt(const std::shared_ptr<wire::tcp_connection>& connection) {
   const std::uint64_t generation = ++next_generation_;
   const std::string link = "incoming-" + std::to_string(generation);
-  links_[link] = {{}, generation, true, {}, connection};
+  links_[link] = {.generation = generation, .up = true, .connection = connection};
   asio::post(traffic_, [this, link, generation, connection] {
     StartOnTraffic(link, generation, connection, true);
   });
@@ -158,6 +164,7 @@
   const auto found = links_.find(link);
   if (found == links_.end() || found->second.generation != generation) return;
   found->second.up = true;
+  dials_.OnUp(link);
   handlers_.on_up(link);
 }
 
@@ -169,12 +176,14 @@
   const bool was_up = found->second.up;
   const bool incoming = found->second.to.port == 0;
   if (incoming) {
+    dials_.Remove(link);
     links_.erase(found);
   } else {
     found->second.up = false;
     found->second.connection = nullptr;
-    found->second.retry_at = time_.Now() + kReconnectDelay;
-    lost_.insert(link);
+    // Later reports of this connection are ignored.
+    found->second.generation = ++next_generation_;
+    dials_.OnDown(link, time_.Now());
   }
   if (was_up) handlers_.on_down(link);
 }
--- a/libs/entry/src/link_pool.h
+++ b/libs/entry/src/link_pool.h
@@ -6,12 +6,12 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "control_queue.h"
 #include "core/clock.h"
+#include "dial_schedule.h"
 #include "metrics/registry.h"
 #include "wire/transport.h"
 
@@ -59,7 +59,7 @@
   /// Accepts incoming links. Call once, before the traffic thread starts.
   /// @return the endpoint that the pool listens on.
   wire::endpoint Listen(const wire::endpoint& local, const wire::connection_limits& limits);
-  /// Reconnects lost outgoing links after a delay.
+  /// Ends dials that take too long and dials the outgoing links that are due.
   void Tick();
 
  private:
@@ -67,7 +67,6 @@
     wire::endpoint to;  ///< empty for an incoming link
     std::uint64_t generation = 0;
     bool up = false;
-    core::mono_time retry_at;
     std::shared_ptr<wire::tcp_connection> connection;  ///< used on the traffic thread only
   };
 
@@ -78,6 +77,7 @@
     std::string frame;
   };
 
+  void DialDue(core::mono_time now);
   void Open(const std::string& link, link_state& state);
   void SendOnTraffic(queued_frame& queued);
   void Adopt(const std::shared_ptr<wire::tcp_connection>& connection);
@@ -97,9 +97,9 @@
   metrics::registry& metrics_;
   callbacks handlers_;
   std::map<std::string, link_state> links_;
-  /// Outgoing links without a connection. `Tick` visits only these: iterating over the links to 990
+  /// Outgoing links. `Tick` visits only those without a connection: iterating over the links to 990
   /// agents 50 times a second took 45 % of the user CPU time of an entry without tasks.
-  std::set<std::string> lost_;
+  dial_schedule dials_;
   std::vector<queued_frame> outbox_;
   std::uint64_t next_generation_ = 0;
   /// Memory of messages from incoming links that wait for the control thread, in bytes. Shared
