outside limits: crowds that come again, few descriptors, slow requests; a stop amid each

Callers outside the limits may also connect again as fast as they are closed, from many addresses, meet a host with fewer descriptors than the limits assume, send complete requests while the store does not answer, or fill the query of an unfinished request. The tests had none of these, and none stopped a process while its crowd was connected.

Each row, old and new, now also sends SIGTERM with the crowd connected, and the process has to end by itself with exit code 0. Bounds are those of the table: 160 MB for hosts of entries, 128 MB for those of agents.

--- a/test/harness/include/harness/crowd.h
+++ b/test/harness/include/harness/crowd.h
@@ -29,6 +29,8 @@
 struct crowd_plan {
   std::vector<byte_sequence> sequences;  ///< one a connection
   bool reads = true;                     ///< false: leaves all answers unread
+  bool reopens = false;       ///< connects and sends again whenever the server has closed it
+  std::size_t addresses = 1;  ///< 127.0.0.1 and following ones from which the connections come
 };
 
 /// Kinds of crowds.
@@ -41,6 +43,10 @@
   unread_answers,     ///< requests whose answers are not read
   unfinished_frames,  ///< frames for peers that lack their last byte
   silent_peers,       ///< more connections than descriptors that send nothing
+  many_parameters,    ///< unfinished requests with as many query parameters as fit
+  slow_requests,      ///< complete requests that wait for something else, with an id each
+  reopening,          ///< more connections than descriptors, from many addresses, that come again
+  few_descriptors,    ///< as many_connections, with fewer descriptors than the limits assume
 };
 
 /// @return the hard limit on descriptors with which a process meets a kind of crowd; 0: none.
@@ -52,6 +58,7 @@
   std::string method = "POST";        ///< of requests with a body
   std::size_t far_bytes = 3'900'000;  ///< of a body far over the limit that stays open
   wire::message_type frame = wire::message_type::hello;
+  std::string body = "{}";  ///< of complete requests
 };
 
 /// @return the crowds of a kind, which come one after the other and stay.
@@ -74,6 +81,8 @@
   /// Waits until each connection has sent its sequence or was closed by the server, or none has
   /// made progress for a while because the server reads nothing.
   void WaitUntilSettled();
+  /// Waits until the server has closed or refused `count` connections, within a limit.
+  void WaitUntilClosed(std::size_t count);
   /// @return the number of connections that the server has closed or refused.
   std::size_t closed() const;
   /// @return the bytes that the kernel has taken from all connections.
@@ -126,10 +135,12 @@
   held_resources held;
   bool running = false;
   bool answered = false;
-  std::string summary;  ///< for the report
+  bool stopped = false;  ///< ended by itself after SIGTERM, with the crowds still connected
+  std::string summary;   ///< for the report
 };
 
-/// Connects crowds to a port of a process, keeps them and makes an ordinary call.
+/// Connects crowds to a port of a process, keeps them, makes an ordinary call and stops the
+/// process.
 /// @param ports "IP:PORT" of each port that the process listens on; the first one gets the crowds.
 /// @param call whether the ordinary caller got its answer.
 crowd_outcome MeetCrowds(process& subject, const std::vector<std::string>& ports,
--- a/test/harness/src/crowd.cc
+++ b/test/harness/src/crowd.cc
@@ -9,8 +9,10 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/read.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <charconv>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -35,6 +37,10 @@
 constexpr int kMaxTries = 20;
 constexpr core::milliseconds kTryTimeout{30000};
 constexpr core::milliseconds kTryPause{1000};
+constexpr core::milliseconds kStopLimit{30000};
+constexpr core::milliseconds kReopenPause{5};
+// Closed connections for each of a crowd that comes again, before the ordinary call.
+constexpr std::size_t kReopenings = 10;
 
 /// @return a plan with `count` connections that all send `bytes`.
 crowd_plan Repeat(std::size_t count, std::string bytes) {
@@ -48,6 +54,15 @@
   return Chunks(std::string(bytes, 'x'), chunk_bytes);
 }
 
+/// @return a query of `bytes` with different names of two characters and without values.
+std::string Query(std::size_t bytes) {
+  std::string out;
+  for (std::size_t index = 0; out.size() < bytes; ++index) {
+    out += {static_cast<char>('A' + index % 58), static_cast<char>('A' + index / 58), '&'};
+  }
+  return out;
+}
+
 std::uint16_t PortOf(std::string_view endpoint) {
   const std::string_view digits = endpoint.substr(endpoint.rfind(':') + 1);
   std::uint16_t port = 0;
@@ -69,15 +84,24 @@
 /// One connection of a crowd.
 class member : public std::enable_shared_from_this<member> {
  public:
-  member(asio::io_context& context, byte_sequence bytes, bool reads, totals& counts)
-      : socket_(context), bytes_(std::move(bytes)), reads_(reads), counts_(counts) {}
+  member(asio::io_context& context, byte_sequence bytes, const crowd_plan& plan,
+         std::size_t address, totals& counts)
+      : socket_(context),
+        pause_(context),
+        bytes_(std::move(bytes)),
+        reads_(plan.reads),
+        reopens_(plan.reopens),
+        address_(asio::ip::address_v4::loopback().to_uint() + static_cast<std::uint32_t>(address)),
+        counts_(counts) {}
 
   void Connect(const tcp::endpoint& server) {
-    if (!reads_) {
-      // Leaves the answers to the server and not to this side of the connection.
-      socket_.open(server.protocol());
-      socket_.set_option(tcp::socket::receive_buffer_size(kUnreadBytes));
-    }
+    server_ = server;
+    asio::error_code failed;
+    socket_.open(server.protocol(), failed);
+    if (!failed) socket_.bind({address_, 0}, failed);
+    if (failed) return Close();
+    // Leaves the answers to the server and not to this side of the connection.
+    if (!reads_) socket_.set_option(tcp::socket::receive_buffer_size(kUnreadBytes));
     socket_.async_connect(server, [self = shared_from_this()](asio::error_code failure) {
       if (failure) return self->Close();
       ++self->counts_.events;
@@ -119,11 +143,22 @@
     ++counts_.closed;
     asio::error_code ignored;  // closing a socket that the server has reset fails without effect
     socket_.close(ignored);
+    if (!reopens_) return;
+    pause_.expires_after(kReopenPause);
+    pause_.async_wait([self = shared_from_this()](asio::error_code stopped) {
+      if (stopped || self->socket_.is_open()) return;
+      self->offset_ = 0;
+      self->Connect(self->server_);
+    });
   }
 
   tcp::socket socket_;
+  asio::steady_timer pause_;
+  tcp::endpoint server_;
   byte_sequence bytes_;
   const bool reads_;
+  const bool reopens_;
+  const asio::ip::address_v4 address_;
   totals& counts_;
   std::size_t offset_ = 0;
   bool finished_ = false;
@@ -137,8 +172,9 @@
   impl(const std::string& endpoint, crowd_plan plan) {
     const tcp::endpoint server = ToTcp(endpoint);
     counts_.unfinished = plan.sequences.size();
-    for (byte_sequence& bytes : plan.sequences) {
-      members_.push_back(std::make_shared<member>(context_, std::move(bytes), plan.reads, counts_));
+    for (const byte_sequence& bytes : plan.sequences) {
+      members_.push_back(std::make_shared<member>(context_, bytes, plan,
+                                                  members_.size() % plan.addresses, counts_));
       members_.back()->Connect(server);
     }
     thread_ = std::thread([this] { context_.run(); });
@@ -178,13 +214,23 @@
   }
 }
 
+void crowd::WaitUntilClosed(std::size_t count) {
+  const auto until = std::chrono::steady_clock::now() + kTryTimeout;
+  while (closed() < count && std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(kPollInterval);
+  }
+}
+
 std::size_t crowd::closed() const { return impl_->counts().closed; }
 
 std::size_t crowd::sent_bytes() const { return impl_->counts().sent_bytes; }
 
 std::size_t DescriptorLimit(crowd_kind kind) {
   constexpr std::size_t kFewDescriptors = 256;
-  const bool limited = kind == crowd_kind::many_connections || kind == crowd_kind::silent_peers;
+  constexpr std::size_t kVeryFewDescriptors = 64;
+  if (kind == crowd_kind::few_descriptors) return kVeryFewDescriptors;
+  const bool limited = kind == crowd_kind::many_connections || kind == crowd_kind::silent_peers ||
+                       kind == crowd_kind::reopening;
   return limited ? kFewDescriptors : 0;
 }
 
@@ -205,6 +251,7 @@
     case crowd_kind::unannounced:
       return {Repeat(60, chunked + Body(traffic.far_bytes, kLargeChunk)),
               Repeat(20, chunked + Body(40'000'000, kLargeChunk))};
+    case crowd_kind::few_descriptors:
     case crowd_kind::many_connections: {
       crowd_plan plan = Repeat(100, "");
       for (const std::string& part :
@@ -229,6 +276,25 @@
     }
     case crowd_kind::silent_peers:
       return {Repeat(300, "")};
+    case crowd_kind::many_parameters:
+      return {Repeat(600, traffic.method + " " + traffic.path + "?" + Query(8000) + headers +
+                              "Content-Length: 2\r\n\r\n{")};
+    case crowd_kind::slow_requests: {
+      crowd_plan plan;
+      for (std::size_t id = 0; id < 300; ++id) {
+        plan.sequences.push_back(std::make_shared<const std::string>(
+            fmt::format("{} {}{:016x}{}Content-Length: {}\r\n\r\n{}", traffic.method,
+                        traffic.path.substr(0, traffic.path.rfind('/') + 1), 0xc0000 + id, headers,
+                        traffic.body.size(), traffic.body)));
+      }
+      return {std::move(plan)};
+    }
+    case crowd_kind::reopening: {
+      crowd_plan plan = Repeat(300, head + "Content-Length: 2\r\n\r\n{");
+      plan.reopens = true;
+      plan.addresses = 100;
+      return {std::move(plan)};
+    }
   }
   return {};
 }
@@ -323,18 +389,26 @@
   crowd_outcome out;
   for (crowd_plan& plan : plans) {
     const std::size_t count = plan.sequences.size();
+    const bool reopens = plan.reopens;
     crowds.push_back(std::make_unique<crowd>(ports.front(), std::move(plan)));
     crowds.back()->WaitUntilSettled();
-    WaitUntilRead(monitor);
+    if (reopens) {
+      crowds.back()->WaitUntilClosed(kReopenings * count);
+    } else {
+      WaitUntilRead(monitor);
+    }
     out.summary += fmt::format("{} connections sent {} bytes, {} closed; ", count,
                                crowds.back()->sent_bytes(), crowds.back()->closed());
   }
   out.answered = call();
   out.held = monitor.Peak();
   out.running = subject.running();
-  out.summary += fmt::format("running={} answered={} resident={} unread={} descriptors={}",
-                             out.running, out.answered, out.held.resident_bytes,
-                             out.held.unread_bytes, out.held.descriptors);
+  subject.Signal(SIGTERM);
+  out.stopped = subject.WaitForExit(kStopLimit) == 0;
+  out.summary +=
+      fmt::format("running={} answered={} stopped={} resident={} unread={} descriptors={}",
+                  out.running, out.answered, out.stopped, out.held.resident_bytes,
+                  out.held.unread_bytes, out.held.descriptors);
   return out;
 }
 
--- a/test/outside_limits/outside_limits_test.cc
+++ b/test/outside_limits/outside_limits_test.cc
@@ -88,6 +88,9 @@
     {"announced", crowd_kind::announced, true},
     {"unannounced", crowd_kind::unannounced, true},
     {"many_connections", crowd_kind::many_connections, true},
+    {"many_parameters", crowd_kind::many_parameters, true},
+    {"reopening", crowd_kind::reopening, true},
+    {"few_descriptors", crowd_kind::few_descriptors, true},
     {"unfinished_frames", crowd_kind::unfinished_frames, false},
     {"silent_peers", crowd_kind::silent_peers, false},
 };
@@ -109,6 +112,7 @@
   MESSAGE(outcome.summary);
   CHECK(outcome.running);
   CHECK(outcome.answered);
+  CHECK(outcome.stopped);
   CHECK(outcome.held.memory_bytes() <= (port.of_entry ? kEntryMemory : kAgentMemory));
   if (max_descriptors > 0) CHECK(outcome.held.descriptors < max_descriptors);
 }
