http: a request has at most 100 query parameters, and they are counted

A crowd of 600 unfinished requests, each with 2,667 query parameters in a target of 8 kB, took 200 MB of a host of 160, and of a host of 128.

The parser decodes the target into a map as soon as the header is there. It counted the text of the target twice, but not the nodes of the map, of over 100 bytes for each parameter, so 300 kB counted as 16 kB and the limit on held bytes was never met.

A request with more than 100 parameters is refused as malformed, like one with more than 100 header fields, and each parameter counts 128 bytes beside its text. Requests of the pages have a few at most.

The case of 101 parameters in "ambiguous and malformed requests" got no refusal before.

--- a/libs/http/src/request_parser.cc
+++ b/libs/http/src/request_parser.cc
@@ -14,9 +14,11 @@
 constexpr std::size_t kMaxUrlBytes = 8192;
 constexpr std::size_t kMaxFieldBytes = 8192;
 constexpr std::uint32_t kMaxFields = 100;
+constexpr std::size_t kMaxParameters = 100;
 /// For all extensions of all chunks of a request together.
 constexpr std::size_t kMaxExtensionBytes = std::size_t{32} << 10U;
-/// Memory of a header field beside its text: the node of the map and two strings.
+/// Memory of a header field or query parameter beside its text: the node of the map and two
+/// strings.
 constexpr std::size_t kFieldOverheadBytes = 128;
 
 std::string_view ToStd(beast::string_view text) noexcept { return {text.data(), text.size()}; }
@@ -62,7 +64,11 @@
   version_ = version;
   request_.method.assign(name.data(), name.size());
   ParseTarget(ToStd(target), request_);
-  header_bytes_ += name.size() + 2 * target.size();
+  if (request_.query.size() > kMaxParameters) {
+    failure = beast::http::error::bad_target;
+    return;
+  }
+  header_bytes_ += name.size() + 2 * target.size() + request_.query.size() * kFieldOverheadBytes;
 }
 
 void request_parser::on_response_impl(int /*code*/, view /*reason*/, int /*version*/,
--- a/libs/http/tests/server_limits_test.cc
+++ b/libs/http/tests/server_limits_test.cc
@@ -191,6 +191,9 @@
   std::string fields = "GET / HTTP/1.1\r\n";
   for (int index = 0; index < 101; ++index) fields += "X" + std::to_string(index) + ": 1\r\n";
   cases.push_back(fields + "\r\n");
+  std::string parameters = "GET /?";
+  for (int index = 0; index < 101; ++index) parameters += "x" + std::to_string(index) + "&";
+  cases.push_back(parameters + " HTTP/1.1\r\n\r\n");
   for (const std::string& text : cases) {
     CAPTURE(text.substr(0, 60));
     raw_client client(target);
