http: a crowd from many addresses takes no place of a balancer's callers

At the limit of connections, the address with the most of them lost one first, and at the limit of bytes the one with the most bytes. The platform's balancer may show its own address for all callers, and connections with a request in progress counted. So for a crowd from many addresses, with a connection or a large body each, requests that were just arriving through the balancer were closed, as often as callers tried.

The address decides before all else only above a quarter of a limit, with requests in progress left out. Below that, unfinished or idle connections of a second or more go first and those that have just begun last; for bytes, the largest request goes first.

--- a/libs/http/include/http/ingress_ledger.h
+++ b/libs/http/include/http/ingress_ledger.h
@@ -95,11 +95,13 @@
 /// chunks, more complete requests than the process can work on, and answers that are not read.
 /// Events of connections go in, connections to close and refusals come out. At a limit the
 /// connection that takes most is closed and not the newest. At the limit of connections that is one
-/// that was refused and lingers, then, of the address with the most connections, the oldest request
-/// that is unfinished for a second or more, then the longest idle connection, then the oldest of
-/// those that are younger; at the limit of bytes the largest unfinished request or unread answer of
-/// the address that holds most of them. A connection whose complete request is in progress is never
-/// chosen, since its caller could not know whether the request ran.
+/// that was refused and lingers, then one of an address that crowds, which has more than a quarter
+/// of the connections without a request in progress; then the oldest request that is unfinished for
+/// a second or more, then the longest idle connection, of the address with the most connections,
+/// then the oldest of those that are younger. At the limit of bytes it is the largest unfinished
+/// request or unread answer, first of an address that holds more than a quarter of the bytes with
+/// them. A connection whose complete request is in progress is never chosen, since its caller could
+/// not know whether the request ran.
 ///
 /// A connection that a call names is forgotten at once; later events of it are ignored.
 class ingress_ledger {
@@ -153,6 +155,7 @@
   /// What one address takes; the nodes of the map are stable.
   struct address_use {
     std::size_t connections = 0;
+    std::size_t in_progress = 0;     ///< of the connections, those with a request in progress
     std::size_t pressing_bytes = 0;  ///< of unfinished requests and unread answers
   };
   using address_table = std::map<std::pair<port_class, std::string>, address_use>;
--- a/libs/http/src/ingress_ledger.cc
+++ b/libs/http/src/ingress_ledger.cc
@@ -27,6 +27,15 @@
 /// A connection that opened, began a request or made progress within this time may be an ordinary
 /// one, whose request is complete within milliseconds.
 constexpr core::milliseconds kYoungTime{1000};
+/// An address that takes more than one part in so many of a limit crowds. Below that, its
+/// connections are compared with those of other addresses one by one, since a balancer may show
+/// its own address for many ordinary callers.
+constexpr std::size_t kCrowdingPart = 4;
+
+/// @return `use` of an address if that crowds at `limit`, else 0.
+std::size_t CrowdingUse(std::size_t use, std::size_t limit) {
+  return use > limit / kCrowdingPart ? use : 0;
+}
 
 }  // namespace
 
@@ -122,6 +131,7 @@
   if (IsPressing(entry.state)) address.pressing_bytes -= entry.bytes;
   if (entry.state == phase::in_progress) {
     --use.in_progress;
+    --address.in_progress;
     use.in_progress_bytes -= entry.bytes;
   }
   use.bytes = use.bytes - entry.bytes + bytes;
@@ -130,6 +140,7 @@
   if (IsPressing(state)) address.pressing_bytes += bytes;
   if (state == phase::in_progress) {
     ++use.in_progress;
+    ++address.in_progress;
     use.in_progress_bytes += bytes;
   }
 }
@@ -153,12 +164,16 @@
 bool ingress_ledger::CloseForConnections(port_class port, const address_table::const_iterator* only,
                                          limit_reason reason, core::mono_time now,
                                          std::vector<closure>& closures) {
-  // Ordered by: already refused; address with most connections; not young; unfinished before idle;
-  // oldest.
-  const auto rank = [now](const connection& entry) {
+  // Ordered by: already refused; address that crowds; not young; address with most connections;
+  // unfinished before idle; oldest.
+  const std::size_t limit = ShareOf(port).connections;
+  const auto rank = [now, limit](const connection& entry) {
     const bool young = now - entry.since < kYoungTime;
+    const address_use& address = entry.address->second;
+    const std::size_t closable = address.connections - address.in_progress;
     return std::tuple(entry.state != phase::lingering,
-                      -static_cast<std::int64_t>(entry.address->second.connections), young,
+                      -static_cast<std::int64_t>(CrowdingUse(closable, limit)), young,
+                      young ? 0 : -static_cast<std::int64_t>(closable),
                       !young && entry.state == phase::idle, entry.since);
   };
   auto chosen = table_.end();
@@ -174,8 +189,9 @@
 }
 
 void ingress_ledger::CloseForBytes(port_class port, std::vector<closure>& closures) {
-  const auto rank = [](const connection& entry) {
-    return std::tuple(entry.address->second.pressing_bytes, entry.bytes,
+  const std::size_t limit = ShareOf(port).held_bytes;
+  const auto rank = [limit](const connection& entry) {
+    return std::tuple(CrowdingUse(entry.address->second.pressing_bytes, limit), entry.bytes,
                       -entry.since.time_since_epoch());
   };
   while (UsageOf(port).bytes > ShareOf(port).held_bytes) {
--- a/libs/http/tests/ingress_ledger_test.cc
+++ b/libs/http/tests/ingress_ledger_test.cc
@@ -153,6 +153,39 @@
   CHECK(test.IsOpen(opened));
 }
 
+// Guards against a crowd from many addresses for which the connections of a balancer, which shows
+// one address for all its callers, are closed.
+TEST_CASE("a crowd from many addresses does not take the place of one address's callers") {
+  ingress_limits limits = SmallLimits();
+  limits.callers.requests_in_progress = 37;
+  fixture test(limits);
+  for (int index = 0; index < 5; ++index) CHECK_FALSE(test.Complete(test.Open("10.0.0.1"), kKiB));
+  int address = 0;
+  const auto join = [&](std::size_t bytes) {
+    test.Receive(test.Open("10.1.0." + std::to_string(++address)), bytes);
+  };
+  for (int index = 0; index < 45; ++index) join(100);
+  test.now += core::milliseconds{5000};
+  for (int round = 0; round < 30; ++round) {
+    const connection_id caller = test.Open("10.0.0.1");
+    test.Receive(caller, 100);
+    test.now += core::milliseconds{1};
+    join(100);
+    REQUIRE(test.IsOpen(caller));
+    test.ledger.Close(caller);
+    test.open.erase(caller);
+    join(100);
+  }
+  // The same for bytes: 30 callers of the balancer hold more than each address of the crowd.
+  fixture large;
+  for (int index = 0; index < 30; ++index) large.Receive(large.Open("10.0.0.1"), 10 * kKiB);
+  for (int index = 0; index < 15; ++index) {
+    large.Receive(large.Open("10.1.0." + std::to_string(index)), 250 * kKiB);
+    large.Receive(large.Open("10.0.0.1"), kKiB);
+  }
+  for (connection_id id = 1; id <= 30; ++id) CHECK(large.IsOpen(id));
+}
+
 // Guards against slow complete requests that hold every connection, so that callers beyond get no
 // answer at all.
 TEST_CASE("a crowd of complete requests leaves connections on which callers are refused") {
