entry: a wait for a task's end is forgotten when its time is over

A caller that asks for a task with `wait_ms` again and again, while the task does not end, made the entry hold a record for each of these calls until the end of the task: the call was answered in time, but its waiter, with the responder, stayed in the task controller. Nothing limits the number of such calls, which are inside the limits one by one, and at the end of the task the entry rendered an answer for each.

Each waiter now carries the end of its wait, and the controller's tick drops those that are over.

The new case of task_test, 100 waits of up to 99 ms on a task that goes on, still held all of them (101 uses of what they hold) after 200 ms without the removal in the tick; now one use, the test's own. The case above it passes a wait of an hour and checks what it did before.

--- a/libs/entry/src/api.cc
+++ b/libs/entry/src/api.cc
@@ -352,8 +352,9 @@
   }
   // The end of the task and the end of the wait both call `answer`; the responder ignores the
   // second call.
-  long_polls_.push_back({deps_.time.Now() + wait, answer});
-  deps_.tasks.WaitForEnd(task, answer);
+  const core::mono_time until = deps_.time.Now() + wait;
+  long_polls_.push_back({until, answer});
+  deps_.tasks.WaitForEnd(task, until, answer);
 }
 
 void api::ListTasks(call_context& context) {
--- a/libs/entry/src/task_assignments.cc
+++ b/libs/entry/src/task_assignments.cc
@@ -434,7 +434,7 @@
   const auto [first, last] = waiters_.equal_range(task);
   std::vector<end_handler> handlers;
   for (auto position = first; position != last; ++position) {
-    handlers.push_back(std::move(position->second));
+    handlers.push_back(std::move(position->second.done));
   }
   waiters_.erase(first, last);
   for (const end_handler& handler : handlers) handler();
--- a/libs/entry/src/task_controller.cc
+++ b/libs/entry/src/task_controller.cc
@@ -164,14 +164,15 @@
           found != tasks_.end() && found->second.phase == task_phase::running};
 }
 
-void task_controller::WaitForEnd(const std::string& task, end_handler done) {
-  waiters_.emplace(task, std::move(done));
+void task_controller::WaitForEnd(const std::string& task, core::mono_time until, end_handler done) {
+  waiters_.emplace(task, waiter{until, std::move(done)});
 }
 
 // Work of each tick.
 
 void task_controller::Tick() {
   const core::mono_time now = time_.Now();
+  std::erase_if(waiters_, [now](const auto& each) { return each.second.until < now; });
   if (!config_.is_known()) return;
   ApplySettings();
   quarantine_.Tick(now);
--- a/libs/entry/src/task_controller.h
+++ b/libs/entry/src/task_controller.h
@@ -55,8 +55,8 @@
   void Cancel(core::shard_index shard, const std::string& task, done_handler done);
   /// @return the state of a task of an owned shard; `entry` is null if the task is unknown.
   task_view Find(core::shard_index shard, const std::string& task) const;
-  /// Calls `done` when the task has ended or its shard was lost.
-  void WaitForEnd(const std::string& task, end_handler done);
+  /// Calls `done` when the task has ended or its shard was lost, unless `until` has passed before.
+  void WaitForEnd(const std::string& task, core::mono_time until, end_handler done);
   /// @return lines of text that explain the state of a task to an operator.
   std::vector<std::string> Explain(core::shard_index shard, const std::string& task);
 
@@ -83,6 +83,10 @@
   placement::scheduler& scheduler() noexcept { return scheduler_; }
 
  private:
+  struct waiter {
+    core::mono_time until;
+    end_handler done;
+  };
   enum class task_phase : std::uint8_t {
     queued,
     assigning,    ///< the assignment is being recorded
@@ -180,7 +184,7 @@
   core::resources largest_worker_;  ///< maximum of each resource over all workers
   std::unordered_map<std::string, tracked_task> tasks_;
   std::unordered_map<std::string, worker_state> worker_states_;
-  std::multimap<std::string, end_handler> waiters_;
+  std::multimap<std::string, waiter> waiters_;
   std::map<std::string, std::vector<wire::team_usage>> peer_usage_;
   core::mono_time next_periodic_check_{};
 };
--- a/libs/entry/tests/task_test.cc
+++ b/libs/entry/tests/task_test.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <memory>
+
 #include "fixture.h"
 
 namespace coltsfoot::entry {
@@ -42,7 +44,8 @@
   wire::task_event done = test.Event(task_event_kind::finished);
   done.result = "whole result";
   bool ended = false;
-  test.tasks.WaitForEnd(fixture::kTask, [&ended] { ended = true; });
+  test.tasks.WaitForEnd(fixture::kTask, test.time.Now() + std::chrono::hours{1},
+                        [&ended] { ended = true; });
   test.tasks.OnTaskEvent(done);
   test.tasks.OnTaskEvent(done);
   CHECK_FALSE(ended);
@@ -268,4 +271,17 @@
   CHECK(test.Entry().result == "bad input");
 }
 
+// Guards against memory that grows with each wait for a task that does not end.
+TEST_CASE("a wait for the end of a task is forgotten when its time is over") {
+  fixture test;
+  test.Start();
+  test.SubmitTask();
+  const auto held = std::make_shared<int>();
+  for (int index = 0; index < 100; ++index) {
+    test.tasks.WaitForEnd(fixture::kTask, test.time.Now() + milliseconds{index}, [held] {});
+  }
+  test.AdvanceTime(milliseconds{200});
+  CHECK(held.use_count() == 1);
+}
+
 }  // namespace coltsfoot::entry
