runner: a start is not sent again once its run has been listed

Callers could see a task run again after it had ended as done (TWICE). A start whose answer was late stayed pending after a list had shown its run, also as ended; after the timeout it was sent again.

A list that names the run settles the start; the call without an answer still counts as on its way.

Found by the review; the new test failed before (2 starts instead of 1).

--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -196,9 +196,14 @@
       start.accepted = true;
       return;
     case command_status::not_sent:
+      if (start.settled_at) return;
       start.retry_at = time_.Now() + kCommandRetryDelay;
       break;
     case command_status::unknown:
+      if (start.settled_at) {
+        unresolved_starts_.insert_or_assign(run, time_.Now());
+        return;
+      }
       start.retry_at = time_.Now() + kCommandRetryDelay;
       // The retry uses the same run number, so the run starts at most once.
       start.unanswered = true;
--- a/libs/runner/src/runner_lists.cc
+++ b/libs/runner/src/runner_lists.cc
@@ -169,6 +169,11 @@
   for (const jobs::running_task& task : running_) listed.insert({task.task, task.run});
   std::set<jobs::run_id> ended;
   for (const jobs::ended_run& end : ended_) ended.insert({end.task, end.run});
+  for (auto& [run, start] : starts_) {
+    // Sent again, the call could start an ended run in the next incarnation.
+    const bool known = listed.contains(run) || ended.contains(run);
+    if (known && !start.settled_at) start.settled_at = sent;
+  }
   std::erase_if(starts_, [&](const auto& each) {
     const auto& [run, start] = each;
     if (listed.contains(run) || ended.contains(run)) return !start.in_flight;
--- a/libs/runner/tests/incarnation_test.cc
+++ b/libs/runner/tests/incarnation_test.cc
@@ -237,4 +237,17 @@
   CHECK(fixture.LastListing().crashed.empty());
 }
 
+// Guards against a task that runs again after its end as done: the repeated call would be carried
+// out by the target's next incarnation.
+TEST_CASE("a start is not sent again once its run has been listed") {
+  incarnation_fixture fixture;
+  fixture.IssueCommand(1);
+  SUBCASE("as running") { fixture.Answer({{.task = runner_fixture::Run(1).task, .run = 1}}); }
+  SUBCASE("as ended") { fixture.Answer({}, {fixture.EndOne(1)}); }
+  fixture.Pass(milliseconds{50});
+  scripted_target::AnswerNext(fixture.target.start_answers, command_reply{});
+  fixture.Pass(milliseconds{200});
+  CHECK(fixture.target.starts.size() == 1);
+}
+
 }  // namespace coltsfoot::runner
