runner: remembers a confirmation in flight when the next incarnation begins

The answer of a poll that waits when the next incarnation announces itself is dropped, and with it went what the poll had confirmed, so starts were given up at once although their ends may have been confirmed unread.

The agent notes what the poll in flight confirms. Its last poll before it exits confirms nothing any more, since its next process would not know.

--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -196,6 +196,7 @@
   /// Highest end that a poll confirmed without an answer of the incarnation it was meant for, and
   /// when. The next incarnation under the same name may have taken it for its own.
   std::pair<std::uint64_t, core::mono_time> unanswered_confirmation_;
+  std::uint64_t sent_confirmation_ = 0;  ///< end that the last poll confirmed; 0: none
   bool may_lack_ends_ = false;  ///< ends of the present incarnation may have been confirmed unread
 
   bool polling_ = false;
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -325,7 +325,7 @@
   if (!announced_ || term_ == 0) return;
   const auto until = LeaseOnTargetClock();
   if (!until) return;
-  target_.Poll({.fence = Fence(), .lease_until_ms = until, .stored_end = EndToConfirm()},
+  target_.Poll({.fence = Fence(), .lease_until_ms = until, .stored_end = 0},
                announced_->incarnation.name, [](const poll_reply&) {});
 }
 
--- a/libs/runner/src/runner_incarnations.cc
+++ b/libs/runner/src/runner_incarnations.cc
@@ -76,6 +76,9 @@
       unresolved_starts_.insert_or_assign(run, time_.Now());
     }
   }
+  if (polling_ && sent_confirmation_ > 0) {
+    unanswered_confirmation_ = {sent_confirmation_, time_.Now()};
+  }
   kept_name_ = announced_ && announced_->incarnation.name == next.name;
   if (!kept_name_) {
     unresolved_starts_.clear();
--- a/libs/runner/src/runner_lists.cc
+++ b/libs/runner/src/runner_lists.cc
@@ -42,6 +42,7 @@
   // runs have certainly expired.
   if (failed_polls_ == 0) call.lease_until_ms = LeaseOnTargetClock();
   if (call.lease_until_ms) sent_lease_end_ = std::max(sent_lease_end_, lease_end_);
+  sent_confirmation_ = call.stored_end;
   target_.Poll(call, announced_->incarnation.name,
                [this, sent, wait = call.wait, confirmed = call.stored_end, term = term_,
                 incarnation = incarnation_count_](const poll_reply& reply) {
--- a/libs/runner/tests/incarnation_test.cc
+++ b/libs/runner/tests/incarnation_test.cc
@@ -250,4 +250,24 @@
   CHECK(fixture.target.starts.size() == 1);
 }
 
+// Guards against a task that starts again after an end as done that was confirmed unread by a poll
+// whose answer was still awaited when the next incarnation announced itself.
+TEST_CASE("a confirmation on its way when the next incarnation announces itself is remembered") {
+  incarnation_fixture fixture;
+  fixture.ListStoredEnd();
+  fixture.IssueCommand(2);
+  scripted_target::AnswerNext(fixture.target.start_answers, command_reply{});
+  fixture.target.poll_answers.clear();
+  fixture.AnnounceAs(2);
+  for (int polls = 0; polls < 5; ++polls) {
+    fixture.AnswerAs(2);
+    fixture.Pass(milliseconds{50});
+    if (polls == 0) {
+      scripted_target::AnswerNext(fixture.target.stop_answers,
+                                  command_reply{.status = command_status::ok});
+    }
+  }
+  CHECK(fixture.LastListing().starting == std::vector{runner_fixture::Run(2)});
+}
+
 }  // namespace coltsfoot::runner
