runner: a stop that is refused for its fencing token is sent again

A target that refuses a stop because of its fencing token has not executed it, but the agent took the answer for done and reported the late start as not run.

--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -293,10 +293,11 @@
   if (place == stops_.end()) return;
   pending_stop& stop = place->second;
   stop.in_flight = false;
-  // A target that refuses as unhealthy has not executed the stop.
-  const bool unhealthy =
-      reply.status == command_status::refused && reply.refusal == jobs::start_refusal::unhealthy;
-  if (unhealthy || reply.status == command_status::unknown ||
+  // A target that is unhealthy or refuses the fencing token has not executed the stop.
+  const bool not_executed = reply.status == command_status::refused &&
+                            (reply.refusal == jobs::start_refusal::unhealthy ||
+                             reply.refusal == jobs::start_refusal::stale_fence);
+  if (not_executed || reply.status == command_status::unknown ||
       reply.status == command_status::not_sent) {
     stop.retry_at = time_.Now() + kCommandRetryDelay;
     metrics_.GetCounter("coltsfoot_orders_unanswered_total", {"order", "stop"}).Add();
--- a/libs/runner/tests/incarnation_test.cc
+++ b/libs/runner/tests/incarnation_test.cc
@@ -270,4 +270,26 @@
   CHECK(fixture.LastListing().starting == std::vector{runner_fixture::Run(2)});
 }
 
+// Guards against a late start that runs although the agent has reported it as not run: a target
+// that refuses a stop because of its fencing token has not executed it.
+TEST_CASE("a stop that the target refuses because of its fencing token is sent again") {
+  incarnation_fixture fixture;
+  fixture.IssueCommand(1);
+  scripted_target::AnswerNext(fixture.target.start_answers, command_reply{});
+  fixture.target.poll_answers.clear();
+  fixture.AnnounceAs(2);
+  fixture.Pass(milliseconds{50});
+  REQUIRE(fixture.target.stops.size() == 1);
+  scripted_target::AnswerNext(fixture.target.stop_answers,
+                              command_reply{.status = command_status::refused,
+                                            .refusal = jobs::start_refusal::stale_fence});
+  fixture.Pass(milliseconds{50});
+  fixture.AnswerAs(2);
+  fixture.Pass(milliseconds{50});
+  fixture.AnswerAs(2);
+  fixture.Pass(milliseconds{200});
+  CHECK(fixture.target.stops.size() == 2);
+  CHECK(fixture.LastListing().starting == std::vector{runner_fixture::Run(1)});
+}
+
 }  // namespace coltsfoot::runner
