runner: nothing is sent between an answer with an earlier clock and a list

An answer whose clock lies before the present incarnation's comes from the next one, but the retry and further starts went on to it until a poll was answered, as starts that the coordinator counts for the earlier one.

Such an answer now counts as a poll that failed: no start, no lease and no confirmation before the next list.

--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -179,8 +179,11 @@
 
 void runner::OnStarted(const jobs::run_id& run, command_reply reply) {
   if (reply.clock_ms && ClockWentBack(*reply.clock_ms)) {
-    // The next incarnation has answered: whether the start reached the present one is unknown.
+    // The next incarnation has answered: whether the start reached the present one is unknown, and
+    // nothing else may be sent before a poll is answered.
     reply = {};
+    ++failed_polls_;
+    if (!polling_) next_poll_ = time_.Now();
   }
   if (reply.clock_ms) {
     UpdateClockOffset(*reply.clock_ms);
--- a/libs/runner/tests/incarnation_test.cc
+++ b/libs/runner/tests/incarnation_test.cc
@@ -292,4 +292,16 @@
   CHECK(fixture.LastListing().starting == std::vector{runner_fixture::Run(1)});
 }
 
+// Guards against starts that go on to an incarnation whose clock shows that it is not the one that
+// they were computed for.
+TEST_CASE("nothing starts between an answer with an earlier clock and the next list") {
+  incarnation_fixture fixture;
+  fixture.Pass(milliseconds{1000});
+  fixture.IssueCommand(1);
+  fixture.AnswerStart(1000);
+  fixture.Pass(milliseconds{300});
+  fixture.IssueCommand(2);
+  CHECK(fixture.target.starts.size() == 1);
+}
+
 }  // namespace coltsfoot::runner
