runner: bounds on start times that answers carry

An answer with a start time far ahead was adopted, although announcements with such times are refused: the fencing token went beyond what JSON numbers hold exactly, and later announcements looked delayed. A target that answered with another start time each time was polled without delay.

Start times in answers have the bound of those in announcements, and only the first answer of an incarnation is followed by a poll at once.

--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -99,6 +99,8 @@
   /// Collects what is lost with the present incarnation and forgets the rest. No report names the
   /// next one, and nothing starts there, before it is described.
   void BeginIncarnation(const jobs::target_incarnation& next);
+  /// @return false if a start time is too far ahead to be an incarnation's.
+  bool IsPlausibleStart(std::uint64_t started_ms) const;
   /// Takes over what the present incarnation announces of itself.
   void Describe(const target_announcement& announcement);
   /// Stops the runs whose start the target may still execute although the agent has forgotten them,
@@ -186,6 +188,7 @@
   /// successors.
   std::set<std::uint64_t> ended_ahead_;
   bool target_left_ = false;
+  core::mono_time adopted_at_;                   ///< when an answer last began an incarnation
   bool described_ = false;                       ///< the present incarnation has announced itself
   std::optional<std::int64_t> clock_offset_ms_;  ///< target's clock minus the agent's
   core::mono_time lease_end_;
--- a/libs/runner/src/runner_incarnations.cc
+++ b/libs/runner/src/runner_incarnations.cc
@@ -16,9 +16,13 @@
 
 }  // namespace
 
-void runner::OnAnnouncement(const target_announcement& received) {
+bool runner::IsPlausibleStart(std::uint64_t started_ms) const {
   const std::chrono::milliseconds latest = time_.WallNow().time_since_epoch() + kMaxStartAhead;
-  if (received.incarnation.started_ms > static_cast<std::uint64_t>(latest.count())) {
+  return started_ms <= static_cast<std::uint64_t>(latest.count());
+}
+
+void runner::OnAnnouncement(const target_announcement& received) {
+  if (!IsPlausibleStart(received.incarnation.started_ms)) {
     spdlog::warn("event=announcement_refused target={} born={}", received.incarnation.name,
                  received.incarnation.started_ms);
     return;
--- a/libs/runner/src/runner_lists.cc
+++ b/libs/runner/src/runner_lists.cc
@@ -110,7 +110,7 @@
   };
   // The target may have taken or may still take the confirmation in another incarnation.
   if (confirmed > 0 && (!lists || is_of_other(*lists))) unanswered_confirmation_ = {confirmed, now};
-  if (!lists) {
+  if (!lists || (is_of_other(*lists) && !IsPlausibleStart(*lists->started_ms))) {
     ++failed_polls_;
     next_poll_ = now + kFailedPollDelay;
     metrics_.GetCounter("coltsfoot_target_looks_failed_total").Add();
@@ -123,9 +123,15 @@
     spdlog::warn("event=target_replaced target={} born={} before={} confirmed_end={}",
                  announced_->incarnation.name, *lists->started_ms,
                  announced_->incarnation.started_ms, confirmed);
+    // A target that answers with another start time each time is not polled without delay.
+    const bool is_first = now - std::exchange(adopted_at_, now) >= kFailedPollDelay;
     BeginIncarnation({announced_->incarnation.name, *lists->started_ms});
     // Its fencing token shuts out all calls that were sent to the earlier incarnation.
-    Poll();
+    if (is_first) {
+      Poll();
+    } else {
+      next_poll_ = now + kFailedPollDelay;
+    }
     return;
   }
   confirmed_end_ = std::max(confirmed_end_, confirmed);
--- a/libs/runner/tests/incarnation_test.cc
+++ b/libs/runner/tests/incarnation_test.cc
@@ -304,4 +304,24 @@
   CHECK(fixture.target.starts.size() == 1);
 }
 
+// Guards against a control thread that does nothing but poll.
+TEST_CASE("answers with ever other start times don't make the agent poll without delay") {
+  incarnation_fixture fixture;
+  const std::size_t before = fixture.target.polls_sent.size();
+  for (std::uint64_t started_ms = 2; started_ms < 50; ++started_ms) {
+    if (!fixture.target.poll_answers.empty()) fixture.AnswerAs(started_ms);
+  }
+  CHECK(fixture.target.polls_sent.size() <= before + 2);
+}
+
+// Guards against an agent that is locked out by its own fencing token, or whose target's
+// announcements are refused for good, after one answer with an impossible start time.
+TEST_CASE("an answer with a start time far ahead is not adopted") {
+  incarnation_fixture fixture;
+  constexpr std::uint64_t kFarAhead = 1ULL << 53U;
+  fixture.AnswerAs(kFarAhead);
+  fixture.Pass(milliseconds{200});
+  CHECK(fixture.LastPoll().fence < kFarAhead);
+}
+
 }  // namespace coltsfoot::runner
