runner: runs found at the agent's start are stopped without a lease

A task could run on beside its successor: if the target had restarted under its name before the agent did, a late call of the agent's earlier process may have set the longest lease the target accepts, while agent and coordinator count on their own. Only the process that saw the restart stopped the runs with its own lease.

Each process now assumes such a lease for the incarnation that it finds at its start, and stops the runs once the leases that an earlier process may have passed on have ended and none of its own has followed.

--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -244,6 +244,9 @@
   /// End of all leases that calls to earlier incarnations under the same name may have set. They
   /// name times on an earlier clock, which may be far ahead on the present one.
   core::mono_time late_lease_end_;
+  /// As above, for the incarnation that this process found at its start: an earlier process may
+  /// have seen it restart.
+  core::mono_time found_lease_end_;
 
   bool report_due_ = false;
   core::mono_time next_report_;
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -120,7 +120,8 @@
   if (!polling_ && now >= next_poll_ && term_ != 0) Poll();
   if (lease_end_ < now) {
     DropExpiredStarts();
-    if (now < late_lease_end_) StopRunsWithoutLease();
+    const bool found = now >= earlier_calls_expire_at_ && now < found_lease_end_;
+    if (found || now < late_lease_end_) StopRunsWithoutLease();
   }
   const auto is_old = [&](const auto& each) { return now - each.second > kMaxCallDelay; };
   std::erase_if(unresolved_starts_, is_old);
--- a/libs/runner/src/runner_lists.cc
+++ b/libs/runner/src/runner_lists.cc
@@ -155,7 +155,9 @@
   if (!std::exchange(has_lists_, true)) {
     report_due_ = true;
     // Calls that were on their way when the target went down are read when it is back.
-    if (kept_name_) late_lease_end_ = now + MaxDuration(options_.max_task_lease);
+    const core::mono_time expired = now + MaxDuration(options_.max_task_lease);
+    if (kept_name_) late_lease_end_ = expired;
+    if (incarnation_count_ == 1) found_lease_end_ = expired;
   }
   if (report_due_) Report(true);
 }
--- a/libs/runner/tests/incarnation_test.cc
+++ b/libs/runner/tests/incarnation_test.cc
@@ -324,4 +324,16 @@
   CHECK(fixture.LastPoll().fence < kFarAhead);
 }
 
+// Guards against a task that runs on beside its successor: a late call of an earlier process of the
+// agent may have set a far longer lease if the target has restarted under its name as well.
+TEST_CASE("runs that the agent finds at its start are stopped when no lease of its own follows") {
+  incarnation_fixture fixture;
+  const std::vector<jobs::running_task> running{{.task = runner_fixture::Run(1).task, .run = 1}};
+  for (milliseconds passed{0}; passed < milliseconds{7000}; passed += milliseconds{500}) {
+    if (!fixture.target.poll_answers.empty()) fixture.Answer(running);
+    fixture.Pass(milliseconds{500});
+  }
+  CHECK(fixture.target.stops == std::vector{runner_fixture::Run(1)});
+}
+
 }  // namespace coltsfoot::runner
