runner: adopts a target of another name whose start time is earlier

A target that restarted under another name after its clock had stepped back was not adopted: its announcements looked delayed, and it refused the polls for the earlier name. Its worker was lost until the clock had caught up.

poll_reply tells that a target of another name has answered. The known incarnation is surely gone then, and an announcement under another name is adopted whatever its start time.

--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -188,8 +188,9 @@
   /// successors.
   std::set<std::uint64_t> ended_ahead_;
   bool target_left_ = false;
-  core::mono_time adopted_at_;                   ///< when an answer last began an incarnation
-  bool described_ = false;                       ///< the present incarnation has announced itself
+  core::mono_time adopted_at_;  ///< when an answer last began an incarnation
+  bool name_refused_ = false;   ///< the last poll was answered by a target of another name
+  bool described_ = false;      ///< the present incarnation has announced itself
   std::optional<std::int64_t> clock_offset_ms_;  ///< target's clock minus the agent's
   core::mono_time lease_end_;
   core::mono_time sent_lease_end_;   ///< latest lease end that the target may have received
--- a/libs/runner/include/runner/target_client.h
+++ b/libs/runner/include/runner/target_client.h
@@ -82,6 +82,7 @@
 
   std::optional<target_lists> lists;  ///< nothing: there was no usable answer
   bool stale_fence = false;           ///< the target has seen a higher fencing token
+  bool other_name = false;            ///< a target of another name has answered
   bool operator==(const poll_reply&) const = default;
 };
 
--- a/libs/runner/src/runner_incarnations.cc
+++ b/libs/runner/src/runner_incarnations.cc
@@ -29,8 +29,10 @@
   }
   if (announced_) {
     const target_announcement& known = *announced_;
-    // Delayed announcement of an earlier incarnation, or one that arrived out of order.
-    if (received.incarnation.started_ms < known.incarnation.started_ms) return;
+    // Delayed announcement of an earlier incarnation, or one that arrived out of order, unless the
+    // known one is surely gone.
+    const bool is_gone = name_refused_ && received.incarnation.name != known.incarnation.name;
+    if (received.incarnation.started_ms < known.incarnation.started_ms && !is_gone) return;
     if (received.incarnation.name == known.incarnation.name &&
         ended_ahead_.contains(received.incarnation.started_ms)) {
       return;
@@ -104,6 +106,7 @@
   announced_->incarnation = next;
   announced_->draining = false;
   described_ = false;
+  name_refused_ = false;
   ++incarnation_count_;
   target_left_ = false;
   clock_offset_ms_.reset();
--- a/libs/runner/src/runner_lists.cc
+++ b/libs/runner/src/runner_lists.cc
@@ -49,6 +49,7 @@
                  if (incarnation != incarnation_count_) return;
                  const std::optional<target_lists>& lists = reply.lists;
                  if (reply.stale_fence) OnFenceRefused();
+                 name_refused_ = reply.other_name;
                  if (lists && std::exchange(listed_term_, term) != term) report_due_ = true;
                  if (!lists && failed_polls_ == 0 && time_.Now() - sent < wait) {
                    broken_at_ = time_.Now();
--- a/libs/runner/tests/incarnation_test.cc
+++ b/libs/runner/tests/incarnation_test.cc
@@ -336,4 +336,24 @@
   CHECK(fixture.target.stops == std::vector{runner_fixture::Run(1)});
 }
 
+// Guards against a target that is lost for good because its clock stepped back while it restarted
+// under another name. The target answers calls to the earlier name with 421.
+TEST_CASE("an incarnation of another name with an earlier start time is adopted") {
+  incarnation_fixture fixture;
+  for (int beat = 0; beat < 30; ++beat) {
+    poll_reply reply;
+    reply.other_name = true;
+    while (!fixture.target.poll_answers.empty()) {
+      scripted_target::AnswerNext(fixture.target.poll_answers, reply);
+    }
+    ++fixture.announcement.sequence;
+    fixture.announcement.incarnation = {"u", 0};
+    fixture.agent.OnAnnouncement(fixture.announcement);
+    fixture.Pass(milliseconds{1000});
+  }
+  fixture.AnswerAs(0);
+  fixture.Pass(milliseconds{50});
+  CHECK(fixture.LastListing().incarnation.name == "u");
+}
+
 }  // namespace coltsfoot::runner
