jobs: an agent gets all pressures again when its target has restarted

Serving tasks could miss their goal after a restart of their target: the agent drops all pressures with an incarnation, and the coordinator sent only those that changed afterwards.

The coordinator forgets what it has sent when the incarnation changes. Found by the review; both cases of the new test failed before.

--- a/libs/jobs/src/coordinator_reports.cc
+++ b/libs/jobs/src/coordinator_reports.cc
@@ -89,6 +89,8 @@
     worker.processed_end = 0;
     worker.stored_end = 0;
     worker.unstored.clear();
+    // The agent has dropped the pressures with the earlier incarnation.
+    worker.sent_pressures.clear();
     worker.recent_failures = 0;
     worker.quarantined_until = {};
     worker.quarantine_duration = core::milliseconds{0};
--- a/libs/jobs/tests/pressure_exchange_test.cc
+++ b/libs/jobs/tests/pressure_exchange_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <cmath>
 #include <optional>
 #include <string>
@@ -71,4 +72,35 @@
   CHECK(std::sqrt(latest->variance) < kPressure / 2);
 }
 
+// Guards against tasks that miss their goal after a restart of their target: the agent drops all
+// pressures with the incarnation, and the coordinator sends only those that have changed.
+TEST_CASE("an agent gets all pressures again when its target has restarted") {
+  coordinator_fixture fleet;
+  fleet.Begin({"a"});
+  fleet.Submit("0000000000000001", {ServingStep()});
+  fleet.Submit("0000000000000002", {FillingStep()});
+  fleet.Tick();
+  fleet.RunCommands();
+  for (int reading = 0; reading < 100; ++reading) {
+    SetReadings(fleet.Worker("a"), reading % 2 == 0 ? 0.0 : 4.0);
+    fleet.Tick(milliseconds{500});
+    fleet.Report("a");
+  }
+  fleet.agents.grants.clear();
+  fleet.agents.commands.clear();
+  worker_report& worker = fleet.Worker("a");
+  worker.running.clear();
+  SUBCASE("under its name") { worker.incarnation.started_ms = 2; }
+  SUBCASE("under another name") { worker.incarnation = {"target-b", 2}; }
+  fleet.Report("a");
+  for (int report = 0; report < 4; ++report) {
+    fleet.Tick(milliseconds{500});
+    fleet.RunCommands();
+  }
+  REQUIRE(fleet.Worker("a").running.size() == 2);
+  const auto& grants = fleet.agents.grants;
+  CHECK(std::any_of(grants.begin(), grants.end(),
+                    [](const auto& each) { return !each.second.pressures.empty(); }));
+}
+
 }  // namespace coltsfoot::jobs
