runner: refusals of a fencing token count from the coordinator's change on

Refusals in an earlier term counted towards the 3 s after which the agent raises the token, so the first refusal in a new term could raise it.

--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -35,6 +35,7 @@
   }
   if (term > term_) spdlog::info("event=coordinator_found term={} before={}", term, term_);
   term_ = term;
+  fence_refused_since_ = {};
   commands_seen_ = 0;
   last_contact_ = time_.Now();
   // The new coordinator places no tasks before it has the lists of this incarnation.
--- a/libs/runner/tests/incarnation_test.cc
+++ b/libs/runner/tests/incarnation_test.cc
@@ -174,6 +174,9 @@
   const std::uint64_t before = fixture.LastPoll().fence;
   fixture.PassWithRefusedPolls(milliseconds{2500});
   CHECK(fixture.LastPoll().fence == before);
+  fixture.agent.OnHello(6);
+  fixture.PassWithRefusedPolls(milliseconds{2500});
+  CHECK(fixture.LastPoll().fence == before + 1);
   fixture.PassWithRefusedPolls(milliseconds{2500});
   CHECK(fixture.LastPoll().fence > before + 1000);
 }
