http: accept no more connections than the limits while a traffic thread is busy

Callers saw: a process with few descriptors ran out of them although its limits leave half for other uses, so its own calls and files could fail.

Cause: a connection was accepted on one thread and entered into the ledger on the thread that it belongs to; one that was named for closing was closed there too. While that thread was busy, there was no bound on both.

Change: the descriptor of each connection is counted from its accept to its close, by class of ports. A port accepts only while the count is at most one eighth above the limit, and looks again after 1 ms.

--- a/libs/http/include/http/ingress.h
+++ b/libs/http/include/http/ingress.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -16,6 +18,12 @@
 
 namespace coltsfoot::http {
 
+/// Counts the descriptor of a client connection until it is destroyed.
+struct descriptor_release {
+  void operator()(std::atomic<std::size_t>* open) const noexcept { --*open; }
+};
+using descriptor_hold = std::unique_ptr<std::atomic<std::size_t>, descriptor_release>;
+
 /// Limits that all HTTP ports of a process share: an `ingress_ledger` with a lock, its metrics
 /// (`coltsfoot_ingress_*`) and its log event `ingress_limited`. Thread-safe.
 class ingress {
@@ -41,6 +49,15 @@
     return (port << kPortShift) | number;
   }
 
+  /// A port asks before it accepts a connection. Connections that are accepted, but not opened here
+  /// yet, and those that are named, but not closed yet, wait for their thread and hold descriptors
+  /// meanwhile.
+  /// @return false if the port must wait until some of them are opened or closed.
+  bool MayAccept(std::uint64_t port);
+  /// @return the hold for the descriptor of a connection that the port has accepted; this object
+  /// must outlive it.
+  descriptor_hold HoldDescriptor(std::uint64_t port);
+
   /// See `ingress_ledger`. Connections to close are closed through their ports.
   /// @return false if the new connection itself must be closed.
   bool Open(connection_id id, const std::string& address, core::mono_time now);
@@ -66,7 +83,9 @@
              core::mono_time now);
   void Count(const port& where, limit_reason reason, bool refused, core::mono_time now);
   void ShowGauges();
+  std::atomic<std::size_t>& DescriptorsOf(port_class kind);
 
+  std::array<std::atomic<std::size_t>, 2> descriptors_{};  ///< in use, by `port_class`
   std::mutex mutex_;
   ingress_ledger ledger_;
   metrics::registry* metrics_;
--- a/libs/http/include/http/ingress_ledger.h
+++ b/libs/http/include/http/ingress_ledger.h
@@ -146,6 +146,8 @@
   /// @return the number of requests in progress.
   std::size_t requests_in_progress() const noexcept;
   const ingress_limits& limits() const noexcept { return limits_; }
+  /// @return the limits of a class of ports.
+  const ingress_share& ShareOf(port_class port) const noexcept;
 
   /// Fixed share of each connection in the held bytes: its objects and an empty table entry.
   static constexpr std::size_t kConnectionBytes = 2048;
@@ -177,7 +179,6 @@
   static bool IsPressing(phase state) noexcept {
     return state == phase::receiving || state == phase::answering;
   }
-  const ingress_share& ShareOf(port_class port) const noexcept;
   usage& UsageOf(port_class port) noexcept;
   void Change(connection& entry, phase state, std::size_t bytes);
   void Forget(connection_table::iterator entry);
--- a/libs/http/src/connection.cc
+++ b/libs/http/src/connection.cc
@@ -50,8 +50,9 @@
 
 }  // namespace
 
-connection::connection(connection_context& context, socket peer, connection_id id)
-    : context_(context), socket_(std::move(peer)), id_(id) {}
+connection::connection(connection_context& context, socket peer, descriptor_hold hold,
+                       connection_id id)
+    : context_(context), socket_(std::move(peer)), hold_(std::move(hold)), id_(id) {}
 
 void connection::Start() { WaitForInput(); }
 
@@ -256,6 +257,7 @@
   boost::system::error_code failure;
   // Nothing is left to do with a socket that cannot be closed.
   socket_.close(failure);
+  hold_.reset();
   parser_.reset();
   rest_ = {};
   answer_header_ = {};
--- a/libs/http/src/connection.h
+++ b/libs/http/src/connection.h
@@ -48,7 +48,8 @@
   static constexpr int kReceiveBufferBytes = 16 << 10;
 
   /// @param context must outlive all handlers of the connection.
-  connection(connection_context& context, socket peer, connection_id id);
+  /// @param hold of the descriptor of `peer`.
+  connection(connection_context& context, socket peer, descriptor_hold hold, connection_id id);
 
   /// Starts reading.
   void Start();
@@ -76,6 +77,7 @@
 
   connection_context& context_;
   socket socket_;
+  descriptor_hold hold_;
   const connection_id id_;
   phase phase_ = phase::reading;
   bool parsing_ = false;
--- a/libs/http/src/ingress.cc
+++ b/libs/http/src/ingress.cc
@@ -14,6 +14,9 @@
 
 /// Each port ticks; one of them is enough.
 constexpr core::milliseconds kMinTickPeriod{500};
+/// One part in so many of the connections may be accepted in addition, since a connection that is
+/// named is closed later, on its own thread.
+constexpr std::size_t kUnsettledPart = 8;
 
 }  // namespace
 
@@ -60,6 +63,25 @@
   removed->close = nullptr;
 }
 
+std::atomic<std::size_t>& ingress::DescriptorsOf(port_class kind) {
+  return descriptors_[kind == port_class::callers ? 0 : 1];
+}
+
+bool ingress::MayAccept(std::uint64_t port) {
+  const std::lock_guard lock(mutex_);
+  const port_class kind = ports_[port]->kind;
+  const std::size_t connections = ledger_.ShareOf(kind).connections;
+  const std::size_t unsettled = std::max<std::size_t>(connections / kUnsettledPart, 1);
+  return DescriptorsOf(kind) < connections + unsettled;
+}
+
+descriptor_hold ingress::HoldDescriptor(std::uint64_t port) {
+  const std::lock_guard lock(mutex_);
+  std::atomic<std::size_t>& open = DescriptorsOf(ports_[port]->kind);
+  ++open;
+  return descriptor_hold(&open);
+}
+
 void ingress::Count(const port& where, limit_reason reason, bool refused, core::mono_time now) {
   if (metrics_ != nullptr) {
     metrics_
--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -28,9 +28,8 @@
 using boost::system::error_code;
 
 constexpr std::chrono::milliseconds kSweepPeriod{1000};
-/// Pause after a connection was named for its descriptor. Another thread may have to close it, and
-/// an attempt before that would name one more. Short, since a crowd that waits to be accepted
-/// delays an ordinary caller by this time for each of its connections.
+/// Pause until other threads may have opened or closed connections. Short, since a crowd that waits
+/// to be accepted delays an ordinary caller by this time for each of its connections.
 constexpr std::chrono::milliseconds kClosePause{1};
 /// Kernel buffer for answers that a client has not read, in bytes; the kernel doubles it.
 constexpr int kSendBufferBytes = 32 << 10;
@@ -153,6 +152,10 @@
   }
 
   void Accept() {
+    if (!limits_->MayAccept(port_number_)) {
+      AcceptAfter(kClosePause);
+      return;
+    }
     const connection_id id = ingress::IdOf(port_number_, ++last_connection_);
     traffic_thread& own = ThreadOf(id);
     acceptor_->async_accept(own.context, peer_,
@@ -165,35 +168,41 @@
                   tcp::socket accepted) {
     if (!acceptor_->is_open()) return;
     if (core::IsOutOfDescriptors(failure)) {
-      accept_timer_->expires_after(limits_->FreeDescriptor(Now()) ? kClosePause
-                                                                  : core::kAcceptPause);
-      accept_timer_->async_wait([this](const error_code& stopped) {
-        if (!stopped && acceptor_->is_open()) Accept();
-      });
+      AcceptAfter(limits_->FreeDescriptor(Now()) ? kClosePause : core::kAcceptPause);
       return;
     }
     if (!failure) {
+      descriptor_hold hold = limits_->HoldDescriptor(port_number_);
       if (&own == traffic_threads_.front().get()) {
-        Add(own, id, std::move(accepted), peer_.address().to_string());
+        Add(own, id, std::move(accepted), std::move(hold), peer_.address().to_string());
       } else {
-        asio::post(own.context, [this, id, &own, socket = std::move(accepted),
-                                 address = peer_.address().to_string()]() mutable {
-          Add(own, id, std::move(socket), address);
-        });
+        asio::post(own.context,
+                   [this, id, &own, socket = std::move(accepted), hold = std::move(hold),
+                    address = peer_.address().to_string()]() mutable {
+                     Add(own, id, std::move(socket), std::move(hold), address);
+                   });
       }
     }
     // Another failure concerns only the connection that was being accepted.
     Accept();
   }
 
-  void Add(traffic_thread& own, connection_id id, tcp::socket accepted,
+  void AcceptAfter(core::milliseconds pause) {
+    accept_timer_->expires_after(pause);
+    accept_timer_->async_wait([this](const error_code& stopped) {
+      if (!stopped && acceptor_->is_open()) Accept();
+    });
+  }
+
+  void Add(traffic_thread& own, connection_id id, tcp::socket accepted, descriptor_hold hold,
            const std::string& address) {
     error_code failure;
     accepted.non_blocking(true, failure);
     if (!failure) accepted.set_option(tcp::no_delay(true), failure);
     if (failure) return;  // The client has already closed the connection.
     if (!limits_->Open(id, address, Now())) return;
-    const auto opened = std::make_shared<connection>(own.shared, std::move(accepted), id);
+    const auto opened =
+        std::make_shared<connection>(own.shared, std::move(accepted), std::move(hold), id);
     own.connections.emplace(id, opened);
     opened->Start();
     if (!std::exchange(own.sweeping, true)) Sweep(own);
--- a/libs/http/tests/server_limits_test.cc
+++ b/libs/http/tests/server_limits_test.cc
@@ -1,4 +1,6 @@
 #include <doctest/doctest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -6,6 +8,7 @@
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
 #include <atomic>
+#include <filesystem>
 #include <future>
 #include <mutex>
 #include <string>
@@ -19,6 +22,19 @@
 namespace coltsfoot::http {
 namespace {
 
+/// @return the number of open sockets of this process that are bound to the port of `target`.
+std::size_t AcceptedSockets(const server& target) {
+  std::size_t out = 0;
+  for (const auto& entry : std::filesystem::directory_iterator("/proc/self/fd")) {
+    sockaddr_in local{};
+    socklen_t size = sizeof local;
+    const int descriptor = std::stoi(entry.path().filename());
+    const bool bound = getsockname(descriptor, reinterpret_cast<sockaddr*>(&local), &size) == 0;
+    if (bound && local.sin_family == AF_INET && ntohs(local.sin_port) == target.port()) ++out;
+  }
+  return out;
+}
+
 /// A connection that sends any bytes.
 class raw_client {
  public:
@@ -294,6 +310,42 @@
   CHECK(refused == core::result_code::overloaded);
 }
 
+// Guards against descriptors that run out, because connections are accepted faster than the thread
+// that is to open them takes them over.
+TEST_CASE("no more connections are accepted than the limit allows while a thread is busy") {
+  constexpr std::size_t kConnections = 16;
+  constexpr std::size_t kClients = 100;
+  ingress_limits limits = LimitsFor({});
+  limits.callers.connections = kConnections;
+  std::promise<void> busy;
+  std::promise<void> released;
+  std::atomic<int> handled{0};
+  server target({.threads = 2, .limits = std::make_shared<ingress>(limits)},
+                [&](const request&, const responder& respond) {
+                  if (++handled == 1) {
+                    busy.set_value();
+                    released.get_future().wait();
+                  }
+                  respond({});
+                });
+  raw_client first(target);
+  first.Send(Post("1"));
+  busy.get_future().wait();
+  std::vector<std::unique_ptr<raw_client>> crowd;
+  while (crowd.size() < kClients) crowd.push_back(std::make_unique<raw_client>(target));
+  std::size_t most = 0;
+  for (int sample = 0; sample < 50; ++sample) {
+    most = std::max(most, AcceptedSockets(target));
+    std::this_thread::sleep_for(core::milliseconds{10});
+  }
+  CHECK(most < 2 * kConnections);
+  released.set_value();
+  CHECK(first.ReadAnswer().starts_with("HTTP/1.1 200 "));
+  raw_client ordinary(target);
+  ordinary.Send(Post("2"));
+  CHECK(ordinary.ReadAnswer().starts_with("HTTP/1.1 200 "));
+}
+
 // Guards against HTTP/1.0 clients that wait for the end of a connection that is kept open.
 TEST_CASE("the connection is kept or closed as the version and the headers ask") {
   server target({}, Echo());
