http, wire: limits of connections leave the descriptors that a process needs itself

With none left its calls to the store and its peers fail.

Cause: callers were given half of all descriptors, and peers a quarter, while the process itself holds 20 (standard streams, event loops, listening sockets) and up to 12 more for the store. Listed from /proc at the peak: 26 to 32 of callers, 12 to the store, 20 of its own.

Change: the shares are of what is left after 32 descriptors. Hosts of the platform grant 4,096 or more, where the limits are the same as before; with 256 a process accepts 112 callers, not 128. The expected value in the unit test follows, and the test also asks for room at 64 descriptors.

--- a/libs/core/include/core/open_files.h
+++ b/libs/core/include/core/open_files.h
@@ -12,6 +12,10 @@
 /// processor.
 inline constexpr milliseconds kAcceptPause{50};
 
+/// Descriptors that a process needs besides those of clients and peers: standard streams, event
+/// loops, listening sockets, and connections to the store.
+inline constexpr std::size_t kOwnDescriptors = 32;
+
 /// @return the limit of open files of this process (RLIMIT_NOFILE); 0 if it has none or the limit
 /// cannot be read.
 std::size_t OpenFileLimit() noexcept;
@@ -21,4 +25,10 @@
 /// failure concerns only the connection.
 bool IsOutOfDescriptors(const std::error_code& failure) noexcept;
 
+/// @param limit of open files of a process.
+/// @return the descriptors that are left for clients and peers.
+constexpr std::size_t DescriptorsForConnections(std::size_t limit) noexcept {
+  return limit > kOwnDescriptors ? limit - kOwnDescriptors : 0;
+}
+
 }  // namespace coltsfoot::core
--- a/libs/http/include/http/ingress_ledger.h
+++ b/libs/http/include/http/ingress_ledger.h
@@ -42,7 +42,8 @@
 };
 
 /// @return the limits for a process on a host: a sixth of the memory, at most 24 MiB, and half of
-/// the descriptors, at most 2,000. Unknown values count as 256 MiB and 1,024 descriptors.
+/// the descriptors that the process does not need itself, at most 2,000. Unknown values count as
+/// 256 MiB and 1,024 descriptors.
 ingress_limits LimitsFor(host_limits host);
 
 /// @return the default limit of requests in progress: three quarters of the connections, so that
--- a/libs/http/src/ingress_ledger.cc
+++ b/libs/http/src/ingress_ledger.cc
@@ -4,6 +4,8 @@
 #include <tuple>
 #include <utility>
 
+#include "core/open_files.h"
+
 namespace coltsfoot::http {
 namespace {
 
@@ -62,14 +64,14 @@
   if (host.memory_bytes == 0) host.memory_bytes = kUnknownHost.memory_bytes;
   if (host.descriptors == 0) host.descriptors = kUnknownHost.descriptors;
   const std::size_t held = std::min(host.memory_bytes / 6, kMaxHeldBytes);
-  const std::size_t connections =
-      std::clamp(host.descriptors / 2, kMinConnections, kMaxConnections);
+  const std::size_t descriptors = core::DescriptorsForConnections(host.descriptors);
+  const std::size_t connections = std::clamp(descriptors / 2, kMinConnections, kMaxConnections);
   ingress_limits out;
   out.callers = {.connections = connections,
                  .held_bytes = held - held / 8,
                  .requests_in_progress = RequestsInProgressFor(connections)};
   const std::size_t reserved =
-      std::clamp(host.descriptors / 16, kMinConnections / 2, kMaxReserveConnections);
+      std::clamp(descriptors / 16, kMinConnections / 2, kMaxReserveConnections);
   out.reserve = {.connections = reserved,
                  .held_bytes = held / 8,
                  .requests_in_progress = RequestsInProgressFor(reserved)};
--- a/libs/http/tests/ingress_ledger_test.cc
+++ b/libs/http/tests/ingress_ledger_test.cc
@@ -6,6 +6,8 @@
 #include <array>
 #include <set>
 
+#include "core/open_files.h"
+#include "core/open_files.h"
 #include "core/random_source.h"
 
 namespace coltsfoot::http {
@@ -67,14 +69,16 @@
 // Guards against limits above what the host grants.
 TEST_CASE("limits follow from memory and descriptors") {
   const ingress_limits small = LimitsFor({.memory_bytes = 96 * kMiB, .descriptors = 256});
-  CHECK(small.callers.connections == 128);
+  CHECK(small.callers.connections == 112);
   CHECK(small.callers.held_bytes + small.reserve.held_bytes == 16 * kMiB);
   CHECK(small.callers.connections + small.reserve.connections < 192);
+  const ingress_limits few = LimitsFor({.descriptors = 64});
+  CHECK(few.callers.connections + few.reserve.connections + core::kOwnDescriptors < 64);
   const ingress_limits large = LimitsFor({.memory_bytes = 4096 * kMiB, .descriptors = 1'000'000});
   CHECK(large.callers.connections == 2000);
   CHECK(large.callers.held_bytes + large.reserve.held_bytes == 24 * kMiB);
   CHECK(LimitsFor({}) == LimitsFor({.memory_bytes = 256 * kMiB, .descriptors = 1024}));
-  for (const ingress_limits& limits : {small, large, LimitsFor({.descriptors = 1})}) {
+  for (const ingress_limits& limits : {small, few, large, LimitsFor({.descriptors = 1})}) {
     for (const ingress_share& share : {limits.callers, limits.reserve}) {
       CHECK(share.requests_in_progress > 0);
       CHECK(share.requests_in_progress <= share.connections * 3 / 4);
--- a/libs/wire/include/wire/connection_ledger.h
+++ b/libs/wire/include/wire/connection_ledger.h
@@ -28,7 +28,8 @@
 };
 
 /// @return the default limits, with at most a quarter of the descriptors that this process may
-/// open, so that a crowd of peers leaves the others to HTTP and to connections of this process.
+/// open and does not need itself, so that a crowd of peers leaves the others to HTTP and to
+/// connections of this process.
 connection_limits DefaultConnectionLimits();
 
 /// Why a peer connection was closed or refused.
--- a/libs/wire/src/connection_ledger.cc
+++ b/libs/wire/src/connection_ledger.cc
@@ -17,7 +17,7 @@
   connection_limits out;
   const std::size_t descriptors = core::OpenFileLimit();
   if (descriptors == 0) return out;
-  const std::size_t share = descriptors / kDescriptorShare;
+  const std::size_t share = core::DescriptorsForConnections(descriptors) / kDescriptorShare;
   out.connections = std::clamp(share, kMinConnections, out.connections);
   return out;
 }
