--- a/libs/http/tests/ingress_ledger_test.cc
+++ b/libs/http/tests/ingress_ledger_test.cc
@@ -6,7 +6,6 @@
 #include <array>
 #include <set>
 
-#include "core/open_files.h"
 #include "core/open_files.h"
 #include "core/random_source.h"
 
