runner: hold back the confirmation of an end while another call may start its run again

Callers saw (the users' record): a task ran again after an end as done that had been taken note of.

Cause: the end was confirmed, for good, while a call that starts its run was still on its way. Only the incarnation that lists the end refuses such a call.

The job has its end at once, since the store has it; no task waits. The platform asks for confirmations within ackMs of calm (confirm_ends_within_ms, off by default), so ends are held for at most that time, less 1 s, after the last call without an answer.

The unit test fails on the old code.

--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -32,6 +32,9 @@
   core::milliseconds poll_wait_pacing{250};
   /// Time without an answer after which a target counts as silent, beyond the wait of a poll.
   core::milliseconds silent_after{1500};
+  /// Time within which ends are to be confirmed while all calls are answered. Ends are held back
+  /// for no longer than this after the last call without an answer. 0: never.
+  core::milliseconds confirm_within{0};
   /// Interval between reports while nothing changes.
   core::milliseconds report_period{500};
   pacer_options pacing;
@@ -116,6 +119,11 @@
   void ApplyLists(const target_lists& lists, core::mono_time sent);
   /// Finds out from the first list of an incarnation whether ends may have been confirmed unread.
   void FindUnreadEnds(const std::vector<jobs::ended_run>& listed);
+  /// @return true if the target's next incarnation may execute a call that starts this run.
+  bool MayStartAgain(const jobs::run_id& run) const;
+  /// Finds out which ends are to be held back: once an end is confirmed, its run must never start
+  /// again, and only the present incarnation refuses to.
+  void HoldEnds(const std::vector<jobs::ended_run>& listed);
   /// @return the end to confirm with the next poll; 0: none.
   std::uint64_t EndToConfirm() const;
   /// Keeps counting runs of the previous list, and those that the coordinator takes as running, as
@@ -168,6 +176,7 @@
 
   runner_options options_;
   const core::clock& time_;
+  const core::mono_time began_at_ = time_.Now();  ///< when this process began
   metrics::registry& metrics_;
   target_client& target_;
   coordinator_link& coordinator_;
@@ -196,6 +205,8 @@
   core::mono_time sent_lease_end_;   ///< latest lease end that the target may have received
   std::uint64_t stored_end_ = 0;     ///< ends up to this number are stored by the coordinator
   std::uint64_t confirmed_end_ = 0;  ///< the target knows that ends up to this number are stored
+  core::mono_time disturbed_at_ = time_.Now();  ///< last call without an answer, if any
+  std::uint64_t held_end_ = 0;  ///< this end and later ones must not be confirmed yet; 0: none
 
   /// Highest end that a poll confirmed without an answer of the incarnation it was meant for, and
   /// when. The next incarnation under the same name may have taken it for its own.
@@ -236,6 +247,9 @@
   /// Starts that were sent to a target of the present name and got no answer, and when they were
   /// last sent. The target, or its next incarnation under the same name, may still execute them.
   std::map<jobs::run_id, core::mono_time> unresolved_starts_;
+  /// Runs of which no earlier process has sent a start; only until its calls cannot be executed any
+  /// more.
+  std::set<jobs::run_id> own_starts_;
   /// Starts that were refused as expired, and when. The coordinator places their tasks again, so a
   /// repetition that was on its way at that time must not run.
   std::map<jobs::run_id, core::mono_time> expired_starts_;
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -127,6 +127,7 @@
   const auto is_old = [&](const auto& each) { return now - each.second > kMaxCallDelay; };
   std::erase_if(unresolved_starts_, is_old);
   std::erase_if(expired_starts_, is_old);
+  if (now >= began_at_ + kMaxCallDelay) own_starts_.clear();
   SendCommands();
   if (report_due_ || now >= next_report_) Report(report_due_ || now >= next_listing_);
 }
@@ -162,7 +163,9 @@
 
 void runner::SendStart(const jobs::run_id& run, pending_start& start) {
   start.in_flight = true;
-  first_calls_.try_emplace(run, time_.Now());
+  const core::mono_time now = time_.Now();
+  first_calls_.try_emplace(run, now);
+  if (now < began_at_ + kMaxCallDelay && !start.unanswered) own_starts_.insert(run);
   ++calls_in_flight_;
   sent_lease_end_ = std::max(sent_lease_end_, lease_end_);
   target_.Start({.run = run,
@@ -213,6 +216,7 @@
       // The retry uses the same run number, so the run starts at most once.
       start.unanswered = true;
       start.failed_at = time_.Now();
+      disturbed_at_ = start.failed_at;
       unresolved_starts_.insert_or_assign(run, time_.Now());
       metrics_.GetCounter("coltsfoot_orders_unanswered_total", {"order", "start"}).Add();
       spdlog::info("event=start_unanswered task={} run={}", jobs::ToString(run.task), run.run);
@@ -304,7 +308,8 @@
                              reply.refusal == jobs::start_refusal::stale_fence);
   if (not_executed || reply.status == command_status::unknown ||
       reply.status == command_status::not_sent) {
-    stop.retry_at = time_.Now() + kCommandRetryDelay;
+    disturbed_at_ = time_.Now();
+    stop.retry_at = disturbed_at_ + kCommandRetryDelay;
     metrics_.GetCounter("coltsfoot_orders_unanswered_total", {"order", "stop"}).Add();
     return;
   }
--- a/libs/runner/src/runner_incarnations.cc
+++ b/libs/runner/src/runner_incarnations.cc
@@ -96,6 +96,7 @@
   fence_refused_since_ = {};
   fence_step_ = kFirstFenceStep;
   may_lack_ends_ = false;
+  held_end_ = 0;
   late_lease_end_ = {};
   found_lease_end_ = {};
   crashed_.insert(crashed_.end(), runs_of_gone_.begin(), runs_of_gone_.end());
--- a/libs/runner/src/runner_lists.cc
+++ b/libs/runner/src/runner_lists.cc
@@ -10,9 +10,13 @@
 namespace coltsfoot::runner {
 namespace {
 
-// Delay between polls while listed ends are not stored yet: the target answers immediately as long
-// as it lists an end.
-constexpr core::milliseconds kUnstoredEndsPollDelay{60};
+// Delay between polls while listed ends are not confirmed yet: the target answers immediately as
+// long as it lists an end.
+constexpr core::milliseconds kUnconfirmedEndsPollDelay{60};
+// With more ends than this the list of a target could fill up and hide others.
+constexpr std::size_t kMaxHeldEnds = jobs::kMaxListedEnds / 2;
+// Part of the time for confirmations that is left for the call that carries them.
+constexpr core::milliseconds kConfirmationTime{1000};
 constexpr core::milliseconds kFailedPollDelay{150};
 // An agent whose coordinator is of an earlier term learns of the next one sooner than this.
 // Refusals that last longer mean that a clock has stepped back.
@@ -77,7 +81,25 @@
 std::uint64_t runner::EndToConfirm() const {
   // A target that does not answer may be replaced by its next incarnation, whose ends nobody has
   // read. What is confirmed already is left out, since a late poll would confirm it there.
-  return has_lists_ && failed_polls_ == 0 && stored_end_ > confirmed_end_ ? stored_end_ : 0;
+  const std::uint64_t end = held_end_ > 0 ? std::min(stored_end_, held_end_ - 1) : stored_end_;
+  return has_lists_ && failed_polls_ == 0 && end > confirmed_end_ ? end : 0;
+}
+
+bool runner::MayStartAgain(const jobs::run_id& run) const {
+  if (unresolved_starts_.contains(run)) return true;
+  return time_.Now() < began_at_ + kMaxCallDelay && !own_starts_.contains(run);
+}
+
+void runner::HoldEnds(const std::vector<jobs::ended_run>& listed) {
+  held_end_ = 0;
+  const bool steady = time_.Now() + kConfirmationTime > disturbed_at_ + options_.confirm_within;
+  if (steady || listed.size() > kMaxHeldEnds) return;
+  for (const jobs::ended_run& end : listed) {
+    if (held_end_ > 0 && end.number >= held_end_) continue;
+    if (end.reason == jobs::end_reason::done && MayStartAgain({end.task, end.run})) {
+      held_end_ = end.number;
+    }
+  }
 }
 
 void runner::OnFenceRefused() {
@@ -113,6 +135,7 @@
   if (confirmed > 0 && (!lists || is_of_other(*lists))) unanswered_confirmation_ = {confirmed, now};
   if (!lists || (is_of_other(*lists) && !IsPlausibleStart(*lists->started_ms))) {
     ++failed_polls_;
+    disturbed_at_ = now;
     next_poll_ = now + kFailedPollDelay;
     metrics_.GetCounter("coltsfoot_target_looks_failed_total").Add();
     return;
@@ -148,7 +171,7 @@
   if (!has_lists_) FindUnreadEnds(lists->ended);
   ApplyLists(*lists, sent);
   PaceFilling();
-  next_poll_ = ended_.empty() ? now : now + kUnstoredEndsPollDelay;
+  next_poll_ = ended_.empty() && held_end_ == 0 ? now : now + kUnconfirmedEndsPollDelay;
   if (!ended_.empty() && ended_.back().number > last_end_seen_) {
     last_end_seen_ = ended_.back().number;
     report_due_ = true;
@@ -171,6 +194,7 @@
   // Stays set when ends of this list are confirmed: the target has not listed the next ones then.
   ends_omitted_ = lists.ended.size() >= jobs::kMaxListedEnds;
   if (ends_omitted_) KeepRunsWithUnlistedEnd(last);
+  HoldEnds(lists.ended);
   std::erase_if(ended_, [this](const auto& end) { return end.number <= stored_end_; });
   std::sort(ended_.begin(), ended_.end(),
             [](const auto& left, const auto& right) { return left.number < right.number; });
--- a/libs/runner/tests/incarnation_test.cc
+++ b/libs/runner/tests/incarnation_test.cc
@@ -25,6 +25,14 @@
     scripted_target::AnswerNext(target.poll_answers, std::optional(lists));
   }
 
+  /// Passes time in which each poll is answered with the same ends.
+  void PassWithEnds(milliseconds duration, const std::vector<jobs::ended_run>& ended) {
+    for (milliseconds passed{0}; passed < duration; passed += milliseconds{100}) {
+      if (!target.poll_answers.empty()) Answer({}, ended);
+      Pass(milliseconds{100});
+    }
+  }
+
   void AnnounceAs(std::uint64_t started_ms) {
     announcement.incarnation.started_ms = started_ms;
     agent.OnAnnouncement(announcement);
@@ -48,6 +56,11 @@
                                 command_reply{.status = command_status::ok, .clock_ms = clock_ms});
   }
 
+  bool HasConfirmed(std::uint64_t end) const {
+    return std::any_of(target.polls_sent.begin(), target.polls_sent.end(),
+                       [end](const poll_call& poll) { return poll.stored_end == end; });
+  }
+
   const poll_call& LastPoll() const { return target.polls_sent.back(); }
   void FailPoll() { scripted_target::AnswerNext(target.poll_answers, poll_reply{}); }
   void RefusePoll() {
@@ -106,6 +119,46 @@
   CHECK(fixture.LastPoll().stored_end == 57);
 }
 
+// Guards against a confirmed end whose run starts once more in the next incarnation of its target.
+TEST_CASE("an end as done is confirmed once no call that starts its run can be executed") {
+  incarnation_fixture fixture;
+  bool held = true;
+  bool calm = false;
+  jobs::ended_run end = fixture.EndOne(57);
+  SUBCASE("all calls were answered") {
+    held = false;
+    fixture.IssueCommand(1);
+    fixture.AnswerStart(fixture.TargetClock());
+  }
+  SUBCASE("a call got no answer") {
+    fixture.IssueCommand(1);
+    scripted_target::AnswerNext(fixture.target.start_answers, command_reply{});
+  }
+  SUBCASE("an earlier process of the agent may have sent one") {}
+  SUBCASE("the run may start again anyway") {
+    held = false;
+    end.reason = jobs::end_reason::failed;
+  }
+  SUBCASE("all later calls are answered") { calm = true; }
+  fixture.Answer({}, {end});
+  fixture.agent.OnGrant({.term = 5,
+                         .echo_ms = core::ToMs(fixture.time.Now().time_since_epoch()),
+                         .incarnation = fixture.announcement.incarnation,
+                         .stored_end = 57});
+  const std::size_t polls = fixture.target.polls_sent.size();
+  fixture.PassWithEnds(milliseconds{2000}, {end});
+  CHECK(fixture.HasConfirmed(57) != held);
+  for (int second = 2; second < 13; ++second) {
+    if (!calm) fixture.FailPoll();
+    fixture.PassWithEnds(milliseconds{1000}, {end});
+    if (calm && second == 4) CHECK(fixture.HasConfirmed(57));
+  }
+  CHECK(fixture.target.polls_sent.size() > polls + 100);
+  CHECK(fixture.HasConfirmed(57) != (held && !calm));
+  fixture.PassWithEnds(milliseconds{4000}, {end});
+  CHECK(fixture.HasConfirmed(57));
+}
+
 // Guards against runs that the agent starts in an incarnation and reports as lost with the earlier
 // one.
 TEST_CASE("nothing starts in an incarnation before it has announced itself") {
--- a/libs/runner/tests/runner_fixture.h
+++ b/libs/runner/tests/runner_fixture.h
@@ -158,7 +158,11 @@
                                    .sequence = 1,
                                    .address = "10.0.0.1:80"};
   std::uint64_t sequence = 0;
-  runner agent{{.agent = "a", .agent_incarnation = 1}, time, metrics, target, coordinator};
+  runner agent{{.agent = "a", .agent_incarnation = 1, .confirm_within = milliseconds{4000}},
+               time,
+               metrics,
+               target,
+               coordinator};
 };
 
 }  // namespace coltsfoot::runner::testing
--- a/test/simulation/simulated_fleet.cc
+++ b/test/simulation/simulated_fleet.cc
@@ -15,6 +15,7 @@
 constexpr milliseconds kMessageDelay{2};
 constexpr milliseconds kRedialDelay{200};
 constexpr milliseconds kAnnouncementPeriod{1500};
+constexpr milliseconds kConfirmWithin{4000};
 
 }  // namespace
 
@@ -25,8 +26,10 @@
   agent_process(simulated_fleet& fleet, worker& self)
       : fleet_(fleet),
         self_(self),
-        runner_({.agent = self.name, .agent_incarnation = self.agent_starts}, fleet.time_,
-                fleet.metrics_, *this, *this) {}
+        runner_({.agent = self.name,
+                 .agent_incarnation = self.agent_starts,
+                 .confirm_within = kConfirmWithin},
+                fleet.time_, fleet.metrics_, *this, *this) {}
 
   runner::runner& control() noexcept { return runner_; }
 
--- a/tools/coltsfoot-runner/main.cc
+++ b/tools/coltsfoot-runner/main.cc
@@ -28,7 +28,10 @@
     "Settings: id, announce (IP:PORT for the target's announcements), target, peer, metrics "
     "(IP:PORT),\nstore (IP:PORT), advertise (IP:PORT that entries connect to, default peer), "
     "task_lease_ms "
-    "(5000), max_task_lease_ms (longest lease that the target accepts, 10000).\nPaces of filling "
+    "(5000), max_task_lease_ms (longest lease that the target accepts, 10000),\n"
+    "confirm_ends_within_ms (time within which ends are confirmed to the target in calm; ends of "
+    "runs that a\ncall on its way may start again are held back for up to this time, 0).\nPaces of "
+    "filling "
     "tasks: pace_least_headroom_permille (1120), pace_horizon_ms (600), "
     "pace_caution_permille\n(500), pace_least_budget_permille (220). "
     "Limits on connections of entries: max_peer_connections, max_peer_bytes_mb.\n"
@@ -51,6 +54,7 @@
   std::string advertise;  ///< IP:PORT that entries connect to
   core::milliseconds task_lease{0};
   core::milliseconds max_task_lease{0};
+  core::milliseconds confirm_within{0};
   runner::pacer_options pacing;
   http::ingress_limits ingress;
 };
@@ -87,6 +91,8 @@
   options.task_lease = core::milliseconds{source.Number("task_lease_ms", {1000, 60'000}, 5000)};
   options.max_task_lease =
       core::milliseconds{source.Number("max_task_lease_ms", {1000, 600'000}, 10'000)};
+  options.confirm_within =
+      core::milliseconds{source.Number("confirm_ends_within_ms", {0, 60'000}, 0)};
   options.pacing = ReadPacing(source);
   options.ingress = program::ReadIngressLimits(source);
   return options;
@@ -123,6 +129,7 @@
                           .agent_incarnation = core::SystemSeed(),
                           .task_lease = options.task_lease,
                           .max_task_lease = options.max_task_lease,
+                          .confirm_within = options.confirm_within,
                           .pacing = options.pacing},
                          time, metrics, *target, coordinator);
   coordinator.SetRunner(control);
