runner: a start on its way to a target that has restarted stays in place until it cannot run any more

Callers saw (the users' record): a task ran again, or in two places, after targets had restarted under their names.

Cause: the stop at one incarnation was taken for proof that the start can never be executed.

Change: after a restart under the same name such a start stays in place until its last call is 15 s old, so its task is not placed elsewhere before. Tasks that last are released after the stop as before, since they must not be away for that long.

--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -92,6 +92,11 @@
     std::optional<core::mono_time> settled_at;
     bool accepted = false;  ///< the target has answered that the run is there
   };
+  /// Start without an answer that the target may still execute.
+  struct unresolved_start {
+    jobs::task_facts facts;
+    core::mono_time failed_at;  ///< when the last call ended without an answer
+  };
   /// Stop command whose run the target has not listed as ended yet.
   struct pending_stop {
     bool in_flight = false;
@@ -117,8 +122,9 @@
   void OnLists(const std::optional<target_lists>& lists, core::mono_time sent,
                std::uint64_t confirmed);
   void ApplyLists(const target_lists& lists, core::mono_time sent);
-  /// Finds out from the first list of an incarnation whether ends may have been confirmed unread.
-  void FindUnreadEnds(const std::vector<jobs::ended_run>& listed);
+  /// @return true if a start stays in place although the target has not executed it: until then
+  /// the next incarnation of a target that has just restarted may. Tasks that last don't wait.
+  bool IsKept(const jobs::run_id& run, const pending_start& start) const;
   /// @return true if the target's next incarnation may execute a call that starts this run.
   bool MayStartAgain(const jobs::run_id& run) const;
   /// Finds out which ends are to be held back: once an end is confirmed, its run must never start
@@ -141,6 +147,8 @@
   void SendCommands();
   void SendStart(const jobs::run_id& run, pending_start& start);
   void OnStarted(const jobs::run_id& run, command_reply reply);
+  /// Remembers that a start got no answer.
+  void RememberStart(const jobs::run_id& run, const pending_start& start);
   /// Abandons waiting starts after the lease has expired: their tasks may already run elsewhere.
   void DropExpiredStarts();
   /// Abandons the starts that are later than their coordinator allows. A run whose call got no
@@ -208,12 +216,6 @@
   core::mono_time disturbed_at_ = time_.Now();  ///< last call without an answer, if any
   std::uint64_t held_end_ = 0;  ///< this end and later ones must not be confirmed yet; 0: none
 
-  /// Highest end that a poll confirmed without an answer of the incarnation it was meant for, and
-  /// when. The next incarnation under the same name may have taken it for its own.
-  std::pair<std::uint64_t, core::mono_time> unanswered_confirmation_;
-  std::uint64_t sent_confirmation_ = 0;  ///< end that the last poll confirmed; 0: none
-  bool may_lack_ends_ = false;  ///< ends of the present incarnation may have been confirmed unread
-
   bool polling_ = false;
   core::mono_time next_poll_;
   std::uint32_t failed_polls_ = 0;  ///< since the last answered poll
@@ -244,9 +246,9 @@
       earlier_calls_expire_at_;  ///< end of all leases that an earlier process passed on
   std::set<jobs::run_id> pace_calls_in_flight_;
 
-  /// Starts that were sent to a target of the present name and got no answer, and when they were
-  /// last sent. The target, or its next incarnation under the same name, may still execute them.
-  std::map<jobs::run_id, core::mono_time> unresolved_starts_;
+  /// Starts that were sent to a target of the present name and got no answer. The target, or its
+  /// next incarnation under the same name, may still execute them.
+  std::map<jobs::run_id, unresolved_start> unresolved_starts_;
   /// Runs of which no earlier process has sent a start; only until its calls cannot be executed any
   /// more.
   std::set<jobs::run_id> own_starts_;
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -124,9 +124,10 @@
     const bool found = now >= earlier_calls_expire_at_ && now < found_lease_end_;
     if (found || now < late_lease_end_) StopRunsWithoutLease();
   }
-  const auto is_old = [&](const auto& each) { return now - each.second > kMaxCallDelay; };
-  std::erase_if(unresolved_starts_, is_old);
-  std::erase_if(expired_starts_, is_old);
+  std::erase_if(unresolved_starts_,
+                [now](const auto& each) { return now - each.second.failed_at > kMaxCallDelay; });
+  std::erase_if(expired_starts_,
+                [now](const auto& each) { return now - each.second > kMaxCallDelay; });
   if (now >= began_at_ + kMaxCallDelay) own_starts_.clear();
   SendCommands();
   if (report_due_ || now >= next_report_) Report(report_due_ || now >= next_listing_);
@@ -208,16 +209,16 @@
       start.retry_at = time_.Now() + kCommandRetryDelay;
       break;
     case command_status::unknown:
+      start.failed_at = time_.Now();
+      disturbed_at_ = start.failed_at;
       if (start.settled_at) {
-        unresolved_starts_.insert_or_assign(run, time_.Now());
+        RememberStart(run, start);
         return;
       }
       start.retry_at = time_.Now() + kCommandRetryDelay;
       // The retry uses the same run number, so the run starts at most once.
       start.unanswered = true;
-      start.failed_at = time_.Now();
-      disturbed_at_ = start.failed_at;
-      unresolved_starts_.insert_or_assign(run, time_.Now());
+      RememberStart(run, start);
       metrics_.GetCounter("coltsfoot_orders_unanswered_total", {"order", "start"}).Add();
       spdlog::info("event=start_unanswered task={} run={}", jobs::ToString(run.task), run.run);
       break;
@@ -241,6 +242,13 @@
   if (start.abandoned) Abandon(run, start, *start.abandoned);
 }
 
+void runner::RememberStart(const jobs::run_id& run, const pending_start& start) {
+  const bool failed = !start.in_flight && start.failed_at != core::mono_time{};
+  unresolved_starts_.insert_or_assign(
+      run, unresolved_start{.facts = start.command.facts,
+                            .failed_at = failed ? start.failed_at : time_.Now()});
+}
+
 void runner::DropExpiredStarts() {
   std::vector<jobs::run_id> expired;
   for (const auto& [run, start] : starts_) expired.push_back(run);
--- a/libs/runner/src/runner_incarnations.cc
+++ b/libs/runner/src/runner_incarnations.cc
@@ -79,24 +79,20 @@
   for (const auto& [run, start] : starts_) {
     // A start that was answered may have been so by the next incarnation.
     if (start.unanswered || first_calls_.contains(run)) {
-      unresolved_starts_.insert_or_assign(run, time_.Now());
+      RememberStart(run, start);
     }
   }
-  if (polling_ && sent_confirmation_ > 0) {
-    unanswered_confirmation_ = {sent_confirmation_, time_.Now()};
-  }
   kept_name_ = announced_ && announced_->incarnation.name == next.name;
   if (!kept_name_) {
     unresolved_starts_.clear();
-    unanswered_confirmation_ = {};
     ended_ahead_.clear();
     epoch_ = 0;
   }
   epoch_ = std::max(epoch_ + 1, next.started_ms);
   fence_refused_since_ = {};
   fence_step_ = kFirstFenceStep;
-  may_lack_ends_ = false;
   held_end_ = 0;
+  disturbed_at_ = time_.Now();
   late_lease_end_ = {};
   found_lease_end_ = {};
   crashed_.insert(crashed_.end(), runs_of_gone_.begin(), runs_of_gone_.end());
@@ -139,10 +135,11 @@
 }
 
 void runner::StopLateStarts() {
-  for (const auto& [run, sent] : unresolved_starts_) {
-    starts_.try_emplace(run, pending_start{.command = {.facts = {.run = run}},
+  for (const auto& [run, unresolved] : unresolved_starts_) {
+    starts_.try_emplace(run, pending_start{.command = {.facts = unresolved.facts},
                                            .unanswered = true,
-                                           .abandoned = jobs::start_refusal::not_sent});
+                                           .abandoned = jobs::start_refusal::not_sent,
+                                           .failed_at = unresolved.failed_at});
     stops_.try_emplace(run);
     spdlog::info("event=late_start_stopped target={} task={} run={}", announced_->incarnation.name,
                  jobs::ToString(run.task), run.run);
--- a/libs/runner/src/runner_lists.cc
+++ b/libs/runner/src/runner_lists.cc
@@ -46,7 +46,6 @@
   // runs have certainly expired.
   if (failed_polls_ == 0) call.lease_until_ms = LeaseOnTargetClock();
   if (call.lease_until_ms) sent_lease_end_ = std::max(sent_lease_end_, lease_end_);
-  sent_confirmation_ = call.stored_end;
   target_.Poll(call, announced_->incarnation.name,
                [this, sent, wait = call.wait, confirmed = call.stored_end, term = term_,
                 incarnation = incarnation_count_](const poll_reply& reply) {
@@ -85,6 +84,10 @@
   return has_lists_ && failed_polls_ == 0 && end > confirmed_end_ ? end : 0;
 }
 
+bool runner::IsKept(const jobs::run_id& run, const pending_start& start) const {
+  return kept_name_ && !start.command.facts.long_running && unresolved_starts_.contains(run);
+}
+
 bool runner::MayStartAgain(const jobs::run_id& run) const {
   if (unresolved_starts_.contains(run)) return true;
   return time_.Now() < began_at_ + kMaxCallDelay && !own_starts_.contains(run);
@@ -113,17 +116,6 @@
   if (fence_step_ < kMaxFenceStep) fence_step_ *= 2;
 }
 
-void runner::FindUnreadEnds(const std::vector<jobs::ended_run>& listed) {
-  const auto& [number, at] = unanswered_confirmation_;
-  const bool first_is_listed =
-      std::any_of(listed.begin(), listed.end(), [](const auto& end) { return end.number == 1; });
-  may_lack_ends_ =
-      kept_name_ && number > 0 && time_.Now() - at <= kMaxCallDelay && !first_is_listed;
-  if (!may_lack_ends_) return;
-  spdlog::warn("event=ends_maybe_unread target={} up_to={} starts={}", announced_->incarnation.name,
-               number, unresolved_starts_.size());
-}
-
 void runner::OnLists(const std::optional<target_lists>& lists, core::mono_time sent,
                      std::uint64_t confirmed) {
   polling_ = false;
@@ -131,8 +123,6 @@
   const auto is_of_other = [this](const target_lists& each) {
     return each.started_ms && *each.started_ms != announced_->incarnation.started_ms;
   };
-  // The target may have taken or may still take the confirmation in another incarnation.
-  if (confirmed > 0 && (!lists || is_of_other(*lists))) unanswered_confirmation_ = {confirmed, now};
   if (!lists || (is_of_other(*lists) && !IsPlausibleStart(*lists->started_ms))) {
     ++failed_polls_;
     disturbed_at_ = now;
@@ -168,7 +158,6 @@
   fence_refused_since_ = {};
   fence_step_ = kFirstFenceStep;
   if (std::exchange(forgot_starts_, false)) StopLateStarts();
-  if (!has_lists_) FindUnreadEnds(lists->ended);
   ApplyLists(*lists, sent);
   PaceFilling();
   next_poll_ = ended_.empty() && held_end_ == 0 ? now : now + kUnconfirmedEndsPollDelay;
@@ -212,8 +201,8 @@
     const auto& [run, start] = each;
     if (listed.contains(run) || ended.contains(run)) return !start.in_flight;
     // Not listed although settled before this poll: it never ran, or its end is stored.
-    const bool gone = start.settled_at && *start.settled_at < sent && !ends_omitted_ &&
-                      !(may_lack_ends_ && unresolved_starts_.contains(run));
+    const bool gone =
+        start.settled_at && *start.settled_at < sent && !ends_omitted_ && !IsKept(run, start);
     if (gone && start.abandoned) refused_.push_back({run, *start.abandoned});
     report_due_ = report_due_ || gone;
     return gone;
--- a/libs/runner/src/runner_reports.cc
+++ b/libs/runner/src/runner_reports.cc
@@ -102,7 +102,7 @@
   // Whether the target crashed or is only silent shows when its next incarnation is known.
   CollectLostRuns(runs_of_gone_, refused_);
   for (const auto& [run, start] : starts_) {
-    if (start.in_flight) unresolved_starts_.insert_or_assign(run, time_.Now());
+    if (start.in_flight) RememberStart(run, start);
   }
   forgot_starts_ = true;
   running_.clear();
--- a/libs/runner/tests/kept_name_test.cc
+++ b/libs/runner/tests/kept_name_test.cc
@@ -83,6 +83,8 @@
   scripted_target::AnswerNext(fixture.target.stop_answers,
                               command_reply{.status = command_status::ok});
   fixture.PassWithPolls(milliseconds{1100}, {});
+  CHECK(fixture.LastListing().starting == RunOne());
+  fixture.PassWithPolls(milliseconds{15'000}, {});
   CHECK(fixture.LastListing().starting.empty());
   CHECK(fixture.target.starts.size() <= 2);
 }
