outside_limits: a crowd that waits for the end of a task

Callers of an entry got 503 for 20 tries in a row while 300 connections with GET /v1/tasks/ID?wait_ms=60000 each were open, at 256 descriptors.

Cause: each wait is a request in progress, and nothing limits how many of them are waits.

Adds the crowd `long_polls` with two rows: the waits are for a task of the entry itself, and for one whose shard another entry owns.

--- a/test/harness/include/harness/crowd.h
+++ b/test/harness/include/harness/crowd.h
@@ -47,6 +47,7 @@
   slow_requests,      ///< complete requests that wait for something else, with an id each
   reopening,          ///< more connections than descriptors, from many addresses, that come again
   few_descriptors,    ///< as many_connections, with fewer descriptors than the limits assume
+  long_polls,         ///< more complete requests that wait for an event than may be in progress
 };
 
 /// @return the hard limit on descriptors with which a process meets a kind of crowd; 0: none.
--- a/test/harness/src/crowd.cc
+++ b/test/harness/src/crowd.cc
@@ -230,7 +230,7 @@
   constexpr std::size_t kVeryFewDescriptors = 64;
   if (kind == crowd_kind::few_descriptors) return kVeryFewDescriptors;
   const bool limited = kind == crowd_kind::many_connections || kind == crowd_kind::silent_peers ||
-                       kind == crowd_kind::reopening;
+                       kind == crowd_kind::reopening || kind == crowd_kind::long_polls;
   return limited ? kFewDescriptors : 0;
 }
 
@@ -279,6 +279,8 @@
     case crowd_kind::many_parameters:
       return {Repeat(600, traffic.method + " " + traffic.path + "?" + Query(8000) + headers +
                               "Content-Length: 2\r\n\r\n{")};
+    case crowd_kind::long_polls:
+      return {Repeat(300, "GET " + traffic.path + headers + "\r\n")};
     case crowd_kind::slow_requests: {
       crowd_plan plan;
       for (std::size_t id = 0; id < 300; ++id) {
--- a/test/outside_limits/outside_limits_test.cc
+++ b/test/outside_limits/outside_limits_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "core/ids.h"
 #include "harness/crowd.h"
 #include "harness/fleet.h"
 
@@ -26,6 +27,12 @@
     R"("resources":{"cpu_millis":1000,"memory_mb":100,"accelerators":0},)"
     R"("payload":"{\"key\":\"ordinary\",\"work_ms\":200,\"fail\":false}"})";
 
+// Runs for longer than a test.
+constexpr auto kLongTask =
+    R"({"team":"team-a","task_class":"plan","kind":"batch","urgent":false,"expected_ms":600000,)"
+    R"("resources":{"cpu_millis":1000,"memory_mb":100,"accelerators":0},)"
+    R"("payload":"{\"key\":\"long\",\"work_ms\":600000,\"fail\":false}"})";
+
 std::optional<http::response> SubmitTask(fleet& running) {
   const auto client = http::MakeCurlClient();
   auto answer = harness::CallOrdinary(*client,
@@ -37,13 +44,30 @@
   return answer && answer->status == 202 ? answer : std::nullopt;
 }
 
+std::string TaskOf(const http::response& answer) {
+  const std::string key = R"("task":")";
+  const std::size_t from = answer.body.find(key) + key.size();
+  return answer.body.substr(from, answer.body.find('"', from) - from);
+}
+
 bool RunTask(fleet& running) {
   const auto answer = SubmitTask(running);
   if (!answer) return false;
-  const std::string key = R"("task":")";
-  const std::size_t from = answer->body.find(key) + key.size();
-  const std::string id = answer->body.substr(from, answer->body.find('"', from) - from);
-  return running.calls().WaitForEnd(running.Entries(), id, kTaskLimit).state == "ended";
+  return running.calls().WaitForEnd(running.Entries(), TaskOf(*answer), kTaskLimit).state ==
+         "ended";
+}
+
+/// @return a path that waits for the end of a long task, whose shard the entry `owner` owns: an
+/// entry chooses a shard of its own for a task without a key.
+std::string LongWait(fleet& running, std::size_t owner) {
+  const auto client = http::MakeCurlClient();
+  const auto answer = harness::CallOrdinary(
+      *client, {.method = "POST", .url = running.Entry(owner) + "/v1/tasks", .body = kLongTask},
+      202);
+  REQUIRE(answer);
+  const std::string task = TaskOf(*answer);
+  REQUIRE(running.OwnerOf(core::ShardOfTask(task).value_or(0)) == owner);
+  return "/v1/tasks/" + task + "?wait_ms=60000";
 }
 
 bool AgentIsHealthy(fleet& running) {
@@ -95,10 +119,11 @@
     {"silent_peers", crowd_kind::silent_peers, false},
 };
 
-void CheckCrowd(const port_case& port, crowd_kind kind) {
+/// @param owner entry that owns the task for which `long_polls` wait; entry 0 gets the crowd.
+void CheckCrowd(const port_case& port, crowd_kind kind, std::size_t owner = 0) {
   const std::size_t max_descriptors = harness::DescriptorLimit(kind);
   harness::SetTimeLimit(kTestLimit);
-  fleet running({.entries = 1, .workers = 1, .max_descriptors = max_descriptors});
+  fleet running({.entries = owner + 1, .workers = 1, .max_descriptors = max_descriptors});
   REQUIRE(running.WaitReady());
   std::string http = port.of_entry ? running.Entry(0) : running.Agent(0);
   http.erase(0, std::string("http://").size());
@@ -107,8 +132,10 @@
   const std::vector<std::string> ports =
       port.http ? std::vector<std::string>{http, tcp} : std::vector<std::string>{tcp, http};
   harness::process& subject = port.of_entry ? running.entry_process(0) : running.agent_process(0);
-  const auto outcome = MeetCrowds(subject, ports, PlanCrowds(kind, port.traffic),
-                                  [&] { return port.call(running); });
+  harness::port_traffic traffic = port.traffic;
+  if (kind == crowd_kind::long_polls) traffic.path = LongWait(running, owner);
+  const auto outcome =
+      MeetCrowds(subject, ports, PlanCrowds(kind, traffic), [&] { return port.call(running); });
   MESSAGE(outcome.summary);
   CHECK(outcome.running);
   CHECK(outcome.answered);
@@ -132,6 +159,12 @@
       }
     }
   }
+  for (const std::size_t owner : {0, 1}) {
+    SUBCASE(("entry_http_long_polls_of_entry_" + std::to_string(owner)).c_str()) {
+      selected = true;
+      CheckCrowd({"entry_http", true, true, {}, RunTask}, crowd_kind::long_polls, owner);
+    }
+  }
   REQUIRE(selected);
 }
 
