entry: waits for the end of a task take at most half of the requests in progress

Cause: a call with `wait_ms` is a request in progress until its task ends or its wait runs out, and a connection with one is never closed. Waits could take all requests in progress, at the entry that owns the task and at one that forwards the call.

Change: an entry counts the waits of its own callers. Beyond half of `max_requests_in_progress` a call is answered at once with the present state of the task, as when its wait has run out; this also holds for a forwarded one. A call that is held while its shard has no owner is counted once. New counter: `coltsfoot_task_waits_shortened_total`.

--- a/libs/entry/src/api.cc
+++ b/libs/entry/src/api.cc
@@ -20,6 +20,9 @@
 constexpr std::int64_t kMaxDeadlineMs = 600'000;
 constexpr core::milliseconds kAdminDeadline{10'000};
 constexpr core::milliseconds kMaxWait{60'000};
+/// Calls that wait for the end of a task may take this part of the requests in progress, in
+/// percent. Waits last up to a minute, so more of them would keep other callers out for that long.
+constexpr std::size_t kTaskWaitPercent = 50;
 constexpr std::size_t kMaxKeyBytes = 256;
 constexpr std::size_t kListLimit = 1000;
 constexpr std::string_view kDefaultTeam = "default";
@@ -71,7 +74,11 @@
 }  // namespace
 
 void api::Handle(const http::request& call, bool forwarded, http::responder respond) {
-  call_context context{call, forwarded, std::move(respond), Segments(call.path)};
+  Dispatch({call, forwarded, std::move(respond), Segments(call.path)});
+}
+
+void api::Dispatch(call_context context) {
+  const http::request& call = context.call;
   if (call.path == "/healthz") {
     context.respond(http::JsonResponse(200, R"({"status":"ok"})"));
   } else if (call.path == "/readyz") {
@@ -221,7 +228,8 @@
     // so that callers need not retry.
     const core::mono_time until = std::min(deadline, now + 2 * deps_.options.store_lease_ttl);
     deps_.metrics.GetCounter("coltsfoot_calls_held_total").Add();
-    pending_forwards_.push_back({context.call, context.respond, shard, deadline, until});
+    pending_forwards_.push_back(
+        {context.call, context.respond, shard, deadline, until, context.waits});
     return;
   }
   http::request call = context.call;
@@ -254,7 +262,7 @@
     }
     const auto left = std::max<std::int64_t>(core::ToMs(item.deadline - now), 1);
     item.call.headers["X-Deadline-Ms"] = std::to_string(std::min(left, kMaxDeadlineMs));
-    Handle(item.call, false, item.respond);
+    Dispatch({item.call, false, item.respond, Segments(item.call.path), item.waits});
   }
 }
 
@@ -310,6 +318,13 @@
     Refuse(context, result_code::invalid_argument, "wait_ms must be from 0 to 60000");
     return;
   }
+  if (*wait > 0 && !context.forwarded && !context.waits && !CountWait(context)) {
+    http::request at_once = context.call;
+    at_once.query.erase("wait_ms");
+    call_context shortened{at_once, false, context.respond, context.path};
+    HandleTaskCall(shortened);
+    return;
+  }
   if (!deps_.ledger.Fence(*shard)) {
     ForwardToOwner(context, *shard, deps_.time.Now() + core::milliseconds{*wait} + kAdminDeadline);
     return;
@@ -335,6 +350,21 @@
   }
 }
 
+bool api::CountWait(call_context& context) {
+  if (task_waits_ >= deps_.max_requests_in_progress * kTaskWaitPercent / 100) {
+    deps_.metrics.GetCounter("coltsfoot_task_waits_shortened_total").Add();
+    return false;
+  }
+  ++task_waits_;
+  context.waits = true;
+  context.respond = [this, open = std::make_shared<bool>(true),
+                     respond = std::move(context.respond)](http::response answer) {
+    if (std::exchange(*open, false)) --task_waits_;
+    respond(std::move(answer));
+  };
+  return true;
+}
+
 void api::ShowTask(const std::string& task, core::shard_index shard, core::milliseconds wait,
                    const http::responder& respond) {
   const auto answer = [this, task, shard, respond] {
--- a/libs/entry/src/api.h
+++ b/libs/entry/src/api.h
@@ -40,11 +40,13 @@
     const core::clock& time;
     core::random_source& random;
     metrics::registry& metrics;
+    std::size_t max_requests_in_progress;  ///< of callers
   };
 
   explicit api(dependencies deps) : deps_(deps) {}
 
-  /// Handles one call.
+  /// Handles one call. One that would wait for the end of a task while such waits take their share
+  /// of the requests in progress does not wait.
   /// @param forwarded true if another entry sent the call, which is then not forwarded again.
   void Handle(const http::request& call, bool forwarded, http::responder respond);
   /// Answers long polls whose wait time has passed and retries pending forwards.
@@ -62,6 +64,7 @@
     bool forwarded;
     http::responder respond;
     std::vector<std::string_view> path;  ///< segments after "/v1"
+    bool waits = false;                  ///< counted in `task_waits_`
   };
   struct long_poll {
     core::mono_time until;
@@ -74,10 +77,12 @@
     core::shard_index shard = 0;
     core::mono_time deadline;
     core::mono_time until;
+    bool waits = false;  ///< as in `call_context`
   };
   using long_poll_list = std::list<long_poll>;
   using merge_function = std::function<http::response(const std::vector<std::string>& bodies)>;
 
+  void Dispatch(call_context context);
   void Route(call_context& context);
   void RouteTasks(call_context& context);
   void RouteConfig(call_context& context);
@@ -89,6 +94,9 @@
   void RunNonIdempotent(call_context& context, service_request request, const std::string& key);
   void SubmitTask(call_context& context);
   void HandleTaskCall(call_context& context);
+  /// Counts the call in `task_waits_` until it is answered.
+  /// @return false if such calls take their share of the requests in progress.
+  bool CountWait(call_context& context);
   void ShowTask(const std::string& task, core::shard_index shard, core::milliseconds wait,
                 const http::responder& respond);
   void ListTasks(call_context& context);
@@ -112,6 +120,7 @@
   dependencies deps_;
   bool shutting_down_ = false;
   long_poll_list long_polls_;
+  std::size_t task_waits_ = 0;  ///< calls from callers that wait for the end of a task
   std::list<pending_forward> pending_forwards_;
 };
 
--- a/libs/entry/src/entry.cc
+++ b/libs/entry/src/entry.cc
@@ -86,7 +86,7 @@
                .threads = options_.http_threads,
                .body_limit = kBodyLimitBytes,
                .on_refused = [this](core::result_code code) { metrics_.CountRefusal("api", code); },
-               .limits = std::make_shared<http::ingress>(options_.ingress, &metrics_)},
+               .limits = ingress_},
               [this](http::request call, http::responder respond) {
                 const bool submits = IsTaskSubmission(call.method, call.path);
                 auto handle = [this, call = std::move(call), respond = std::move(respond)] {
@@ -105,7 +105,7 @@
                random_, metrics_),
         claims_(ledger_, router_, time_, metrics_),
         api_({options_, ledger_, workers_, config_, router_, claims_, tasks_, peers_, time_,
-              random_, metrics_}) {
+              random_, metrics_, ingress_->limits().callers.requests_in_progress}) {
     SetHandlers();
     traffic_thread_ = std::thread([this] { traffic_.run(); });
   }
@@ -278,6 +278,8 @@
   peer_directory peers_;
   wire::endpoint tcp_;
   wire::polled_udp_socket udp_;
+  std::shared_ptr<http::ingress> ingress_ =
+      std::make_shared<http::ingress>(options_.ingress, &metrics_);
   http::server http_;
   ledger::shard_manager ledger_;
   agent_directory agents_;
--- a/libs/http/include/http/ingress.h
+++ b/libs/http/include/http/ingress.h
@@ -34,6 +34,9 @@
   ingress(const ingress&) = delete;
   ingress& operator=(const ingress&) = delete;
 
+  /// @return the limits that hold, with no more connections than their bytes allow.
+  const ingress_limits& limits() const noexcept { return ledger_.limits(); }
+
   /// Closes a connection of a port; called on any thread, without a lock held.
   using closer = std::function<void(connection_id)>;
 
