jobs: confirm an end with a checkpoint only once the checkpoint is stored

If the coordinator's host, or all hosts, lost power after a task was stopped, or its lease had lapsed, the task started again without the checkpoint of that end, and the work before it was done twice.

Cause: ApplyEnd copied the checkpoint into the job table but did not count it as a change of the job. So nothing was written, and ConfirmEnds saw no change that was still missing in the store. The end was confirmed in the next tick, and the target dropped the checkpoint. From then on only the coordinator's memory had it.

Change: an end that carries a checkpoint counts as a change of its job, unless the task is done or the job has ended, whose record has no tasks. The checkpoint shares the batched progress writes, so such an end is confirmed after them.

--- a/libs/jobs/src/coordinator_reports.cc
+++ b/libs/jobs/src/coordinator_reports.cc
@@ -130,6 +130,8 @@
   ref->task->progress.last_run = std::max(ref->task->progress.last_run, end.run);
   if (!end.checkpoint.empty() && !ref->task->progress.done) {
     ref->task->progress.checkpoint = end.checkpoint;
+    // The target drops the checkpoint once the end is confirmed. An ended job stores none.
+    if (!IsEnded(ref->job->state)) jobs_.MarkDirty(*ref->job);
   }
   if (end.reason == end_reason::done && !ref->job->Spec(ref->step).long_running) {
     jobs_.ClearCrashes(*ref);
--- a/libs/jobs/tests/progress_writer_test.cc
+++ b/libs/jobs/tests/progress_writer_test.cc
@@ -98,4 +98,44 @@
   CHECK(fleet.control.workers().at("a").stored_end == 2);
 }
 
+// Guards against a checkpoint that only the coordinator has: the target drops it with a confirmed
+// end, so the work before it is lost if all hosts lose power.
+TEST_CASE("an end with a checkpoint is confirmed only after the checkpoint is stored") {
+  for (const end_reason reason : {end_reason::stopped, end_reason::lapsed}) {
+    CAPTURE(std::string(ToString(reason)));
+    coordinator_fixture fleet;
+    fleet.Begin({"a"});
+    fleet.Submit("00000000000000aa", {TestStep(1)});
+    fleet.Tick();
+    fleet.RunCommands();
+    REQUIRE(fleet.Worker("a").running.size() == 1);
+    const running_task task = fleet.Worker("a").running[0];
+    fleet.storage.mode = testing::memory_store::write_mode::refused;
+    fleet.End("a", {task.task, task.run}, reason, "at-40-percent");
+    fleet.Report("a");
+    fleet.Tick();
+    fleet.Tick(milliseconds{500});
+    CHECK(fleet.control.workers().at("a").stored_end == 0);
+    fleet.storage.mode = testing::memory_store::write_mode::normal;
+    fleet.Tick(milliseconds{500});
+    fleet.Tick(milliseconds{500});
+    CHECK(fleet.control.workers().at("a").stored_end == 1);
+
+    // All processes start again, and the target has dropped the confirmed end.
+    fleet.agents.commands.clear();
+    fleet.Worker("a").ended.clear();
+    fleet.Worker("a").agent_incarnation = 2;
+    fleet.storage.Put(std::string(kLeaderKey), "leader");
+    fleet.term = fleet.storage.revision;
+    fleet.Worker("a").term = fleet.term;
+    fleet.BeginFromStore();
+    fleet.control.OnAgentConnected("a");
+    fleet.Report("a");
+    for (int tick = 0; tick < 3; ++tick) fleet.Tick(milliseconds{100});
+    const auto starts = fleet.agents.TakeStarts();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].second.checkpoint == "at-40-percent");
+  }
+}
+
 }  // namespace coltsfoot::jobs
