runner: a refused stop doesn't hold back ends

Callers saw: nothing yet; found by review. While a target that answers every call refused a stop, the agent held back ends for up to 15 s, beyond the time within which they are to be confirmed in calm.

Cause: each refusal counted as a call without an answer. Now only calls without an answer count.

--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -316,8 +316,8 @@
                              reply.refusal == jobs::start_refusal::stale_fence);
   if (not_executed || reply.status == command_status::unknown ||
       reply.status == command_status::not_sent) {
-    disturbed_at_ = time_.Now();
-    stop.retry_at = disturbed_at_ + kCommandRetryDelay;
+    if (!not_executed) disturbed_at_ = time_.Now();
+    stop.retry_at = time_.Now() + kCommandRetryDelay;
     metrics_.GetCounter("coltsfoot_orders_unanswered_total", {"order", "stop"}).Add();
     return;
   }
