--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -122,13 +122,13 @@
   void OnLists(const std::optional<target_lists>& lists, core::mono_time sent,
                std::uint64_t confirmed);
   void ApplyLists(const target_lists& lists, core::mono_time sent);
-  /// @return true if a start stays in place although the target has not executed it: until then
-  /// the next incarnation of a target that has just restarted may. Tasks that last don't wait.
+  /// @return true if a start stays in place although the present incarnation has not executed it:
+  /// it was sent to an earlier one, and the next one may execute it. Tasks that last don't wait.
   bool IsKept(const jobs::run_id& run, const pending_start& start) const;
   /// @return true if the target's next incarnation may execute a call that starts this run.
   bool MayStartAgain(const jobs::run_id& run) const;
-  /// Finds out which ends are to be held back: once an end is confirmed, its run must never start
-  /// again, and only the present incarnation refuses to.
+  /// Finds out which ends are to be held back: once an end as done or failed is confirmed, its run
+  /// must not start again, and only the present incarnation refuses to.
   void HoldEnds(const std::vector<jobs::ended_run>& listed);
   /// @return the end to confirm with the next poll; 0: none.
   std::uint64_t EndToConfirm() const;
@@ -258,6 +258,7 @@
   bool forgot_starts_ = false;  ///< the target has been gone since its last answer
   /// The target has restarted under its name.
   bool kept_name_ = false;
+  core::mono_time restarted_at_;  ///< when the present incarnation was found
   /// End of all leases that calls to earlier incarnations under the same name may have set. They
   /// name times on an earlier clock, which may be far ahead on the present one.
   core::mono_time late_lease_end_;
--- a/libs/runner/src/runner_incarnations.cc
+++ b/libs/runner/src/runner_incarnations.cc
@@ -92,7 +92,8 @@
   fence_refused_since_ = {};
   fence_step_ = kFirstFenceStep;
   held_end_ = 0;
-  disturbed_at_ = time_.Now();
+  restarted_at_ = time_.Now();
+  if (kept_name_) disturbed_at_ = restarted_at_;
   late_lease_end_ = {};
   found_lease_end_ = {};
   crashed_.insert(crashed_.end(), runs_of_gone_.begin(), runs_of_gone_.end());
--- a/libs/runner/src/runner_lists.cc
+++ b/libs/runner/src/runner_lists.cc
@@ -1,6 +1,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -85,7 +86,9 @@
 }
 
 bool runner::IsKept(const jobs::run_id& run, const pending_start& start) const {
-  return kept_name_ && !start.command.facts.long_running && unresolved_starts_.contains(run);
+  if (!kept_name_ || start.command.facts.long_running) return false;
+  const auto unresolved = unresolved_starts_.find(run);
+  return unresolved != unresolved_starts_.end() && unresolved->second.failed_at <= restarted_at_;
 }
 
 bool runner::MayStartAgain(const jobs::run_id& run) const {
@@ -99,9 +102,9 @@
   if (steady || listed.size() > kMaxHeldEnds) return;
   for (const jobs::ended_run& end : listed) {
     if (held_end_ > 0 && end.number >= held_end_) continue;
-    if (end.reason == jobs::end_reason::done && MayStartAgain({end.task, end.run})) {
-      held_end_ = end.number;
-    }
+    const bool counts =
+        end.reason == jobs::end_reason::done || end.reason == jobs::end_reason::failed;
+    if (counts && MayStartAgain({end.task, end.run})) held_end_ = end.number;
   }
 }
 
@@ -190,8 +193,8 @@
   if (running_.size() != before) report_due_ = true;
   std::set<jobs::run_id> listed;
   for (const jobs::running_task& task : running_) listed.insert({task.task, task.run});
-  std::set<jobs::run_id> ended;
-  for (const jobs::ended_run& end : ended_) ended.insert({end.task, end.run});
+  std::map<jobs::run_id, jobs::end_reason> ended;
+  for (const jobs::ended_run& end : lists.ended) ended[{end.task, end.run}] = end.reason;
   for (auto& [run, start] : starts_) {
     // Sent again, the call could start an ended run in the next incarnation.
     const bool known = listed.contains(run) || ended.contains(run);
@@ -199,10 +202,14 @@
   }
   std::erase_if(starts_, [&](const auto& each) {
     const auto& [run, start] = each;
-    if (listed.contains(run) || ended.contains(run)) return !start.in_flight;
+    if (listed.contains(run)) return !start.in_flight && !IsKept(run, start);
+    const auto end = ended.find(run);
+    if (end != ended.end() && (end->second == jobs::end_reason::done || !IsKept(run, start))) {
+      return !start.in_flight;
+    }
     // Not listed although settled before this poll: it never ran, or its end is stored.
-    const bool gone =
-        start.settled_at && *start.settled_at < sent && !ends_omitted_ && !IsKept(run, start);
+    const bool gone = start.settled_at && *start.settled_at < sent && !start.in_flight &&
+                      !ends_omitted_ && !IsKept(run, start);
     if (gone && start.abandoned) refused_.push_back({run, *start.abandoned});
     report_due_ = report_due_ || gone;
     return gone;
