--- a/libs/runner/src/runner_lists.cc
+++ b/libs/runner/src/runner_lists.cc
@@ -194,7 +194,7 @@
   std::set<jobs::run_id> listed;
   for (const jobs::running_task& task : running_) listed.insert({task.task, task.run});
   std::map<jobs::run_id, jobs::end_reason> ended;
-  for (const jobs::ended_run& end : lists.ended) ended[{end.task, end.run}] = end.reason;
+  for (const jobs::ended_run& end : ended_) ended[{end.task, end.run}] = end.reason;
   for (auto& [run, start] : starts_) {
     // Sent again, the call could start an ended run in the next incarnation.
     const bool known = listed.contains(run) || ended.contains(run);
