--- a/review/stand-ins-3/fleet.h
+++ b/review/stand-ins-3/fleet.h
@@ -52,7 +52,8 @@
   int priority = 0;  ///< of the only queue
 };
 
-/// Entries and agents as the programs of the deploy file, with a store, targets and callers.
+/// Entries and agents as the programs of the deploy file, with a store, targets
+/// and callers.
 class fleet {
  public:
   /// Makes the store, the targets and the settings. Starts no program yet.
@@ -73,13 +74,16 @@
   void KillRunner(int index) { Kill("runner-" + std::to_string(index)); }
   /// @return the index of the entry that the leader key names, or -1.
   int Coordinator();
-  /// Waits until the entries report that they are ready. @return false after the limit.
+  /// Waits until the entries report that they are ready. @return false after
+  /// the limit.
   bool WaitUntilReady(seconds limit);
 
-  /// Sends one request to an entry and records it. @return the answer; status 0: none.
+  /// Sends one request to an entry and records it. @return the answer; status
+  /// 0: none.
   http::response Call(int entry, const std::string& method, const std::string& id,
                       const std::string& body = "");
-  /// Submits a job, with retries under the same id as callers do. @return false if none accepts it.
+  /// Submits a job, with retries under the same id as callers do. @return false
+  /// if none accepts it.
   bool Submit(const std::string& id, const std::string& body);
   /// @return the state that an entry shows; empty if the answer has none.
   std::string StateOf(const std::string& id, int entry);
@@ -113,6 +117,7 @@
 int RunFullListing(const std::filesystem::path& directory, bool trouble, record& log);
 int RunForgottenAgents(const std::filesystem::path& directory, bool trouble, record& log);
 int RunOversizedResend(const std::filesystem::path& directory, bool trouble, record& log);
+int RunLongImage(const std::filesystem::path& directory, bool trouble, record& log);
 int RunWholeWorkerTask(const std::filesystem::path& directory, bool trouble, record& log);
 
 }  // namespace coltsfoot::review
--- a/review/stand-ins-3/main.cc
+++ b/review/stand-ins-3/main.cc
@@ -8,12 +8,16 @@
 
 #include "fleet.h"
 
-// Plays one case: review-3 CASE DIRECTORY. Without the disruption if TROUBLE=0 is set.
+// Plays one case: review-3 CASE DIRECTORY. Without the disruption if TROUBLE=0
+// is set.
 int main(int argc, char** argv) {
   using namespace coltsfoot::review;  // NOLINT(google-build-using-namespace)
   const std::map<std::string, case_function> cases = {
-      {"resubmitted-removals", RunResubmittedRemovals}, {"full-listing", RunFullListing},
-      {"forgotten-agents", RunForgottenAgents},         {"oversized-resend", RunOversizedResend},
+      {"resubmitted-removals", RunResubmittedRemovals},
+      {"full-listing", RunFullListing},
+      {"forgotten-agents", RunForgottenAgents},
+      {"oversized-resend", RunOversizedResend},
+      {"long-image", RunLongImage},
       {"whole-worker-task", RunWholeWorkerTask},
   };
   const auto chosen = argc == 3 ? cases.find(argv[1]) : cases.end();
