--- a/review/stand-ins-3/fleet.cc
+++ b/review/stand-ins-3/fleet.cc
@@ -50,15 +50,24 @@
   }
 }
 
-/// @return ports that the kernel chose and that are closed again.
+/// @return free ports below those that the kernel gives to connections. Fleets that run at the same
+/// time choose from different ones.
 std::vector<int> FreePorts(std::size_t count) {
+  constexpr int kFirst = 12000;
+  constexpr int kBlock = 60;
+  constexpr int kBlocks = 330;
+  static int next = 0;
   asio::io_context context;
-  std::vector<asio::ip::tcp::acceptor> acceptors;
   std::vector<int> ports;
-  for (std::size_t index = 0; index < count; ++index) {
-    acceptors.emplace_back(context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    ports.push_back(acceptors.back().local_endpoint().port());
+  while (ports.size() < count && next < kBlock) {
+    const int port = kFirst + (::getpid() % kBlocks) * kBlock + next++;
+    asio::ip::tcp::acceptor acceptor(context);
+    asio::error_code failure;
+    acceptor.open(asio::ip::tcp::v4());
+    acceptor.bind({asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)}, failure);
+    if (!failure) ports.push_back(port);
   }
+  if (ports.size() < count) throw std::runtime_error("too few free ports");
   return ports;
 }
 
@@ -140,7 +149,7 @@
 
 bool fleet::StartRunner(int index) {
   if (!Start("runner-" + std::to_string(index), "coltsfoot-runner")) return false;
-  targets_.at(index)->AnnounceTo(announcements_.at(index));
+  if (!options_.targets_silent) targets_.at(index)->AnnounceTo(announcements_.at(index));
   return true;
 }
 
@@ -174,10 +183,14 @@
   log_.Write("kill " + id);
 }
 
-void fleet::SignalRunner(int index, int number) {
-  const std::string id = "runner-" + std::to_string(index);
-  kill(running_.at(id), number);
-  log_.Write("signal " + std::to_string(number) + " to " + id);
+std::size_t fleet::MemoryOfEntry(int index) {
+  const auto process = running_.find("entry-" + std::to_string(index));
+  if (process == running_.end()) return 0;
+  std::ifstream status("/proc/" + std::to_string(process->second) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with("VmRSS:")) return 1024 * std::stoull(line.substr(6));
+  }
+  return 0;
 }
 
 int fleet::Coordinator() {
@@ -256,8 +269,8 @@
   return runs;
 }
 
-void fleet::RecordRuns() {
-  for (const observed_run& run : Runs()) {
+void fleet::RecordRuns(const std::vector<observed_run>& runs) {
+  for (const observed_run& run : runs) {
     char times[64];
     std::snprintf(times, sizeof(times), " started %.3f ended %.3f", log_.Seconds(run.started_at),
                   run.ended_at ? log_.Seconds(*run.ended_at) : -1.0);
--- a/review/stand-ins-3/fleet.h
+++ b/review/stand-ins-3/fleet.h
@@ -49,7 +49,8 @@
   int entries = 2;
   int workers = 2;
   milliseconds task_time{400};
-  int priority = 0;  ///< of the only queue
+  int priority = 0;             ///< of the only queue
+  bool targets_silent = false;  ///< the targets do not announce themselves
 };
 
 /// Entries and agents as the programs of the deploy file, with a store, targets
@@ -67,10 +68,13 @@
 
   /// Starts all programs. @return false if one of them does not get ready.
   bool StartAll();
+  /// @return IP:PORT at which an agent takes announcements.
+  const std::string& announcement(int worker) const { return announcements_.at(worker); }
   bool StartEntry(int index);
   bool StartRunner(int index);
   void KillEntry(int index) { Kill("entry-" + std::to_string(index)); }
-  void SignalRunner(int index, int number);
+  /// @return the resident memory of an entry, in bytes; 0 if it does not run.
+  std::size_t MemoryOfEntry(int index);
   void KillRunner(int index) { Kill("runner-" + std::to_string(index)); }
   /// @return the index of the entry that the leader key names, or -1.
   int Coordinator();
@@ -92,7 +96,8 @@
 
   std::vector<platform::testing::observed_run> Runs();
   /// Records all runs that targets have seen.
-  void RecordRuns();
+  void RecordRuns() { RecordRuns(Runs()); }
+  void RecordRuns(const std::vector<platform::testing::observed_run>& runs);
 
  private:
   bool Start(const std::string& id, const std::string& program);
@@ -113,11 +118,11 @@
 /// Plays one case. @return `kHeld`, `kBroken` or `kCouldNotRun`.
 using case_function = int (*)(const std::filesystem::path& directory, bool trouble, record& log);
 
-int RunResubmittedRemovals(const std::filesystem::path& directory, bool trouble, record& log);
 int RunFullListing(const std::filesystem::path& directory, bool trouble, record& log);
 int RunForgottenAgents(const std::filesystem::path& directory, bool trouble, record& log);
-int RunOversizedResend(const std::filesystem::path& directory, bool trouble, record& log);
+int RunLateStart(const std::filesystem::path& directory, bool trouble, record& log);
 int RunLongImage(const std::filesystem::path& directory, bool trouble, record& log);
+int RunLongTexts(const std::filesystem::path& directory, bool trouble, record& log);
 int RunWholeWorkerTask(const std::filesystem::path& directory, bool trouble, record& log);
 
 }  // namespace coltsfoot::review
--- a/review/stand-ins-3/main.cc
+++ b/review/stand-ins-3/main.cc
@@ -13,12 +13,9 @@
 int main(int argc, char** argv) {
   using namespace coltsfoot::review;  // NOLINT(google-build-using-namespace)
   const std::map<std::string, case_function> cases = {
-      {"resubmitted-removals", RunResubmittedRemovals},
-      {"full-listing", RunFullListing},
-      {"forgotten-agents", RunForgottenAgents},
-      {"oversized-resend", RunOversizedResend},
-      {"long-image", RunLongImage},
-      {"whole-worker-task", RunWholeWorkerTask},
+      {"full-listing", RunFullListing}, {"forgotten-agents", RunForgottenAgents},
+      {"long-image", RunLongImage},     {"late-start", RunLateStart},
+      {"long-texts", RunLongTexts},     {"whole-worker-task", RunWholeWorkerTask},
   };
   const auto chosen = argc == 3 ? cases.find(argv[1]) : cases.end();
   if (chosen == cases.end()) {
--- a/review/stand-ins-3/store.cc
+++ b/review/stand-ins-3/store.cc
@@ -67,13 +67,9 @@
 }
 
 void metadata_store::Preload(const std::string& key, const std::string& value) {
-  PreloadEncoded(key, absl::Base64Escape(value));
-}
-
-void metadata_store::PreloadEncoded(const std::string& key, const std::string& value) {
   const std::lock_guard lock(mutex_);
   ++revision_;
-  items_[key] = item{value, revision_, 0};
+  items_[key] = item{absl::Base64Escape(value), revision_, 0};
   history_from_ = revision_;
 }
 
@@ -109,15 +105,6 @@
   return bytes;
 }
 
-json metadata_store::Dump() {
-  const std::lock_guard lock(mutex_);
-  json rows = json::array();
-  for (const auto& [key, entry] : items_) {
-    if (entry.lease == 0) rows.push_back({key, entry.value});
-  }
-  return rows;
-}
-
 void metadata_store::SetDown(bool down) {
   const std::lock_guard lock(mutex_);
   down_ = down;
@@ -126,11 +113,6 @@
   watches_.clear();
 }
 
-void metadata_store::Compact(milliseconds deaf) {
-  const std::lock_guard lock(mutex_);
-  deaf_until_ = steady::now() + deaf;
-}
-
 void metadata_store::Write(const std::string& key, std::optional<item> now) {
   if (now) {
     items_[key] = *now;
@@ -267,7 +249,6 @@
 }
 
 void metadata_store::AnswerWatches() {
-  if (deaf_until_) return;
   std::erase_if(watches_, [this](const pending_watch& watch) {
     const auto answer = ChangesFor(watch);
     if (answer) watch.respond(*answer);
@@ -283,11 +264,6 @@
     return;
   }
   ExpireLeases();
-  if (deaf_until_ && now >= *deaf_until_) {
-    deaf_until_.reset();
-    history_.clear();
-    history_from_ = revision_;
-  }
   AnswerWatches();
 }
 
--- a/review/stand-ins-3/store.h
+++ b/review/stand-ins-3/store.h
@@ -34,20 +34,14 @@
   void Put(const std::string& key, const std::string& value);
   /// Adds an item that was written long ago: no watch reports it.
   void Preload(const std::string& key, const std::string& value);
-  /// As `Preload`, with a value that is Base64 already.
-  void PreloadEncoded(const std::string& key, const std::string& value);
   /// @return the decoded value of an item, or nothing.
   std::optional<std::string> Find(const std::string& key);
   std::size_t CountKeys(std::string_view prefix);
   /// @return the size of the entries below a prefix, as a reader holds them: keys, values and its
   /// structures.
   std::size_t ListedBytes(std::string_view prefix);
-  /// @return all items without a lease, as an array of rows of key and encoded value.
-  nlohmann::json Dump();
   /// While the store is down it answers 503, executes nothing, and leases pause.
   void SetDown(bool down);
-  /// For this long watches report nothing. Then the history is dropped and they are cut.
-  void Compact(std::chrono::milliseconds deaf);
 
  private:
   struct item {
@@ -91,7 +85,6 @@
   std::uint64_t revision_ = 1;
   std::uint64_t last_lease_ = 0;
   bool down_ = false;
-  std::optional<steady::time_point> deaf_until_;
   steady::time_point stepped_at_ = steady::now();
   bool stopping_ = false;
   std::condition_variable stopped_;
--- a/review/stand-ins-3/store_client.cc
+++ b/review/stand-ins-3/store_client.cc
@@ -10,12 +10,14 @@
 
 // `kDefaultListingBytes` of platform/store_client.h.
 constexpr std::size_t kListingBytes = 32U << 20U;
-constexpr std::size_t kMarginBytes = 150'000;
+constexpr std::size_t kMarginBytes = 110'000;
+// More than the coordinator may still remove when it is killed.
+constexpr std::size_t kExcessBytes = 60'000;
 // The longest that a client may send.
 constexpr std::size_t kPayloadBytes = 4000;
 // Requests of malolos-straw: 4.46 of one kind and 0.98 of the other in a second.
 constexpr milliseconds kSubmitPeriod{184};
-constexpr seconds kMaxGrowth{45};
+constexpr seconds kMaxGrowth{60};
 constexpr milliseconds kDowntime{1000};
 // `recoverS` of the site file.
 constexpr seconds kRecovery{12};
@@ -78,7 +80,7 @@
     return kCouldNotRun;
   }
   const auto grow_until = steady::now() + kMaxGrowth;
-  while (system.store().ListedBytes("coltsfoot/in/") <= kListingBytes + 2000) {
+  while (system.store().ListedBytes("coltsfoot/in/") <= kListingBytes + kExcessBytes) {
     if (steady::now() > grow_until) {
       log.Write("the store did not grow to the limit");
       return kCouldNotRun;
