--- a/review/stand-ins-3/fleet.h
+++ b/review/stand-ins-3/fleet.h
@@ -122,7 +122,7 @@
 int RunForgottenAgents(const std::filesystem::path& directory, bool trouble, record& log);
 int RunLateStart(const std::filesystem::path& directory, bool trouble, record& log);
 int RunLongImage(const std::filesystem::path& directory, bool trouble, record& log);
-int RunLongTexts(const std::filesystem::path& directory, bool trouble, record& log);
+int RunManyTasks(const std::filesystem::path& directory, bool trouble, record& log);
 int RunWholeWorkerTask(const std::filesystem::path& directory, bool trouble, record& log);
 
 }  // namespace coltsfoot::review
--- a/review/stand-ins-3/main.cc
+++ b/review/stand-ins-3/main.cc
@@ -15,7 +15,7 @@
   const std::map<std::string, case_function> cases = {
       {"full-listing", RunFullListing}, {"forgotten-agents", RunForgottenAgents},
       {"long-image", RunLongImage},     {"late-start", RunLateStart},
-      {"long-texts", RunLongTexts},     {"whole-worker-task", RunWholeWorkerTask},
+      {"many-tasks", RunManyTasks},     {"whole-worker-task", RunWholeWorkerTask},
   };
   const auto chosen = argc == 3 ? cases.find(argv[1]) : cases.end();
   if (chosen == cases.end()) {
