--- a/review/stand-ins-3/fleet.h
+++ b/review/stand-ins-3/fleet.h
@@ -120,6 +120,7 @@
 
 int RunFullListing(const std::filesystem::path& directory, bool trouble, record& log);
 int RunForgottenAgents(const std::filesystem::path& directory, bool trouble, record& log);
+int RunLargeProgress(const std::filesystem::path& directory, bool trouble, record& log);
 int RunLateStart(const std::filesystem::path& directory, bool trouble, record& log);
 int RunLongImage(const std::filesystem::path& directory, bool trouble, record& log);
 int RunManyTasks(const std::filesystem::path& directory, bool trouble, record& log);
--- a/review/stand-ins-3/main.cc
+++ b/review/stand-ins-3/main.cc
@@ -13,9 +13,13 @@
 int main(int argc, char** argv) {
   using namespace coltsfoot::review;  // NOLINT(google-build-using-namespace)
   const std::map<std::string, case_function> cases = {
-      {"full-listing", RunFullListing}, {"forgotten-agents", RunForgottenAgents},
-      {"long-image", RunLongImage},     {"late-start", RunLateStart},
-      {"many-tasks", RunManyTasks},     {"whole-worker-task", RunWholeWorkerTask},
+      {"full-listing", RunFullListing},
+      {"large-progress", RunLargeProgress},
+      {"forgotten-agents", RunForgottenAgents},
+      {"long-image", RunLongImage},
+      {"late-start", RunLateStart},
+      {"many-tasks", RunManyTasks},
+      {"whole-worker-task", RunWholeWorkerTask},
   };
   const auto chosen = argc == 3 ? cases.find(argv[1]) : cases.end();
   if (chosen == cases.end()) {
--- a/review/stand-ins-3/minion.cc
+++ b/review/stand-ins-3/minion.cc
@@ -13,6 +13,8 @@
 // `heartbeatMs` and `holdMaxMs` of the site.
 constexpr milliseconds kHeartbeat{1500};
 constexpr std::int64_t kMaxLeaseMs = 10'000;
+constexpr std::size_t kMaxListedEnds = 500;
+constexpr auto kLasting = "lasting";
 
 http::response Answer(int status, const json& body) {
   return http::JsonResponse(status, body.dump());
@@ -25,9 +27,10 @@
 
 }  // namespace
 
-minion::minion(std::string name, milliseconds task_time)
+minion::minion(std::string name, milliseconds task_time, std::size_t saved_bytes)
     : name_(std::move(name)),
       task_time_(task_time),
+      saved_bytes_(saved_bytes),
       born_(UnixMs()),
       server_(std::make_unique<web_server>(
           [this](const http::request& request, const http::responder& respond) {
@@ -74,6 +77,16 @@
   polls_.clear();
 }
 
+bool minion::FailLastingTask() {
+  const std::lock_guard lock(mutex_);
+  for (task_state& task : tasks_) {
+    if (!task.lasting || !task.run.reason.empty()) continue;
+    End(task, "failed");
+    return true;
+  }
+  return false;
+}
+
 void minion::StartAgain() {
   const std::lock_guard lock(mutex_);
   for (task_state& task : tasks_) {
@@ -160,6 +173,7 @@
   added.run.run = static_cast<std::uint32_t>(run);
   added.run.target = name_ + " life " + std::to_string(life_);
   added.run.started_at = steady::now();
+  added.lasting = order.value("spec", std::string()) == kLasting;
   return Answer(200, {{"clockMs", ClockMs()}});
 }
 
@@ -180,18 +194,38 @@
   task.end_number = ++last_end_;
 }
 
+std::string minion::SavedOf(const task_state& task) const {
+  if (!task.lasting || saved_bytes_ == 0) return "";
+  const auto ran = task.run.ended_at.value_or(steady::now()) - task.run.started_at;
+  const auto saves = std::chrono::duration_cast<std::chrono::seconds>(ran).count();
+  if (saves == 0) return "";
+  std::string saved = std::to_string(saves);
+  saved.insert(0, saved_bytes_ - std::min(saved.size(), saved_bytes_), '0');
+  return saved;
+}
+
 std::optional<http::response> minion::Lists(const waiting_poll& poll) {
   json running = json::array();
-  json ended = json::array();
+  std::vector<const task_state*> ends;
   for (const task_state& task : tasks_) {
     if (task.life != life_) continue;
     if (task.run.reason.empty()) {
       const auto ran = steady::now() - task.run.started_at;
-      running.push_back({task.run.task, task.run.run, "", 100 * ran / task_time_, 100});
+      const auto percent = task.lasting ? 100 : 100 * ran / task_time_;
+      running.push_back({task.run.task, task.run.run, SavedOf(task), percent, 100});
     } else if (task.end_number > poll.last_seen) {
-      ended.push_back({task.end_number, task.run.task, task.run.run, task.run.reason, ""});
+      ends.push_back(&task);
     }
   }
+  std::sort(ends.begin(), ends.end(), [](const task_state* left, const task_state* right) {
+    return left->end_number < right->end_number;
+  });
+  json ended = json::array();
+  for (const task_state* task : ends) {
+    if (ended.size() >= kMaxListedEnds) break;
+    ended.push_back(
+        {task->end_number, task->run.task, task->run.run, task->run.reason, SavedOf(*task)});
+  }
   if (ended.empty() && steady::now() < poll.until) return std::nullopt;
   return Answer(200,
                 {{"clockMs", ClockMs()}, {"born", born_}, {"running", running}, {"ended", ended}});
@@ -212,7 +246,7 @@
     if (!task.run.reason.empty()) continue;
     if (ClockMs() > lease_until_ms_) {
       End(task, "lapsed");
-    } else if (now - task.run.started_at >= task_time_) {
+    } else if (!task.lasting && now - task.run.started_at >= task_time_) {
       End(task, "done");
     }
   }
--- a/review/stand-ins-3/minion.h
+++ b/review/stand-ins-3/minion.h
@@ -19,13 +19,15 @@
 namespace coltsfoot::review {
 
 /// Minion whose network can be cut, which can start again under its id, and whose orders can be
-/// carried out late. Runs each task for a fixed time.
+/// carried out late. Runs each task for a fixed time, and those with the spec "lasting" until they
+/// are stopped.
 class minion {
  public:
   using observed_run = platform::testing::observed_run;
   using steady = std::chrono::steady_clock;
 
-  minion(std::string name, std::chrono::milliseconds task_time);
+  /// @param saved_bytes size of what each lasting task saves; 0: they save nothing.
+  minion(std::string name, std::chrono::milliseconds task_time, std::size_t saved_bytes = 0);
   ~minion();
   minion(const minion&) = delete;
   minion& operator=(const minion&) = delete;
@@ -38,6 +40,8 @@
   std::size_t CountLate();
   /// While it is cut off, nothing that is sent to it or by it arrives.
   void SetCut(bool cut);
+  /// Lets a lasting task fail. @return false if none runs.
+  bool FailLastingTask();
   /// Begins a new life under the same id: nothing of before is held or known.
   void StartAgain();
   std::vector<observed_run> Runs();
@@ -47,6 +51,7 @@
     observed_run run;
     std::uint64_t life = 0;
     std::uint64_t end_number = 0;
+    bool lasting = false;
   };
   struct late_order {
     steady::time_point due;
@@ -66,6 +71,8 @@
   bool TakeFence(const nlohmann::json& call);
   std::optional<http::response> Lists(const waiting_poll& poll);
   void End(task_state& task, const char* how);
+  /// @return what a task has saved by now; a lasting one saves each second.
+  std::string SavedOf(const task_state& task) const;
   void Step();
   void Announce();
   std::int64_t ClockMs() const;
@@ -73,6 +80,7 @@
 
   std::string name_;
   std::chrono::milliseconds task_time_;
+  std::size_t saved_bytes_;
   std::mutex mutex_;
   steady::time_point began_at_ = steady::now();
   std::uint64_t born_;
