--- a/libs/membership/tests/worker_table_test.cc
+++ b/libs/membership/tests/worker_table_test.cc
@@ -241,7 +241,7 @@
   const auto heartbeat = [&](const std::string& worker, std::uint64_t seq, core::mono_time at) {
     auto sent = Heartbeat(seq);
     sent.worker = worker;
-    sent.incarnation = worker.back();
+    sent.incarnation = static_cast<unsigned char>(worker.back());
     return table.OnHeartbeat(sent, at);
   };
   const worker_index real = heartbeat("real", 1, kStart).worker;
