runner, jobs: a start that a target may still execute stays in place while the target is gone

Callers saw tasks run twice when targets restarted under their names and were cut off soon after: a start that had no answer before the cut was carried out behind it, by the next incarnation, beside another run of its task.

Cause: when a target counted as gone, 5 to 6.5 s after its last answer, its agent forgot all starts and the coordinator placed their tasks elsewhere. The lease that bounds a run is a time on the earlier incarnation's clock, and the fencing token that shuts the call out is not known there before the agent has reached it. The same happened when the next incarnation answered once and was cut off again before it had announced itself: the coordinator dropped all copies with the lease.

Now the agent keeps naming such starts while its target has no lists, for as long as a call may be late and the run that it begins may have a lease (25 s), and the coordinator leaves their copies in place. It registers the worker as absent only afterwards, so that a successor asks the agent. Tasks that last don't wait, as after a restart.

--- a/libs/jobs/include/jobs/coordinator.h
+++ b/libs/jobs/include/jobs/coordinator.h
@@ -138,10 +138,17 @@
   /// Records that the worker's target crashed under these runs.
   void ApplyCrash(const worker_row& worker, const std::vector<crashed_run>& crashed);
   void ResendCommands(worker_row& worker);
-  /// Removes the copies at an agent whose runs have ended with their lease or their target.
-  /// @param keep incarnation of the target whose copies stay, if any.
+  /// Removes the copies at an agent whose runs have ended with their target.
+  /// @param keep incarnation of the target whose copies stay.
   void RemoveLostCopies(const std::string& agent, std::string_view reason,
-                        const std::optional<target_incarnation>& keep);
+                        const target_incarnation& keep);
+  void RemoveCopies(const std::string& agent, std::string_view reason,
+                    const std::vector<std::pair<task_ref, std::uint32_t>>& lost);
+  /// Takes over which starts a target that has no lists may still execute.
+  void LearnLateStarts(worker_row& worker, const worker_report& report);
+  /// Removes the copies on a worker whose lease has expired or whose target is gone, except late
+  /// starts. Registers the worker as absent when none is left.
+  void DropLostRuns(worker_row& worker, std::string_view reason);
   /// Places no tasks on the worker for a while, unless more than a third of the workers would be
   /// quarantined then.
   void Quarantine(worker_row& worker, std::string_view reason);
--- a/libs/jobs/include/jobs/messages.h
+++ b/libs/jobs/include/jobs/messages.h
@@ -128,7 +128,8 @@
 };
 
 /// Agent to coordinator. If `listed` is set, `running`, `starting` and `ended` are complete
-/// lists, except as `ends_omitted` tells; otherwise they are omitted.
+/// lists, except as `ends_omitted` tells. Otherwise `running` and `ended` are omitted, and
+/// `starting` names what a target without lists may still execute.
 struct worker_report {
   static constexpr auto kType = wire::message_type::worker_report;
   std::string agent;
--- a/libs/jobs/include/jobs/worker_table.h
+++ b/libs/jobs/include/jobs/worker_table.h
@@ -53,7 +53,10 @@
   /// Pressures that were sent to the agent, by victim and image.
   std::map<std::pair<std::string, std::string>, pressure> sent_pressures;
   core::mono_time lease_bound;  ///< by then the lease of everything that runs here has expired
-  core::mono_time granted_at;   ///< time of the last grant on this connection; zero: none
+  /// Starts that the target may still execute although its runs are lost. Their copies stay.
+  std::vector<run_id> late_starts;
+  core::mono_time late_starts_until;  ///< by then none of them is executed any more
+  core::mono_time granted_at;         ///< time of the last grant on this connection; zero: none
   target_incarnation granted_incarnation;  ///< incarnation in that grant
   std::uint64_t granted_end = 0;           ///< `stored_end` in that grant
   std::uint64_t next_command = 1;
--- a/libs/jobs/src/coordinator.cc
+++ b/libs/jobs/src/coordinator.cc
@@ -184,9 +184,8 @@
 void coordinator::ExpireLeases() {
   for (auto& [agent, worker] : workers_) {
     if (time_.Now() < worker.lease_bound) continue;
-    RemoveLostCopies(agent, "lease_lapsed", std::nullopt);
+    DropLostRuns(worker, "lease_lapsed");
     worker.listed = false;
-    if (!worker.absent) MarkAbsent(worker);
   }
 }
 
--- a/libs/jobs/src/coordinator_reports.cc
+++ b/libs/jobs/src/coordinator_reports.cc
@@ -15,6 +15,8 @@
 constexpr core::milliseconds kCrashEvidenceLifetime{10'000};
 // Must stay far below `coordinator_options::task_lease`.
 constexpr core::milliseconds kGrantInterval{300};
+// Longer than an agent keeps a late start and the run that it may begin unseen.
+constexpr core::milliseconds kMaxLateStartTime{26'000};
 // Progress in percent from which a long-running task serves requests.
 constexpr std::uint32_t kServingProgress = 100;
 // Change of a pressure's upper bound from which it is sent to the agent again.
@@ -53,6 +55,7 @@
     ApplyCrash(worker, report.crashed);
     DropRefused(worker, report);
   }
+  LearnLateStarts(worker, report);
   ChangeIncarnation(worker, report);
   if (report.listed && worker.incarnation == report.incarnation) {
     ApplyEnds(worker, report);
@@ -95,9 +98,34 @@
     worker.quarantined_until = {};
     worker.quarantine_duration = core::milliseconds{0};
   }
-  if (report.state != target_state::gone) return;
-  RemoveLostCopies(worker.agent, "target_gone", std::nullopt);
-  MarkAbsent(worker);
+  if (report.state == target_state::gone) DropLostRuns(worker, "target_gone");
+}
+
+void coordinator::LearnLateStarts(worker_row& worker, const worker_report& report) {
+  if (report.listed && report.state != target_state::gone) {
+    worker.late_starts.clear();
+  } else if (report.listed || !report.starting.empty()) {
+    if (worker.late_starts.empty() && !report.starting.empty()) {
+      worker.late_starts_until = time_.Now() + kMaxLateStartTime;
+      spdlog::info("event=late_starts_kept agent={} starts={}", worker.agent,
+                   report.starting.size());
+    }
+    worker.late_starts = report.starting;
+  }
+}
+
+void coordinator::DropLostRuns(worker_row& worker, std::string_view reason) {
+  if (time_.Now() >= worker.late_starts_until) worker.late_starts.clear();
+  std::vector<std::pair<task_ref, std::uint32_t>> lost;
+  jobs_.VisitCopies(
+      worker.agent, [&](const task_ref& ref, const task_id& id, const task_copy& copy) {
+        const bool stays = !copy.running && Contains(worker.late_starts, {id, copy.run});
+        if (!stays) lost.emplace_back(ref, copy.run);
+      });
+  RemoveCopies(worker.agent, reason, lost);
+  for (const run_id& start : worker.late_starts) AdoptStarting(worker, start);
+  // A successor has to ask the agent for late starts, which it doesn't if the worker is absent.
+  if (worker.late_starts.empty() && !worker.absent) MarkAbsent(worker);
 }
 
 void coordinator::MarkAbsent(worker_row& worker) {
@@ -403,11 +431,16 @@
 }
 
 void coordinator::RemoveLostCopies(const std::string& agent, std::string_view reason,
-                                   const std::optional<target_incarnation>& keep) {
+                                   const target_incarnation& keep) {
   std::vector<std::pair<task_ref, std::uint32_t>> lost;
   jobs_.VisitCopies(agent, [&](const task_ref& ref, const task_id&, const task_copy& copy) {
-    if (!keep || copy.incarnation != *keep) lost.emplace_back(ref, copy.run);
+    if (copy.incarnation != keep) lost.emplace_back(ref, copy.run);
   });
+  RemoveCopies(agent, reason, lost);
+}
+
+void coordinator::RemoveCopies(const std::string& agent, std::string_view reason,
+                               const std::vector<std::pair<task_ref, std::uint32_t>>& lost) {
   for (const auto& [ref, run] : lost) jobs_.RemoveCopy(ref, agent, run);
   if (lost.empty()) return;
   metrics_.GetCounter("coltsfoot_runs_lost_total", {"reason", reason}).Add(lost.size());
--- a/libs/jobs/src/report_stream.cc
+++ b/libs/jobs/src/report_stream.cc
@@ -73,9 +73,9 @@
     identity_ = identity;
     out.identity = std::move(identity);
   }
+  out.starting = report.starting;
   if (!report.listed) return out;
   EncodeRunning(report, out);
-  out.starting = report.starting;
   out.refused = report.refused;
   out.crashed = report.crashed;
   out.first_unstored = report.ended.empty() ? last_ended_ + 1 : report.ended.front().number;
@@ -141,6 +141,7 @@
                     .capacity = identity_.capacity,
                     .listed = changes.listed,
                     .ends_omitted = changes.ends_omitted};
+  out.starting = changes.starting;
   if (!changes.listed) return out;
   if (!DecodeRunning(changes)) {
     return error.Set(core::result_code::decode_error, "changes do not apply to the last report");
@@ -148,7 +149,6 @@
   ended_.insert(ended_.end(), changes.ended.begin(), changes.ended.end());
   std::erase_if(ended_, [&](const auto& end) { return end.number < changes.first_unstored; });
   out.running = running_;
-  out.starting = changes.starting;
   out.ended = ended_;
   out.refused = changes.refused;
   out.crashed = changes.crashed;
--- a/libs/jobs/tests/coordinator_test.cc
+++ b/libs/jobs/tests/coordinator_test.cc
@@ -136,6 +136,40 @@
   CHECK(again[0].second.facts.run.run > 1);
 }
 
+// Guards against a task that runs on another worker while the target that was gone executes its
+// start.
+TEST_CASE("a start that a target which is gone may still execute keeps its task in place") {
+  coordinator_fixture fleet;
+  fleet.Begin({"a", "b"});
+  fleet.Submit(kJob, {TestStep(1)});
+  fleet.Tick();
+  const auto starts = fleet.agents.TakeStarts();
+  REQUIRE(starts.size() == 1);
+  const std::string& first = starts[0].first;
+  const std::string other = first == "a" ? "b" : "a";
+  worker_report& report = fleet.Worker(first);
+  report.state = target_state::gone;
+  report.starting = {starts[0].second.facts.run};
+  bool agent_reports = true;
+  SUBCASE("the agent goes on reporting") {}
+  SUBCASE("the agent is lost as well") { agent_reports = false; }
+  fleet.Report(first);
+  const auto pass = [&](milliseconds duration) {
+    for (milliseconds passed{0}; passed < duration; passed += milliseconds{100}) {
+      fleet.Report(other);
+      if (agent_reports) fleet.Report(first);
+      fleet.Tick(milliseconds{100});
+    }
+  };
+  pass(milliseconds{14'000});
+  CHECK(fleet.agents.TakeStarts().empty());
+  report.starting.clear();
+  pass(agent_reports ? milliseconds{1500} : milliseconds{13'000});
+  const auto again = fleet.agents.TakeStarts();
+  REQUIRE_FALSE(again.empty());
+  CHECK(again[0].first == other);
+}
+
 // Guards against a new coordinator that starts a task again that still runs on a worker that has
 // not reported yet.
 TEST_CASE("a new coordinator waits for the reports of all workers") {
--- a/libs/jobs/tests/report_stream_test.cc
+++ b/libs/jobs/tests/report_stream_test.cc
@@ -208,6 +208,19 @@
   }));
 }
 
+// Guards against late starts that the coordinator doesn't learn of.
+TEST_CASE("late starts of a target without lists are part of its changes") {
+  worker_report report = BusyReport();
+  report.listed = false;
+  report.starting = {{{"00000000000000aa", 0, 0, 1}, 3}};
+  report_encoder encoder;
+  report_decoder decoder;
+  core::last_error error;
+  const auto decoded = decoder.Decode(encoder.Encode(report), error);
+  REQUIRE(decoded);
+  CHECK(decoded->starting == report.starting);
+}
+
 // Guards against changes that grow to the size of full reports: small reports are the purpose of
 // the delta encoding.
 TEST_CASE("changes of a busy worker take less than a third of a full report") {
--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -96,6 +96,7 @@
   struct unresolved_start {
     jobs::task_facts facts;
     core::mono_time failed_at;  ///< when the last call ended without an answer
+    bool kept = false;          ///< its task stays in place while the target has no lists
   };
   /// Stop command whose run the target has not listed as ended yet.
   struct pending_stop {
@@ -163,8 +164,11 @@
   void SendStop(const jobs::run_id& run, pending_stop& stop);
   void OnStopped(const jobs::run_id& run, const command_reply& reply);
   void PaceFilling();
-  /// Drops the runs of a target that is gone.
+  /// Drops the runs of a target that is gone, except starts that it may still execute.
   void ForgetRuns();
+  /// Keeps in place what the target may still start, until it has lists again. Tasks that last
+  /// don't wait.
+  void KeepLateStarts();
   /// Puts the runs of a target that is lost into `crashed` and `refused`: those that it may
   /// have begun, and those that were never sent to it.
   void CollectLostRuns(std::vector<jobs::crashed_run>& crashed,
--- a/libs/runner/src/runner.cc
+++ b/libs/runner/src/runner.cc
@@ -15,6 +15,7 @@
 constexpr core::milliseconds kMinLease{400};
 // Delay before a command without a known outcome is sent again.
 constexpr core::milliseconds kCommandRetryDelay{100};
+constexpr core::nanoseconds kNoTime{0};
 
 }  // namespace
 
@@ -124,8 +125,12 @@
     const bool found = now >= earlier_calls_expire_at_ && now < found_lease_end_;
     if (found || now < late_lease_end_) StopRunsWithoutLease();
   }
-  std::erase_if(unresolved_starts_,
-                [now](const auto& each) { return now - each.second.failed_at > kMaxCallDelay; });
+  std::erase_if(unresolved_starts_, [this, now](const auto& each) {
+    const unresolved_start& start = each.second;
+    // A run that it begins unseen works on until its lease has expired.
+    const core::nanoseconds work = start.kept ? MaxDuration(options_.max_task_lease) : kNoTime;
+    return now - start.failed_at > kMaxCallDelay + work;
+  });
   std::erase_if(expired_starts_,
                 [now](const auto& each) { return now - each.second > kMaxCallDelay; });
   if (now >= began_at_ + kMaxCallDelay) own_starts_.clear();
@@ -244,9 +249,9 @@
 
 void runner::RememberStart(const jobs::run_id& run, const pending_start& start) {
   const bool failed = !start.in_flight && start.failed_at != core::mono_time{};
-  unresolved_starts_.insert_or_assign(
-      run, unresolved_start{.facts = start.command.facts,
-                            .failed_at = failed ? start.failed_at : time_.Now()});
+  unresolved_start& unresolved = unresolved_starts_[run];
+  unresolved.facts = start.command.facts;
+  unresolved.failed_at = failed ? start.failed_at : time_.Now();
 }
 
 void runner::DropExpiredStarts() {
--- a/libs/runner/src/runner_incarnations.cc
+++ b/libs/runner/src/runner_incarnations.cc
@@ -82,6 +82,7 @@
       RememberStart(run, start);
     }
   }
+  KeepLateStarts();
   kept_name_ = announced_ && announced_->incarnation.name == next.name;
   if (!kept_name_) {
     unresolved_starts_.clear();
--- a/libs/runner/src/runner_lists.cc
+++ b/libs/runner/src/runner_lists.cc
@@ -160,7 +160,10 @@
   failed_polls_ = 0;
   fence_refused_since_ = {};
   fence_step_ = kFirstFenceStep;
-  if (std::exchange(forgot_starts_, false)) StopLateStarts();
+  if (std::exchange(forgot_starts_, false)) {
+    StopLateStarts();
+    report_due_ = true;
+  }
   ApplyLists(*lists, sent);
   PaceFilling();
   next_poll_ = ended_.empty() && held_end_ == 0 ? now : now + kUnconfirmedEndsPollDelay;
--- a/libs/runner/src/runner_reports.cc
+++ b/libs/runner/src/runner_reports.cc
@@ -102,8 +102,10 @@
   // Whether the target crashed or is only silent shows when its next incarnation is known.
   CollectLostRuns(runs_of_gone_, refused_);
   for (const auto& [run, start] : starts_) {
-    if (start.in_flight) RememberStart(run, start);
+    const bool is_known = unresolved_starts_.contains(run);
+    if (start.in_flight || (start.unanswered && !is_known)) RememberStart(run, start);
   }
+  KeepLateStarts();
   forgot_starts_ = true;
   running_.clear();
   starts_.clear();
@@ -112,10 +114,19 @@
   first_calls_.clear();
 }
 
+void runner::KeepLateStarts() {
+  for (auto& [run, unresolved] : unresolved_starts_) {
+    const bool in_place = starts_.contains(run) || IsRunning(run);
+    unresolved.kept = unresolved.kept || (in_place && !unresolved.facts.long_running);
+  }
+}
+
 void runner::Report(bool with_lists) {
   const core::mono_time now = time_.Now();
-  if (State() == jobs::target_state::gone) ForgetRuns();
-  with_lists = with_lists || !refused_.empty() || !crashed_.empty();
+  const bool is_gone = State() == jobs::target_state::gone;
+  if (is_gone) ForgetRuns();
+  // The coordinator keeps in place what a report of a target that is gone lists.
+  with_lists = with_lists || is_gone || !refused_.empty() || !crashed_.empty();
   jobs::worker_report report{.agent = options_.agent,
                              .agent_incarnation = options_.agent_incarnation,
                              .term = term_,
@@ -132,7 +143,11 @@
     report.labels = announced_->labels;
     report.capacity = announced_->capacity;
   }
-  if (with_lists && HasCompleteLists()) {
+  const bool complete = HasCompleteLists();
+  for (const auto& [run, unresolved] : unresolved_starts_) {
+    if ((is_gone || !complete) && unresolved.kept) report.starting.push_back(run);
+  }
+  if (with_lists && complete) {
     report.listed = true;
     report.ends_omitted = ends_omitted_;
     report.running = running_;
@@ -150,6 +165,9 @@
   if (!coordinator_.Send(report)) return;
   report_due_ = false;
   if (!report.listed) return;
+  if (!is_gone) {
+    for (auto& [run, unresolved] : unresolved_starts_) unresolved.kept = false;
+  }
   refused_.clear();
   crashed_.clear();
   next_listing_ = now + kListingPeriod;
--- a/libs/runner/tests/kept_name_test.cc
+++ b/libs/runner/tests/kept_name_test.cc
@@ -113,6 +113,24 @@
   CHECK(fixture.target.stops == RunOne());
 }
 
+// Guards against a task that starts elsewhere while its target, cut off again after its first
+// answer, executes a late start.
+TEST_CASE("a late start is reported while the next incarnation has not announced itself") {
+  kept_name_fixture fixture;
+  fixture.IssueCommand(1);
+  scripted_target::AnswerNext(fixture.target.start_answers, command_reply{});
+  std::vector<jobs::running_task> running;
+  SUBCASE("it has not begun") {}
+  SUBCASE("it has begun") { running = RunningOne(); }
+  ++fixture.started_ms;
+  fixture.AnswerPoll(running);  // by the next incarnation
+  if (!fixture.target.poll_answers.empty()) fixture.AnswerPoll(running);
+  fixture.Pass(milliseconds{14'000});
+  const jobs::worker_report& report = fixture.coordinator.reports.back();
+  CHECK_FALSE(report.listed);
+  CHECK(report.starting == RunOne());
+}
+
 // Guards against stops for calls that a target under another name does not execute.
 TEST_CASE("a start on its way to a target that restarts under another name is not stopped") {
   kept_name_fixture fixture;
--- /dev/null
+++ b/test/simulation/kept_name_gone_test.cc
@@ -0,0 +1,12 @@
+#include <doctest/doctest.h>
+
+#include "scenario.h"
+
+namespace coltsfoot::simulation {
+
+// Guards against a late start in the next incarnation of a target that had counted as gone.
+TEST_CASE("no task runs twice when targets restart under their names while they are cut off") {
+  CheckSeeds(kKeptNamesCutOff);
+}
+
+}  // namespace coltsfoot::simulation
--- a/test/simulation/scenario.cc
+++ b/test/simulation/scenario.cc
@@ -43,6 +43,7 @@
       return;
     case 4:
       if (mix.targets_crash) fleet.target(index).Crash(duration, mix.targets_keep_names);
+      if (mix.targets_cut_off) fleet.target(index).CutOff(5 * duration);
       return;
     default:
       if (mix.targets_drain) fleet.target(index).SetDraining(random.Below(2) == 0);
--- a/test/simulation/scenario.h
+++ b/test/simulation/scenario.h
@@ -12,6 +12,7 @@
   bool connections_fail = false;
   bool targets_crash = false;
   bool targets_keep_names = false;
+  bool targets_cut_off = false;        ///< a target that crashes gets no calls for up to 10 s
   milliseconds announcement_delay{0};  ///< longest time from a target's start to its announcement
   bool targets_drain = false;
   bool zones_evacuated = false;  ///< each worker is in a zone of its own
@@ -38,6 +39,12 @@
                                                     .targets_keep_names = true,
                                                     .announcement_delay = kLateAnnouncement};
 
+/// Targets that restart while they are cut off, so that agents count them as gone.
+inline constexpr fault_mix kKeptNamesCutOff{.commands = kLateCommands,
+                                            .targets_crash = true,
+                                            .targets_keep_names = true,
+                                            .targets_cut_off = true};
+
 /// Submits and cancels jobs while faults happen, once for each of many seeds. Checks that no task
 /// runs twice and that all jobs that were not cancelled complete.
 void CheckSeeds(const fault_mix& mix);
--- a/test/simulation/simulated_target.cc
+++ b/test/simulation/simulated_target.cc
@@ -88,8 +88,14 @@
   });
 }
 
+void simulated_target::CutOff(milliseconds duration) {
+  cut_until_ = std::max(cut_until_, events_.time().Now() + duration);
+}
+
+bool simulated_target::IsReachable() const { return up_ && events_.time().Now() >= cut_until_; }
+
 std::optional<runner::target_announcement> simulated_target::Announce() {
-  if (!up_) return std::nullopt;
+  if (!IsReachable()) return std::nullopt;
   return runner::target_announcement{.incarnation = {name_, incarnation_},
                                      .service = "svc",
                                      .zone = base_name_,
@@ -141,7 +147,7 @@
     return reply;
   };
   const auto leave_unanswered = [&] { events_.After(kCommandTimeout, [done] { done({}); }); };
-  if (!up_) {
+  if (!IsReachable()) {
     leave_unanswered();
     return;
   }
@@ -257,7 +263,9 @@
   const auto leave_unanswered = [&] {
     events_.After(call.wait + kPollGrace, [done] { done({}); });
   };
-  if (up_ && faults_.polls_delayed > 0 && random_.Uniform() < faults_.polls_delayed) {
+  if (!IsReachable()) {
+    leave_unanswered();
+  } else if (faults_.polls_delayed > 0 && random_.Uniform() < faults_.polls_delayed) {
     events_.After(DrawDelay(), [this, call, target, sent_to = incarnation_] {
       if (ExecutePoll(call, target)) NoteEffect("poll", sent_to);
     });
@@ -266,16 +274,14 @@
     events_.After(kAnswerDelay, [this, call, until, incarnation = incarnation_, done] {
       AnswerPoll(call, until, incarnation, done);
     });
-  } else if (up_) {
-    events_.After(kAnswerDelay, [done] { done({}); });
   } else {
-    leave_unanswered();
+    events_.After(kAnswerDelay, [done] { done({}); });
   }
 }
 
 void simulated_target::AnswerPoll(const runner::poll_call& call, core::mono_time until,
                                   std::uint64_t incarnation, const lists_handler& done) {
-  if (!up_ || incarnation != incarnation_) {
+  if (!IsReachable() || incarnation != incarnation_) {
     done({});
     return;
   }
--- a/test/simulation/simulated_target.h
+++ b/test/simulation/simulated_target.h
@@ -65,6 +65,8 @@
   /// Ends all runs. The next incarnation starts after `downtime`, under a new name unless
   /// `keeps_name` is set.
   void Crash(milliseconds downtime, bool keeps_name);
+  /// No calls arrive for this time, except those that are on their way.
+  void CutOff(milliseconds duration);
   /// Lets runs end and leases expire. Call every few milliseconds.
   void Step();
   /// @return the number of the running incarnation; 0 while the target is down.
@@ -84,6 +86,7 @@
   void Poll(const runner::poll_call& call, const std::string& target, const lists_handler& done);
 
  private:
+  bool IsReachable() const;
   using command = std::function<runner::command_reply()>;
   /// Executes a command that is addressed to `target` as the drawn fault says.
   void Receive(const std::string& target, const command& execute, const reply_handler& done);
@@ -113,6 +116,7 @@
   command_faults faults_;
   std::uint64_t incarnation_ = 1;
   bool up_ = true;
+  core::mono_time cut_until_;
   bool draining_ = false;
   core::mono_time started_at_;
   std::uint64_t fence_ = 0;
