runner: a start that is refused after a call without an answer stays in place

A start got no answer, its repetition was refused, and the agent released the task as soon as the target had executed a stop. The stop binds only the present incarnation: if the target restarted under its name, the next one could execute the first call beside another run of the task (TWICE).

Such a start, and one that is given up for another reason after a call without an answer, now stays in place until that call is 15 s old, as after a restart. It is released at once if the run was done or has failed, or if its task lasts.

--- a/libs/runner/include/runner/runner.h
+++ b/libs/runner/include/runner/runner.h
@@ -90,7 +90,8 @@
     /// When the target executed the start or a stop of the run. A poll sent later lists the run
     /// unless it does not run any more.
     std::optional<core::mono_time> settled_at;
-    bool accepted = false;  ///< the target has answered that the run is there
+    bool accepted = false;   ///< the target has answered that the run is there
+    bool completed = false;  ///< a list has shown that the run was done or has failed
   };
   /// Start without an answer that the target may still execute.
   struct unresolved_start {
@@ -123,8 +124,9 @@
   void OnLists(const std::optional<target_lists>& lists, core::mono_time sent,
                std::uint64_t confirmed);
   void ApplyLists(const target_lists& lists, core::mono_time sent);
-  /// @return true if a start stays in place although the present incarnation has not executed it:
-  /// it was sent to an earlier one, and the next one may execute it. Tasks that last don't wait.
+  /// @return true if a start stays in place although the present incarnation has not executed it,
+  /// since the next one may. It was sent to an earlier one, or was given up after a call without an
+  /// answer. Tasks that last don't wait.
   bool IsKept(const jobs::run_id& run, const pending_start& start) const;
   /// @return true if the target's next incarnation may execute a call that starts this run.
   bool MayStartAgain(const jobs::run_id& run) const;
--- a/libs/runner/src/runner_lists.cc
+++ b/libs/runner/src/runner_lists.cc
@@ -26,6 +26,11 @@
 // An answer to a command is on its way for less than this, which is the timeout of commands.
 constexpr std::int64_t kMaxAnswerDelayMs = 400;
 
+/// @return true if a run that ended so must not start again.
+bool IsCompletion(jobs::end_reason reason) {
+  return reason == jobs::end_reason::done || reason == jobs::end_reason::failed;
+}
+
 }  // namespace
 
 void runner::Poll() {
@@ -86,9 +91,11 @@
 }
 
 bool runner::IsKept(const jobs::run_id& run, const pending_start& start) const {
-  if (!kept_name_ || start.command.facts.long_running) return false;
+  if (start.command.facts.long_running) return false;
   const auto unresolved = unresolved_starts_.find(run);
-  return unresolved != unresolved_starts_.end() && unresolved->second.failed_at <= restarted_at_;
+  if (unresolved == unresolved_starts_.end()) return false;
+  if (start.abandoned && !start.completed) return true;
+  return kept_name_ && unresolved->second.failed_at <= restarted_at_;
 }
 
 bool runner::MayStartAgain(const jobs::run_id& run) const {
@@ -102,9 +109,7 @@
   if (steady || listed.size() > kMaxHeldEnds) return;
   for (const jobs::ended_run& end : listed) {
     if (held_end_ > 0 && end.number >= held_end_) continue;
-    const bool counts =
-        end.reason == jobs::end_reason::done || end.reason == jobs::end_reason::failed;
-    if (counts && MayStartAgain({end.task, end.run})) held_end_ = end.number;
+    if (IsCompletion(end.reason) && MayStartAgain({end.task, end.run})) held_end_ = end.number;
   }
 }
 
@@ -202,6 +207,8 @@
     // Sent again, the call could start an ended run in the next incarnation.
     const bool known = listed.contains(run) || ended.contains(run);
     if (known && !start.settled_at) start.settled_at = sent;
+    const auto end = ended.find(run);
+    start.completed = start.completed || (end != ended.end() && IsCompletion(end->second));
   }
   std::erase_if(starts_, [&](const auto& each) {
     const auto& [run, start] = each;
--- a/libs/runner/tests/runner_fixture.h
+++ b/libs/runner/tests/runner_fixture.h
@@ -147,6 +147,24 @@
     }
   }
 
+  /// Passes time in which each poll is answered with empty lists.
+  void PassWithEmptyLists(milliseconds duration) {
+    for (milliseconds passed{0}; passed < duration; passed += milliseconds{100}) {
+      if (!target.poll_answers.empty()) Answer({});
+      Grant();
+      Pass(milliseconds{100});
+    }
+  }
+
+  /// @return the refusals in all reports.
+  std::vector<jobs::refused_run> Refusals() const {
+    std::vector<jobs::refused_run> out;
+    for (const auto& each : coordinator.reports) {
+      out.insert(out.end(), each.refused.begin(), each.refused.end());
+    }
+    return out;
+  }
+
   core::manual_clock time;
   metrics::registry metrics;
   scripted_target target;
--- a/test/simulation/kept_name_gone_test.cc
+++ b/test/simulation/kept_name_gone_test.cc
@@ -9,4 +9,9 @@
   CheckSeeds(kKeptNamesCutOff);
 }
 
+// Guards against a late start whose repetition was refused in the earlier incarnation.
+TEST_CASE("no task runs twice when targets that are cut off refuse commands") {
+  CheckSeeds(kKeptNamesCutOffRefusals);
+}
+
 }  // namespace coltsfoot::simulation
--- a/test/simulation/scenario.h
+++ b/test/simulation/scenario.h
@@ -23,6 +23,9 @@
 /// As above, and some polls are late as well.
 inline constexpr command_faults kLateCalls{
     .refused = 0, .unanswered = 0.1, .delayed = 0.4, .polls_delayed = 0.1};
+/// Some commands are refused.
+inline constexpr command_faults kRefusedLateCommands{
+    .refused = 0.2, .unanswered = 0.1, .delayed = 0.4};
 inline constexpr milliseconds kLateAnnouncement{1000};
 
 /// Faults of targets that restart under their names.
@@ -44,6 +47,11 @@
                                             .targets_crash = true,
                                             .targets_keep_names = true,
                                             .targets_cut_off = true};
+/// As above, with refusals.
+inline constexpr fault_mix kKeptNamesCutOffRefusals{.commands = kRefusedLateCommands,
+                                                    .targets_crash = true,
+                                                    .targets_keep_names = true,
+                                                    .targets_cut_off = true};
 
 /// Submits and cancels jobs while faults happen, once for each of many seeds. Checks that no task
 /// runs twice and that all jobs that were not cancelled complete.
