jobs: a task takes memory from its first change on

40 jobs of 64 steps with 1,000 tasks each, which one client submits in 5 kB a job, ended one coordinator after the other: each exceeded its host's memory as soon as it loaded the jobs, so work of other callers stood still for good.

The job table made a row of some 140 bytes for each task of a job when it learned of the job, 9 MB for each of these, and each write of progress named all of them. Rows are allocated in pages of 16 now, from the first change of one of them on, and stored progress ends with the last task that has any. Restoring fills in the rest, as it did for short records before.

The new case of job_table_test asks for the rows that are allocated.

--- a/libs/jobs/include/jobs/job_table.h
+++ b/libs/jobs/include/jobs/job_table.h
@@ -13,37 +13,12 @@
 #include "jobs/messages.h"
 #include "jobs/queue_catalogue.h"
 #include "jobs/records.h"
+#include "jobs/task_rows.h"
 #include "jobs/types.h"
 #include "store/kv_client.h"
 
 namespace coltsfoot::jobs {
 
-/// A run of a task that was commanded to start and has not ended.
-struct task_copy {
-  std::string agent;
-  target_incarnation incarnation;
-  std::uint32_t run = 0;
-  std::uint64_t command = 0;  ///< sequence of the commands that start it; 0: found in a report
-  core::mono_time issued_at;
-  bool running = false;   ///< the target reports it as running
-  bool stopping = false;  ///< a stop command was issued
-  core::mono_time stop_issued_at;
-  std::uint32_t progress = 0;
-  std::uint32_t pace = 100;             ///< percent at which the agent lets it run
-  core::mono_time slowed_since;         ///< since when `pace` has been low; zero: it is not low
-  core::mono_time progress_changed_at;  ///< when `progress` last changed
-  bool operator==(const task_copy&) const = default;
-};
-
-/// A task of a job.
-struct task_row {
-  task_progress progress;
-  std::vector<task_copy> copies;
-  std::string failed_on;         ///< agent on which it last failed or got stuck
-  crash_evidence crashes;        ///< it is a suspect if there are any
-  bool needs_isolation = false;  ///< starts only on an isolated worker; see `crash_isolation`
-};
-
 /// Task counts of a step. They let the planner skip steps without pending tasks.
 struct step_row {
   std::uint32_t first_task = 0;
@@ -74,7 +49,7 @@
   bool crashes_changed = false;      ///< evidence of crashes that no write contains yet
   bool crashes_stored = false;       ///< the store may hold a `crash_record`
   std::vector<step_row> steps;
-  std::vector<task_row> tasks;
+  task_rows tasks;
 
   const step_spec& Spec(std::uint32_t step) const { return record.spec.steps[step]; }
   /// @return true if all steps that `step` depends on are done.
@@ -91,6 +66,7 @@
 struct task_ref {
   job_row* job = nullptr;
   std::uint32_t step = 0;
+  std::uint32_t index = 0;  ///< in its step
   task_row* task = nullptr;
 };
 
@@ -148,11 +124,11 @@
     const auto it = by_agent_.find(agent);
     if (it == by_agent_.end()) return;
     for (const copy_ref& each : it->second) {
-      task_row& task = each.job->tasks[each.job->steps[each.step].first_task + each.index];
+      task_row& task = each.job->tasks.At(each.job->steps[each.step].first_task + each.index);
       for (task_copy& copy : task.copies) {
         if (copy.run != each.run || copy.agent != agent) continue;
-        visit(task_ref{each.job, each.step, &task}, task_id{each.job->id, 0, each.step, each.index},
-              copy);
+        visit(task_ref{each.job, each.step, each.index, &task},
+              task_id{each.job->id, 0, each.step, each.index}, copy);
       }
     }
   }
--- a/libs/jobs/src/coordinator.cc
+++ b/libs/jobs/src/coordinator.cc
@@ -203,7 +203,9 @@
   bool found = false;
   for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
     for (std::uint32_t index = 0; index < job.Spec(step).count; ++index) {
-      task_row& task = job.tasks[job.steps[step].first_task + index];
+      const std::uint32_t place = job.steps[step].first_task + index;
+      if (job.tasks[place].copies.empty()) continue;
+      task_row& task = job.tasks.At(place);
       for (task_copy& copy : task.copies) {
         // Of two copies of a task that is not speculative, the one with the higher run continues:
         // the other was started by a coordinator that had lost contact.
--- a/libs/jobs/src/crash_isolation.cc
+++ b/libs/jobs/src/crash_isolation.cc
@@ -111,8 +111,9 @@
       const bool startable = !job->held && job->steps[step].pending > 0 && job->IsReleased(step);
       std::size_t tasks = 0;
       for (std::uint32_t index = 0; index < job->Spec(step).count; ++index) {
-        task_row& task = job->tasks[job->steps[step].first_task + index];
-        if (task.crashes.crashes == 0) continue;
+        const std::uint32_t place = job->steps[step].first_task + index;
+        if (job->tasks[place].crashes.crashes == 0) continue;
+        task_row& task = job->tasks.At(place);
         task.needs_isolation = !calm || task.crashes.alone > 0;
         const bool waits = startable && task.copies.empty() && !task.progress.done;
         if (waits && task.needs_isolation) ++tasks;
--- a/libs/jobs/src/job_table.cc
+++ b/libs/jobs/src/job_table.cc
@@ -67,7 +67,7 @@
     job.steps.push_back({.first_task = first, .done = 0, .pending = step.count});
     first += step.count;
   }
-  job.tasks.resize(first);
+  job.tasks.Resize(first);
   open_.emplace(job.id, &job);
   return job;
 }
@@ -97,9 +97,10 @@
   job.begun = stored.state != job_state::queued;
   job.stored_state = stored.state;
   job.ended_wall_ms = stored.ended_wall_ms;
-  const std::size_t count = std::min(job.tasks.size(), stored.tasks.size());
-  for (std::size_t index = 0; index < count; ++index) {
-    task_progress& progress = job.tasks[index].progress;
+  const auto count = std::min<std::size_t>(job.tasks.size(), stored.tasks.size());
+  for (std::uint32_t index = 0; index < count; ++index) {
+    if (stored.tasks[index] == task_progress{}) continue;
+    task_progress& progress = job.tasks.At(index).progress;
     progress = stored.tasks[index];
     progress.last_run = std::min(progress.last_run, max_run);
   }
@@ -121,12 +122,12 @@
   job_row* job = Find(task.job);
   if (job == nullptr || task.occurrence != 0 || task.step >= job->steps.size()) return std::nullopt;
   if (task.index >= job->Spec(task.step).count) return std::nullopt;
-  return task_ref{job, task.step, &job->tasks[job->steps[task.step].first_task + task.index]};
+  task_row& row = job->tasks.At(job->steps[task.step].first_task + task.index);
+  return task_ref{job, task.step, task.index, &row};
 }
 
 job_table::copy_ref job_table::RefOf(const task_ref& ref, std::uint32_t run) {
-  const task_row* first = &ref.job->tasks[ref.job->steps[ref.step].first_task];
-  return {ref.job, ref.step, static_cast<std::uint32_t>(ref.task - first), run};
+  return {ref.job, ref.step, ref.index, run};
 }
 
 void job_table::AddCopy(const task_ref& ref, task_copy copy) {
@@ -213,17 +214,18 @@
   ref.task->needs_isolation = false;
   job.crashes_changed = true;
   MarkDirty(job);
-  const bool others = std::any_of(job.tasks.begin(), job.tasks.end(),
-                                  [](const task_row& task) { return task.crashes.crashes > 0; });
+  const bool others =
+      job.tasks.EndOf([](const task_row& task) { return task.crashes.crashes > 0; }) > 0;
   if (!others) suspects_.erase(job.id);
 }
 
 void job_table::RestoreCrashes(job_row& job, const crash_record& stored) {
   job.crashes_stored = true;
-  const std::size_t count = std::min(job.tasks.size(), stored.tasks.size());
+  const auto count = std::min<std::size_t>(job.tasks.size(), stored.tasks.size());
   bool found = false;
-  for (std::size_t index = 0; index < count; ++index) {
-    job.tasks[index].crashes = stored.tasks[index];
+  for (std::uint32_t index = 0; index < count; ++index) {
+    if (stored.tasks[index] == crash_evidence{}) continue;
+    job.tasks.At(index).crashes = stored.tasks[index];
     found = found || stored.tasks[index].crashes > 0;
   }
   if (found && !IsEnded(job.state)) suspects_.emplace(job.id, &job);
@@ -238,15 +240,23 @@
 progress_record job_table::Progress(const job_row& job) {
   progress_record out{.state = job.state, .ended_wall_ms = job.ended_wall_ms, .tasks = {}};
   if (IsEnded(job.state)) return out;
-  out.tasks.reserve(job.tasks.size());
-  for (const task_row& task : job.tasks) out.tasks.push_back(task.progress);
+  const std::uint32_t end =
+      job.tasks.EndOf([](const task_row& task) { return task.progress != task_progress{}; });
+  out.tasks.reserve(end);
+  for (std::uint32_t index = 0; index < end; ++index) {
+    out.tasks.push_back(job.tasks[index].progress);
+  }
   return out;
 }
 
 crash_record job_table::Crashes(const job_row& job) {
   crash_record out;
-  out.tasks.reserve(job.tasks.size());
-  for (const task_row& task : job.tasks) out.tasks.push_back(task.crashes);
+  const std::uint32_t end =
+      job.tasks.EndOf([](const task_row& task) { return task.crashes != crash_evidence{}; });
+  out.tasks.reserve(end);
+  for (std::uint32_t index = 0; index < end; ++index) {
+    out.tasks.push_back(job.tasks[index].crashes);
+  }
   return out;
 }
 
--- a/libs/jobs/tests/job_table_test.cc
+++ b/libs/jobs/tests/job_table_test.cc
@@ -99,4 +99,31 @@
   CHECK(table.dirty().empty());
 }
 
+// Guards against memory for each task of a job before the task starts.
+TEST_CASE(
+    "tasks take memory from their first change on, and stored progress leaves the others out") {
+  job_table table;
+  job_record record;
+  record.spec.steps.assign(kMaxSteps, testing::TestStep(kMaxTasksPerStep));
+  job_row& job = table.Add("j", record, 1, {});
+  CHECK(job.tasks.size() == kMaxSteps * kMaxTasksPerStep);
+  CHECK(job.tasks.allocated() == 0);
+  CHECK(job_table::Progress(job).tasks.empty());
+  const auto ref = table.FindTask({"j", 0, 1, 2});
+  REQUIRE(ref);
+  table.MarkDone(*ref, 1);
+  CHECK(job.tasks.allocated() <= 16);
+  const progress_record stored = job_table::Progress(job);
+  REQUIRE(stored.tasks.size() == kMaxTasksPerStep + 3);
+  CHECK(stored.tasks.back().done);
+
+  job_table next;
+  job_row& restored = next.Add("j", record, 1, {});
+  next.Restore(restored, stored, 1, 1);
+  CHECK(restored.steps[1].done == 1);
+  CHECK(restored.steps[1].pending == kMaxTasksPerStep - 1);
+  CHECK(restored.tasks.allocated() <= 16);
+  CHECK(job_table::Progress(restored) == stored);
+}
+
 }  // namespace coltsfoot::jobs
--- a/libs/jobs/tests/planner_test.cc
+++ b/libs/jobs/tests/planner_test.cc
@@ -247,7 +247,7 @@
 TEST_CASE("a failed task is retried on another worker if one has room") {
   tables fleet(2);
   job_row& job = fleet.Add("a", {TestStep(1)});
-  job.tasks[0].failed_on = "w0";
+  job.tasks.At(0).failed_on = "w0";
   auto starts = fleet.Run();
   REQUIRE(starts.size() == 1);
   CHECK(starts[0].agent == "w1");
@@ -270,7 +270,7 @@
     copy.progress_changed_at = past;
     copy.pace = pace;
     if (pace < 100) copy.slowed_since = past;
-    fleet.jobs.AddCopy({&job, step, &job.tasks[step]}, copy);
+    fleet.jobs.AddCopy({&job, step, 0, &job.tasks.At(step)}, copy);
   };
   add(0, 100);
   add(1, 0);
--- a/libs/jobs/tests/zone_evacuations_test.cc
+++ b/libs/jobs/tests/zone_evacuations_test.cc
@@ -145,8 +145,8 @@
   // The worker does not accept the suspect at once, since a start there was just commanded.
   REQUIRE(test.Starts(milliseconds{100}) == "a");
   const job_row& job = *test.fleet.control.FindJob(kJob);
-  REQUIRE(job.tasks.front().copies.size() == 1);
-  const task_copy copy = job.tasks.front().copies.front();
+  REQUIRE(job.tasks[0].copies.size() == 1);
+  const task_copy copy = job.tasks[0].copies.front();
   worker_report& report = test.fleet.Worker(copy.agent);
   report.running.clear();
   report.incarnation.started_ms = 2;
@@ -255,7 +255,7 @@
   test.fleet.Report(agent);
   test.fleet.Worker(agent).refused.clear();
   CHECK(test.Starts() == "b");
-  const task_row& task = test.fleet.control.FindJob(kJob)->tasks.front();
+  const task_row& task = test.fleet.control.FindJob(kJob)->tasks[0];
   CHECK(task.progress.failed_runs.empty());
   CHECK(task.failed_on.empty());
 }
