jobs: late starts of ended or unknown jobs are not kept

For a job that was not known any more the coordinator sent a stop at each tick instead, to an agent whose target was gone, and a worker whose only late starts belonged to cancelled jobs was not registered as absent. Found by reading the change again.

Late starts of jobs that are unknown or ended, or of tasks that are done, are dropped now: nothing else would be started for them, and the agent stops them by itself when the target is back.

--- a/libs/jobs/src/coordinator_reports.cc
+++ b/libs/jobs/src/coordinator_reports.cc
@@ -116,6 +116,10 @@
 
 void coordinator::DropLostRuns(worker_row& worker, std::string_view reason) {
   if (time_.Now() >= worker.late_starts_until) worker.late_starts.clear();
+  std::erase_if(worker.late_starts, [this](const run_id& start) {
+    const auto ref = jobs_.FindTask(start.task);
+    return !ref || IsEnded(ref->job->state) || ref->task->progress.done;
+  });
   std::vector<std::pair<task_ref, std::uint32_t>> lost;
   jobs_.VisitCopies(
       worker.agent, [&](const task_ref& ref, const task_id& id, const task_copy& copy) {
--- a/libs/jobs/tests/coordinator_test.cc
+++ b/libs/jobs/tests/coordinator_test.cc
@@ -170,6 +170,27 @@
   CHECK(again[0].first == other);
 }
 
+// Guards against stops that are sent again and again to a target that is gone.
+TEST_CASE("a start of an ended job stays in place nowhere") {
+  coordinator_fixture fleet;
+  fleet.Begin({"a", "b"});
+  fleet.Submit(kJob, {TestStep(1)});
+  fleet.Tick();
+  const auto starts = fleet.agents.TakeStarts();
+  REQUIRE(starts.size() == 1);
+  worker_report& report = fleet.Worker(starts[0].first);
+  report.state = target_state::gone;
+  report.starting = {starts[0].second.facts.run};
+  SUBCASE("the job is cancelled") { fleet.Cancel(kJob); }
+  SUBCASE("the job is not known") { report.starting[0].task.job = "00000000000000ff"; }
+  for (int step = 0; step < 80; ++step) {
+    fleet.Report(report.agent);
+    fleet.Tick(milliseconds{100});
+  }
+  CHECK(fleet.control.workers().at(report.agent).absent);
+  for (const auto& [agent, commands] : fleet.agents.commands) CHECK(commands.stops.empty());
+}
+
 // Guards against a new coordinator that starts a task again that still runs on a worker that has
 // not reported yet.
 TEST_CASE("a new coordinator waits for the reports of all workers") {
